--- /dev/null
+++ b/examples/experiment/main.rs
@@ -0,0 +1,53 @@
+//! Runs one named, seeded experiment, or `all`, and prints a table; `--json` adds one JSON object.
+
+#[expect(dead_code, reason = "the first experiment uses it")]
+mod report;
+#[expect(dead_code, reason = "the first experiment uses it")]
+mod rng;
+
+use std::process::ExitCode;
+
+use report::Report;
+
+/// Default seeds of an experiment; the median and the range over them are reported.
+const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
+
+/// An experiment: its name and the function that runs it on the given seeds.
+type Experiment = (&'static str, fn(&[u64]) -> Report);
+
+const EXPERIMENTS: &[Experiment] = &[];
+
+fn main() -> ExitCode {
+    let mut json = false;
+    let mut name = None;
+    for arg in std::env::args().skip(1) {
+        match arg.as_str() {
+            "--json" => json = true,
+            other => name = Some(other.to_owned()),
+        }
+    }
+    let Some(name) = name else {
+        let names: Vec<_> = EXPERIMENTS.iter().map(|(name, _)| *name).collect();
+        eprintln!(
+            "usage: experiment [--json] NAME, with NAME one of: all {}",
+            names.join(" ")
+        );
+        return ExitCode::from(2);
+    };
+    let chosen: Vec<_> = EXPERIMENTS
+        .iter()
+        .filter(|(known, _)| name == "all" || name == *known)
+        .collect();
+    if chosen.is_empty() {
+        eprintln!("experiment {name:?} does not exist");
+        return ExitCode::from(2);
+    }
+    for (known, run) in chosen {
+        let report = run(&SEEDS);
+        report.print(known);
+        if json {
+            println!("{}", report.json(known));
+        }
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/src/agent/mod.rs
@@ -0,0 +1,1 @@
+//! The agent daemon, which stands beside one upstream.
--- /dev/null
+++ b/src/bin/fireflywind-gateway/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder of the program until its module lands.
+
+fn main() {}
--- /dev/null
+++ b/src/dissemination/mod.rs
@@ -0,0 +1,1 @@
+//! Which sheet revision a process holds, offers and fetches.
--- /dev/null
+++ b/src/fencing/mod.rs
@@ -0,0 +1,1 @@
+//! Fencing of engine orders: the highest number wins, older ones are refused.
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,1 @@
+//! The gateway daemon, which takes callers' requests.
--- /dev/null
+++ b/src/idempotency/mod.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution of requests that carry an idempotency key.
--- /dev/null
+++ b/src/ledger/mod.rs
@@ -0,0 +1,1 @@
+//! Charges, ledger checkpoints and their union into a bill.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,31 @@
+//! Model-aware router for versions and cascades.
+//!
+//! The library holds all logic; the programs under `src/bin` are thin. Modules marked pure take their
+//! inputs, the time and random draws as arguments and perform no I/O, so that a decision can be replayed.
+
+pub mod agent;
+pub mod dissemination;
+pub mod fencing;
+#[cfg(test)]
+mod fixtures;
+pub mod gateway;
+pub mod idempotency;
+pub mod ids;
+pub mod ledger;
+pub mod limits;
+pub mod membership;
+pub mod operator;
+pub mod peer;
+pub mod platform;
+pub mod rating;
+pub mod record;
+pub mod rollout;
+pub mod route;
+pub mod session;
+pub mod settings;
+pub mod sheet;
+pub mod standin;
+pub mod stream;
+pub mod suspect;
+pub mod units;
+pub mod upstream;
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,1 @@
+//! The capnp-rpc protocol between gateways and agents.
--- /dev/null
+++ b/src/rating/mod.rs
@@ -0,0 +1,1 @@
+//! Pass rates of versions by request class, learned from ratings.
--- /dev/null
+++ b/src/record/mod.rs
@@ -0,0 +1,1 @@
+//! Explanation records: one per outcome, replayable.
--- /dev/null
+++ b/src/route/mod.rs
@@ -0,0 +1,1 @@
+//! Choice of version, cascade plan and upstream for a request.
--- /dev/null
+++ b/src/session/mod.rs
@@ -0,0 +1,1 @@
+//! Signed session tokens that pin a session to a version.
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,1 @@
+//! Settings of the daemons.
--- /dev/null
+++ b/src/stream/mod.rs
@@ -0,0 +1,1 @@
+//! Kept answers at the agent and their reassembly at the gateway.
--- /dev/null
+++ b/src/suspect/mod.rs
@@ -0,0 +1,1 @@
+//! Containment of requests that crash the upstreams that run them.
--- /dev/null
+++ b/src/upstream/mod.rs
@@ -0,0 +1,1 @@
+//! Clients for model engines and plain services.
