Add the capnp-rpc protocol between gateways and agents

Cause: gateway and agent need one link that finds silence, proves both ends and carries the sheet's revision on every call.

Ruled out: pushing answers to the gateway. With pulled reads by offset, a new connection goes on where the silent one stopped, without extra state.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod platform;
 pub mod rating;
 pub mod record;
+pub mod refusal;
 pub mod rollout;
 pub mod route;
 pub mod session;
--- /dev/null
+++ b/src/peer/client.rs
@@ -0,0 +1,296 @@
+//! The gateway's end of a link to one agent.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use actix_rt::task::JoinHandle;
+use actix_rt::time::timeout;
+use bytes::Bytes;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use futures_util::FutureExt;
+use tokio::net::TcpStream;
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use super::auth::{End, PeerKey};
+use super::message::{OfferReply, ReadReply, RunReply, RunRequest, SheetCopy, Status};
+use super::peer_capnp::{bootstrap, peer};
+use super::{SCHEMA_VERSION, codec, reader_options};
+use crate::units::Millis;
+
+/// Why a call over a link gave no result.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LinkError {
+    /// No connection was made, so nothing was sent.
+    Unreachable(String),
+    /// The agent did not prove that it knows the peer key, or speaks another schema version.
+    Rejected(String),
+    /// No reply came before the deadline.
+    Silent,
+    /// The connection broke after the call was sent.
+    Broken(String),
+}
+
+impl fmt::Display for LinkError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreachable(why) => write!(f, "agent is unreachable: {why}"),
+            Self::Rejected(why) => write!(f, "agent was rejected: {why}"),
+            Self::Silent => f.write_str("agent gave no reply before the deadline"),
+            Self::Broken(why) => write!(f, "connection to the agent broke: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for LinkError {}
+
+impl From<capnp::Error> for LinkError {
+    fn from(error: capnp::Error) -> Self {
+        Self::Broken(error.to_string())
+    }
+}
+
+/// A proven connection to an agent; dropping it closes the connection.
+pub struct Link {
+    peer: peer::Client,
+    rpc: JoinHandle<()>,
+}
+
+impl fmt::Debug for Link {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Link").finish_non_exhaustive()
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.rpc.abort();
+    }
+}
+
+/// Awaits a call with a deadline and maps its errors.
+async fn within<T>(
+    deadline: Millis,
+    call: impl Future<Output = Result<T, capnp::Error>>,
+) -> Result<T, LinkError> {
+    match timeout(deadline.duration(), call).await {
+        Ok(outcome) => outcome.map_err(LinkError::from),
+        Err(_elapsed) => Err(LinkError::Silent),
+    }
+}
+
+impl Link {
+    /// Connects to an agent and proves both ends.
+    ///
+    /// # Errors
+    /// [`LinkError`] if no proven connection stands before the deadline.
+    pub async fn connect(
+        addr: SocketAddr,
+        key: &PeerKey,
+        deadline: Millis,
+    ) -> Result<Self, LinkError> {
+        match timeout(deadline.duration(), Self::connect_unbounded(addr, key)).await {
+            Ok(outcome) => outcome,
+            Err(_elapsed) => Err(LinkError::Unreachable("connect timed out".to_owned())),
+        }
+    }
+
+    async fn connect_unbounded(addr: SocketAddr, key: &PeerKey) -> Result<Self, LinkError> {
+        let unreachable = |error: std::io::Error| LinkError::Unreachable(error.to_string());
+        let stream = TcpStream::connect(addr).await.map_err(unreachable)?;
+        stream.set_nodelay(true).map_err(unreachable)?;
+        let (reader, writer) = stream.into_split();
+        let network = twoparty::VatNetwork::new(
+            reader.compat(),
+            writer.compat_write(),
+            Side::Client,
+            reader_options(),
+        );
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let bootstrap: bootstrap::Client = system.bootstrap(Side::Server);
+        let rpc = actix_rt::spawn(system.map(drop));
+        match prove(&bootstrap, key).await {
+            Ok(peer) => Ok(Self { peer, rpc }),
+            Err(error) => {
+                rpc.abort();
+                Err(error)
+            }
+        }
+    }
+
+    /// Asks the agent to run one attempt of a request.
+    ///
+    /// # Errors
+    /// [`LinkError`]; the attempt may have started unless the error is [`LinkError::Unreachable`].
+    pub async fn run(&self, req: &RunRequest, deadline: Millis) -> Result<RunReply, LinkError> {
+        let mut call = self.peer.run_request();
+        codec::put_run_request(call.get().init_request(), req);
+        within(deadline, async {
+            let reply = call.send().promise.await?;
+            codec::get_run_reply(reply.get()?.get_reply()?)
+        })
+        .await
+    }
+
+    /// Reads an answer from an offset; a long poll that the agent ends within a second.
+    ///
+    /// # Errors
+    /// [`LinkError`]; the read can be repeated over another link.
+    pub async fn read(
+        &self,
+        answer: u64,
+        offset: u64,
+        max: u32,
+        deadline: Millis,
+    ) -> Result<ReadReply, LinkError> {
+        let mut call = self.peer.read_request();
+        let mut params = call.get();
+        params.set_answer(answer);
+        params.set_offset(offset);
+        params.set_max(max);
+        within(deadline, async {
+            let reply = call.send().promise.await?;
+            codec::get_read_reply(reply.get()?.get_reply()?)
+        })
+        .await
+    }
+
+    /// Tells the agent that the whole answer has arrived.
+    ///
+    /// # Errors
+    /// [`LinkError`]; the agent then keeps the answer until its time is over.
+    pub async fn ack(&self, answer: u64, deadline: Millis) -> Result<(), LinkError> {
+        let mut call = self.peer.ack_request();
+        call.get().set_answer(answer);
+        within(deadline, async { call.send().promise.await.map(drop) }).await
+    }
+
+    /// Tells the agent that nobody wants the answer any more.
+    ///
+    /// # Errors
+    /// [`LinkError`]; the agent then cancels the run once no reader has been seen for a while.
+    pub async fn cancel(&self, answer: u64, deadline: Millis) -> Result<(), LinkError> {
+        let mut call = self.peer.cancel_request();
+        call.get().set_answer(answer);
+        within(deadline, async { call.send().promise.await.map(drop) }).await
+    }
+
+    /// Exchanges status; the heartbeat.
+    ///
+    /// # Errors
+    /// [`LinkError`] if the agent gave no valid reply.
+    pub async fn status(&self, own: &Status, deadline: Millis) -> Result<Status, LinkError> {
+        let mut call = self.peer.status_request();
+        codec::put_status(call.get().init_gateway(), own);
+        within(deadline, async {
+            let reply = call.send().promise.await?;
+            codec::get_status(reply.get()?.get_agent()?)
+        })
+        .await
+    }
+
+    /// Fetches the agent's sheet without the parts that the gateway has.
+    ///
+    /// # Errors
+    /// [`LinkError`] if the agent gave no valid reply.
+    pub async fn fetch_sheet(
+        &self,
+        have: &[String],
+        deadline: Millis,
+    ) -> Result<SheetCopy, LinkError> {
+        let mut call = self.peer.fetch_sheet_request();
+        codec::fill_names(call.get().init_have(codec::count(have.len())), have);
+        within(deadline, async {
+            let reply = call.send().promise.await?;
+            let reply = reply.get()?;
+            let root = Bytes::copy_from_slice(reply.get_root()?);
+            Ok(SheetCopy {
+                root,
+                parts: codec::get_parts(reply.get_parts()?)?,
+            })
+        })
+        .await
+    }
+
+    /// Offers a newer sheet to the agent.
+    ///
+    /// # Errors
+    /// [`LinkError`] if the agent gave no valid reply.
+    pub async fn offer_sheet(
+        &self,
+        copy: &SheetCopy,
+        deadline: Millis,
+    ) -> Result<OfferReply, LinkError> {
+        let mut call = self.peer.offer_sheet_request();
+        call.get().set_root(&copy.root);
+        codec::fill_parts(
+            call.get().init_parts(codec::count(copy.parts.len())),
+            &copy.parts,
+        );
+        within(deadline, async {
+            let reply = call.send().promise.await?;
+            let reply = reply.get()?;
+            let missing = codec::get_names(reply.get_missing()?)?;
+            Ok(OfferReply {
+                revision: reply.get_revision(),
+                missing,
+            })
+        })
+        .await
+    }
+
+    /// Tells the agent of crashes and the requests that were in flight.
+    ///
+    /// # Errors
+    /// [`LinkError`] if the agent did not confirm.
+    pub async fn suspects(&self, reports: &[u8], deadline: Millis) -> Result<(), LinkError> {
+        let mut call = self.peer.suspects_request();
+        call.get().set_reports(reports);
+        within(deadline, async { call.send().promise.await.map(drop) }).await
+    }
+
+    /// Gives an engine command to the agent.
+    ///
+    /// # Errors
+    /// [`LinkError`]; the command may have taken effect.
+    pub async fn order(
+        &self,
+        fence: u64,
+        order: &[u8],
+        deadline: Millis,
+    ) -> Result<Bytes, LinkError> {
+        let mut call = self.peer.order_request();
+        call.get().set_fence(fence);
+        call.get().set_order(order);
+        within(deadline, async {
+            let reply = call.send().promise.await?;
+            Ok(Bytes::copy_from_slice(reply.get()?.get_reply()?))
+        })
+        .await
+    }
+}
+
+/// Proves both ends to each other and returns the agent's calls.
+async fn prove(bootstrap: &bootstrap::Client, key: &PeerKey) -> Result<peer::Client, LinkError> {
+    let nonce = *uuid::Uuid::new_v4().as_bytes();
+    let mut hello = bootstrap.hello_request();
+    hello.get().set_schema(SCHEMA_VERSION);
+    hello.get().set_nonce(&nonce);
+    let reply = hello.send().promise.await?;
+    let reply = reply.get()?;
+    if reply.get_schema() != SCHEMA_VERSION {
+        return Err(LinkError::Rejected(format!(
+            "schema version {}",
+            reply.get_schema()
+        )));
+    }
+    let server_nonce = reply.get_nonce()?;
+    if !key.verify(End::Server, &nonce, server_nonce, reply.get_proof()?) {
+        return Err(LinkError::Rejected("wrong peer key".to_owned()));
+    }
+    let mut open = bootstrap.open_request();
+    open.get()
+        .set_proof(&key.proof(End::Client, &nonce, server_nonce));
+    let reply = open.send().promise.await?;
+    Ok(reply.get()?.get_peer()?)
+}
--- /dev/null
+++ b/src/peer/message.rs
@@ -0,0 +1,178 @@
+//! Typed messages of the protocol.
+
+use bytes::Bytes;
+
+use crate::ids::{AccountId, ClassId, Incarnation, RequestId, ServiceId, VersionRef};
+use crate::refusal::Refusal;
+use crate::units::Millis;
+
+/// What a request runs on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Target {
+    /// A version of a model.
+    Version(VersionRef),
+    /// A plain service.
+    Service(ServiceId),
+}
+
+/// One attempt of a request that an agent is asked to run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunRequest {
+    /// The request.
+    pub request: RequestId,
+    /// Step of the cascade, from 0.
+    pub step: u16,
+    /// Attempt within the step, from 0.
+    pub attempt: u16,
+    /// Account that the request is billed to.
+    pub account: AccountId,
+    /// Class of the request.
+    pub class: ClassId,
+    /// What the request runs on.
+    pub target: Target,
+    /// Whether a session pins the version.
+    pub pinned: bool,
+    /// HTTP method.
+    pub method: String,
+    /// Path with its query.
+    pub path: String,
+    /// Content type of the body.
+    pub content_type: String,
+    /// Body.
+    pub body: Bytes,
+    /// The caller's idempotency key.
+    pub idempotency_key: Option<String>,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// Whether the answer is a stream.
+    pub streamed: bool,
+    /// Time left until the caller gives up.
+    pub deadline: Millis,
+    /// Sheet revision under which the gateway decided.
+    pub revision: u64,
+    /// Time since the gateway's sheet was last confirmed.
+    pub freshness: Millis,
+}
+
+/// An agent's reply to [`RunRequest`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RunReply {
+    /// The attempt was taken; its answer has this number at the agent.
+    Accepted(u64),
+    /// The attempt was refused.
+    Refused(Refusal),
+    /// The agent holds an older sheet, of this revision; nothing ran.
+    Older(u64),
+    /// The agent holds a newer sheet, of this revision; nothing ran.
+    Newer(u64),
+}
+
+/// Status line of an answer; `status` is 0 until the upstream answered.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Head {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type.
+    pub content_type: String,
+}
+
+/// An attempt that ended without a whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Failure {
+    /// What to tell the caller.
+    pub refusal: Refusal,
+    /// Whether the upstream crashed under the attempt.
+    pub crashed: bool,
+    /// Bytes of the answer before the failure.
+    pub offset: u64,
+}
+
+/// What a read of an answer returns.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ReadBody {
+    /// No byte arrived within the poll.
+    Pending,
+    /// Bytes at an offset.
+    Chunk {
+        /// Attempt that produced the bytes.
+        attempt: u16,
+        /// Offset of the first byte.
+        offset: u64,
+        /// The bytes.
+        bytes: Bytes,
+    },
+    /// The answer is whole.
+    End {
+        /// Length of the answer in bytes.
+        length: u64,
+        /// SHA-256 of the answer.
+        digest: [u8; 32],
+        /// The charge as JSON; empty if nothing is charged.
+        charge: Bytes,
+        /// Whether the answer is the kept one of an earlier request with the same key.
+        replayed: bool,
+    },
+    /// The attempt failed.
+    Failed(Failure),
+    /// The agent does not hold the answer.
+    Gone,
+}
+
+/// An agent's reply to a read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReadReply {
+    /// Status line, once known.
+    pub head: Head,
+    /// The bytes or the end.
+    pub body: ReadBody,
+}
+
+/// State that both ends exchange every second.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Status {
+    /// Name of the process.
+    pub name: String,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Revision of its sheet; 0 without one.
+    pub revision: u64,
+    /// Time since its sheet was last confirmed.
+    pub freshness: Millis,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that can run at one time.
+    pub slots: u32,
+    /// Ledger ids that the gateway has flushed, as JSON.
+    pub flushed: Bytes,
+    /// Crash reports, as JSON.
+    pub suspects: Bytes,
+}
+
+/// A content-addressed part of a sheet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Part {
+    /// SHA-256 in hexadecimal digits.
+    pub name: String,
+    /// The part's bytes.
+    pub value: Bytes,
+}
+
+/// A root with some or all of its parts.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SheetCopy {
+    /// The root as JSON; empty if there is none.
+    pub root: Bytes,
+    /// Parts that the receiver lacks.
+    pub parts: Vec<Part>,
+}
+
+/// An agent's reply to an offered sheet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OfferReply {
+    /// Revision that the agent holds now.
+    pub revision: u64,
+    /// Parts that it still lacks.
+    pub missing: Vec<String>,
+}
--- /dev/null
+++ b/src/peer/server.rs
@@ -0,0 +1,302 @@
+//! The agent's end of its links.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use actix_rt::task::JoinHandle;
+use bytes::Bytes;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, new_client, twoparty};
+use futures_util::FutureExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use super::auth::{End, PeerKey};
+use super::message::{OfferReply, ReadReply, RunReply, RunRequest, SheetCopy, Status};
+use super::peer_capnp::{bootstrap, peer};
+use super::{SCHEMA_VERSION, codec, reader_options};
+use crate::platform::LocalFuture;
+use crate::units::Millis;
+
+/// Pause after a failed accept, such as one for lack of file descriptors.
+const ACCEPT_PAUSE: Millis = Millis(50);
+
+/// What an agent does for its gateways.
+pub trait PeerCalls: fmt::Debug {
+    /// Runs one attempt of a request.
+    fn run(&self, req: RunRequest) -> LocalFuture<'_, RunReply>;
+    /// Reads an answer from an offset; returns within a second.
+    fn read(&self, answer: u64, offset: u64, max: u32) -> LocalFuture<'_, ReadReply>;
+    /// Notes that an answer has arrived whole.
+    fn ack(&self, answer: u64);
+    /// Cancels an answer that nobody wants.
+    fn cancel(&self, answer: u64);
+    /// Exchanges status with a gateway.
+    fn status(&self, gateway: Status) -> Status;
+    /// Returns the sheet without the parts that the gateway has.
+    fn fetch_sheet(&self, have: &[String]) -> SheetCopy;
+    /// Takes a newer sheet from a gateway.
+    fn offer_sheet(&self, copy: SheetCopy) -> OfferReply;
+    /// Takes crash reports from a gateway.
+    fn suspects(&self, reports: Bytes);
+    /// Gives a command to the engine.
+    fn order(&self, fence: u64, order: Bytes) -> LocalFuture<'_, Bytes>;
+}
+
+/// A listening end; dropping it closes the listener and all links.
+#[derive(Debug)]
+pub struct Server {
+    addr: SocketAddr,
+    accept: JoinHandle<()>,
+    links: Rc<RefCell<Vec<JoinHandle<()>>>>,
+}
+
+impl Server {
+    /// Binds the address and serves links until the handle is dropped.
+    ///
+    /// # Errors
+    /// The error of the socket, for instance because another agent holds the address.
+    pub async fn bind(
+        addr: SocketAddr,
+        key: PeerKey,
+        calls: Rc<dyn PeerCalls>,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(addr).await?;
+        let addr = listener.local_addr()?;
+        let links = Rc::new(RefCell::new(Vec::new()));
+        let accept = actix_rt::spawn(accept_links(listener, key, calls, Rc::clone(&links)));
+        Ok(Self {
+            addr,
+            accept,
+            links,
+        })
+    }
+
+    /// Returns the bound address.
+    #[must_use]
+    pub const fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.accept.abort();
+        for link in self.links.borrow().iter() {
+            link.abort();
+        }
+    }
+}
+
+async fn accept_links(
+    listener: TcpListener,
+    key: PeerKey,
+    calls: Rc<dyn PeerCalls>,
+    links: Rc<RefCell<Vec<JoinHandle<()>>>>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let link = actix_rt::spawn(serve_link(stream, key.clone(), Rc::clone(&calls)));
+                let mut links = links.borrow_mut();
+                links.retain(|link| !link.is_finished());
+                links.push(link);
+            }
+            Err(error) => {
+                log::warn!(event = "accept_failed", error:% = error; "");
+                actix_rt::time::sleep(ACCEPT_PAUSE.duration()).await;
+            }
+        }
+    }
+}
+
+async fn serve_link(stream: TcpStream, key: PeerKey, calls: Rc<dyn PeerCalls>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::warn!(event = "link_failed", error:% = error; "");
+        return;
+    }
+    let (reader, writer) = stream.into_split();
+    let network = twoparty::VatNetwork::new(
+        reader.compat(),
+        writer.compat_write(),
+        Side::Server,
+        reader_options(),
+    );
+    let entry = Entry {
+        key,
+        calls,
+        nonces: RefCell::new(None),
+    };
+    let bootstrap: bootstrap::Client = new_client(entry);
+    RpcSystem::new(Box::new(network), Some(bootstrap.client))
+        .map(drop)
+        .await;
+}
+
+/// The nonces of a handshake, the client's first.
+type Nonces = (Vec<u8>, [u8; 16]);
+
+/// The object that a new link starts with; it hands out the calls after the proof.
+struct Entry {
+    key: PeerKey,
+    calls: Rc<dyn PeerCalls>,
+    nonces: RefCell<Option<Nonces>>,
+}
+
+impl bootstrap::Server for Entry {
+    async fn hello(
+        self: Rc<Self>,
+        params: bootstrap::HelloParams,
+        mut results: bootstrap::HelloResults,
+    ) -> Result<(), capnp::Error> {
+        let client = params.get()?.get_nonce()?.to_vec();
+        let server = *uuid::Uuid::new_v4().as_bytes();
+        let mut reply = results.get();
+        reply.set_schema(SCHEMA_VERSION);
+        reply.set_nonce(&server);
+        reply.set_proof(&self.key.proof(End::Server, &client, &server));
+        *self.nonces.borrow_mut() = Some((client, server));
+        Ok(())
+    }
+
+    async fn open(
+        self: Rc<Self>,
+        params: bootstrap::OpenParams,
+        mut results: bootstrap::OpenResults,
+    ) -> Result<(), capnp::Error> {
+        // Taken, so that each handshake allows one try.
+        let nonces = self.nonces.borrow_mut().take();
+        let proven = nonces.is_some_and(|(client, server)| {
+            params
+                .get()
+                .and_then(bootstrap::open_params::Reader::get_proof)
+                .is_ok_and(|proof| self.key.verify(End::Client, &client, &server, proof))
+        });
+        if !proven {
+            log::warn!(event = "link_rejected", reason = "wrong peer key"; "");
+            return Err(capnp::Error::failed("wrong peer key".to_owned()));
+        }
+        results
+            .get()
+            .set_peer(new_client(Calls(Rc::clone(&self.calls))));
+        Ok(())
+    }
+}
+
+/// The calls of a proven link.
+struct Calls(Rc<dyn PeerCalls>);
+
+impl peer::Server for Calls {
+    async fn run(
+        self: Rc<Self>,
+        params: peer::RunParams,
+        mut results: peer::RunResults,
+    ) -> Result<(), capnp::Error> {
+        let req = codec::get_run_request(params.get()?.get_request()?)?;
+        let reply = self.0.run(req).await;
+        codec::put_run_reply(results.get().init_reply(), &reply);
+        Ok(())
+    }
+
+    async fn read(
+        self: Rc<Self>,
+        params: peer::ReadParams,
+        mut results: peer::ReadResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let reply = self
+            .0
+            .read(params.get_answer(), params.get_offset(), params.get_max())
+            .await;
+        codec::put_read_reply(results.get().init_reply(), &reply);
+        Ok(())
+    }
+
+    async fn ack(
+        self: Rc<Self>,
+        params: peer::AckParams,
+        _results: peer::AckResults,
+    ) -> Result<(), capnp::Error> {
+        self.0.ack(params.get()?.get_answer());
+        Ok(())
+    }
+
+    async fn cancel(
+        self: Rc<Self>,
+        params: peer::CancelParams,
+        _results: peer::CancelResults,
+    ) -> Result<(), capnp::Error> {
+        self.0.cancel(params.get()?.get_answer());
+        Ok(())
+    }
+
+    async fn status(
+        self: Rc<Self>,
+        params: peer::StatusParams,
+        mut results: peer::StatusResults,
+    ) -> Result<(), capnp::Error> {
+        let gateway = codec::get_status(params.get()?.get_gateway()?)?;
+        codec::put_status(results.get().init_agent(), &self.0.status(gateway));
+        Ok(())
+    }
+
+    async fn fetch_sheet(
+        self: Rc<Self>,
+        params: peer::FetchSheetParams,
+        mut results: peer::FetchSheetResults,
+    ) -> Result<(), capnp::Error> {
+        let have = codec::get_names(params.get()?.get_have()?)?;
+        let copy = self.0.fetch_sheet(&have);
+        let mut reply = results.get();
+        reply.set_root(&copy.root);
+        codec::fill_parts(
+            reply.init_parts(codec::count(copy.parts.len())),
+            &copy.parts,
+        );
+        Ok(())
+    }
+
+    async fn offer_sheet(
+        self: Rc<Self>,
+        params: peer::OfferSheetParams,
+        mut results: peer::OfferSheetResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let root = Bytes::copy_from_slice(params.get_root()?);
+        let copy = SheetCopy {
+            root,
+            parts: codec::get_parts(params.get_parts()?)?,
+        };
+        let offered = self.0.offer_sheet(copy);
+        let mut reply = results.get();
+        reply.set_revision(offered.revision);
+        let missing = reply.init_missing(codec::count(offered.missing.len()));
+        codec::fill_names(missing, &offered.missing);
+        Ok(())
+    }
+
+    async fn suspects(
+        self: Rc<Self>,
+        params: peer::SuspectsParams,
+        _results: peer::SuspectsResults,
+    ) -> Result<(), capnp::Error> {
+        self.0
+            .suspects(Bytes::copy_from_slice(params.get()?.get_reports()?));
+        Ok(())
+    }
+
+    async fn order(
+        self: Rc<Self>,
+        params: peer::OrderParams,
+        mut results: peer::OrderResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let order = Bytes::copy_from_slice(params.get_order()?);
+        let reply = self.0.order(params.get_fence(), order).await;
+        results.get().set_reply(&reply);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/peer/tests.rs
@@ -0,0 +1,262 @@
+//! Tests of the protocol between gateways and agents, over loopback sockets.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use super::*;
+use crate::fixtures::check;
+use crate::ids::{Incarnation, RequestId, VersionRef};
+use crate::platform::LocalFuture;
+use crate::refusal::{Code, Refusal};
+use crate::units::Millis;
+
+const DEADLINE: Millis = Millis::from_secs(20);
+
+/// Echoes what it is asked, so that a test sees both directions of the codec.
+#[derive(Debug, Default)]
+struct Echo {
+    runs: RefCell<Vec<RunRequest>>,
+    reply: RefCell<Option<RunReply>>,
+}
+
+impl PeerCalls for Echo {
+    fn run(&self, req: RunRequest) -> LocalFuture<'_, RunReply> {
+        Box::pin(async move {
+            if req.path == "/never" {
+                std::future::pending::<()>().await;
+            }
+            self.runs.borrow_mut().push(req);
+            self.reply.borrow().clone().unwrap_or(RunReply::Accepted(7))
+        })
+    }
+
+    fn read(&self, answer: u64, offset: u64, max: u32) -> LocalFuture<'_, ReadReply> {
+        let bytes = Bytes::from(vec![b'x'; usize::try_from(max).unwrap_or_default()]);
+        let head = Head {
+            status: 200,
+            content_type: "text/plain".to_owned(),
+        };
+        let body = match answer {
+            0 => ReadBody::Pending,
+            1 => ReadBody::Chunk {
+                attempt: 2,
+                offset,
+                bytes,
+            },
+            2 => ReadBody::End {
+                length: offset,
+                digest: [9; 32],
+                charge: Bytes::from_static(b"{}"),
+                replayed: true,
+            },
+            3 => ReadBody::Failed(Failure {
+                refusal: refusal(),
+                crashed: true,
+                offset,
+            }),
+            _ => ReadBody::Gone,
+        };
+        Box::pin(async move { ReadReply { head, body } })
+    }
+
+    fn ack(&self, _answer: u64) {}
+
+    fn cancel(&self, _answer: u64) {}
+
+    fn status(&self, gateway: Status) -> Status {
+        gateway
+    }
+
+    fn fetch_sheet(&self, have: &[String]) -> SheetCopy {
+        let part = |name: &String| Part {
+            name: name.clone(),
+            value: Bytes::from_static(b"v"),
+        };
+        SheetCopy {
+            root: Bytes::from_static(b"root"),
+            parts: have.iter().map(part).collect(),
+        }
+    }
+
+    fn offer_sheet(&self, copy: SheetCopy) -> OfferReply {
+        let missing = copy.parts.into_iter().map(|part| part.name).collect();
+        OfferReply {
+            revision: 5,
+            missing,
+        }
+    }
+
+    fn suspects(&self, _reports: Bytes) {}
+
+    fn order(&self, _fence: u64, order: Bytes) -> LocalFuture<'_, Bytes> {
+        Box::pin(async move { order })
+    }
+}
+
+fn key() -> PeerKey {
+    PeerKey::new(&[7; 32]).expect("the key is long enough")
+}
+
+fn refusal() -> Refusal {
+    Refusal::not_run(Code::Overloaded, "full").retry_after(Millis(250))
+}
+
+fn request(body: Vec<u8>, seq: u64) -> RunRequest {
+    RunRequest {
+        request: RequestId {
+            gateway: Incarnation(u128::MAX - 5),
+            seq,
+        },
+        step: 1,
+        attempt: 2,
+        account: "shop".into(),
+        class: "tags".into(),
+        target: Target::Version(VersionRef::new("small", "v1")),
+        pinned: true,
+        method: "POST".to_owned(),
+        path: "/v1/chat/completions".to_owned(),
+        content_type: "application/json".to_owned(),
+        body: body.into(),
+        idempotency_key: Some("k".to_owned()),
+        idempotent: true,
+        streamed: true,
+        deadline: Millis(30_000),
+        revision: 3,
+        freshness: Millis(12),
+    }
+}
+
+async fn server(calls: Rc<Echo>) -> Server {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    Server::bind(any, key(), calls)
+        .await
+        .expect("loopback has a free port")
+}
+
+async fn link(server: &Server) -> Link {
+    Link::connect(server.addr(), &key(), DEADLINE)
+        .await
+        .expect("both ends have the key")
+}
+
+fn run<F: Future>(future: F) -> F::Output {
+    actix_rt::System::new().block_on(future)
+}
+
+// Guards against a field that the codec drops or mixes up.
+#[test]
+fn messages_arrive_as_they_were_sent() {
+    fn property(body: Vec<u8>, seq: u64, service: bool) -> bool {
+        run(async {
+            let calls = Rc::new(Echo::default());
+            let server = server(Rc::clone(&calls)).await;
+            let link = link(&server).await;
+            let mut req = request(body, seq);
+            if service {
+                req.target = Target::Service("orders".into());
+                req.idempotency_key = None;
+            }
+
+            let reply = link.run(&req, DEADLINE).await;
+
+            reply == Ok(RunReply::Accepted(7)) && *calls.runs.borrow() == [req]
+        })
+    }
+    check(1, property as fn(Vec<u8>, u64, bool) -> bool);
+}
+
+// Guards against a reply whose kind or contents change on the way.
+#[test]
+fn every_kind_of_reply_arrives() {
+    run(async {
+        let calls = Rc::new(Echo::default());
+        let server = server(Rc::clone(&calls)).await;
+        let link = link(&server).await;
+
+        for reply in [
+            RunReply::Refused(refusal()),
+            RunReply::Older(4),
+            RunReply::Newer(6),
+        ] {
+            *calls.reply.borrow_mut() = Some(reply.clone());
+            assert_eq!(link.run(&request(vec![], 1), DEADLINE).await, Ok(reply));
+        }
+        for answer in 0..5 {
+            let expected = calls.read(answer, 11, 3).await;
+            assert_eq!(link.read(answer, 11, 3, DEADLINE).await, Ok(expected));
+        }
+        let have = vec!["a".to_owned(), "b".to_owned()];
+        let copy = link
+            .fetch_sheet(&have, DEADLINE)
+            .await
+            .expect("the agent answers");
+        assert_eq!(copy, calls.fetch_sheet(&have));
+        let offered = link.offer_sheet(&copy, DEADLINE).await;
+        assert_eq!(
+            offered,
+            Ok(OfferReply {
+                revision: 5,
+                missing: have
+            })
+        );
+    });
+}
+
+// Guards against calls from a process that does not know the peer key, and the other way round.
+#[test]
+fn a_link_without_the_key_is_rejected() {
+    run(async {
+        let server = server(Rc::default()).await;
+        let foreign = PeerKey::new(&[8; 32]).expect("the key is long enough");
+
+        let link = Link::connect(server.addr(), &foreign, DEADLINE).await;
+
+        assert!(matches!(link, Err(LinkError::Rejected(_))));
+    });
+}
+
+// Guards against a call that waits for ever on a connection that went silent.
+#[test]
+fn a_silent_agent_ends_the_call_at_its_deadline() {
+    run(async {
+        let server = server(Rc::default()).await;
+        let link = link(&server).await;
+        let mut req = request(vec![], 1);
+        req.path = "/never".to_owned();
+
+        assert_eq!(link.run(&req, Millis(50)).await, Err(LinkError::Silent));
+        assert_eq!(
+            link.run(&request(vec![], 2), DEADLINE).await,
+            Ok(RunReply::Accepted(7))
+        );
+    });
+}
+
+// Guards against a stranger's bytes that stop an agent.
+#[test]
+fn arbitrary_bytes_do_not_stop_the_server() {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck passes owned values"
+    )]
+    fn property(bytes: Vec<u8>) -> bool {
+        run(async {
+            let server = server(Rc::default()).await;
+            let mut stranger = TcpStream::connect(server.addr()).await.expect("it listens");
+            stranger
+                .write_all(&bytes)
+                .await
+                .expect("the socket takes the bytes");
+
+            let link = link(&server).await;
+
+            link.run(&request(vec![], 1), DEADLINE).await.is_ok()
+        })
+    }
+    check(2, property as fn(Vec<u8>) -> bool);
+}
