Add log lines of key=value pairs and Prometheus metrics

Cause: the daemons need one event format and histograms per account and class before they serve anything.

Change: fern prints one line of quoted key=value pairs per event; metrics with histograms by account and class whose label sets are bounded at 64 values, the rest counted under "other".

Ruled out: unbounded labels (a caller could create series at will).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,5 +28,6 @@
 pub mod standin;
 pub mod stream;
 pub mod suspect;
+pub mod telemetry;
 pub mod units;
 pub mod upstream;
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,8 @@
+//! Logs and metrics of the daemons.
+
+pub mod logging;
+pub mod metrics;
+#[cfg(test)]
+mod tests;
+
+pub use metrics::Metrics;
--- /dev/null
+++ b/src/telemetry/tests.rs
@@ -0,0 +1,53 @@
+//! Tests of logs and metrics.
+
+use log::{Level, Record};
+
+use super::*;
+use crate::fixtures::check;
+
+// Guards against a value that a caller sends and that forges a second log line or another pair.
+#[test]
+fn a_log_line_stays_one_line_of_pairs() {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck passes owned values"
+    )]
+    fn property(value: String) -> bool {
+        let value = value.as_str();
+        let pairs = [("path", log::kv::Value::from(value))];
+        let record = Record::builder()
+            .level(Level::Info)
+            .target("test")
+            .args(format_args!(""))
+            .key_values(&pairs)
+            .build();
+
+        let line = logging::line(&record);
+
+        let quotes = line
+            .replace("\\\\", "")
+            .replace("\\\"", "")
+            .matches('"')
+            .count();
+        !line.contains('\n') && (quotes == 0 || quotes == 2)
+    }
+    check(1, property as fn(String) -> bool);
+}
+
+// Guards against a series for each name that a stranger makes up.
+#[test]
+fn label_sets_are_bounded() {
+    let metrics = Metrics::open();
+
+    for n in 0..1_000 {
+        metrics.request(&format!("account-{n}"), "tags", "ok", 0.1);
+    }
+
+    let text = metrics.text();
+    let series = text
+        .lines()
+        .filter(|l| l.starts_with("fireflywind_requests_total"))
+        .count();
+    assert!(series <= 65, "{series} series");
+    assert!(text.contains("account=\"other\""));
+}
