Choose upstreams by sampled load, own data centre first

Cause: gateways see load reports that lag; the least reported upstream would be flooded by all of them at once.

Change: a pool per version; two sampled members of the own data centre, two of the others only when the local ones are full, plus the member that owns the prompt's prefix as a hint. The pick carries what is needed to repeat it.

Ruled out: a scan of all members (its cost grows with the pool, and all gateways would agree on the same idle upstream); it stays as the baseline.

--- /dev/null
+++ b/src/route/pick/tests.rs
@@ -0,0 +1,88 @@
+//! Tests of the choice of an upstream.
+
+#![expect(
+    clippy::needless_pass_by_value,
+    reason = "quickcheck passes owned values"
+)]
+
+use super::*;
+use crate::fixtures::check;
+
+fn member(n: usize, own: u8, others: u8) -> Member {
+    Member {
+        upstream: format!("engine-{n:03}").into(),
+        slots: 8,
+        own: own.into(),
+        others: others.into(),
+    }
+}
+
+fn pool(loads: &[(u8, u8)], local: usize) -> Pool {
+    let members: Vec<_> = loads
+        .iter()
+        .enumerate()
+        .map(|(n, (own, others))| member(n, *own, *others))
+        .collect();
+    let (local, remote) = members.split_at(local.min(members.len()));
+    Pool::new(local.to_vec(), remote.to_vec())
+}
+
+// Guards against a pick outside the pool, of a tried member, or of none although one is left.
+#[test]
+fn a_pick_is_an_untried_member() {
+    fn property(loads: Vec<(u8, u8)>, local: usize, tried: Vec<usize>, draws: (u64, u64)) -> bool {
+        let pool = pool(&loads, local % (loads.len() + 1));
+        let tried: Vec<_> = tried.iter().map(|n| member(n % 8, 0, 0).upstream).collect();
+        let left = pool.pick_by_scan(&tried).is_some();
+
+        match pool.pick([draws.0, draws.1], Some(draws.0), &tried) {
+            Some(pick) => {
+                let known = pool.members().iter().any(|m| m.upstream == pick.upstream);
+                known && !tried.contains(&pick.upstream)
+            }
+            None => !left,
+        }
+    }
+    check(
+        1,
+        property as fn(Vec<(u8, u8)>, usize, Vec<usize>, (u64, u64)) -> bool,
+    );
+}
+
+// Guards against a record from which the choice cannot be repeated.
+#[test]
+fn a_pick_repeats_from_its_record() {
+    fn property(loads: Vec<(u8, u8)>, draws: (u64, u64)) -> bool {
+        let pool = pool(&loads, loads.len());
+        let Some(pick) = pool.pick([draws.0, draws.1], Some(draws.1), &[]) else {
+            return loads.is_empty();
+        };
+        let text = serde_json::to_string(&pick).expect("a pick serialises");
+        let read: Pick = serde_json::from_str(&text).expect("a pick reads back");
+        choose(read.sampled.clone(), read.affine) == Some(pick)
+    }
+    check(2, property as fn(Vec<(u8, u8)>, (u64, u64)) -> bool);
+}
+
+// Guards against traffic to another data centre while the own one has room.
+#[test]
+fn the_own_data_centre_comes_first_while_it_has_room() {
+    let pool = pool(&[(7, 0), (7, 0), (0, 0), (0, 0)], 2);
+
+    for draw in 0..100 {
+        let pick = pool
+            .pick([draw, draw], None, &[])
+            .expect("the pool has members");
+        assert!(["engine-000", "engine-001"].contains(&pick.upstream.as_str()));
+    }
+}
+
+// Guards against a full data centre that keeps its requests although another has room.
+#[test]
+fn a_full_data_centre_spills_over() {
+    let pool = pool(&[(8, 0), (0, 8), (0, 0), (0, 0)], 2);
+
+    let pick = pool.pick([1, 2], None, &[]).expect("the pool has members");
+
+    assert!(["engine-002", "engine-003"].contains(&pick.upstream.as_str()));
+}
