Add the at-most-once state machine of idempotency keys

Change: IdempotencyKey (UUIDv7 header, age checks), Record with its JSON form, KnownKeys (records in memory, bounded by bytes), and Call, which turns results of writes, reads and the run into effects and one answer. An intent write is tried twice with the same value and condition, with a read in between. not_run needs writes that provably had no effect and a read without a record, or a run that provably was not sent. A not-sent call leaves a record that one later attempt takes over by compare-and-swap. The key's age is checked again before the run, so that records of expired keys can be removed. The first outcome write ends before the answer is given; failed ones are repeated with backoff until the key expires.

Ruled out: a table of calls in flight at the agent as a guard, since the store decides anyway and an unconfirmed intent must not refuse the owner of the key. Caching a not-run record, since another agent may take it over.

An intent whose write arrives after its call was given up blocks its key with unknown.

--- /dev/null
+++ b/src/idempotency/known.rs
@@ -0,0 +1,124 @@
+//! Records that an agent holds in memory.
+
+use std::collections::VecDeque;
+
+use super::{Attempt, IdempotencyKey, Record, RecordState};
+use crate::ids::AccountId;
+
+/// Default bound of the records in memory, in bytes.
+pub const KNOWN_BYTES: usize = 16 * 1024 * 1024;
+
+#[derive(Debug)]
+struct Known {
+    key: IdempotencyKey,
+    account: AccountId,
+    record: Record,
+    /// The outcome is not yet in the key-value service.
+    unsaved: bool,
+}
+
+/// Records that an agent wrote or read, bounded by bytes; the oldest keys are dropped first.
+///
+/// Unsaved outcomes are never dropped. No call starts during an outage, so their number is bounded by
+/// the calls in flight when the outage began.
+#[derive(Debug)]
+pub struct KnownKeys {
+    /// Sorted by key, hence by the time of the key.
+    entries: VecDeque<Known>,
+    bytes: usize,
+    max_bytes: usize,
+}
+
+impl KnownKeys {
+    /// Makes an empty memory of at most `max_bytes`.
+    #[must_use]
+    pub const fn new(max_bytes: usize) -> Self {
+        Self {
+            entries: VecDeque::new(),
+            bytes: 0,
+            max_bytes,
+        }
+    }
+
+    /// Returns the bytes that the records take, roughly.
+    #[must_use]
+    pub const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Finds the record of a key.
+    #[must_use]
+    pub fn get(&self, account: &AccountId, key: IdempotencyKey) -> Option<&Record> {
+        let at = self.position(account, key).ok()?;
+        self.entries.get(at).map(|entry| &entry.record)
+    }
+
+    /// Keeps a record; an outcome is final and is never replaced.
+    pub(super) fn put(
+        &mut self,
+        account: &AccountId,
+        key: IdempotencyKey,
+        record: Record,
+        unsaved: bool,
+    ) {
+        let entry = Known {
+            key,
+            account: account.clone(),
+            record,
+            unsaved,
+        };
+        match self.position(account, key) {
+            Ok(at) if matches!(self.entries[at].record.state, RecordState::Done(_)) => return,
+            Ok(at) => {
+                self.bytes -= self.entries[at].record.weight();
+                self.bytes += entry.record.weight();
+                self.entries[at] = entry;
+            }
+            Err(at) => {
+                self.bytes += entry.record.weight();
+                self.entries.insert(at, entry);
+            }
+        }
+        self.shrink();
+    }
+
+    /// Marks the outcome of an attempt as saved, or as no longer worth saving.
+    pub(super) fn saved(&mut self, account: &AccountId, key: IdempotencyKey, by: &Attempt) {
+        if let Some(at) = self.position_by(account, key, by) {
+            self.entries[at].unsaved = false;
+            self.shrink();
+        }
+    }
+
+    /// Drops the record of an attempt.
+    pub(super) fn remove(&mut self, account: &AccountId, key: IdempotencyKey, by: &Attempt) {
+        if let Some(at) = self.position_by(account, key, by) {
+            self.drop_at(at);
+        }
+    }
+
+    fn position(&self, account: &AccountId, key: IdempotencyKey) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by(|entry| (entry.key, &entry.account).cmp(&(key, account)))
+    }
+
+    fn position_by(&self, account: &AccountId, key: IdempotencyKey, by: &Attempt) -> Option<usize> {
+        let at = self.position(account, key).ok()?;
+        (self.entries[at].record.by == *by).then_some(at)
+    }
+
+    fn drop_at(&mut self, at: usize) {
+        if let Some(entry) = self.entries.remove(at) {
+            self.bytes -= entry.record.weight();
+        }
+    }
+
+    fn shrink(&mut self) {
+        while self.bytes > self.max_bytes {
+            let Some(at) = self.entries.iter().position(|entry| !entry.unsaved) else {
+                return;
+            };
+            self.drop_at(at);
+        }
+    }
+}
--- a/src/idempotency/mod.rs
+++ b/src/idempotency/mod.rs
@@ -1,1 +1,432 @@
 //! At-most-once execution of requests that carry an idempotency key.
+//!
+//! [`Call`] is the state machine of one call at one agent. The agent performs each [`Effect`], reports its
+//! result to the call, and gives the caller the answer of the first [`Step`] that has one. An event that
+//! does not belong to the call's state has no effect.
+
+mod key;
+mod known;
+mod record;
+#[cfg(test)]
+mod tests;
+
+use bytes::Bytes;
+
+pub use key::{IdempotencyKey, KeyAge, KeyError, MAX_AHEAD, MAX_KEY_BYTES};
+pub use known::{KNOWN_BYTES, KnownKeys};
+pub use record::{
+    Attempt, CallDigest, DigestError, KeptBody, MAX_KEPT_BODY_BYTES, Outcome, Record, RecordState,
+};
+
+use crate::ids::AccountId;
+use crate::platform::{Compare, Entry, KvError, TxnOutcome};
+use crate::units::Millis;
+
+/// How often a call tries to write its intent; the second try follows a read.
+pub const MAX_INTENT_WRITES: u8 = 2;
+
+/// Wait before the first repetition of a failed outcome write; each later wait is twice as long.
+pub const FIRST_BACKOFF: Millis = Millis(200);
+
+/// Longest wait between two outcome writes.
+pub const MAX_BACKOFF: Millis = Millis::from_secs(30);
+
+/// A call that must run at most once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyedCall {
+    /// The client account, to which the key belongs.
+    pub account: AccountId,
+    /// The key.
+    pub key: IdempotencyKey,
+    /// Digest of the call.
+    pub digest: CallDigest,
+    /// This attempt.
+    pub by: Attempt,
+    /// How long keys are valid, from the configuration's policy.
+    pub lifetime: Millis,
+}
+
+/// A write of a record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RecordWrite {
+    /// Key in the key-value service.
+    pub key: String,
+    /// The record as JSON.
+    pub value: Bytes,
+    /// Condition of the write.
+    pub condition: Compare,
+}
+
+/// What the agent does next for a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// Write the intent, then [`Call::on_write`].
+    WriteIntent(RecordWrite),
+    /// Read the record, then [`Call::on_read`].
+    ReadBack(String),
+    /// Run the call at the upstream, then [`Call::on_run_end`].
+    Run,
+    /// Write the outcome, then [`Call::on_outcome_write`].
+    WriteOutcome(RecordWrite),
+    /// Wait, then [`Call::on_retry`].
+    RetryOutcome(Millis),
+}
+
+/// The answer to a keyed call.
+#[derive(Debug, Clone, PartialEq)]
+pub enum KeyedAnswer {
+    /// This attempt ran the call.
+    Fresh(Outcome),
+    /// An earlier attempt ran the call; not billed again.
+    Replayed(Outcome),
+    /// The call may have run and never runs again (409, `unknown`).
+    Unknown,
+    /// The key belongs to a call with another digest (422).
+    KeyReused,
+    /// The key is too old or too far in the future; this attempt did not run (`unknown`).
+    KeyRefused(KeyAge),
+    /// The key-value service is out; a resend with the same key is safe (503, `unknown`).
+    StoreOut,
+    /// Nothing ran under this key, neither by this attempt nor before it.
+    NotRun,
+}
+
+/// How a run at the upstream ended.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RunEnd {
+    /// The complete response arrived.
+    Done(Outcome),
+    /// Provably no byte of the call reached the upstream.
+    NotSent,
+    /// The call was sent and no complete response came.
+    Broken,
+}
+
+/// What a call asks of the agent; a step without an effect is the call's last.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Step {
+    /// Answer for the caller; given once in the life of a call.
+    pub answer: Option<KeyedAnswer>,
+    /// What to do next.
+    pub next: Option<Effect>,
+}
+
+impl Step {
+    const fn effect(effect: Effect) -> Self {
+        Self {
+            answer: None,
+            next: Some(effect),
+        }
+    }
+
+    const fn last(answer: KeyedAnswer) -> Self {
+        Self {
+            answer: Some(answer),
+            next: None,
+        }
+    }
+}
+
+#[derive(Debug)]
+enum State {
+    Writing,
+    Reading,
+    Running { revision: u64 },
+    Storing(Box<Storing>),
+    Over,
+}
+
+#[derive(Debug)]
+struct Storing {
+    /// Store revision of the intent.
+    revision: u64,
+    record: Record,
+    /// Answer that waits for the end of the first write.
+    answer: Option<KeyedAnswer>,
+    failures: u32,
+}
+
+/// One call at one agent.
+#[derive(Debug)]
+pub struct Call {
+    of: KeyedCall,
+    started_at: Millis,
+    state: State,
+    writes: u8,
+    /// The answer to an intent write was lost; the write may still take effect.
+    maybe_written: bool,
+    /// A record is known to have existed.
+    record_seen: bool,
+}
+
+impl Call {
+    /// Starts a call; `now` is in Unix milliseconds.
+    #[must_use]
+    pub fn start(call: KeyedCall, now: Millis, known: &KnownKeys) -> (Self, Step) {
+        let mut started = Self {
+            of: call,
+            started_at: now,
+            state: State::Over,
+            writes: 0,
+            maybe_written: false,
+            record_seen: false,
+        };
+        let step = started.first_step(now, known);
+        (started, step)
+    }
+
+    /// Takes the result of [`Effect::WriteIntent`].
+    pub fn on_write(
+        &mut self,
+        result: Result<TxnOutcome, KvError>,
+        now: Millis,
+        known: &mut KnownKeys,
+    ) -> Step {
+        if !matches!(self.state, State::Writing) {
+            return Step::default();
+        }
+        match result {
+            Ok(TxnOutcome::Applied(revision)) => return self.run(revision, now, known),
+            Ok(TxnOutcome::Conflict) => self.record_seen = true,
+            Err(error) => self.maybe_written |= error.may_have_applied(),
+        }
+        self.read()
+    }
+
+    /// Takes the result of [`Effect::ReadBack`].
+    pub fn on_read(
+        &mut self,
+        result: Result<Option<Entry>, KvError>,
+        now: Millis,
+        known: &mut KnownKeys,
+    ) -> Step {
+        if !matches!(self.state, State::Reading) {
+            return Step::default();
+        }
+        match result {
+            Err(_) => self.end(self.store_out(known)),
+            Ok(None) => self.on_no_record(now),
+            Ok(Some(entry)) => match Record::from_json(&entry.value) {
+                Ok(record) => self.on_record(record, entry.mod_revision, now, known),
+                Err(_malformed) => self.end(KeyedAnswer::Unknown),
+            },
+        }
+    }
+
+    /// Takes the result of [`Effect::Run`].
+    pub fn on_run_end(&mut self, end: RunEnd, known: &mut KnownKeys) -> Step {
+        let State::Running { revision } = self.state else {
+            return Step::default();
+        };
+        let (state, answer) = match end {
+            // The intent stays and says that the outcome is unknown.
+            RunEnd::Broken => return self.end(KeyedAnswer::Unknown),
+            RunEnd::NotSent => (RecordState::NotRun, KeyedAnswer::NotRun),
+            RunEnd::Done(outcome) => (
+                RecordState::Done(outcome.clone()),
+                KeyedAnswer::Fresh(outcome),
+            ),
+        };
+        let record = self.record(state);
+        if matches!(record.state, RecordState::Done(_)) {
+            known.put(&self.of.account, self.of.key, record.clone(), true);
+        } else {
+            // Another agent may take the record over, so only the store can tell its state.
+            known.remove(&self.of.account, self.of.key, &self.of.by);
+        }
+        let write = self.write(&record, Some(revision));
+        self.state = State::Storing(Box::new(Storing {
+            revision,
+            record,
+            answer: Some(answer),
+            failures: 0,
+        }));
+        Step::effect(Effect::WriteOutcome(write))
+    }
+
+    /// Takes the result of [`Effect::WriteOutcome`]; `draw` is a random number that spreads retries.
+    pub fn on_outcome_write(
+        &mut self,
+        result: &Result<TxnOutcome, KvError>,
+        draw: u64,
+        known: &mut KnownKeys,
+    ) -> Step {
+        let State::Storing(storing) = &mut self.state else {
+            return Step::default();
+        };
+        let answer = storing.answer.take();
+        let next = if result.is_ok() {
+            // A conflict means that an earlier write with a lost answer took effect: nobody else replaces
+            // the intent of this attempt.
+            self.settle(known);
+            None
+        } else {
+            let wait = backoff(storing.failures, draw);
+            storing.failures = storing.failures.saturating_add(1);
+            Some(Effect::RetryOutcome(wait))
+        };
+        Step { answer, next }
+    }
+
+    /// Continues after the wait of [`Effect::RetryOutcome`].
+    pub fn on_retry(&mut self, now: Millis, known: &mut KnownKeys) -> Step {
+        let State::Storing(storing) = &self.state else {
+            return Step::default();
+        };
+        if self.check_age(now) == Err(KeyAge::Expired) {
+            self.settle(known);
+            return Step::default();
+        }
+        let write = self.write(&storing.record, Some(storing.revision));
+        Step::effect(Effect::WriteOutcome(write))
+    }
+
+    fn first_step(&mut self, now: Millis, known: &KnownKeys) -> Step {
+        if let Err(age) = self.check_age(now) {
+            return self.end(KeyedAnswer::KeyRefused(age));
+        }
+        let Some(record) = known.get(&self.of.account, self.of.key) else {
+            return self.write_intent(None);
+        };
+        if record.digest != self.of.digest {
+            return self.end(KeyedAnswer::KeyReused);
+        }
+        match &record.state {
+            RecordState::Done(outcome) => self.end(KeyedAnswer::Replayed(outcome.clone())),
+            // This agent is the only writer of its own intent, so its memory is current.
+            RecordState::Intent if record.by.agent == self.of.by.agent => {
+                self.end(KeyedAnswer::Unknown)
+            }
+            RecordState::Intent | RecordState::NotRun => {
+                self.record_seen = true;
+                self.read()
+            }
+        }
+    }
+
+    fn on_no_record(&mut self, now: Millis) -> Step {
+        if let Err(age) = self.check_age(now) {
+            return self.end(KeyedAnswer::KeyRefused(age));
+        }
+        if self.record_seen {
+            // The record was removed, and it may have held the outcome of a run.
+            return self.end(KeyedAnswer::Unknown);
+        }
+        self.write_again(None)
+    }
+
+    fn on_record(
+        &mut self,
+        record: Record,
+        revision: u64,
+        now: Millis,
+        known: &mut KnownKeys,
+    ) -> Step {
+        self.record_seen = true;
+        let own = record.by == self.of.by;
+        if own && record.state == RecordState::Intent {
+            return self.run(revision, now, known);
+        }
+        let answer = match &record.state {
+            _ if record.digest != self.of.digest => KeyedAnswer::KeyReused,
+            RecordState::Done(outcome) => KeyedAnswer::Replayed(outcome.clone()),
+            RecordState::Intent => KeyedAnswer::Unknown,
+            RecordState::NotRun => return self.write_again(Some(revision)),
+        };
+        // A read of this agent's own intent can be older than its memory.
+        if record.by.agent != self.of.by.agent {
+            known.put(&self.of.account, self.of.key, record, false);
+        }
+        self.end(answer)
+    }
+
+    /// Repeats the intent write, whose value and condition let it take effect at most once.
+    fn write_again(&mut self, over: Option<u64>) -> Step {
+        if self.writes < MAX_INTENT_WRITES {
+            return self.write_intent(over);
+        }
+        if self.maybe_written {
+            // The write may still arrive and would then block the key, so nothing is promised.
+            return self.end(KeyedAnswer::StoreOut);
+        }
+        self.end(KeyedAnswer::NotRun)
+    }
+
+    fn write_intent(&mut self, over: Option<u64>) -> Step {
+        self.state = State::Writing;
+        self.writes += 1;
+        let write = self.write(&self.record(RecordState::Intent), over);
+        Step::effect(Effect::WriteIntent(write))
+    }
+
+    fn read(&mut self) -> Step {
+        self.state = State::Reading;
+        let key = self.of.key.record_key(&self.of.account);
+        Step::effect(Effect::ReadBack(key))
+    }
+
+    fn run(&mut self, revision: u64, now: Millis, known: &mut KnownKeys) -> Step {
+        // The write may have taken long, and the record of an expired key may have been removed before it.
+        if let Err(age) = self.check_age(now) {
+            return self.end(KeyedAnswer::KeyRefused(age));
+        }
+        let record = self.record(RecordState::Intent);
+        known.put(&self.of.account, self.of.key, record, false);
+        self.state = State::Running { revision };
+        Step::effect(Effect::Run)
+    }
+
+    fn end(&mut self, answer: KeyedAnswer) -> Step {
+        self.state = State::Over;
+        Step::last(answer)
+    }
+
+    fn settle(&mut self, known: &mut KnownKeys) {
+        known.saved(&self.of.account, self.of.key, &self.of.by);
+        self.state = State::Over;
+    }
+
+    fn store_out(&self, known: &KnownKeys) -> KeyedAnswer {
+        let seen = self.record_seen || known.get(&self.of.account, self.of.key).is_some();
+        if seen {
+            KeyedAnswer::Unknown
+        } else {
+            KeyedAnswer::StoreOut
+        }
+    }
+
+    fn check_age(&self, now: Millis) -> Result<(), KeyAge> {
+        self.of.key.check_age(now, self.of.lifetime)
+    }
+
+    fn record(&self, state: RecordState) -> Record {
+        Record {
+            digest: self.of.digest,
+            by: self.of.by,
+            started_at: self.started_at,
+            state,
+        }
+    }
+
+    /// Makes a write that creates the record, or that replaces its revision `over`.
+    fn write(&self, record: &Record, over: Option<u64>) -> RecordWrite {
+        let key = self.of.key.record_key(&self.of.account);
+        let condition = match over {
+            None => Compare::Absent(key.clone()),
+            Some(revision) => Compare::ModRevision(key.clone(), revision),
+        };
+        RecordWrite {
+            key,
+            value: record.to_json(),
+            condition,
+        }
+    }
+}
+
+/// Returns a wait between half of the doubled backoff and all of it.
+fn backoff(failures: u32, draw: u64) -> Millis {
+    let factor = 1_u64.checked_shl(failures).unwrap_or(u64::MAX);
+    let full = FIRST_BACKOFF.0.saturating_mul(factor).min(MAX_BACKOFF.0);
+    let half = full / 2;
+    Millis(half + draw % (half + 1))
+}
--- /dev/null
+++ b/src/idempotency/record.rs
@@ -0,0 +1,218 @@
+//! The record of a keyed call in the key-value service.
+
+use std::fmt;
+use std::str::FromStr;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+use sha2::{Digest, Sha256};
+
+use crate::ids::{Incarnation, RequestId};
+use crate::units::Millis;
+
+/// Largest response body that a record keeps, in bytes.
+pub const MAX_KEPT_BODY_BYTES: usize = 64 * 1024;
+
+/// SHA-256 of a call's method, path and body.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, SerializeDisplay, DeserializeFromStr)]
+pub struct CallDigest([u8; 32]);
+
+impl CallDigest {
+    /// Digests a call.
+    #[must_use]
+    pub fn of(method: &str, path: &str, body: &[u8]) -> Self {
+        let mut hash = Sha256::new();
+        // Each part is preceded by its length, so that no two calls give the same input.
+        for part in [method.as_bytes(), path.as_bytes(), body] {
+            hash.update((part.len() as u64).to_be_bytes());
+            hash.update(part);
+        }
+        Self(hash.finalize().into())
+    }
+}
+
+impl fmt::Display for CallDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for CallDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+/// Text that is not 64 hexadecimal digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DigestError;
+
+impl fmt::Display for DigestError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("digest is not 64 hexadecimal digits")
+    }
+}
+
+impl std::error::Error for DigestError {}
+
+impl FromStr for CallDigest {
+    type Err = DigestError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text.len() != 64 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(DigestError);
+        }
+        let mut digest = [0; 32];
+        for (at, byte) in digest.iter_mut().enumerate() {
+            *byte =
+                u8::from_str_radix(&text[2 * at..2 * at + 2], 16).map_err(|_digits| DigestError)?;
+        }
+        Ok(Self(digest))
+    }
+}
+
+/// One attempt of a call at one agent; no two attempts are equal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Attempt {
+    /// The agent's incarnation.
+    pub agent: Incarnation,
+    /// Number that the agent gives each call; tells apart two deliveries of the same attempt.
+    pub call: u64,
+    /// The request.
+    pub request: RequestId,
+    /// The gateway's number of the attempt.
+    pub attempt: u32,
+}
+
+/// What the key-value service holds for a key.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// Digest of the call; stays the same for the life of the record.
+    pub digest: CallDigest,
+    /// The attempt that wrote the record last.
+    pub by: Attempt,
+    /// Start of that attempt, in Unix milliseconds.
+    pub started_at: Millis,
+    /// How far the attempt got.
+    pub state: RecordState,
+}
+
+/// How far an attempt got.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RecordState {
+    /// The call may run, may have run, or broke after it was sent.
+    Intent,
+    /// The call was provably not sent; another attempt may take the record over.
+    NotRun,
+    /// The call ran.
+    Done(Outcome),
+}
+
+/// What a run produced.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Outcome {
+    /// HTTP status.
+    pub status: u16,
+    /// Value of the `Content-Type` header.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub content_type: Option<String>,
+    /// Response body.
+    pub body: KeptBody,
+    /// Charge of the call in the ledger's form.
+    pub charge: serde_json::Value,
+}
+
+impl Outcome {
+    /// Makes an outcome; a body over [`MAX_KEPT_BODY_BYTES`] is marked instead of kept.
+    #[must_use]
+    pub fn new(
+        status: u16,
+        content_type: Option<String>,
+        body: Bytes,
+        charge: serde_json::Value,
+    ) -> Self {
+        let body = if body.len() > MAX_KEPT_BODY_BYTES {
+            KeptBody::TooLarge {
+                length: body.len() as u64,
+            }
+        } else {
+            KeptBody::Whole(body)
+        };
+        Self {
+            status,
+            content_type,
+            body,
+            charge,
+        }
+    }
+}
+
+/// The response body as the record keeps it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum KeptBody {
+    /// The whole body, as base64 in JSON.
+    Whole(
+        #[serde(
+            serialize_with = "serialize_base64",
+            deserialize_with = "deserialize_base64"
+        )]
+        Bytes,
+    ),
+    /// The body was over [`MAX_KEPT_BODY_BYTES`] and was not kept.
+    TooLarge {
+        /// Length of the body in bytes.
+        length: u64,
+    },
+}
+
+fn serialize_base64<S: Serializer>(body: &Bytes, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_str(&STANDARD.encode(body))
+}
+
+fn deserialize_base64<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Bytes, D::Error> {
+    let text = String::deserialize(deserializer)?;
+    STANDARD
+        .decode(text)
+        .map(Bytes::from)
+        .map_err(serde::de::Error::custom)
+}
+
+impl Record {
+    /// Reads a record from its JSON text.
+    ///
+    /// # Errors
+    /// The JSON error if the value is not a record.
+    pub fn from_json(value: &[u8]) -> Result<Self, serde_json::Error> {
+        serde_json::from_slice(value)
+    }
+
+    /// Writes the record as JSON text.
+    ///
+    /// # Panics
+    /// Never: all keys of a record are strings and no number is outside JSON's range.
+    #[must_use]
+    pub fn to_json(&self) -> Bytes {
+        serde_json::to_vec(self)
+            .expect("a record is valid JSON")
+            .into()
+    }
+
+    /// Returns the memory that the record takes in the agent, in bytes, roughly.
+    #[must_use]
+    pub fn weight(&self) -> usize {
+        // Covers the fixed fields, the names and a usual charge.
+        const FIXED: usize = 512;
+        match &self.state {
+            RecordState::Done(Outcome {
+                body: KeptBody::Whole(body),
+                ..
+            }) => FIXED + body.len(),
+            _ => FIXED,
+        }
+    }
+}
--- /dev/null
+++ b/src/idempotency/tests.rs
@@ -0,0 +1,399 @@
+//! Stateful fuzzing of keyed calls against a store with outages, and tests of keys.
+
+use uuid::Uuid;
+
+use super::*;
+use crate::fixtures::check;
+use crate::ids::{Incarnation, RequestId};
+
+const LIFETIME: Millis = Millis(100_000);
+const START: Millis = Millis(1_000_000_000);
+const AGENTS: usize = 3;
+/// A fault number that lets every effect succeed.
+const NO_FAULT: u8 = 29;
+
+fn key(time: Millis, n: u8) -> IdempotencyKey {
+    let bits = (u128::from(time.0) << 80) | (7 << 76) | (0b10 << 62) | u128::from(n);
+    IdempotencyKey::new(Uuid::from_u128(bits)).expect("the version is 7")
+}
+
+fn body(n: u8) -> CallDigest {
+    CallDigest::of("POST", "/orders", &[n])
+}
+
+fn keyed(key: IdempotencyKey, digest: CallDigest, agent: u128, call: u64) -> KeyedCall {
+    let by = Attempt {
+        agent: Incarnation(agent),
+        call,
+        request: RequestId {
+            gateway: Incarnation(1),
+            seq: 1,
+        },
+        attempt: 1,
+    };
+    KeyedCall {
+        account: "shop".into(),
+        key,
+        digest,
+        by,
+        lifetime: LIFETIME,
+    }
+}
+
+/// A result on its way back to a call.
+#[derive(Debug, Clone)]
+enum Reply {
+    Write(Result<TxnOutcome, KvError>),
+    Read(Result<Option<Entry>, KvError>),
+    Run(RunEnd),
+    Outcome(Result<TxnOutcome, KvError>),
+    Retry,
+}
+
+#[derive(Debug)]
+struct Running {
+    agent: usize,
+    call: Call,
+    next: Option<Effect>,
+    reply: Option<Reply>,
+}
+
+/// The world: agents that are replaced, calls between any two effects, one store, one run counter a key.
+#[derive(Debug, Default)]
+struct World {
+    now: Millis,
+    revision: u64,
+    entries: Vec<Entry>,
+    /// Writes whose answer was lost and that have not yet taken effect.
+    in_flight: Vec<RecordWrite>,
+    agents: Vec<(u128, KnownKeys)>,
+    calls: Vec<Running>,
+    started: u64,
+    /// Outcomes that the upstream produced, by key.
+    runs: Vec<(IdempotencyKey, Outcome)>,
+    seen: Vec<(IdempotencyKey, CallDigest)>,
+    answers: usize,
+}
+
+impl World {
+    fn open() -> Self {
+        let agents = (0..AGENTS).map(|n| (n as u128, KnownKeys::new(4_000)));
+        Self {
+            now: START,
+            agents: agents.collect(),
+            ..Self::default()
+        }
+    }
+
+    fn store(&mut self, write: RecordWrite) -> TxnOutcome {
+        let at = self.entries.iter().position(|e| e.key == write.key);
+        let holds = match (&write.condition, at) {
+            (Compare::Absent(_), at) => at.is_none(),
+            (Compare::ModRevision(_, rev), Some(at)) => self.entries[at].mod_revision == *rev,
+            (Compare::ModRevision(..), None) => false,
+        };
+        if !holds {
+            return TxnOutcome::Conflict;
+        }
+        self.revision += 1;
+        let at = at.unwrap_or(self.entries.len());
+        let entry = Entry {
+            key: write.key,
+            value: write.value,
+            mod_revision: self.revision,
+            create_revision: 0,
+        };
+        if at == self.entries.len() {
+            self.entries.push(entry);
+        } else {
+            self.entries[at] = entry;
+        }
+        TxnOutcome::Applied(self.revision)
+    }
+
+    fn txn(&mut self, write: RecordWrite, fault: u8) -> Result<TxnOutcome, KvError> {
+        match fault % 8 {
+            0 => Err(KvError::Unreachable(String::new())),
+            1 => Err(KvError::Refused(String::new())),
+            2 => {
+                self.in_flight.push(write);
+                Err(KvError::AnswerLost(String::new()))
+            }
+            3 => {
+                self.store(write);
+                Err(KvError::AnswerLost(String::new()))
+            }
+            _ => Ok(self.store(write)),
+        }
+    }
+
+    fn upstream(&mut self, key: IdempotencyKey, fault: u8) -> RunEnd {
+        let end = match fault % 6 {
+            0 | 1 => return RunEnd::NotSent,
+            2 => return RunEnd::Broken,
+            end => end,
+        };
+        let n = self.runs.len();
+        let text = Bytes::from(vec![b'x'; (n % 2) * (MAX_KEPT_BODY_BYTES + 1) + n % 3]);
+        let outcome = Outcome::new(200, None, text, n.into());
+        self.runs.push((key, outcome.clone()));
+        if end == 3 {
+            RunEnd::Broken
+        } else {
+            RunEnd::Done(outcome)
+        }
+    }
+
+    fn start(&mut self, agent: usize, key: IdempotencyKey, digest: CallDigest) {
+        self.started += 1;
+        self.seen.push((key, digest));
+        let (incarnation, known) = &self.agents[agent];
+        let call = keyed(key, digest, *incarnation, self.started);
+        let (call, step) = Call::start(call, self.now, known);
+        self.calls.push(Running {
+            agent,
+            call,
+            next: None,
+            reply: None,
+        });
+        self.take(self.calls.len() - 1, step);
+    }
+
+    /// Performs a call's effect, or hands it the effect's result, so that a crash can come in between.
+    fn step(&mut self, at: usize, fault: u8) {
+        if let Some(reply) = self.calls[at].reply.take() {
+            let running = &mut self.calls[at];
+            let known = &mut self.agents[running.agent].1;
+            let step = match reply {
+                Reply::Write(result) => running.call.on_write(result, self.now, known),
+                Reply::Read(result) => running.call.on_read(result, self.now, known),
+                Reply::Run(end) => running.call.on_run_end(end, known),
+                Reply::Outcome(result) => {
+                    let draw = u64::from(fault);
+                    running.call.on_outcome_write(&result, draw, known)
+                }
+                Reply::Retry => running.call.on_retry(self.now, known),
+            };
+            return self.take(at, step);
+        }
+        let key = self.calls[at].call.of.key;
+        let Some(effect) = self.calls[at].next.take() else {
+            return;
+        };
+        self.calls[at].reply = Some(match effect {
+            Effect::WriteIntent(write) => Reply::Write(self.txn(write, fault)),
+            Effect::WriteOutcome(write) => Reply::Outcome(self.txn(write, fault)),
+            Effect::ReadBack(_) if fault.is_multiple_of(8) => {
+                Reply::Read(Err(KvError::AnswerLost(String::new())))
+            }
+            Effect::ReadBack(key) => {
+                Reply::Read(Ok(self.entries.iter().find(|e| e.key == key).cloned()))
+            }
+            Effect::Run => Reply::Run(self.upstream(key, fault)),
+            Effect::RetryOutcome(_) => Reply::Retry,
+        });
+    }
+
+    fn take(&mut self, at: usize, step: Step) {
+        self.calls[at].next = step.next;
+        let Some(answer) = step.answer else {
+            return;
+        };
+        self.answers += 1;
+        let KeyedCall { key, digest, .. } = self.calls[at].call.of;
+        let run = self.runs.iter().find(|(k, _)| *k == key).map(|(_, o)| o);
+        match answer {
+            KeyedAnswer::NotRun => assert_eq!(run, None, "not_run after a run"),
+            KeyedAnswer::Fresh(outcome) | KeyedAnswer::Replayed(outcome) => {
+                assert_eq!(run, Some(&outcome), "an answer that no run produced");
+            }
+            KeyedAnswer::KeyReused => {
+                assert!(self.seen.iter().any(|(k, d)| *k == key && *d != digest));
+            }
+            KeyedAnswer::KeyRefused(age) => {
+                assert_eq!(key.check_age(self.now, LIFETIME), Err(age));
+            }
+            KeyedAnswer::Unknown | KeyedAnswer::StoreOut => {}
+        }
+    }
+
+    fn crash(&mut self, agent: usize) {
+        self.started += 1;
+        self.agents[agent] = (u128::from(self.started) << 8, KnownKeys::new(4_000));
+        self.calls.retain(|running| running.agent != agent);
+    }
+
+    /// Removes the records of expired keys, as an operator's clean-up may.
+    fn collect(&mut self) {
+        let now = self.now;
+        self.entries.retain(|entry| {
+            let key = entry.key.rsplit('/').next().expect("a path");
+            let key: IdempotencyKey = key.parse().expect("a key");
+            key.check_age(now, LIFETIME).is_ok()
+        });
+    }
+
+    fn apply(&mut self, (op, a, b): (u8, u8, u8)) {
+        let agent = usize::from(a) % AGENTS;
+        match op % 32 {
+            0..=3 => {
+                // Some keys grow old while their calls are on the way.
+                let time = Millis(START.0 - 80_000 + u64::from(b % 6) * 20_000);
+                self.start(agent, key(time, b % 6), body(u8::from(a > 230)));
+            }
+            4 if a.is_multiple_of(4) => self.crash(agent),
+            5 if !self.in_flight.is_empty() => {
+                let at = usize::from(a) % self.in_flight.len();
+                let write = self.in_flight.swap_remove(at);
+                self.store(write);
+            }
+            6 => self.now = self.now + Millis(u64::from(a) * 100),
+            7 => self.collect(),
+            _ if self.calls.is_empty() => {}
+            _ => {
+                let at = usize::from(a) % self.calls.len();
+                self.step(at, b);
+                if self.calls[at].next.is_none() && self.calls[at].reply.is_none() {
+                    self.calls.swap_remove(at);
+                }
+            }
+        }
+        for (at, (key, _)) in self.runs.iter().enumerate() {
+            assert!(!self.runs[..at].iter().any(|(k, _)| k == key), "ran twice");
+        }
+        for (_, known) in &self.agents {
+            assert!(known.bytes() <= 4_000 + 3 * (MAX_KEPT_BODY_BYTES + 512));
+        }
+    }
+}
+
+// Guards against a second run, a false `not_run` and an answer of another run, with crashes between any
+// two effects, late and lost writes, concurrent attempts, reused keys and keys that expire on the way.
+#[test]
+fn a_key_runs_at_most_once_under_faults() {
+    type Ops = Vec<(u8, u8, u8)>;
+    fn property(first: Ops, second: Ops, third: Ops, fourth: Ops) -> bool {
+        let mut world = World::open();
+        for op in [first, second, third, fourth].concat() {
+            world.apply(op);
+        }
+        true
+    }
+    check(1, property as fn(Ops, Ops, Ops, Ops) -> bool);
+}
+
+/// Runs the last call to its end; each step gets the next fault, then none.
+fn finish(world: &mut World, faults: &[u8]) -> usize {
+    let at = world.calls.len() - 1;
+    let mut faults = faults.iter().copied();
+    while world.calls[at].next.is_some() || world.calls[at].reply.is_some() {
+        let fault = if world.calls[at].reply.is_some() {
+            0
+        } else {
+            faults.next().unwrap_or(NO_FAULT)
+        };
+        world.step(at, fault);
+    }
+    world.runs.len()
+}
+
+// Guards against a machine that is safe because it never runs anything, or that never replays.
+#[test]
+fn calls_make_progress() {
+    let mut world = World::open();
+    let first = key(START, 1);
+
+    world.start(0, first, body(0));
+    // The answer to the intent write is lost, then the first outcome write fails.
+    assert_eq!(finish(&mut world, &[3, NO_FAULT, NO_FAULT, 0]), 1);
+    world.start(0, first, body(0));
+    assert_eq!(world.calls[1].next, None, "answered from memory");
+    world.start(1, first, body(0));
+    assert_eq!(finish(&mut world, &[]), 1);
+    assert_eq!(
+        world.agents[1]
+            .1
+            .get(&"shop".into(), first)
+            .map(|r| r.by.call),
+        Some(1)
+    );
+
+    // A call that was not sent leaves a record that the next attempt takes over.
+    let second = key(START, 2);
+    world.start(0, second, body(0));
+    assert_eq!(finish(&mut world, &[NO_FAULT, 0]), 1);
+    world.start(1, second, body(0));
+    assert_eq!(finish(&mut world, &[]), 2);
+    assert_eq!(world.answers, 5);
+}
+
+// Guards against an outage that hides a known outcome, or that claims `not_run` for unknown keys.
+#[test]
+fn answers_during_an_outage() {
+    let mut known = KnownKeys::new(KNOWN_BYTES);
+    let out = || Err(KvError::Unreachable(String::new()));
+    let first = keyed(key(START, 1), body(0), 1, 1);
+    let (mut call, _) = Call::start(first.clone(), START, &known);
+    call.on_write(Ok(TxnOutcome::Applied(1)), START, &mut known);
+    let outcome = Outcome::new(200, None, "ok".into(), serde_json::Value::Null);
+    call.on_run_end(RunEnd::Done(outcome.clone()), &mut known);
+    let step = call.on_outcome_write(&out(), 0, &mut known);
+    assert_eq!(step.answer, Some(KeyedAnswer::Fresh(outcome.clone())));
+    assert!(matches!(step.next, Some(Effect::RetryOutcome(_))));
+
+    let (_, replay) = Call::start(first, START, &known);
+    let (mut other, _) = Call::start(keyed(key(START, 2), body(0), 1, 2), START, &known);
+    other.on_write(out(), START, &mut known);
+    let other = other.on_read(Err(KvError::Unreachable(String::new())), START, &mut known);
+
+    assert_eq!(replay, Step::last(KeyedAnswer::Replayed(outcome)));
+    assert_eq!(other, Step::last(KeyedAnswer::StoreOut));
+}
+
+// Guards against keys whose age cannot be told and against a panic on a stranger's header.
+#[test]
+fn headers_are_checked() {
+    let good = "01890a5d-ac96-774b-bcce-b302099a8057";
+    let parse = str::parse::<IdempotencyKey>;
+    assert_eq!(parse(good), parse(&format!("\"{good}\"")));
+    assert_eq!(
+        parse(good).map(IdempotencyKey::time),
+        Ok(Millis(0x0189_0a5d_ac96))
+    );
+    assert_eq!(
+        parse("919108f7-52d1-4320-9bac-f847db4148a8"),
+        Err(KeyError::NotVersion7)
+    );
+    assert_eq!(parse(&"a".repeat(39)), Err(KeyError::TooLong(39)));
+    assert_eq!(parse(&good.replace('-', "")), Err(KeyError::Malformed));
+
+    let at = |ms| key(START, 0).check_age(Millis(ms), LIFETIME);
+    assert_eq!(at(START.0 + LIFETIME.0 + 1), Err(KeyAge::Expired));
+    assert_eq!(at(START.0 - MAX_AHEAD.0 - 1), Err(KeyAge::InFuture));
+    assert_eq!(at(START.0 - MAX_AHEAD.0), Ok(()));
+}
+
+// Guards against a record that changes when it is written and read back.
+#[test]
+fn record_json_round_trips() {
+    fn property(n: u8, text: Vec<u8>, status: u16) -> bool {
+        let outcome = Outcome::new(status, Some("a/b".to_owned()), text.into(), 5.into());
+        let by = keyed(key(START, n), body(n), 1, 1).by;
+        [
+            RecordState::Intent,
+            RecordState::NotRun,
+            RecordState::Done(outcome),
+        ]
+        .into_iter()
+        .all(|state| {
+            let record = Record {
+                digest: body(n),
+                by,
+                started_at: START,
+                state,
+            };
+            Record::from_json(&record.to_json()).is_ok_and(|read| read == record)
+        })
+    }
+    check(2, property as fn(u8, Vec<u8>, u16) -> bool);
+}
