Add kept answers and their reassembly

Change: KeptAnswer at the agent takes at most the room it has, so the producer pauses; a read at an offset acknowledges everything before it; it is dropped on acknowledgement or 60 s after its end, and its run is cancelled after 15 s without a read. Another attempt may take over only before the first byte is handed to the caller.

Ruled out: buffering of chunks after a gap at the gateway, since the agent still has the bytes. A separate acknowledgement per chunk, since a read's offset says the same.

--- /dev/null
+++ b/src/stream/assembly.rs
@@ -0,0 +1,192 @@
+//! The gateway's reassembly of an answer.
+
+use std::fmt;
+
+use bytes::{Buf, Bytes};
+use sha2::{Digest, Sha256};
+
+use super::{End, EndStatus, Part, Reply, Source};
+
+/// What a reply means for the caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fed {
+    /// The next bytes of the answer; hand them to the caller and read on.
+    Bytes(Bytes),
+    /// Nothing yet; read on.
+    Waiting,
+    /// Bytes are missing; read again from this offset.
+    ReadAgain(u64),
+    /// The reply is late, repeated or of another attempt; it answers no current read.
+    Dropped,
+    /// The caller has the complete answer.
+    Whole,
+    /// The answer cannot be completed; tell the caller so.
+    Incomplete(IncompleteReason),
+}
+
+/// Why an answer cannot be completed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum IncompleteReason {
+    /// The upstream failed or the run was cancelled.
+    UpstreamBroke,
+    /// The agent no longer has bytes that the gateway needs.
+    BytesGone,
+    /// The agent's length is below the number of bytes that were received.
+    LengthMismatch,
+    /// The received bytes have another SHA-256.
+    DigestMismatch,
+    /// The agent is gone or does not know the answer.
+    AgentLost,
+    /// The request's deadline passed.
+    Deadline,
+}
+
+impl fmt::Display for IncompleteReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::UpstreamBroke => "upstream failed before the end of its answer",
+            Self::BytesGone => "agent no longer has the rest of the answer",
+            Self::LengthMismatch => "answer is longer than its declared length",
+            Self::DigestMismatch => "answer does not match its SHA-256",
+            Self::AgentLost => "agent of the answer is lost",
+            Self::Deadline => "deadline of the request passed",
+        })
+    }
+}
+
+/// Why another attempt may not take over an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SwitchError {
+    /// The caller already has bytes of the current attempt.
+    BytesHanded(u64),
+    /// The answer has ended.
+    Ended,
+    /// The attempt is not newer than the current one.
+    NotNewer(u32),
+}
+
+impl fmt::Display for SwitchError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::BytesHanded(bytes) => {
+                write!(f, "caller already has {bytes} bytes of the current attempt")
+            }
+            Self::Ended => f.write_str("answer has already ended"),
+            Self::NotNewer(attempt) => {
+                write!(f, "attempt {attempt} is not newer than the current one")
+            }
+        }
+    }
+}
+
+impl std::error::Error for SwitchError {}
+
+/// An answer that the gateway puts together for its caller.
+#[derive(Debug)]
+pub struct Assembly {
+    source: Source,
+    /// Number of bytes that were handed to the caller.
+    handed: u64,
+    hash: Sha256,
+    ended: bool,
+}
+
+impl Assembly {
+    /// Opens the assembly of an attempt's answer.
+    #[must_use]
+    pub fn open(source: Source) -> Self {
+        Self {
+            source,
+            handed: 0,
+            hash: Sha256::new(),
+            ended: false,
+        }
+    }
+
+    /// Returns the current attempt.
+    #[must_use]
+    pub const fn source(&self) -> Source {
+        self.source
+    }
+
+    /// Returns the offset of the next read.
+    #[must_use]
+    pub const fn offset(&self) -> u64 {
+        self.handed
+    }
+
+    /// Takes a reply.
+    pub fn feed(&mut self, reply: Reply) -> Fed {
+        if self.ended || reply.source != self.source {
+            return Fed::Dropped;
+        }
+        match reply.part {
+            Part::Pending => Fed::Waiting,
+            Part::Chunk { offset, bytes } => self.on_chunk(offset, bytes),
+            Part::End(end) => self.on_end(end),
+            Part::Gone { first } if first > self.handed => {
+                self.give_up(IncompleteReason::BytesGone)
+            }
+            Part::Gone { .. } => Fed::Dropped,
+        }
+    }
+
+    /// Goes on with a newer attempt, as long as the caller has no byte.
+    ///
+    /// # Errors
+    /// [`SwitchError`] if the current attempt has to be finished.
+    pub fn switch(&mut self, attempt: u32) -> Result<(), SwitchError> {
+        if self.ended {
+            return Err(SwitchError::Ended);
+        }
+        if self.handed > 0 {
+            return Err(SwitchError::BytesHanded(self.handed));
+        }
+        if attempt <= self.source.attempt {
+            return Err(SwitchError::NotNewer(attempt));
+        }
+        self.source.attempt = attempt;
+        Ok(())
+    }
+
+    /// Ends the answer as incomplete; later replies are dropped.
+    pub fn give_up(&mut self, reason: IncompleteReason) -> Fed {
+        if self.ended {
+            return Fed::Dropped;
+        }
+        self.ended = true;
+        Fed::Incomplete(reason)
+    }
+
+    fn on_chunk(&mut self, offset: u64, mut bytes: Bytes) -> Fed {
+        if offset > self.handed {
+            return Fed::ReadAgain(self.handed);
+        }
+        let known = usize::try_from(self.handed - offset).unwrap_or(usize::MAX);
+        if known >= bytes.len() {
+            return Fed::Dropped;
+        }
+        bytes.advance(known);
+        self.hash.update(&bytes);
+        self.handed += bytes.len() as u64;
+        Fed::Bytes(bytes)
+    }
+
+    fn on_end(&mut self, end: End) -> Fed {
+        if end.length > self.handed {
+            return Fed::ReadAgain(self.handed);
+        }
+        if end.length < self.handed {
+            return self.give_up(IncompleteReason::LengthMismatch);
+        }
+        if end.status == EndStatus::Broken {
+            return self.give_up(IncompleteReason::UpstreamBroke);
+        }
+        let digest: [u8; 32] = self.hash.clone().finalize().into();
+        if digest != end.digest {
+            return self.give_up(IncompleteReason::DigestMismatch);
+        }
+        self.ended = true;
+        Fed::Whole
+    }
+}
--- /dev/null
+++ b/src/stream/kept.rs
@@ -0,0 +1,153 @@
+//! The agent's copy of an answer.
+
+use bytes::{Buf, Bytes, BytesMut};
+use sha2::{Digest, Sha256};
+
+use super::{End, EndStatus, Part, Reply, Source};
+use crate::units::Millis;
+
+/// Default bound of the bytes that an answer holds at the agent.
+pub const MAX_UNACKNOWLEDGED_BYTES: usize = 256 * 1024;
+
+/// How long an answer is kept after its end without an acknowledgement.
+pub const KEEP_AFTER_END: Millis = Millis::from_secs(60);
+
+/// Time without a read after which a run is cancelled: five read timeouts of the gateway.
+pub const READER_DEADLINE: Millis = Millis::from_secs(15);
+
+/// What happens to an answer as time passes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// Keep it and ask again at this time.
+    KeepUntil(Millis),
+    /// No reader was seen for [`READER_DEADLINE`]: cancel the run, then [`KeptAnswer::end`].
+    Cancel,
+    /// Drop it.
+    Drop,
+}
+
+/// An answer that the agent keeps until the gateway has all of it.
+#[derive(Debug)]
+pub struct KeptAnswer {
+    source: Source,
+    max_bytes: usize,
+    buf: BytesMut,
+    /// Offset of the first byte in `buf`.
+    first: u64,
+    hash: Sha256,
+    end: Option<End>,
+    ended_at: Millis,
+    read_at: Millis,
+    acknowledged: bool,
+}
+
+impl KeptAnswer {
+    /// Opens an empty answer that holds at most `max_bytes` unacknowledged bytes.
+    #[must_use]
+    pub fn open(source: Source, max_bytes: usize, now: Millis) -> Self {
+        Self {
+            source,
+            max_bytes,
+            buf: BytesMut::new(),
+            first: 0,
+            hash: Sha256::new(),
+            end: None,
+            ended_at: now,
+            read_at: now,
+            acknowledged: false,
+        }
+    }
+
+    /// Returns how many bytes can be appended; the producer pauses while it is zero.
+    #[must_use]
+    pub fn room(&self) -> usize {
+        self.max_bytes - self.buf.len()
+    }
+
+    /// Returns the number of bytes that were appended so far.
+    #[must_use]
+    pub fn length(&self) -> u64 {
+        self.first + self.buf.len() as u64
+    }
+
+    /// Appends as many bytes as there is room for and returns their number; none after the end.
+    #[must_use = "the bytes that were not taken have to be appended again"]
+    pub fn append(&mut self, bytes: &[u8]) -> usize {
+        if self.end.is_some() {
+            return 0;
+        }
+        let taken = bytes.len().min(self.room());
+        let bytes = &bytes[..taken];
+        self.hash.update(bytes);
+        self.buf.extend_from_slice(bytes);
+        taken
+    }
+
+    /// Ends the answer; only the first end counts.
+    pub fn end(&mut self, status: EndStatus, now: Millis) {
+        if self.end.is_some() {
+            return;
+        }
+        self.ended_at = now;
+        self.end = Some(End {
+            status,
+            length: self.length(),
+            digest: self.hash.clone().finalize().into(),
+        });
+    }
+
+    /// Reads up to `max` bytes at `offset` and drops the bytes before it.
+    pub fn read(&mut self, offset: u64, max: usize, now: Millis) -> Reply {
+        self.read_at = self.read_at.max(now);
+        let part = if offset < self.first {
+            Part::Gone { first: self.first }
+        } else {
+            self.trim(offset);
+            self.part(max)
+        };
+        Reply {
+            source: self.source,
+            part,
+        }
+    }
+
+    /// Notes that the gateway needs the answer no longer.
+    pub fn acknowledge(&mut self) {
+        self.acknowledged = true;
+    }
+
+    /// Tells whether to keep the answer, to cancel its run or to drop it.
+    #[must_use]
+    pub fn fate(&self, now: Millis) -> Fate {
+        let (deadline, then) = if self.end.is_some() {
+            (self.ended_at + KEEP_AFTER_END, Fate::Drop)
+        } else if self.acknowledged {
+            return Fate::Cancel;
+        } else {
+            (self.read_at + READER_DEADLINE, Fate::Cancel)
+        };
+        if self.acknowledged || now >= deadline {
+            then
+        } else {
+            Fate::KeepUntil(deadline)
+        }
+    }
+
+    fn trim(&mut self, offset: u64) {
+        let held = self.buf.len();
+        let done = usize::try_from(offset - self.first).map_or(held, |done| done.min(held));
+        self.buf.advance(done);
+        self.first += done as u64;
+    }
+
+    fn part(&self, max: usize) -> Part {
+        if self.buf.is_empty() {
+            return self.end.map_or(Part::Pending, Part::End);
+        }
+        let len = self.buf.len().min(max.max(1));
+        Part::Chunk {
+            offset: self.first,
+            bytes: Bytes::copy_from_slice(&self.buf[..len]),
+        }
+    }
+}
--- a/src/stream/mod.rs
+++ b/src/stream/mod.rs
@@ -1,1 +1,83 @@
 //! Kept answers at the agent and their reassembly at the gateway.
+//!
+//! The gateway pulls: each read names the offset up to which the gateway holds the answer, and so
+//! acknowledges everything before it. One read of an answer is in flight at a time; late and repeated
+//! replies are recognised by request, attempt and offset.
+
+mod assembly;
+mod kept;
+#[cfg(test)]
+mod tests;
+
+use bytes::Bytes;
+
+pub use assembly::{Assembly, Fed, IncompleteReason, SwitchError};
+pub use kept::{Fate, KEEP_AFTER_END, KeptAnswer, MAX_UNACKNOWLEDGED_BYTES, READER_DEADLINE};
+
+use crate::ids::RequestId;
+use crate::units::Millis;
+
+/// Longest time that the agent holds a read without bytes; the empty reply is the heartbeat.
+pub const LONG_POLL: Millis = Millis::from_secs(1);
+
+/// Time without a reply after which the gateway reads again on a new connection.
+pub const READ_TIMEOUT: Millis = Millis::from_secs(3);
+
+/// One attempt of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Source {
+    /// The request.
+    pub request: RequestId,
+    /// The gateway's number of the attempt.
+    pub attempt: u32,
+}
+
+/// Reply to a read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reply {
+    /// The attempt that the reply belongs to.
+    pub source: Source,
+    /// What the read found.
+    pub part: Part,
+}
+
+/// What a read found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Part {
+    /// Bytes of the answer.
+    Chunk {
+        /// Offset of the first byte.
+        offset: u64,
+        /// The bytes; never empty.
+        bytes: Bytes,
+    },
+    /// No byte yet.
+    Pending,
+    /// The answer has no more bytes.
+    End(End),
+    /// Bytes at the offset were acknowledged by an earlier read and are gone.
+    Gone {
+        /// Offset of the first byte that the agent still has.
+        first: u64,
+    },
+}
+
+/// The end of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct End {
+    /// How the answer ended.
+    pub status: EndStatus,
+    /// Length of the answer in bytes.
+    pub length: u64,
+    /// SHA-256 of the answer.
+    pub digest: [u8; 32],
+}
+
+/// How an answer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndStatus {
+    /// The upstream gave its complete answer.
+    Complete,
+    /// The upstream failed or the run was cancelled; more bytes would have followed.
+    Broken,
+}
--- /dev/null
+++ b/src/stream/tests.rs
@@ -0,0 +1,240 @@
+//! Stateful fuzzing of an answer over a faulty network, and tests of its deadlines.
+
+use sha2::{Digest, Sha256};
+
+use super::*;
+use crate::fixtures::check;
+use crate::ids::Incarnation;
+
+const BOUND: usize = 64;
+const ATTEMPTS: u32 = 3;
+const LENGTH: usize = 600;
+
+fn source(attempt: u32) -> Source {
+    let gateway = Incarnation(7);
+    let request = RequestId { gateway, seq: 1 };
+    Source { request, attempt }
+}
+
+/// The answer that an attempt gives; no two attempts give the same bytes.
+fn truth(attempt: u32) -> Vec<u8> {
+    let byte = |at: u32| (at * 7 + attempt * 31).to_le_bytes()[0];
+    (0..).map(byte).take(LENGTH).collect()
+}
+
+/// A network that loses, delays, reorders and repeats messages between one gateway and its agents.
+#[derive(Debug)]
+struct World {
+    kept: Vec<KeptAnswer>,
+    broken: [bool; ATTEMPTS as usize],
+    assembly: Assembly,
+    reads: Vec<(u32, u64, usize)>,
+    replies: Vec<Reply>,
+    delivered: Vec<u8>,
+    end: Option<Fed>,
+}
+
+impl World {
+    fn open() -> Self {
+        let open = |attempt| KeptAnswer::open(source(attempt), BOUND, Millis(0));
+        Self {
+            kept: (0..ATTEMPTS).map(open).collect(),
+            broken: [false; ATTEMPTS as usize],
+            assembly: Assembly::open(source(0)),
+            reads: Vec::new(),
+            replies: Vec::new(),
+            delivered: Vec::new(),
+            end: None,
+        }
+    }
+
+    fn produce(&mut self, attempt: u32, len: usize, break_here: bool) {
+        let kept = &mut self.kept[attempt as usize];
+        let truth = truth(attempt);
+        let from = usize::try_from(kept.length()).expect("a short answer");
+        let to = truth.len().min(from + len);
+        let taken = kept.append(&truth[from..to]);
+        if break_here {
+            self.broken[attempt as usize] |= from + taken < LENGTH;
+            kept.end(EndStatus::Broken, Millis(0));
+        } else if from + taken == LENGTH {
+            kept.end(EndStatus::Complete, Millis(0));
+        }
+        assert!(kept.room() <= BOUND);
+    }
+
+    fn send_read(&mut self, max: usize) {
+        let attempt = self.assembly.source().attempt;
+        self.reads.push((attempt, self.assembly.offset(), max));
+    }
+
+    fn serve(&mut self, (attempt, offset, max): (u32, u64, usize)) {
+        let reply = self.kept[attempt as usize].read(offset, max, Millis(0));
+        self.replies.push(reply);
+    }
+
+    fn deliver(&mut self, reply: Reply) {
+        let fed = self.assembly.feed(reply);
+        let attempt = self.assembly.source().attempt;
+        match fed {
+            Fed::Bytes(bytes) => self.delivered.extend_from_slice(&bytes),
+            Fed::Whole => {
+                assert_eq!(self.delivered, truth(attempt), "a part passed as the whole");
+                self.end = Some(fed);
+            }
+            Fed::Incomplete(reason) => {
+                assert_eq!(reason, IncompleteReason::UpstreamBroke);
+                assert!(self.broken[attempt as usize]);
+                self.end = Some(fed);
+            }
+            Fed::Waiting | Fed::ReadAgain(_) | Fed::Dropped => {}
+        }
+        assert!(truth(attempt).starts_with(&self.delivered), "not a prefix");
+    }
+
+    /// Delivers true parts that no read asked for, as an agent with several readers could send.
+    fn deliver_ahead(&mut self, attempt: u32, offset: usize, len: usize) {
+        let truth = truth(attempt);
+        let part = if len < 40 {
+            Part::End(End {
+                status: EndStatus::Complete,
+                length: LENGTH as u64,
+                digest: Sha256::digest(&truth).into(),
+            })
+        } else {
+            Part::Chunk {
+                offset: offset as u64,
+                bytes: truth[offset..LENGTH.min(offset + len)].to_vec().into(),
+            }
+        };
+        let source = source(attempt);
+        self.deliver(Reply { source, part });
+    }
+
+    fn apply(&mut self, (op, a, b): (u8, u8, u8)) {
+        let attempt = u32::from(b) % ATTEMPTS;
+        match op % 16 {
+            0..=3 => self.produce(attempt, usize::from(a), op == 250),
+            4..=7 => self.send_read(usize::from(a)),
+            8 if !self.reads.is_empty() => {
+                self.reads.swap_remove(usize::from(a) % self.reads.len());
+            }
+            8..=10 if !self.reads.is_empty() => {
+                let read = self.reads[usize::from(a) % self.reads.len()];
+                self.serve(read);
+            }
+            11..=13 if !self.replies.is_empty() => {
+                let at = usize::from(a) % self.replies.len();
+                // Most replies stay in the network, so that they arrive again later.
+                let reply = self.replies[at].clone();
+                self.deliver(reply);
+            }
+            14 if a > 200 => {
+                let handed = !self.delivered.is_empty();
+                let switched = self.assembly.switch(attempt).is_ok();
+                assert!(
+                    !(switched && handed),
+                    "another attempt continued the answer"
+                );
+            }
+            15 => self.deliver_ahead(attempt, usize::from(a) * 2, usize::from(b)),
+            _ => {}
+        }
+    }
+
+    /// Reads on without faults until the answer ends.
+    fn finish(&mut self) {
+        let attempt = self.assembly.source().attempt;
+        for _ in 0..4 * LENGTH {
+            self.produce(attempt, 50, false);
+            self.serve((attempt, self.assembly.offset(), 40));
+            let reply = self.replies.pop().expect("the reply just served");
+            self.deliver(reply);
+            if self.end.is_some() {
+                return;
+            }
+        }
+        panic!("the answer does not end");
+    }
+}
+
+// Guards against bytes that are lost, repeated, out of order or of another attempt, against a part that
+// passes as the whole, and against an answer that never ends.
+#[test]
+fn delivered_bytes_are_a_prefix_of_one_attempt() {
+    type Ops = Vec<(u8, u8, u8)>;
+    fn property(first: Ops, second: Ops) -> bool {
+        let mut world = World::open();
+        for op in [first, second].concat() {
+            world.apply(op);
+        }
+        world.finish();
+        true
+    }
+    check(1, property as fn(Ops, Ops) -> bool);
+}
+
+// Guards against damaged bytes, a false length and missing bytes that pass as the whole answer.
+#[test]
+fn damage_ends_as_incomplete() {
+    let mut kept = KeptAnswer::open(source(0), BOUND, Millis(0));
+    assert_eq!(kept.append(b"pearls"), 6);
+    kept.end(EndStatus::Complete, Millis(0));
+    let end = kept.read(6, 9, Millis(0));
+    let early = Assembly::open(source(0)).feed(end.clone());
+    assert_eq!(early, Fed::ReadAgain(0), "an end before the bytes");
+    let reply = |part| Reply {
+        source: source(0),
+        part,
+    };
+    let chunk = |bytes: &'static [u8]| {
+        reply(Part::Chunk {
+            offset: 0,
+            bytes: Bytes::from_static(bytes),
+        })
+    };
+
+    let cases = [
+        (
+            chunk(b"pearlS"),
+            end.clone(),
+            IncompleteReason::DigestMismatch,
+        ),
+        (chunk(b"pearls!"), end, IncompleteReason::LengthMismatch),
+        (
+            chunk(b"pea"),
+            reply(Part::Gone { first: 6 }),
+            IncompleteReason::BytesGone,
+        ),
+    ];
+    for (first, second, reason) in cases {
+        let mut assembly = Assembly::open(source(0));
+        assembly.feed(first.clone());
+        assert_eq!(assembly.feed(second), Fed::Incomplete(reason));
+        assert_eq!(assembly.feed(first), Fed::Dropped);
+        assert_eq!(assembly.switch(1), Err(SwitchError::Ended));
+    }
+}
+
+// Guards against a run that goes on for nobody and against an answer that is dropped too early or never.
+#[test]
+fn an_answer_is_cancelled_and_dropped_in_time() {
+    let mut kept = KeptAnswer::open(source(0), BOUND, Millis(0));
+    assert_eq!(kept.append(&[1; 100]), BOUND);
+    assert_eq!(kept.room(), 0);
+    let before = Millis(READER_DEADLINE.0 - 1);
+
+    kept.read(10, 1, before);
+
+    assert_eq!(kept.room(), 10);
+    let cancel_at = before + READER_DEADLINE;
+    assert_eq!(kept.fate(READER_DEADLINE), Fate::KeepUntil(cancel_at));
+    assert_eq!(kept.fate(cancel_at), Fate::Cancel);
+    kept.end(EndStatus::Broken, cancel_at);
+    assert_eq!(kept.append(b"late"), 0);
+    let drop_at = cancel_at + KEEP_AFTER_END;
+    assert_eq!(kept.fate(cancel_at), Fate::KeepUntil(drop_at));
+    assert_eq!(kept.fate(drop_at), Fate::Drop);
+    kept.acknowledge();
+    assert_eq!(kept.fate(cancel_at), Fate::Drop);
+}
