Add the ledger: checkpoints, held copies, bill

Change: - GatewayLedger numbers requests, closes them and gives cumulative checkpoints (closed intervals, exact totals, highest opened id). - HeldCharges keeps an agent's copies until a confirmed checkpoint covers them, and writes pages of orphans when the gateway is gone. - Bill joins checkpoints, orphans and charges of idempotency records, and lists ids without a record as unknown.

A page is create-only with fixed content, so a repeat needs no read. - A copy that a live gateway did not flush for 10 min, although the checkpoint's highest opened id reaches it, is written as an orphan. The fuzz test found that a lost response held it forever. - Bounds: 10,000 intervals (440 KB) and 500 KB of rows in a checkpoint. What exceeds them waits outside and its agent keeps the copy; at 10,000 waiting requests the gateway has no room for new ones. An agent holds 100,000 copies and then admits no new work; it drops none.

Ruled out: dropping the oldest copy at the bound (loses charges), writing all old copies during an outage (54 million at peak load).

Conclusion: no request is billed twice, none with a survivor is lost, and the rest is listed, in all cases that were run.

--- /dev/null
+++ b/src/ledger/bill.rs
@@ -0,0 +1,169 @@
+//! The reader's side of the ledger.
+
+use super::keys::{Key, PREFIX};
+use super::{Charge, Checkpoint, Intervals, OrphanPage, Totals};
+use crate::ids::{Incarnation, RequestId};
+use crate::platform::{KeyValue, KvError};
+
+/// The union of all records of the ledger.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Bill {
+    /// Totals by account and product.
+    pub totals: Totals,
+    /// Requests whose outcome is known, charged or not.
+    pub requests: u64,
+    /// Requests below a known higher one that are in no record, by gateway.
+    ///
+    /// A request that is still running at a live gateway is among them.
+    pub unknown: Vec<(Incarnation, Intervals)>,
+    /// Records that could not be read and are not in the totals.
+    pub unreadable: Vec<Unreadable>,
+}
+
+/// A record of the ledger that cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unreadable {
+    /// Key of the record.
+    pub key: String,
+    /// What is wrong with it.
+    pub why: String,
+}
+
+#[derive(Debug, Default)]
+struct Records {
+    checkpoints: Vec<Checkpoint>,
+    charges: Vec<Charge>,
+    unreadable: Vec<Unreadable>,
+}
+
+impl Bill {
+    /// Joins the records of the ledger, given as keys and values.
+    #[must_use]
+    pub fn union<K: AsRef<str>, V: AsRef<[u8]>>(entries: &[(K, V)]) -> Self {
+        Self::union_with(entries, &[], &[])
+    }
+
+    /// Joins the records of the ledger and of idempotency keys.
+    ///
+    /// `charges` are those of finished calls, `intents` the requests of calls without an outcome. An intent
+    /// is listed as unknown unless another record has its outcome.
+    #[must_use]
+    pub fn union_with<K: AsRef<str>, V: AsRef<[u8]>>(
+        entries: &[(K, V)],
+        charges: &[Charge],
+        intents: &[RequestId],
+    ) -> Self {
+        let mut records = Records::default();
+        for (key, value) in entries {
+            records.read(key.as_ref(), value.as_ref());
+        }
+        records.charges.extend_from_slice(charges);
+        records.join(intents)
+    }
+}
+
+impl Records {
+    fn read(&mut self, key: &str, value: &[u8]) {
+        if let Err(why) = self.try_read(key, value) {
+            let key = key.to_owned();
+            self.unreadable.push(Unreadable { key, why });
+        }
+    }
+
+    fn try_read(&mut self, key: &str, value: &[u8]) -> Result<(), String> {
+        match Key::parse(key) {
+            Some(Key::Checkpoint(gateway)) => {
+                let checkpoint: Checkpoint =
+                    serde_json::from_slice(value).map_err(|error| error.to_string())?;
+                if checkpoint.gateway != gateway {
+                    return Err("the checkpoint is of another gateway".to_owned());
+                }
+                self.checkpoints.push(checkpoint);
+            }
+            Some(Key::Orphans { gateway, .. }) => {
+                let page: OrphanPage =
+                    serde_json::from_slice(value).map_err(|error| error.to_string())?;
+                let belongs = |c: &Charge| c.request.gateway == gateway && c.request.seq > 0;
+                if !page.charges.iter().all(belongs) {
+                    return Err("a charge is not of a request of the gateway".to_owned());
+                }
+                self.charges.extend(page.charges);
+            }
+            None => return Err("the key is not one of the ledger".to_owned()),
+        }
+        Ok(())
+    }
+
+    fn join(mut self, intents: &[RequestId]) -> Bill {
+        self.checkpoints.sort_by_key(|c| c.gateway);
+        self.drop_replaced_charges();
+        let mut bill = Bill {
+            unreadable: self.unreadable,
+            ..Bill::default()
+        };
+        for row in self.checkpoints.iter().flat_map(|c| c.totals.rows()) {
+            bill.totals.add_row(row.clone());
+        }
+        for charge in &self.charges {
+            bill.totals.add(charge);
+        }
+        let charged = self.charges.iter().map(|c| c.request);
+        let mut known: Vec<_> = charged.chain(intents.iter().copied()).collect();
+        known.sort_unstable();
+        for gateway in gateways(&self.checkpoints, &known) {
+            let checkpoint = self.checkpoints.iter().find(|c| c.gateway == gateway);
+            let mut outcome = checkpoint.map(|c| c.closed.clone()).unwrap_or_default();
+            let of_gateway = self.charges.iter().filter(|c| c.request.gateway == gateway);
+            for charge in of_gateway {
+                outcome.insert(charge.request.seq);
+            }
+            let highest_record = known.iter().rfind(|id| id.gateway == gateway);
+            let highest = checkpoint
+                .map_or(0, |c| c.opened)
+                .max(outcome.last())
+                .max(highest_record.map_or(0, |id| id.seq));
+            bill.requests = bill.requests.saturating_add(outcome.count());
+            let unknown = outcome.missing(highest);
+            if unknown.count() > 0 {
+                bill.unknown.push((gateway, unknown));
+            }
+        }
+        bill
+    }
+
+    /// Keeps one charge for each request that no checkpoint covers: the one of highest step and attempt.
+    fn drop_replaced_charges(&mut self) {
+        let checkpoints = &self.checkpoints;
+        self.charges.retain(|charge| {
+            let id = charge.request;
+            let of_gateway = checkpoints.binary_search_by_key(&id.gateway, |c| c.gateway);
+            of_gateway.map_or(true, |at| !checkpoints[at].closed.contains(id.seq))
+        });
+        // The derived order compares request, step and attempt first.
+        self.charges.sort_unstable_by(|a, b| b.cmp(a));
+        self.charges.dedup_by_key(|charge| charge.request);
+    }
+}
+
+fn gateways(checkpoints: &[Checkpoint], known: &[RequestId]) -> Vec<Incarnation> {
+    let from_checkpoints = checkpoints.iter().map(|c| c.gateway);
+    let mut gateways: Vec<_> = from_checkpoints
+        .chain(known.iter().map(|id| id.gateway))
+        .collect();
+    gateways.sort_unstable();
+    gateways.dedup();
+    gateways
+}
+
+/// Reads the ledger from the key-value service; records of idempotency keys are not part of it.
+///
+/// # Errors
+/// [`KvError`] if the service gave no result.
+pub async fn read_bill(kv: &dyn KeyValue) -> Result<Bill, KvError> {
+    let entries = kv.list(PREFIX).await?;
+    let entries: Vec<_> = entries
+        .iter()
+        .map(|entry| (entry.key.as_str(), entry.value.as_ref()))
+        .collect();
+    Ok(Bill::union(&entries))
+}
--- /dev/null
+++ b/src/ledger/gateway.rs
@@ -0,0 +1,336 @@
+//! The gateway's side of the ledger.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use super::keys::Key;
+use super::{Charge, Closed, Intervals, Totals, back_off};
+use crate::ids::{Incarnation, RequestId};
+use crate::platform::{Change, Compare, KeyValue, KvError, MAX_VALUE_BYTES, TxnOutcome};
+use crate::units::Millis;
+
+/// Time between two checkpoints; 410 gateways then make 82 of the service's 300 writes a second.
+pub const FLUSH_INTERVAL: Millis = Millis::from_secs(5);
+/// Wait after the first failed write.
+pub const BACK_OFF_MIN: Millis = Millis::from_secs(1);
+/// Longest wait between writes during an outage.
+pub const BACK_OFF_MAX: Millis = Millis::from_secs(30);
+/// Most intervals in a checkpoint; each has at most 44 bytes, so 440 KB in all.
+pub const MAX_INTERVALS: usize = 10_000;
+/// Most bytes of rows in a checkpoint; about 1,800 rows with names of 16 bytes.
+pub const MAX_ROW_BYTES: usize = 500_000;
+/// Closed requests that may wait for room in the checkpoint before the gateway refuses new requests.
+pub const MAX_WAITING: usize = 10_000;
+
+// 44 bytes: two numbers of 20 digits, brackets and commas. 1,000 bytes: the other fields.
+const _: () = assert!(MAX_INTERVALS * 44 + MAX_ROW_BYTES + 1_000 < MAX_VALUE_BYTES);
+
+/// The cumulative state of a gateway's ledger, as written to the key-value service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Checkpoint {
+    /// The gateway's incarnation.
+    pub gateway: Incarnation,
+    /// Number of this write, from 1; a repeated write has a new number.
+    pub number: u64,
+    /// Highest request that was opened.
+    pub opened: u64,
+    /// Closed requests that `totals` contains.
+    pub closed: Intervals,
+    /// Exact totals of the closed requests.
+    pub totals: Totals,
+}
+
+/// What the last checkpoint that the service confirmed contains; gateways report it to agents.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Flushed {
+    /// Highest request that was opened.
+    pub opened: u64,
+    /// Closed requests.
+    pub closed: Intervals,
+}
+
+/// What the gateway knows about its checkpoint in the service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stored {
+    /// No checkpoint was written.
+    Absent,
+    /// The last write has this store revision.
+    At(u64),
+    /// The answer of a write was lost.
+    Unknown,
+}
+
+/// How the write of a checkpoint ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FlushResult {
+    /// The write took effect at this store revision.
+    Applied(u64),
+    /// Another write of this gateway took effect in between.
+    Conflict,
+    /// The write did not take effect.
+    NotApplied,
+    /// The write may have taken effect, or may still do so.
+    Lost,
+}
+
+/// A request that cannot be closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CloseError {
+    /// The request was never opened here.
+    NotOpened(RequestId),
+    /// The request was closed before; the first close counts.
+    AlreadyClosed(RequestId),
+    /// The charge is of another request.
+    OtherRequest(RequestId),
+}
+
+impl fmt::Display for CloseError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotOpened(id) => write!(f, "request {id} was never opened"),
+            Self::AlreadyClosed(id) => write!(f, "request {id} is already closed"),
+            Self::OtherRequest(id) => write!(f, "the charge is not one of request {id}"),
+        }
+    }
+}
+
+impl std::error::Error for CloseError {}
+
+/// The ledger of one gateway incarnation.
+///
+/// A checkpoint holds at most [`MAX_INTERVALS`] intervals and [`MAX_ROW_BYTES`] of rows. A closed request
+/// that would exceed one of them waits outside the checkpoint; its agent keeps the copy and writes it as an
+/// orphan after [`COPY_AGE`](super::COPY_AGE). When [`MAX_WAITING`] requests wait,
+/// [`GatewayLedger::has_room`] is false and the gateway refuses new requests.
+#[derive(Debug)]
+pub struct GatewayLedger {
+    gateway: Incarnation,
+    opened: u64,
+    closed: Intervals,
+    totals: Totals,
+    /// Closed requests that do not fit the checkpoint, sorted by number.
+    waiting: Vec<(u64, Closed)>,
+    flushed: Flushed,
+    stored: Stored,
+    number: u64,
+    in_flight: Option<Checkpoint>,
+    failures: u32,
+    next_flush: Millis,
+}
+
+impl GatewayLedger {
+    /// Starts the ledger of a new incarnation.
+    #[must_use]
+    pub fn new(gateway: Incarnation) -> Self {
+        Self {
+            gateway,
+            opened: 0,
+            closed: Intervals::default(),
+            totals: Totals::default(),
+            waiting: Vec::new(),
+            flushed: Flushed::default(),
+            stored: Stored::Absent,
+            number: 0,
+            in_flight: None,
+            failures: 0,
+            next_flush: Millis(0),
+        }
+    }
+
+    /// Tells whether a new request may be opened.
+    #[must_use]
+    pub const fn has_room(&self) -> bool {
+        self.waiting.len() < MAX_WAITING
+    }
+
+    /// Opens the next request.
+    pub const fn open_request(&mut self) -> RequestId {
+        self.opened += 1;
+        RequestId {
+            gateway: self.gateway,
+            seq: self.opened,
+        }
+    }
+
+    /// Closes a request, with its charge or without one.
+    ///
+    /// A request whose charge is not known, because its agent died after the run, is not closed. It stays
+    /// open and the bill lists it as unknown, unless an agent or an idempotency record has the charge.
+    ///
+    /// # Errors
+    /// [`CloseError`] if the request was not open or the charge is of another request.
+    pub fn close(&mut self, request: RequestId, charge: Option<Charge>) -> Result<(), CloseError> {
+        let seq = request.seq;
+        if request.gateway != self.gateway || seq == 0 || seq > self.opened {
+            return Err(CloseError::NotOpened(request));
+        }
+        if charge.as_ref().is_some_and(|c| c.request != request) {
+            return Err(CloseError::OtherRequest(request));
+        }
+        let waits = self.waiting.binary_search_by_key(&seq, |(seq, _)| *seq);
+        let (Err(at), false) = (waits, self.closed.contains(seq)) else {
+            return Err(CloseError::AlreadyClosed(request));
+        };
+        let closed = charge.map_or(Closed::Free, Closed::Charged);
+        if self.fits(seq, &closed) {
+            self.take_in(seq, &closed);
+            self.admit_waiting();
+        } else {
+            self.waiting.insert(at, (seq, closed));
+        }
+        Ok(())
+    }
+
+    /// Returns the checkpoint to write now, if one is due and none is in flight.
+    ///
+    /// Every checkpoint contains all earlier ones, so a write whose answer was lost is repeated with at
+    /// least the same content. The caller writes it with [`write_checkpoint`] and reports the result.
+    pub fn flush(&mut self, now: Millis) -> Option<Checkpoint> {
+        let changed = self.closed != self.flushed.closed || self.opened != self.flushed.opened;
+        if self.in_flight.is_some() || !changed || now < self.next_flush {
+            return None;
+        }
+        self.number += 1;
+        let checkpoint = Checkpoint {
+            gateway: self.gateway,
+            number: self.number,
+            opened: self.opened,
+            closed: self.closed.clone(),
+            totals: self.totals.clone(),
+        };
+        self.in_flight = Some(checkpoint.clone());
+        Some(checkpoint)
+    }
+
+    /// Takes the result of the write of a checkpoint; a result of another number is ignored.
+    pub fn on_flushed(&mut self, number: u64, result: FlushResult, now: Millis) {
+        let Some(sent) = self.in_flight.take_if(|sent| sent.number == number) else {
+            return;
+        };
+        match result {
+            FlushResult::Applied(revision) => {
+                self.flushed = Flushed {
+                    opened: sent.opened,
+                    closed: sent.closed,
+                };
+                self.stored = Stored::At(revision);
+                self.failures = 0;
+                self.next_flush = now + FLUSH_INTERVAL;
+                return;
+            }
+            FlushResult::Conflict | FlushResult::Lost => self.stored = Stored::Unknown,
+            FlushResult::NotApplied => {}
+        }
+        self.failures = self.failures.saturating_add(1);
+        self.next_flush = now + back_off(self.failures);
+    }
+
+    /// Makes the next flush due at once, as a planned stop needs.
+    pub const fn expedite(&mut self) {
+        self.next_flush = Millis(0);
+    }
+
+    /// Returns what is known about the checkpoint in the service.
+    #[must_use]
+    pub const fn stored(&self) -> Stored {
+        self.stored
+    }
+
+    /// Returns N such that requests 1 to N are in a checkpoint that the service confirmed.
+    #[must_use]
+    pub fn flushed_prefix(&self) -> u64 {
+        self.flushed.closed.prefix()
+    }
+
+    /// Returns what the last checkpoint that the service confirmed contains.
+    #[must_use]
+    pub const fn flushed(&self) -> &Flushed {
+        &self.flushed
+    }
+
+    /// Returns the requests that are open now.
+    #[must_use]
+    pub fn open_requests(&self) -> Intervals {
+        let mut known = self.closed.clone();
+        for (seq, _) in &self.waiting {
+            known.insert(*seq);
+        }
+        known.missing(self.opened)
+    }
+
+    fn fits(&self, seq: u64, closed: &Closed) -> bool {
+        let rows = match closed {
+            Closed::Charged(charge) => self.totals.bytes_with(charge),
+            Closed::Free => self.totals.bytes(),
+        };
+        self.closed.len_with(seq) <= MAX_INTERVALS && rows <= MAX_ROW_BYTES
+    }
+
+    fn take_in(&mut self, seq: u64, closed: &Closed) {
+        self.closed.insert(seq);
+        if let Closed::Charged(charge) = closed {
+            self.totals.add(charge);
+        }
+    }
+
+    /// Moves requests into the checkpoint that fit since a gap was closed.
+    fn admit_waiting(&mut self) {
+        for (seq, closed) in std::mem::take(&mut self.waiting) {
+            if self.fits(seq, &closed) {
+                self.take_in(seq, &closed);
+            } else {
+                self.waiting.push((seq, closed));
+            }
+        }
+    }
+}
+
+impl Checkpoint {
+    /// Returns the key of the checkpoint.
+    #[must_use]
+    pub fn key(&self) -> String {
+        Key::Checkpoint(self.gateway).to_string()
+    }
+
+    /// Returns the conditional write, given the store revision of the last one.
+    ///
+    /// Without the condition, an earlier write that arrives late would take covered requests out again,
+    /// after their agents have dropped the copies.
+    ///
+    /// # Panics
+    /// Never: all fields have a JSON form.
+    #[must_use]
+    pub fn transaction(&self, last: Option<u64>) -> (Vec<Compare>, Vec<Change>) {
+        let key = self.key();
+        let value = serde_json::to_vec(self).expect("a checkpoint has a JSON form");
+        let condition = match last {
+            None => Compare::Absent(key.clone()),
+            Some(revision) => Compare::ModRevision(key.clone(), revision),
+        };
+        (vec![condition], vec![Change::put(key, value)])
+    }
+}
+
+/// Writes a checkpoint; reads its revision first if the answer of an earlier write was lost.
+pub async fn write_checkpoint(
+    kv: &dyn KeyValue,
+    checkpoint: &Checkpoint,
+    stored: Stored,
+) -> FlushResult {
+    let last = match stored {
+        Stored::Absent => None,
+        Stored::At(revision) => Some(revision),
+        Stored::Unknown => match kv.get(&checkpoint.key()).await {
+            Ok(entry) => entry.map(|entry| entry.mod_revision),
+            Err(_) => return FlushResult::NotApplied,
+        },
+    };
+    let (conditions, changes) = checkpoint.transaction(last);
+    match kv.txn(conditions, changes).await {
+        Ok(TxnOutcome::Applied(revision)) => FlushResult::Applied(revision),
+        Ok(TxnOutcome::Conflict) => FlushResult::Conflict,
+        Err(KvError::AnswerLost(_)) => FlushResult::Lost,
+        Err(_) => FlushResult::NotApplied,
+    }
+}
--- /dev/null
+++ b/src/ledger/held.rs
@@ -0,0 +1,311 @@
+//! The agent's side of the ledger: copies of charges.
+
+use serde::{Deserialize, Serialize};
+
+use super::keys::Key;
+use super::{Charge, Flushed, back_off};
+use crate::ids::Incarnation;
+use crate::platform::{Change, Compare, KeyValue, KvError, MAX_VALUE_BYTES, TxnOutcome};
+use crate::units::Millis;
+
+/// Silence after which a gateway is taken as gone.
+pub const GATEWAY_SILENCE: Millis = Millis::from_secs(30);
+/// Age after which a copy is written as an orphan although its gateway lives.
+///
+/// It is longer than the deadline of any request. The gateway never learns the charge if the response was
+/// lost on the way and the caller has gone.
+pub const COPY_AGE: Millis = Millis::from_secs(600);
+/// Span over which agents spread their writes when a gateway is gone; about 310 agents know a gateway.
+pub const ORPHAN_SPREAD: Millis = Millis::from_secs(5);
+/// Most copies that an agent holds: 25 MB, or 3 hours of an agent's share of the peak load.
+pub const MAX_HELD: usize = 100_000;
+/// Most bytes of charges in one page of orphans.
+pub const MAX_PAGE_BYTES: usize = 500_000;
+
+const _: () = assert!(MAX_PAGE_BYTES + 1_000 < MAX_VALUE_BYTES);
+
+/// A page of copies to write; its content never changes once it has a number.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrphanPage {
+    /// The gateway that took the requests.
+    pub gateway: Incarnation,
+    /// The agent that holds the copies.
+    pub agent: Incarnation,
+    /// Number of the page among all pages of the agent.
+    pub page: u64,
+    /// The copies.
+    pub charges: Vec<Charge>,
+}
+
+/// What the agent has to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum HeldEffect {
+    /// Write the page with [`write_orphans`] and report the result.
+    WriteOrphans(OrphanPage),
+}
+
+/// How the write of a page ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PageResult {
+    /// The page is in the service, from this write or an earlier one.
+    Stored,
+    /// The page may not be in the service.
+    Failed,
+}
+
+#[derive(Debug)]
+struct Held {
+    gateway: Incarnation,
+    heard: Millis,
+    listed_gone: bool,
+    /// Copies with the time they are held since, sorted by request; at most one for each.
+    copies: Vec<(Charge, Millis)>,
+    /// Copies that the gateway did not flush within [`COPY_AGE`].
+    stranded: Vec<Charge>,
+    page: Option<OrphanPage>,
+    in_flight: bool,
+    failures: u32,
+    retry_at: Millis,
+}
+
+/// The copies of charges that an agent holds until a checkpoint covers them.
+///
+/// No copy is ever dropped to make room. The bound of [`MAX_HELD`] is kept at admission: an agent without
+/// room refuses new work as not run.
+#[derive(Debug)]
+pub struct HeldCharges {
+    agent: Incarnation,
+    gateways: Vec<Held>,
+    /// Never reused, because the write of a page is create-only.
+    next_page: u64,
+    stopping: bool,
+}
+
+impl HeldCharges {
+    /// Starts without copies.
+    #[must_use]
+    pub const fn new(agent: Incarnation) -> Self {
+        Self {
+            agent,
+            gateways: Vec::new(),
+            next_page: 0,
+            stopping: false,
+        }
+    }
+
+    /// Returns the number of copies, those in an unfinished write included.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.gateways
+            .iter()
+            .map(|held| {
+                let in_page = held.page.as_ref().map_or(0, |page| page.charges.len());
+                held.copies.len() + held.stranded.len() + in_page
+            })
+            .sum()
+    }
+
+    /// Tells whether no copy is held.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Tells whether the agent may admit a request beside the `running` ones.
+    #[must_use]
+    pub fn has_room(&self, running: usize) -> bool {
+        self.len() + running < MAX_HELD
+    }
+
+    /// Holds a copy of a charge; of two for the same request, the one of the higher step and attempt.
+    pub fn hold(&mut self, charge: Charge, now: Millis) {
+        let held = self.entry(charge.request.gateway, now);
+        match held
+            .copies
+            .binary_search_by_key(&charge.request, |(copy, _)| copy.request)
+        {
+            Ok(at) if held.copies[at].0.rank() >= charge.rank() => {}
+            Ok(at) => held.copies[at] = (charge, now),
+            Err(at) => held.copies.insert(at, (charge, now)),
+        }
+    }
+
+    /// Records a sign of life of a gateway.
+    pub fn heard(&mut self, gateway: Incarnation, now: Millis) {
+        let held = self.entry(gateway, now);
+        held.heard = held.heard.max(now);
+        held.listed_gone = false;
+    }
+
+    /// Records that the gateway's VM is gone according to the VM list.
+    pub fn listed_gone(&mut self, gateway: Incarnation, now: Millis) {
+        self.entry(gateway, now).listed_gone = true;
+    }
+
+    /// Drops the copies that the gateway reports as flushed; also a sign of life.
+    pub fn release(&mut self, gateway: Incarnation, flushed: &Flushed, now: Millis) {
+        self.heard(gateway, now);
+        let held = self.entry(gateway, now);
+        let covered = |charge: &Charge| flushed.closed.contains(charge.request.seq);
+        held.stranded.retain(|copy| !covered(copy));
+        held.copies.retain(|(copy, _)| !covered(copy));
+        // A copy that the service has not been asked to cover waits for the end of an outage instead.
+        let is_stranded = |(copy, since): &mut (Charge, Millis)| {
+            now.since(*since) >= COPY_AGE && copy.request.seq <= flushed.opened
+        };
+        let stranded = held.copies.extract_if(.., is_stranded);
+        held.stranded.extend(stranded.map(|(copy, _)| copy));
+    }
+
+    /// Writes all copies as orphans from now on, as a planned stop needs.
+    pub const fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Returns what is due now: pages of copies whose gateway is gone or did not flush them.
+    pub fn step(&mut self, now: Millis) -> Vec<HeldEffect> {
+        let spread = self.spread();
+        let mut effects = Vec::new();
+        for held in &mut self.gateways {
+            if held.is_due(now, spread, self.stopping) {
+                let copies = held.copies.drain(..).map(|(copy, _)| copy);
+                held.stranded.extend(copies);
+            }
+            if held.page.is_none() {
+                held.page = held.take_page(self.agent, self.next_page);
+                self.next_page += u64::from(held.page.is_some());
+            }
+            if held.in_flight || now < held.retry_at {
+                continue;
+            }
+            // A page with a number is finished even if its gateway has come back.
+            if let Some(page) = &held.page {
+                held.in_flight = true;
+                effects.push(HeldEffect::WriteOrphans(page.clone()));
+            }
+        }
+        let stopping = self.stopping;
+        self.gateways
+            .retain(|held| !(held.is_drained() && held.is_due(now, spread, stopping)));
+        effects
+    }
+
+    /// Takes the result of the write of a page.
+    pub fn on_written(&mut self, gateway: Incarnation, page: u64, result: PageResult, now: Millis) {
+        let held = self.entry(gateway, now);
+        if held.page.as_ref().map(|p| p.page) != Some(page) {
+            return;
+        }
+        held.in_flight = false;
+        match result {
+            PageResult::Stored => {
+                held.page = None;
+                held.failures = 0;
+                held.retry_at = now;
+            }
+            PageResult::Failed => {
+                held.failures = held.failures.saturating_add(1);
+                held.retry_at = now + back_off(held.failures);
+            }
+        }
+    }
+
+    fn entry(&mut self, gateway: Incarnation, now: Millis) -> &mut Held {
+        let at = match self
+            .gateways
+            .binary_search_by_key(&gateway, |held| held.gateway)
+        {
+            Ok(at) => at,
+            Err(at) => {
+                self.gateways.insert(at, Held::new(gateway, now));
+                at
+            }
+        };
+        &mut self.gateways[at]
+    }
+
+    /// Returns this agent's delay within [`ORPHAN_SPREAD`].
+    fn spread(&self) -> Millis {
+        let delay = self.agent.0 % u128::from(ORPHAN_SPREAD.0);
+        Millis(u64::try_from(delay).unwrap_or(0))
+    }
+}
+
+impl Held {
+    const fn new(gateway: Incarnation, now: Millis) -> Self {
+        Self {
+            gateway,
+            heard: now,
+            listed_gone: false,
+            copies: Vec::new(),
+            stranded: Vec::new(),
+            page: None,
+            in_flight: false,
+            failures: 0,
+            retry_at: Millis(0),
+        }
+    }
+
+    fn is_due(&self, now: Millis, spread: Millis, stopping: bool) -> bool {
+        let silent = now.since(self.heard) >= GATEWAY_SILENCE + spread;
+        stopping || self.listed_gone || silent
+    }
+
+    const fn is_drained(&self) -> bool {
+        self.copies.is_empty() && self.stranded.is_empty() && self.page.is_none()
+    }
+
+    /// Moves as many stranded copies as fit a page into it.
+    fn take_page(&mut self, agent: Incarnation, page: u64) -> Option<OrphanPage> {
+        let mut bytes = 0;
+        let fitting = self.stranded.iter().take_while(|copy| {
+            bytes += serde_json::to_vec(copy).map_or(0, |json| json.len() + 1);
+            bytes <= MAX_PAGE_BYTES
+        });
+        let count = fitting.count();
+        let charges: Vec<_> = self.stranded.drain(..count).collect();
+        (!charges.is_empty()).then_some(OrphanPage {
+            gateway: self.gateway,
+            agent,
+            page,
+            charges,
+        })
+    }
+}
+
+impl OrphanPage {
+    /// Returns the key of the page.
+    #[must_use]
+    pub fn key(&self) -> String {
+        Key::Orphans {
+            gateway: self.gateway,
+            agent: self.agent,
+            page: self.page,
+        }
+        .to_string()
+    }
+
+    /// Returns the create-only write of the page; a conflict means that an earlier try took effect.
+    ///
+    /// # Panics
+    /// Never: all fields have a JSON form.
+    #[must_use]
+    pub fn transaction(&self) -> (Vec<Compare>, Vec<Change>) {
+        let key = self.key();
+        let value = serde_json::to_vec(self).expect("a page has a JSON form");
+        (
+            vec![Compare::Absent(key.clone())],
+            vec![Change::put(key, value)],
+        )
+    }
+}
+
+/// Writes a page of orphans.
+pub async fn write_orphans(kv: &dyn KeyValue, page: &OrphanPage) -> PageResult {
+    let (conditions, changes) = page.transaction();
+    let outcome: Result<TxnOutcome, KvError> = kv.txn(conditions, changes).await;
+    match outcome {
+        Ok(TxnOutcome::Applied(_) | TxnOutcome::Conflict) => PageResult::Stored,
+        Err(_) => PageResult::Failed,
+    }
+}
--- /dev/null
+++ b/src/ledger/intervals.rs
@@ -0,0 +1,156 @@
+//! Sets of request numbers as sorted disjoint intervals.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// A set of request numbers, kept as sorted intervals that neither overlap nor touch.
+///
+/// The JSON form is a list of pairs, both ends included.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "Vec<(u64, u64)>", into = "Vec<(u64, u64)>")]
+pub struct Intervals(Vec<(u64, u64)>);
+
+/// A list of pairs that is not sorted, overlaps, touches or holds number 0.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UnsortedIntervals {
+    /// Index of the first pair at fault.
+    pub at: usize,
+}
+
+impl fmt::Display for UnsortedIntervals {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "interval {} is not above the one before", self.at)
+    }
+}
+
+impl std::error::Error for UnsortedIntervals {}
+
+impl TryFrom<Vec<(u64, u64)>> for Intervals {
+    type Error = UnsortedIntervals;
+
+    fn try_from(pairs: Vec<(u64, u64)>) -> Result<Self, Self::Error> {
+        let mut before = None;
+        for (at, &(first, last)) in pairs.iter().enumerate() {
+            // Touching intervals would break the equality of equal sets.
+            let above = before.is_none_or(|end: u64| first > end.saturating_add(1));
+            if first == 0 || first > last || !above {
+                return Err(UnsortedIntervals { at });
+            }
+            before = Some(last);
+        }
+        Ok(Self(pairs))
+    }
+}
+
+impl From<Intervals> for Vec<(u64, u64)> {
+    fn from(intervals: Intervals) -> Self {
+        intervals.0
+    }
+}
+
+impl Intervals {
+    /// Returns the intervals, both ends included.
+    #[must_use]
+    pub fn pairs(&self) -> &[(u64, u64)] {
+        &self.0
+    }
+
+    /// Returns how many numbers the set holds.
+    #[must_use]
+    pub fn count(&self) -> u64 {
+        self.0
+            .iter()
+            .fold(0, |sum, (first, last)| sum.saturating_add(last - first + 1))
+    }
+
+    /// Returns the greatest number, or 0 of an empty set.
+    #[must_use]
+    pub fn last(&self) -> u64 {
+        self.0.last().map_or(0, |(_, last)| *last)
+    }
+
+    /// Returns N such that the set holds all of 1 to N and not N + 1.
+    #[must_use]
+    pub fn prefix(&self) -> u64 {
+        match self.0.first() {
+            Some((1, last)) => *last,
+            _ => 0,
+        }
+    }
+
+    /// Tells whether the set holds the number.
+    #[must_use]
+    pub fn contains(&self, n: u64) -> bool {
+        let at = self.0.partition_point(|(_, last)| *last < n);
+        self.0.get(at).is_some_and(|(first, _)| *first <= n)
+    }
+
+    /// Returns how many intervals there would be with the number added.
+    #[must_use]
+    pub fn len_with(&self, n: u64) -> usize {
+        if self.contains(n) {
+            return self.0.len();
+        }
+        let at = self.0.partition_point(|(_, last)| *last < n);
+        let (joins_before, joins_after) = self.neighbours(at, n);
+        self.0.len() + 1 - usize::from(joins_before) - usize::from(joins_after)
+    }
+
+    /// Adds a number; returns false if the set held it.
+    ///
+    /// Number 0 is no request and is not added.
+    pub fn insert(&mut self, n: u64) -> bool {
+        if n == 0 || self.contains(n) {
+            return false;
+        }
+        let at = self.0.partition_point(|(_, last)| *last < n);
+        match self.neighbours(at, n) {
+            (true, true) => {
+                self.0[at - 1].1 = self.0[at].1;
+                self.0.remove(at);
+            }
+            (true, false) => self.0[at - 1].1 = n,
+            (false, true) => self.0[at].0 = n,
+            (false, false) => self.0.insert(at, (n, n)),
+        }
+        true
+    }
+
+    /// Returns the numbers of 1 to `to` that the set does not hold.
+    #[must_use]
+    pub fn missing(&self, to: u64) -> Self {
+        let mut gaps = Vec::new();
+        let mut next = 1;
+        for &(first, last) in self.0.iter().take_while(|(first, _)| *first <= to) {
+            if first > next {
+                gaps.push((next, first - 1));
+            }
+            next = last.saturating_add(1);
+        }
+        if next <= to && !self.contains(next) {
+            gaps.push((next, to));
+        }
+        Self(gaps)
+    }
+
+    /// Tells whether `n` touches the interval before `at` and the one at `at`.
+    fn neighbours(&self, at: usize, n: u64) -> (bool, bool) {
+        let before = at.checked_sub(1).and_then(|i| self.0.get(i));
+        let after = self.0.get(at);
+        (
+            before.is_some_and(|(_, last)| last + 1 == n),
+            after.is_some_and(|(first, _)| n + 1 == *first),
+        )
+    }
+}
+
+impl FromIterator<u64> for Intervals {
+    fn from_iter<I: IntoIterator<Item = u64>>(iter: I) -> Self {
+        let mut set = Self::default();
+        for n in iter {
+            set.insert(n);
+        }
+        set
+    }
+}
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -1,1 +1,118 @@
 //! Charges, ledger checkpoints and their union into a bill.
+//!
+//! A gateway numbers its requests densely and writes cumulative checkpoints. The agent that ran a request
+//! holds a copy of the charge until a checkpoint covers it, and writes the copy as an orphan if the gateway
+//! is gone. A bill is the union of both, with each request counted once.
+
+mod bill;
+mod gateway;
+mod held;
+mod intervals;
+pub mod keys;
+#[cfg(test)]
+mod tests;
+mod totals;
+
+use serde::{Deserialize, Serialize};
+
+pub use bill::{Bill, Unreadable, read_bill};
+pub use gateway::{
+    BACK_OFF_MAX, BACK_OFF_MIN, Checkpoint, CloseError, FLUSH_INTERVAL, FlushResult, Flushed,
+    GatewayLedger, MAX_INTERVALS, MAX_ROW_BYTES, MAX_WAITING, Stored, write_checkpoint,
+};
+pub use held::{
+    COPY_AGE, GATEWAY_SILENCE, HeldCharges, HeldEffect, MAX_HELD, MAX_PAGE_BYTES, ORPHAN_SPREAD,
+    OrphanPage, PageResult, write_orphans,
+};
+pub use intervals::{Intervals, UnsortedIntervals};
+pub use totals::{Total, Totals};
+
+use crate::ids::{AccountId, RequestId, VersionRef};
+use crate::units::{Micros, Millis, Tokens};
+
+/// What a request is charged for.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Item {
+    /// Tokens of a version.
+    Tokens {
+        /// The version that generated the response.
+        version: VersionRef,
+        /// Tokens of the prompt.
+        input: Tokens,
+        /// Generated tokens.
+        output: Tokens,
+    },
+    /// A priced call, such as `order`, `download-credit` or `donation`.
+    Call(String),
+}
+
+impl Item {
+    /// Returns what the totals are kept by.
+    #[must_use]
+    pub fn product(&self) -> Product {
+        match self {
+            Self::Tokens { version, .. } => Product::Version(version.clone()),
+            Self::Call(name) => Product::Call(name.clone()),
+        }
+    }
+
+    /// Returns the input and output tokens; zero for a call.
+    #[must_use]
+    pub const fn tokens(&self) -> (Tokens, Tokens) {
+        match self {
+            Self::Tokens { input, output, .. } => (*input, *output),
+            Self::Call(_) => (Tokens(0), Tokens(0)),
+        }
+    }
+}
+
+/// An item without its quantity: the line of a bill.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Product {
+    /// Tokens of a version.
+    Version(VersionRef),
+    /// A priced call.
+    Call(String),
+}
+
+/// What one request costs its client account.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Charge {
+    /// The request; also the id of the charge.
+    pub request: RequestId,
+    /// Step of the cascade, from 0.
+    pub step: u16,
+    /// Attempt within the step, from 0.
+    pub attempt: u16,
+    /// The account that pays.
+    pub account: AccountId,
+    /// What is paid for.
+    pub item: Item,
+    /// The price.
+    pub amount: Micros,
+}
+
+impl Charge {
+    /// Returns the order in which charges of one request replace each other.
+    #[must_use]
+    pub const fn rank(&self) -> (u16, u16) {
+        (self.step, self.attempt)
+    }
+}
+
+/// How a request ended for the ledger.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Closed {
+    /// The request is charged.
+    Charged(Charge),
+    /// The request costs nothing, because it did not run or was a replay.
+    Free,
+}
+
+/// Returns the wait after this many failures in a row.
+fn back_off(failures: u32) -> Millis {
+    let doubled = BACK_OFF_MIN.0 << failures.saturating_sub(1).min(16);
+    Millis(doubled).min(BACK_OFF_MAX)
+}
