Learn pass rates per class and version from ratings

Change: RatingTable counts outcomes per (class, version, reach), source incarnation and 5-minute epoch. A count only grows within its epoch, so merging takes the larger of each count. Estimates are Beta posteriors with a half-life of 30 minutes and exact 5% bounds, rounded to parts per million so that a JSON record gives them back exactly. Requests that an earlier step failed have a rate of their own (Reach::Escalated): they are harder, and the product of independent rates would overstate a cascade. Missing ratings are no evidence; late ones are counted when they arrive. Rows and cells are bounded, newest epochs first, which depends on keys only.

Ruled out: adding decayed counts on arrival (the result depends on the order of reports); counting a missing rating as a failure (with a fifth missing no version could reach a target above 0.8); a normal approximation of the bounds (wrong near 1 with little evidence).

Conclusion: estimates can be read by the plan and merged between gateways.

--- /dev/null
+++ b/src/rating/tests.rs
@@ -0,0 +1,122 @@
+//! Tests of pass rates and of merging their counts.
+
+use quickcheck::TestResult;
+
+use super::*;
+use crate::fixtures::check;
+
+const NOW: Millis = Millis::from_secs(1_000_000);
+
+fn version() -> VersionRef {
+    VersionRef::new("small", "v1")
+}
+
+fn class() -> ClassId {
+    ClassId::from("tags")
+}
+
+/// Builds the report of one source; each draw is one outcome in one of a few epochs.
+fn table(source: u128, draws: &[u8]) -> RatingTable {
+    let mut table = RatingTable::new(Incarnation(source));
+    for draw in draws {
+        let outcome = [Outcome::Pass, Outcome::Fail, Outcome::Missing][usize::from(draw % 3)];
+        let at = NOW + Millis(EPOCH.0 * u64::from(draw / 64));
+        table.observe(&class(), &version(), Reach::First, outcome, at);
+    }
+    table
+}
+
+fn first(table: &RatingTable, now: Millis) -> Estimate {
+    table.estimate(&class(), &version(), Reach::First, now)
+}
+
+// Guards against counting a rating twice or losing one, whatever the order and repetition of reports.
+#[test]
+fn merge_is_commutative_associative_and_idempotent() {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck passes owned values"
+    )]
+    fn property(a: Vec<u8>, b: Vec<u8>, c: Vec<u8>, cut: usize) -> TestResult {
+        let late = NOW + Millis(EPOCH.0 * 8);
+        let early = table(1, &a[..cut % (a.len() + 1)]).report();
+        let (a, b, c) = (table(1, &a), table(2, &b), table(3, &c));
+        let merged = |reports: &[&[Row]]| {
+            let mut table = RatingTable::new(Incarnation(9));
+            for report in reports {
+                table.merge(report, late);
+            }
+            table
+        };
+        let (ra, rb, rc) = (a.report(), b.report(), c.report());
+        let forward = merged(&[&ra, &rb, &rc]);
+        let backward = merged(&[&rc, &early, &rb, &ra, &early, &ra]);
+        let nested = merged(&[&ra, &merged(&[&rb, &rc]).rows]);
+        TestResult::from_bool(forward == backward && forward == nested)
+    }
+    check(
+        11,
+        property as fn(Vec<u8>, Vec<u8>, Vec<u8>, usize) -> TestResult,
+    );
+}
+
+// Guards against missing ratings that raise a pass rate and against late ratings that are lost.
+#[test]
+fn missing_ratings_are_no_passes_and_late_ones_count() {
+    let mut table = RatingTable::new(Incarnation(1));
+    for _ in 0..50 {
+        table.observe(&class(), &version(), Reach::First, Outcome::Missing, NOW);
+    }
+    let unrated = first(&table, NOW);
+    for _ in 0..50 {
+        table.observe(&class(), &version(), Reach::First, Outcome::LatePass, NOW);
+    }
+    let rated = first(&table, NOW);
+
+    assert_eq!((unrated.mean, unrated.missing), (Ppm(500_000), 50));
+    assert!(table.rated_in_time(&class()) < Ppm(100_000));
+    assert_eq!((rated.rated, rated.missing), (50, 0));
+    assert!(rated.lower > Ppm(900_000));
+}
+
+// Guards against old evidence that hides a change of the pass rate.
+#[test]
+fn evidence_halves_in_thirty_minutes() {
+    let table = table(1, &[0; 100]);
+
+    let later = first(&table, NOW + Millis::from_secs(1_800));
+
+    assert_eq!((first(&table, NOW).rated, later.rated), (100, 50));
+    assert!(later.lower < first(&table, NOW).lower);
+}
+
+// Guards against wrong quantiles; Beta(1, n) has the closed form 1 - (1 - p)^(1/n).
+#[test]
+fn quantiles_match_closed_forms() {
+    for n in [1.0, 2.0, 17.0, 400.0, 90_000.0] {
+        let expected = 1.0 - 0.95_f64.powf(1.0 / n);
+        assert!((beta::quantile(0.05, 1.0, n) - expected).abs() < 1e-6);
+        assert!((beta::quantile(0.95, n, 1.0) - (1.0 - expected)).abs() < 1e-6);
+    }
+    assert!((beta::quantile(0.5, 3_000.0, 3_000.0) - 0.5).abs() < 1e-6);
+}
+
+// Guards against unbounded memory and against a source with a wrong clock.
+#[test]
+fn size_is_bounded_and_far_future_cells_are_dropped() {
+    let mut table = RatingTable::new(Incarnation(1));
+    for n in 0..2_000_u128 {
+        table.merge(&self::table(n, &[0]).report(), NOW);
+    }
+    let future = self::table(7, &[255]).report();
+    table.merge(&future, NOW);
+    for n in 0..600 {
+        let class = ClassId::from(format!("class-{n}"));
+        table.observe(&class, &version(), Reach::First, Outcome::Pass, NOW);
+    }
+
+    assert!(table.rows.len() == MAX_ROWS);
+    assert!(table.rows.iter().all(|row| row.cells.len() <= MAX_CELLS));
+    let limit = epoch_of(NOW) + 1;
+    assert!(table.rows.iter().all(|row| row.newest() <= limit));
+}
