Parse sheets and report every finding at its place

Cause: the sheet could only be read through serde, which stops at the first fault, hides duplicate fields and checks no reference.

Values that cannot be read get placeholders, so that later rules still run; a list with unreadable entries does not make references to it dangling. Key hashes are lowered.

Ruled out: serde errors with a path (first fault only); rules on the untyped tree (every rule would repeat the type checks).

--- /dev/null
+++ b/src/sheet/document.rs
@@ -0,0 +1,167 @@
+//! JSON documents that keep duplicate field names, within bounds on length and depth.
+
+use std::fmt;
+
+use serde::de::{self, DeserializeSeed, Deserializer, MapAccess, SeqAccess, Visitor};
+use serde_json::error::Category;
+use serde_json::{Number, Value};
+
+use super::finding::{Finding, Place, Rule};
+
+/// Longest document, in bytes; the key-value service's bound on values is the same.
+pub const MAX_TEXT_BYTES: usize = 1_000_000;
+
+/// Deepest nesting of lists and objects; a sheet needs 6.
+pub const MAX_DEPTH: usize = 16;
+
+/// A JSON value whose objects keep all fields in order, duplicates included.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Node {
+    /// `null`.
+    Null,
+    /// `true` or `false`.
+    Flag(bool),
+    /// A number.
+    Number(Number),
+    /// A string.
+    Text(String),
+    /// A list.
+    List(Vec<Node>),
+    /// An object.
+    Object(Vec<(String, Node)>),
+}
+
+impl Node {
+    /// Describes the value on one line for a finding; the contents of objects and lists are left out.
+    #[must_use]
+    pub fn summary(&self) -> String {
+        match self {
+            Self::Null => "null".to_owned(),
+            Self::Flag(flag) => flag.to_string(),
+            Self::Number(number) => number.to_string(),
+            Self::Text(text) => Value::from(text.as_str()).to_string(),
+            Self::List(items) => format!("list of {}", items.len()),
+            Self::Object(fields) => format!("object of {} fields", fields.len()),
+        }
+    }
+}
+
+/// Parses a document.
+///
+/// # Errors
+/// A finding if the text is too long, not JSON or nested too deep.
+pub fn parse(text: &[u8]) -> Result<Node, Finding> {
+    if text.len() > MAX_TEXT_BYTES {
+        let rule = Rule::TextTooLong {
+            max: MAX_TEXT_BYTES,
+        };
+        return Err(Finding::at("", rule, format!("{} bytes", text.len())));
+    }
+    let mut de = serde_json::Deserializer::from_slice(text);
+    let parsed = Seed { depth: 0 }.deserialize(&mut de);
+    parsed
+        .and_then(|node| de.end().map(|()| node))
+        .map_err(|error| syntax_finding(&error, text))
+}
+
+fn syntax_finding(error: &serde_json::Error, text: &[u8]) -> Finding {
+    let rule = match error.classify() {
+        Category::Eof => Rule::Truncated,
+        // The visitor accepts every JSON value; only its depth bound gives an error of this category.
+        Category::Data => Rule::TooDeep { max: MAX_DEPTH },
+        Category::Syntax | Category::Io => Rule::Syntax {
+            reason: reason(error),
+        },
+    };
+    let line = text
+        .split(|byte| *byte == b'\n')
+        .nth(error.line().saturating_sub(1))
+        .unwrap_or_default();
+    let mut finding = Finding::at("", rule, String::from_utf8_lossy(line).trim());
+    finding.place = Place::Text {
+        line: error.line(),
+        column: error.column(),
+    };
+    finding
+}
+
+/// Returns the parser's message without its position, which the place holds.
+fn reason(error: &serde_json::Error) -> String {
+    let text = error.to_string();
+    let end = text.rfind(" at line ").unwrap_or(text.len());
+    text[..end].to_owned()
+}
+
+#[derive(Clone, Copy)]
+struct Seed {
+    depth: usize,
+}
+
+impl Seed {
+    fn deeper<E: de::Error>(self) -> Result<Self, E> {
+        if self.depth >= MAX_DEPTH {
+            return Err(E::custom("nested too deep"));
+        }
+        Ok(Self {
+            depth: self.depth + 1,
+        })
+    }
+}
+
+impl<'de> DeserializeSeed<'de> for Seed {
+    type Value = Node;
+
+    fn deserialize<D: Deserializer<'de>>(self, deserializer: D) -> Result<Node, D::Error> {
+        deserializer.deserialize_any(self)
+    }
+}
+
+impl<'de> Visitor<'de> for Seed {
+    type Value = Node;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a JSON value")
+    }
+
+    fn visit_unit<E: de::Error>(self) -> Result<Node, E> {
+        Ok(Node::Null)
+    }
+
+    fn visit_bool<E: de::Error>(self, v: bool) -> Result<Node, E> {
+        Ok(Node::Flag(v))
+    }
+
+    fn visit_u64<E: de::Error>(self, v: u64) -> Result<Node, E> {
+        Ok(Node::Number(v.into()))
+    }
+
+    fn visit_i64<E: de::Error>(self, v: i64) -> Result<Node, E> {
+        Ok(Node::Number(v.into()))
+    }
+
+    fn visit_f64<E: de::Error>(self, v: f64) -> Result<Node, E> {
+        Ok(Number::from_f64(v).map_or(Node::Null, Node::Number))
+    }
+
+    fn visit_str<E: de::Error>(self, v: &str) -> Result<Node, E> {
+        Ok(Node::Text(v.to_owned()))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Node, A::Error> {
+        let inner = self.deeper()?;
+        let mut items = Vec::new();
+        while let Some(item) = seq.next_element_seed(inner)? {
+            items.push(item);
+        }
+        Ok(Node::List(items))
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Node, A::Error> {
+        let inner = self.deeper()?;
+        let mut fields = Vec::new();
+        while let Some(name) = map.next_key::<String>()? {
+            fields.push((name, map.next_value_seed(inner)?));
+        }
+        Ok(Node::Object(fields))
+    }
+}
--- /dev/null
+++ b/src/sheet/finding.rs
@@ -0,0 +1,329 @@
+//! Findings: what is wrong in a document, and where.
+
+use std::fmt;
+
+use serde_json::Value;
+
+/// Longest offending value that a finding repeats, in characters.
+const MAX_VALUE_CHARS: usize = 80;
+
+/// Where in a document a finding is.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Place {
+    /// A JSON pointer (RFC 6901); the empty pointer is the whole document.
+    Pointer(String),
+    /// A position in text that is not valid JSON, counted from 1.
+    Text {
+        /// The line.
+        line: usize,
+        /// The column.
+        column: usize,
+    },
+}
+
+impl Place {
+    /// Tells whether this place is `other` or lies below it.
+    #[must_use]
+    pub fn is_within(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::Pointer(inner), Self::Pointer(outer)) => inner
+                .strip_prefix(outer.as_str())
+                .is_some_and(|rest| rest.is_empty() || rest.starts_with('/')),
+            _ => self == other,
+        }
+    }
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Pointer(pointer) if pointer.is_empty() => f.write_str("document"),
+            Self::Pointer(pointer) => f.write_str(pointer),
+            Self::Text { line, column } => write!(f, "line {line}, column {column}"),
+        }
+    }
+}
+
+/// What a dangling reference should name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// A version of a model.
+    Version,
+    /// A cascade.
+    Cascade,
+    /// A request class.
+    Class,
+    /// A plain service.
+    Service,
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Version => "version",
+            Self::Cascade => "cascade",
+            Self::Class => "class",
+            Self::Service => "service",
+        })
+    }
+}
+
+/// The rule that a document breaks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Rule {
+    /// The text is longer than `max` bytes.
+    TextTooLong {
+        /// The bound, in bytes.
+        max: usize,
+    },
+    /// The text ends before the document does.
+    Truncated,
+    /// The text is not JSON.
+    Syntax {
+        /// What the JSON parser says.
+        reason: String,
+    },
+    /// Lists and objects are nested more than `max` deep.
+    TooDeep {
+        /// The bound.
+        max: usize,
+    },
+    /// A field name appears twice in one object.
+    DuplicateField,
+    /// A list names the same thing twice.
+    Duplicate {
+        /// Pointer to the first entry.
+        first: String,
+    },
+    /// A field that this object does not have.
+    UnknownField,
+    /// A required field is absent.
+    MissingField,
+    /// The value is of another type or form.
+    WrongType {
+        /// What belongs there.
+        expected: &'static str,
+    },
+    /// The value is none of these words.
+    UnknownWord {
+        /// The words that are allowed.
+        words: &'static [&'static str],
+    },
+    /// The value has no unit or another one.
+    WrongUnit {
+        /// What belongs there.
+        expected: &'static str,
+    },
+    /// The value is outside its bounds.
+    OutOfRange {
+        /// The smallest value.
+        min: String,
+        /// The largest value.
+        max: String,
+    },
+    /// A name is empty.
+    EmptyName,
+    /// A name is longer than `max` bytes.
+    NameTooLong {
+        /// The bound, in bytes.
+        max: usize,
+    },
+    /// A name holds a character other than letters, digits, `-`, `_` and `.`.
+    NameCharacter,
+    /// A key hash is not 64 hexadecimal digits.
+    KeyHash,
+    /// Two accounts have the same key hash.
+    SharedKeyHash {
+        /// Pointer to the first entry.
+        first: String,
+    },
+    /// A reference to something that does not exist.
+    Dangling {
+        /// What the reference should name.
+        kind: Kind,
+    },
+    /// A cascade has no step.
+    EmptyCascade,
+    /// A cascade names a version twice.
+    RepeatedStep {
+        /// Pointer to the first step with the version.
+        first: String,
+    },
+    /// A cascade has a withdrawn version.
+    WithdrawnStep,
+    /// The rollouts that replace one stable version have more than 1,000 permille together.
+    ShareSum {
+        /// The sum, in permille.
+        sum: u32,
+    },
+    /// A rollout replaces its own version.
+    RolloutOfItself,
+    /// A rollout replaces a withdrawn version.
+    RolloutOfWithdrawn,
+    /// Rollouts replace each other in a cycle.
+    RolloutCycle,
+    /// An account may use a version that no upstream serves.
+    NotServed,
+    /// No upstream runs a plain service.
+    NoUpstream,
+    /// An account has a limit for a class but may use no step of its cascade.
+    NoUsableStep,
+    /// A path prefix does not start with `/` or holds a character that a path cannot.
+    PathPrefix,
+    /// Two services have the same path prefix.
+    SharedPrefix {
+        /// Pointer to the first entry.
+        first: String,
+    },
+    /// Two upstreams have the same agent address.
+    SharedAddress {
+        /// Pointer to the first entry.
+        first: String,
+    },
+    /// The path prefix of a price is outside the one of its service.
+    PriceOutsideService {
+        /// The service's path prefix.
+        prefix: String,
+    },
+    /// A secret is too short.
+    ShortSecret {
+        /// The bound, in characters.
+        min: usize,
+    },
+    /// Two fields exclude each other.
+    Exclusive {
+        /// The other field.
+        other: &'static str,
+    },
+}
+
+impl Rule {
+    /// Tells whether the value at the place cannot be known because of the finding.
+    ///
+    /// Rules about references and sums skip such values, so that one fault is not reported twice.
+    #[must_use]
+    pub const fn hides_value(&self) -> bool {
+        !matches!(
+            self,
+            Self::OutOfRange { .. }
+                | Self::EmptyName
+                | Self::NameTooLong { .. }
+                | Self::NameCharacter
+                | Self::UnknownField
+                | Self::KeyHash
+        )
+    }
+}
+
+impl fmt::Display for Rule {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TextTooLong { max } => write!(f, "text is longer than {max} bytes"),
+            Self::Truncated => f.write_str("text ends inside the document"),
+            Self::Syntax { reason } => write!(f, "not valid JSON ({reason})"),
+            Self::TooDeep { max } => write!(f, "nested more than {max} deep"),
+            Self::DuplicateField => f.write_str("field appears twice"),
+            Self::Duplicate { first } => write!(f, "already listed at {first}"),
+            Self::UnknownField => f.write_str("unknown field"),
+            Self::MissingField => f.write_str("required field is missing"),
+            Self::WrongType { expected } => write!(f, "must be {expected}"),
+            Self::UnknownWord { words } => write!(f, "must be one of {}", words.join(", ")),
+            Self::WrongUnit { expected } => write!(f, "must have a unit, {expected}"),
+            Self::OutOfRange { min, max } => write!(f, "must be from {min} to {max}"),
+            Self::EmptyName => f.write_str("name is empty"),
+            Self::NameTooLong { max } => write!(f, "name is longer than {max} bytes"),
+            Self::NameCharacter => {
+                f.write_str("name may hold only letters, digits, '-', '_' and '.'")
+            }
+            Self::KeyHash => f.write_str("must be a SHA-256 of 64 hexadecimal digits"),
+            Self::SharedKeyHash { first } => write!(f, "key hash is already used at {first}"),
+            Self::Dangling { kind } => write!(f, "{kind} does not exist"),
+            Self::EmptyCascade => f.write_str("cascade has no step"),
+            Self::RepeatedStep { first } => write!(f, "cascade already has this step at {first}"),
+            Self::WithdrawnStep => f.write_str("cascade has a withdrawn version"),
+            Self::ShareSum { sum } => write!(
+                f,
+                "rollouts of one stable version have {sum} permille together, over 1000"
+            ),
+            Self::RolloutOfItself => f.write_str("rollout replaces its own version"),
+            Self::RolloutOfWithdrawn => f.write_str("rollout replaces a withdrawn version"),
+            Self::RolloutCycle => f.write_str("rollouts replace each other in a cycle"),
+            Self::NotServed => f.write_str("no upstream serves the version"),
+            Self::NoUpstream => f.write_str("no upstream runs the service"),
+            Self::NoUsableStep => {
+                f.write_str("account may use no step of the cascade of this class")
+            }
+            Self::PathPrefix => f.write_str("must be a path that starts with '/'"),
+            Self::SharedPrefix { first } => write!(f, "path prefix is already used at {first}"),
+            Self::SharedAddress { first } => write!(f, "agent address is already used at {first}"),
+            Self::PriceOutsideService { prefix } => {
+                write!(f, "price is outside the service's path prefix {prefix}")
+            }
+            Self::ShortSecret { min } => write!(f, "must have at least {min} characters"),
+            Self::Exclusive { other } => write!(f, "cannot be given together with {other}"),
+        }
+    }
+}
+
+/// One fault of a document, with its place and the value at fault.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Finding {
+    /// Where the fault is.
+    pub place: Place,
+    /// The rule that is broken.
+    pub rule: Rule,
+    /// The offending value, shortened; secrets are left out.
+    pub value: String,
+}
+
+impl Finding {
+    /// Makes a finding at a JSON pointer.
+    #[must_use]
+    pub fn at(pointer: impl Into<String>, rule: Rule, value: impl fmt::Display) -> Self {
+        Self {
+            place: Place::Pointer(pointer.into()),
+            rule,
+            value: shorten(&value.to_string()),
+        }
+    }
+
+    /// Returns the finding for programs that read the findings.
+    #[must_use]
+    pub fn to_json(&self) -> Value {
+        serde_json::json!({
+            "place": self.place.to_string(),
+            "rule": self.rule.to_string(),
+            "value": self.value,
+        })
+    }
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}: {}", self.place, self.rule, self.value)
+    }
+}
+
+/// Appends one segment to a JSON pointer.
+#[must_use]
+pub fn join(pointer: &str, segment: impl fmt::Display) -> String {
+    let segment = segment.to_string().replace('~', "~0").replace('/', "~1");
+    format!("{pointer}/{segment}")
+}
+
+/// Keeps a finding on one line of a bounded length.
+fn shorten(value: &str) -> String {
+    let mut short = String::new();
+    for (at, c) in value.chars().enumerate() {
+        if at == MAX_VALUE_CHARS {
+            short.push_str("...");
+            break;
+        }
+        if c.is_control() {
+            short.extend(c.escape_default());
+        } else {
+            short.push(c);
+        }
+    }
+    short
+}
--- a/src/sheet/mod.rs
+++ b/src/sheet/mod.rs
@@ -1,10 +1,44 @@
 //! The sheet: the one document that operators put into force.
 
+pub mod document;
+pub mod finding;
 pub mod model;
+mod rules;
+mod schema;
+pub mod shape;
 #[cfg(test)]
 mod tests;
 
+pub use finding::{Finding, Place, Rule};
 pub use model::{
     Account, Cascade, Class, Limit, Model, Policy, Price, Priority, Rollout, Service, Sheet,
     Upstream, UpstreamKind, Version, VersionState,
 };
+
+/// Parses a sheet and sorts its lists.
+///
+/// # Errors
+/// Every finding of the sheet; at least one.
+pub fn parse(text: &[u8]) -> Result<Sheet, Vec<Finding>> {
+    let node = document::parse(text).map_err(|finding| vec![finding])?;
+    let mut found = Vec::new();
+    let value = shape::read(&node, &schema::SHEET, &mut found);
+    let mut sheet: Sheet = shape::typed(value)?;
+    let about_whole = rules::check(&sheet, &found);
+    found.extend(about_whole);
+    if !found.is_empty() {
+        return Err(found);
+    }
+    lower_key_hashes(&mut sheet);
+    sheet.sort();
+    Ok(sheet)
+}
+
+/// Gives equal hashes equal text, as the gateway compares them.
+fn lower_key_hashes(sheet: &mut Sheet) {
+    for account in &mut sheet.accounts {
+        for hash in &mut account.key_hashes {
+            hash.make_ascii_lowercase();
+        }
+    }
+}
