Give every read reply its attempt number

Cause: a reply of an older attempt could only be told apart when it carried bytes, since only chunks named their attempt.

Change: the attempt number stands beside every reply and counts over all steps of a cascade.

Ruled out: a number per step (two steps would share attempt 0).

--- a/src/peer/codec.rs
+++ b/src/peer/codec.rs
@@ -145,15 +145,11 @@
     let mut head = to.reborrow().init_head();
     head.set_status(reply.head.status);
     head.set_content_type(&reply.head.content_type);
+    to.set_attempt(reply.attempt);
     match &reply.body {
         ReadBody::Pending => to.set_pending(()),
-        ReadBody::Chunk {
-            attempt,
-            offset,
-            bytes,
-        } => {
+        ReadBody::Chunk { offset, bytes } => {
             let mut chunk = to.init_chunk();
-            chunk.set_attempt(*attempt);
             chunk.set_offset(*offset);
             chunk.set_bytes(bytes);
         }
@@ -193,7 +189,6 @@
             let chunk = chunk?;
             let bytes = Bytes::copy_from_slice(chunk.get_bytes()?);
             ReadBody::Chunk {
-                attempt: chunk.get_attempt(),
                 offset: chunk.get_offset(),
                 bytes,
             }
@@ -219,7 +214,11 @@
             })
         }
     };
-    Ok(ReadReply { head, body })
+    Ok(ReadReply {
+        head,
+        attempt: from.get_attempt(),
+        body,
+    })
 }
 
 pub(super) fn put_status(mut to: wire::status::Builder<'_>, status: &Status) {
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -54,6 +54,14 @@
     pub freshness: Millis,
 }
 
+impl RunRequest {
+    /// Returns the attempt's number among all attempts of the request, over all steps.
+    #[must_use]
+    pub const fn attempt_number(&self) -> u32 {
+        (self.step as u32) << 16 | self.attempt as u32
+    }
+}
+
 /// An agent's reply to [`RunRequest`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RunReply {
@@ -94,8 +102,6 @@
     Pending,
     /// Bytes at an offset.
     Chunk {
-        /// Attempt that produced the bytes.
-        attempt: u16,
         /// Offset of the first byte.
         offset: u64,
         /// The bytes.
@@ -123,6 +129,8 @@
 pub struct ReadReply {
     /// Status line, once known.
     pub head: Head,
+    /// The attempt's number among all attempts of the request; see [`RunRequest::attempt_number`].
+    pub attempt: u32,
     /// The bytes or the end.
     pub body: ReadBody,
 }
--- a/src/peer/peer_capnp.rs
+++ b/src/peer/peer_capnp.rs
@@ -2758,12 +2758,8 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_attempt(self) -> u16 {
-            self.reader.get_data_field::<u16>(0)
-        }
-        #[inline]
         pub fn get_offset(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
         pub fn get_bytes(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
@@ -2784,7 +2780,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 2,
+                data: 1,
                 pointers: 1,
             };
     }
@@ -2868,20 +2864,12 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_attempt(self) -> u16 {
-            self.builder.get_data_field::<u16>(0)
-        }
-        #[inline]
-        pub fn set_attempt(&mut self, value: u16) {
-            self.builder.set_data_field::<u16>(0, value);
-        }
-        #[inline]
         pub fn get_offset(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
         pub fn set_offset(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(1, value);
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
         pub fn get_bytes(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
@@ -2916,53 +2904,38 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(89, 9, 30, 123, 127, 141, 111, 135),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(49, 78, 169, 183, 245, 194, 198, 209),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 104, 117, 110, 107),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(97, 116, 116, 101, 109, 112, 116, 0),
-            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(111, 102, 102, 115, 101, 116, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2982,9 +2955,8 @@
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <u16 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3003,9 +2975,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
         pub(crate) const TYPE_ID: u64 = 0x876f_8d7f_7b1e_0959;
     }
 }
@@ -3917,6 +3889,10 @@
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
+        pub fn get_attempt(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => ::core::result::Result::Ok(Pending(())),
@@ -4140,6 +4116,14 @@
             self.builder.set_data_field::<u16>(0, 4);
         }
         #[inline]
+        pub fn get_attempt(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_attempt(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => ::core::result::Result::Ok(Pending(())),
@@ -4183,7 +4167,7 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 107] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 122] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(159, 45, 89, 208, 13, 73, 183, 231),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
@@ -4193,56 +4177,63 @@
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 82, 101, 97, 100, 82),
             ::capnp::word(101, 112, 108, 121, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 254, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 253, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 252, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 101, 97, 100, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(153, 160, 221, 216, 253, 197, 124, 132),
@@ -4291,6 +4282,14 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 116, 116, 101, 109, 112, 116, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4300,6 +4299,7 @@
                 3 => <crate::peer::peer_capnp::end::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <crate::peer::peer_capnp::failure::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <() as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4318,9 +4318,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[1, 2, 3, 4, 5];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 4, 5, 0, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[6, 2, 3, 4, 5, 0, 1];
         pub(crate) const TYPE_ID: u64 = 0xe7b7_490d_d059_2d9f;
     }
     pub enum Which<A0, A1, A2> {
--- a/src/peer/schema/peer.capnp
+++ b/src/peer/schema/peer.capnp
@@ -63,9 +63,8 @@
 }
 
 struct Chunk {
-  attempt @0 :UInt16;
-  offset @1 :UInt64;
-  bytes @2 :Data;
+  offset @0 :UInt64;
+  bytes @1 :Data;
 }
 
 struct End {
@@ -90,6 +89,7 @@
     failed @4 :Failure;
     gone @5 :Void;
   }
+  attempt @6 :UInt32;
 }
 
 struct Status {
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -43,11 +43,7 @@
         };
         let body = match answer {
             0 => ReadBody::Pending,
-            1 => ReadBody::Chunk {
-                attempt: 2,
-                offset,
-                bytes,
-            },
+            1 => ReadBody::Chunk { offset, bytes },
             2 => ReadBody::End {
                 length: offset,
                 digest: [9; 32],
@@ -61,7 +57,13 @@
             }),
             _ => ReadBody::Gone,
         };
-        Box::pin(async move { ReadReply { head, body } })
+        Box::pin(async move {
+            ReadReply {
+                head,
+                attempt: 9,
+                body,
+            }
+        })
     }
 
     fn ack(&self, _answer: u64) {}
