Add explanation records, their replay and their text

Cause: every outcome has to be explainable from what the router was told and what it saw.

Ruled out: storing decisions without their inputs (nothing could be computed again).

--- /dev/null
+++ b/src/record/explain.rs
@@ -0,0 +1,218 @@
+//! Tells a record to a person.
+
+use std::fmt::Write as _;
+
+use super::{Asked, AttemptEnd, Event, Outcome, Rated, Record};
+use crate::route::pick::{Pick, Why};
+use crate::route::plan::{Accept, Plan, Reason, Verdict};
+use crate::route::{PlanError, PlanInput};
+
+/// Writes a record as text with one fact on each line.
+#[must_use]
+pub fn explain(record: &Record) -> String {
+    let mut out = String::new();
+    let asked = match &record.asked {
+        Asked::Class(class) => format!("an answer of class {class}"),
+        Asked::Version(version) => format!("an answer of {version}"),
+        Asked::Service(service) => format!("a call of service {service}"),
+    };
+    push(&mut out, 0, &format!("request {}", record.request));
+    push(
+        &mut out,
+        1,
+        &format!("account {} asked for {asked}", record.account),
+    );
+    let place = format!(
+        "gateway {} decided under revision {}",
+        record.gateway, record.revision
+    );
+    push(&mut out, 1, &place);
+    for event in &record.events {
+        push_event(&mut out, event);
+    }
+    push(
+        &mut out,
+        1,
+        &format!(
+            "outcome after {}: {}",
+            record.duration,
+            outcome(&record.outcome)
+        ),
+    );
+    out
+}
+
+fn push(out: &mut String, depth: usize, line: &str) {
+    // Writing to a string cannot fail.
+    let _ = writeln!(out, "{:1$}{line}", "", depth * 2);
+}
+
+fn push_event(out: &mut String, event: &Event) {
+    match event {
+        Event::Planned { input, result, .. } => push_plan(out, input, result),
+        Event::Picked {
+            step,
+            attempt,
+            pick,
+        } => push_pick(out, *step, *attempt, pick),
+        Event::Attempted {
+            step,
+            attempt,
+            upstream,
+            end,
+        } => {
+            let end = match end {
+                AttemptEnd::Whole { status, bytes } => {
+                    format!("whole answer, status {status}, {bytes} bytes")
+                }
+                AttemptEnd::Refused(refusal) => format!("refused: {refusal}"),
+                AttemptEnd::Lost(why) => format!("lost: {why}"),
+            };
+            push(
+                out,
+                1,
+                &format!("step {step} attempt {attempt} on {upstream}: {end}"),
+            );
+        }
+        Event::Judged {
+            step,
+            accept,
+            rated,
+            accepted,
+        } => {
+            let rule = accept_text(*accept);
+            let rated = match rated {
+                Rated::Pass => "rated good",
+                Rated::Fail => "rated not good enough",
+                Rated::Missing => "not rated in time",
+            };
+            let then = if *accepted {
+                "returned to the caller"
+            } else {
+                "escalated"
+            };
+            push(out, 1, &format!("step {step} {rated}, rule {rule}: {then}"));
+        }
+    }
+}
+
+fn push_plan(out: &mut String, input: &PlanInput, result: &Result<Plan, PlanError>) {
+    let target = input.quality_target.0;
+    push(
+        out,
+        1,
+        &format!("quality target {target} of 1000, class {}", input.class),
+    );
+    match result {
+        Err(error) => push(out, 1, &format!("no plan: {error}")),
+        Ok(plan) => {
+            let cost = plan.expected_cost;
+            let quality = plan.expected_quality.fraction();
+            push(
+                out,
+                1,
+                &format!("plan: expected cost {cost}, quality at least {quality:.3}"),
+            );
+            for step in &plan.steps {
+                push(
+                    out,
+                    2,
+                    &format!("run {}, {}", step.version, accept_text(step.accept)),
+                );
+            }
+            for candidate in &plan.considered {
+                let verdict = verdict_text(candidate.verdict);
+                push(
+                    out,
+                    2,
+                    &format!("considered {}: {verdict}", candidate.version),
+                );
+            }
+        }
+    }
+}
+
+fn push_pick(out: &mut String, step: u16, attempt: u16, pick: &Pick) {
+    let why = match pick.why {
+        Why::LowestLoad => "lowest load of the sampled upstreams",
+        Why::PrefixAffinity => "its prefix is likely cached there",
+    };
+    let upstream = &pick.upstream;
+    push(
+        out,
+        1,
+        &format!("step {step} attempt {attempt}: picked {upstream}, {why}"),
+    );
+    for member in &pick.sampled {
+        let (own, others, slots) = (member.own, member.others, member.slots);
+        let load = format!("{own} own and {others} other requests on {slots} slots");
+        push(out, 2, &format!("sampled {}: {load}", member.upstream));
+    }
+}
+
+const fn accept_text(accept: Accept) -> &'static str {
+    match accept {
+        Accept::Final => "final",
+        Accept::UnlessRatedFail => "accepted unless rated not good enough",
+        Accept::IfRatedPass => "accepted only if rated good",
+    }
+}
+
+const fn verdict_text(verdict: Verdict) -> &'static str {
+    match verdict {
+        Verdict::Chosen(reason) => reason_text(reason),
+        Verdict::NotAllowed => "dropped, the account may not use it",
+        Verdict::Withdrawn => "dropped, withdrawn",
+        Verdict::DrainingWithoutSession => "dropped, draining and the request has no session on it",
+        Verdict::NoLiveUpstream => "dropped, no live upstream serves it",
+        Verdict::SessionPinnedElsewhere => "dropped, the session is pinned to another version",
+        Verdict::NotInCascade => "dropped, not in the cascade of the class",
+        Verdict::OutsideRolloutShare => "dropped, the draw fell outside its roll-out share",
+        Verdict::ReplacedByRollout => "dropped, the draw chose the version that replaces it",
+        Verdict::LaterThanStreamStart => "dropped, an earlier step meets the target of the stream",
+        Verdict::Unexplored => "dropped, the exploration started at another step",
+        Verdict::OverCost => "dropped, it meets the target but costs more than the plan",
+        Verdict::BelowTarget => "dropped, it misses the quality target",
+    }
+}
+
+const fn reason_text(reason: Reason) -> &'static str {
+    match reason {
+        Reason::SessionPinned => "chosen, the session started with it",
+        Reason::CheapestAtTarget => "chosen, part of the cheapest plan that meets the target",
+        Reason::HighestQuality => "chosen, no plan meets the target and this has the best quality",
+        Reason::FirstAtTarget => "chosen, the first step that meets the target of a stream alone",
+        Reason::Explores => "chosen, the request refreshes the estimates",
+        Reason::Baseline => "chosen by a baseline",
+        Reason::RolloutShare => "chosen, the draw fell into its roll-out share",
+    }
+}
+
+fn outcome(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Answered {
+            status,
+            bytes,
+            replayed,
+            charge,
+        } => {
+            let kept = if *replayed {
+                "the kept answer of an earlier request"
+            } else {
+                "whole"
+            };
+            let charge = charge.map_or_else(|| "nothing".to_owned(), |c| c.to_string());
+            format!("answered {kept}, status {status}, {bytes} bytes, charged {charge}")
+        }
+        Outcome::Refused(refusal) => {
+            format!(
+                "refused ({:?}, resend safe: {}): {refusal}",
+                refusal.ran, refusal.resend_safe
+            )
+        }
+        Outcome::Incomplete { bytes, refusal } => {
+            format!("cut off after {bytes} bytes, the caller was told: {refusal}")
+        }
+        Outcome::CallerLeft => "the caller left".to_owned(),
+    }
+}
--- /dev/null
+++ b/src/record/replay.rs
@@ -0,0 +1,200 @@
+//! Computes a record's decisions again and compares them.
+
+use std::fmt;
+
+use super::{AttemptEnd, Event, Outcome, Record, accepts, claims_not_run, refusal_of};
+use crate::ids::UpstreamId;
+use crate::refusal::Ran;
+use crate::route::Plan;
+use crate::route::pick::choose;
+use crate::route::plan::plan;
+
+/// The first difference between a record and its replay.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Difference {
+    /// The inputs and draws give another plan.
+    Plan {
+        /// Index of the event.
+        event: usize,
+        /// What the inputs give, in short.
+        replayed: String,
+    },
+    /// The sampled upstreams give another choice.
+    Pick {
+        /// Index of the event.
+        event: usize,
+        /// What the samples give.
+        replayed: Option<UpstreamId>,
+    },
+    /// An attempt ran on an upstream that was not chosen.
+    Upstream {
+        /// Index of the event.
+        event: usize,
+    },
+    /// The rule and the rating give another decision.
+    Judgement {
+        /// Index of the event.
+        event: usize,
+    },
+    /// A step ran that the plan does not have.
+    Step {
+        /// Index of the event.
+        event: usize,
+    },
+    /// The outcome does not follow from the events.
+    Outcome(&'static str),
+}
+
+impl fmt::Display for Difference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Plan { event, replayed } => write!(f, "event {event}: replay plans {replayed}"),
+            Self::Pick {
+                event,
+                replayed: Some(upstream),
+            } => {
+                write!(f, "event {event}: replay picks {upstream}")
+            }
+            Self::Pick {
+                event,
+                replayed: None,
+            } => write!(f, "event {event}: replay picks none"),
+            Self::Upstream { event } => {
+                write!(
+                    f,
+                    "event {event}: the attempt ran on an upstream that was not picked"
+                )
+            }
+            Self::Judgement { event } => {
+                write!(f, "event {event}: replay decides otherwise on the answer")
+            }
+            Self::Step { event } => write!(f, "event {event}: the plan has no such step"),
+            Self::Outcome(why) => write!(f, "outcome: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for Difference {}
+
+/// Computes every decision of a record again.
+///
+/// # Errors
+/// The first [`Difference`] between the record and the replay.
+pub fn replay(record: &Record) -> Result<(), Difference> {
+    let mut planned: Option<&Plan> = None;
+    let mut picked = None;
+    for (event, entry) in record.events.iter().enumerate() {
+        match entry {
+            Event::Planned {
+                input,
+                draws,
+                result,
+            } => {
+                let replayed = plan(input, *draws);
+                if replayed != *result {
+                    return Err(Difference::Plan {
+                        event,
+                        replayed: summary(&replayed),
+                    });
+                }
+                planned = result.as_ref().ok();
+            }
+            Event::Picked { step, pick, .. } => {
+                check_step(planned, *step, event)?;
+                let replayed = choose(pick.sampled.clone(), pick.affine);
+                if replayed.as_ref() != Some(pick) {
+                    let replayed = replayed.map(|p| p.upstream);
+                    return Err(Difference::Pick { event, replayed });
+                }
+                picked = Some(&pick.upstream);
+            }
+            Event::Attempted { upstream, .. } => {
+                if picked != Some(upstream) {
+                    return Err(Difference::Upstream { event });
+                }
+            }
+            Event::Judged {
+                step,
+                accept,
+                rated,
+                accepted,
+            } => {
+                check_step(planned, *step, event)?;
+                let rule = planned.and_then(|p| p.steps.get(usize::from(*step)));
+                let same_rule = rule.is_none_or(|s| s.accept == *accept);
+                if !same_rule || accepts(*accept, *rated) != *accepted {
+                    return Err(Difference::Judgement { event });
+                }
+            }
+        }
+    }
+    check_outcome(record)
+}
+
+/// Plain service calls have no plan and one step.
+fn check_step(planned: Option<&Plan>, step: u16, event: usize) -> Result<(), Difference> {
+    let steps = planned.map_or(1, |plan| plan.steps.len());
+    if usize::from(step) < steps {
+        Ok(())
+    } else {
+        Err(Difference::Step { event })
+    }
+}
+
+fn check_outcome(record: &Record) -> Result<(), Difference> {
+    let plan_error = record.events.iter().find_map(|entry| match entry {
+        Event::Planned {
+            result: Err(error), ..
+        } => Some(error),
+        _ => None,
+    });
+    if let Some(error) = plan_error
+        && record.outcome != Outcome::Refused(refusal_of(error))
+    {
+        return Err(Difference::Outcome(
+            "the plan failed, but the caller heard something else",
+        ));
+    }
+    if claims_not_run(&record.outcome) && record.events.iter().any(may_have_run) {
+        return Err(Difference::Outcome(
+            "it says not_run, but an attempt may have run",
+        ));
+    }
+    let answered = matches!(record.outcome, Outcome::Answered { .. });
+    let whole = |entry: &Event| {
+        matches!(
+            entry,
+            Event::Attempted {
+                end: AttemptEnd::Whole { .. },
+                ..
+            }
+        )
+    };
+    if answered && !record.events.iter().any(whole) {
+        return Err(Difference::Outcome(
+            "the caller got an answer that no attempt gave",
+        ));
+    }
+    Ok(())
+}
+
+fn may_have_run(entry: &Event) -> bool {
+    match entry {
+        Event::Attempted {
+            end: AttemptEnd::Refused(refusal),
+            ..
+        } => refusal.ran != Ran::NotRun,
+        Event::Attempted { .. } => true,
+        _ => false,
+    }
+}
+
+fn summary(result: &Result<Plan, crate::route::PlanError>) -> String {
+    match result {
+        Ok(plan) => {
+            let names: Vec<_> = plan.steps.iter().map(|s| s.version.to_string()).collect();
+            names.join(", ")
+        }
+        Err(error) => error.to_string(),
+    }
+}
--- /dev/null
+++ b/src/record/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of explanation records.
