Add sheet differences and content-addressed parts

Change: `diff` merges sorted entries and gives JSON pointers by name. `split` and `join` go between a sheet and its parts, one part for the upstreams of a data centre; `join` verifies every digest and name. `Root` keeps the last 16 apply IDs, from which `revision_of` tells the revision that an apply made. A root is held to half a value's bound, because a transaction will write the new and the previous one.

Ruled out: upstream groups of fixed size over the sorted list (an insertion changes all later groups).

The diff property first failed on a list that became empty: the naive reference counted the empty list as a value of its own. Such a list now differs by its entries on both sides, and every differing leaf must be covered exactly once.

--- a/src/sheet/mod.rs
+++ b/src/sheet/mod.rs
@@ -1,14 +1,19 @@
 //! The sheet: the one document that operators put into force.
 
+pub mod diff;
+pub mod digest;
 pub mod document;
 pub mod finding;
 pub mod model;
+pub mod parts;
 mod rules;
 mod schema;
 pub mod shape;
 #[cfg(test)]
 mod tests;
 
+pub use diff::{Difference, diff};
+pub use digest::{ApplyId, Digest};
 pub use finding::{Finding, Place, Rule};
 pub use model::{
     Account, Cascade, Class, Limit, Model, Policy, Price, Priority, Rollout, Service, Sheet,
--- /dev/null
+++ b/src/sheet/parts.rs
@@ -0,0 +1,403 @@
+//! The sheet as content-addressed parts under one small root.
+
+use std::fmt;
+
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use super::digest::{ApplyId, Digest};
+use super::model::{Sheet, Upstream};
+use crate::ids::DataCentre;
+use crate::platform::MAX_VALUE_BYTES;
+
+/// Number of earlier apply IDs that a root names.
+pub const RECENT_APPLIES: usize = 16;
+
+/// Largest root, in bytes: a transaction holds the new root and the previous one.
+pub const MAX_ROOT_BYTES: usize = MAX_VALUE_BYTES / 2;
+
+/// What a part holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PartKind {
+    /// One client account.
+    Account,
+    /// One cascade.
+    Cascade,
+    /// One request class.
+    Class,
+    /// One model with its versions.
+    Model,
+    /// The policy.
+    Policy,
+    /// One plain service.
+    Service,
+    /// The upstreams of one data centre.
+    Upstreams,
+}
+
+impl fmt::Display for PartKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Account => "account",
+            Self::Cascade => "cascade",
+            Self::Class => "class",
+            Self::Model => "model",
+            Self::Policy => "policy",
+            Self::Service => "service",
+            Self::Upstreams => "upstreams",
+        })
+    }
+}
+
+/// A part as the root names it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PartRef {
+    /// What the part holds.
+    pub kind: PartKind,
+    /// Name of the entry, or of the data centre of the upstreams; empty for the policy.
+    pub id: String,
+    /// SHA-256 of the part's bytes.
+    pub sha256: Digest,
+}
+
+impl fmt::Display for PartRef {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {:?}", self.kind, self.id)
+    }
+}
+
+/// A part and its bytes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Part {
+    /// The reference that the root holds.
+    pub reference: PartRef,
+    /// The part's JSON text.
+    pub bytes: Bytes,
+}
+
+/// The root: which parts are in force as one revision.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Root {
+    /// The revision, from 1; each apply adds one.
+    pub revision: u64,
+    /// The apply that made this revision.
+    pub apply_id: ApplyId,
+    /// The applies before it, latest first.
+    pub recent_apply_ids: Vec<ApplyId>,
+    /// The parts, sorted by kind and id.
+    pub parts: Vec<PartRef>,
+}
+
+/// A fault of parts or of a root.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PartsError {
+    /// A part is too large for the key-value service.
+    PartTooLarge {
+        /// The part.
+        part: Box<PartRef>,
+        /// Its size.
+        bytes: usize,
+    },
+    /// The root is too large for the key-value service.
+    RootTooLarge {
+        /// Its size.
+        bytes: usize,
+    },
+    /// The root's text cannot be read.
+    BadRoot(String),
+    /// The root's parts are not sorted or not unique.
+    Unsorted(Box<PartRef>),
+    /// The root names no policy.
+    NoPolicy,
+    /// A part is not there.
+    Missing(Box<PartRef>),
+    /// A part's bytes do not have its digest.
+    WrongDigest(Box<PartRef>),
+    /// A part's text cannot be read.
+    BadPart {
+        /// The part.
+        part: Box<PartRef>,
+        /// What the JSON parser says.
+        reason: String,
+    },
+    /// A part holds another entry than the root says.
+    WrongEntry(Box<PartRef>),
+}
+
+impl fmt::Display for PartsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::PartTooLarge { part, bytes } => write!(
+                f,
+                "part {part} has {bytes} bytes, over the bound of {MAX_VALUE_BYTES}"
+            ),
+            Self::RootTooLarge { bytes } => write!(
+                f,
+                "root has {bytes} bytes, over the bound of {MAX_ROOT_BYTES}"
+            ),
+            Self::BadRoot(reason) => write!(f, "root cannot be read: {reason}"),
+            Self::Unsorted(part) => write!(f, "part {part} is out of order in the root"),
+            Self::NoPolicy => f.write_str("root names no policy"),
+            Self::Missing(part) => write!(f, "part {part} with digest {} is missing", part.sha256),
+            Self::WrongDigest(part) => {
+                write!(f, "bytes of part {part} do not have digest {}", part.sha256)
+            }
+            Self::BadPart { part, reason } => write!(f, "part {part} cannot be read: {reason}"),
+            Self::WrongEntry(part) => write!(f, "part {part} holds another entry"),
+        }
+    }
+}
+
+impl std::error::Error for PartsError {}
+
+impl Root {
+    /// Makes the root that follows `previous`, or the first one.
+    #[must_use]
+    pub fn next(previous: Option<&Self>, apply_id: ApplyId, parts: &[Part]) -> Self {
+        let recent_apply_ids = previous.map_or_else(Vec::new, |root| {
+            let earlier = root.recent_apply_ids.iter().copied();
+            let recent = std::iter::once(root.apply_id).chain(earlier);
+            recent.take(RECENT_APPLIES).collect()
+        });
+        Self {
+            revision: previous.map_or(0, |root| root.revision) + 1,
+            apply_id,
+            recent_apply_ids,
+            parts: parts.iter().map(|part| part.reference.clone()).collect(),
+        }
+    }
+
+    /// Returns the revision that an apply made, if this root still names the apply.
+    #[must_use]
+    pub fn revision_of(&self, apply_id: ApplyId) -> Option<u64> {
+        let ids = std::iter::once(&self.apply_id).chain(&self.recent_apply_ids);
+        let revisions = (0..=self.revision).rev();
+        ids.zip(revisions)
+            .find(|(id, _)| **id == apply_id)
+            .map(|(_, revision)| revision)
+    }
+
+    /// Tells whether the root names a digest.
+    #[must_use]
+    pub fn names(&self, digest: &Digest) -> bool {
+        self.parts.iter().any(|part| part.sha256 == *digest)
+    }
+
+    /// Returns the root's text.
+    ///
+    /// # Errors
+    /// [`PartsError::RootTooLarge`] if the key-value service cannot hold it.
+    pub fn encode(&self) -> Result<Bytes, PartsError> {
+        let text = serde_json::to_vec(self).map_err(|e| PartsError::BadRoot(e.to_string()))?;
+        if text.len() > MAX_ROOT_BYTES {
+            return Err(PartsError::RootTooLarge { bytes: text.len() });
+        }
+        Ok(text.into())
+    }
+
+    /// Reads a root's text and checks the order of its parts.
+    ///
+    /// # Errors
+    /// [`PartsError`] if the text is no root.
+    pub fn decode(text: &[u8]) -> Result<Self, PartsError> {
+        let root: Self =
+            serde_json::from_slice(text).map_err(|e| PartsError::BadRoot(e.to_string()))?;
+        let in_order = |a: &PartRef, b: &PartRef| (a.kind, &a.id) < (b.kind, &b.id);
+        let mut pairs = root.parts.windows(2);
+        match pairs.find(|pair| !in_order(&pair[0], &pair[1])) {
+            Some(pair) => Err(PartsError::Unsorted(Box::new(pair[1].clone()))),
+            None => Ok(root),
+        }
+    }
+}
+
+/// Splits a sorted sheet into its parts, sorted by kind and id.
+///
+/// # Errors
+/// [`PartsError::PartTooLarge`] if the key-value service cannot hold a part.
+pub fn split(sheet: &Sheet) -> Result<Vec<Part>, PartsError> {
+    let mut parts = vec![part(PartKind::Policy, "", &sheet.policy)?];
+    for account in &sheet.accounts {
+        parts.push(part(PartKind::Account, account.id.as_str(), account)?);
+    }
+    for cascade in &sheet.cascades {
+        parts.push(part(PartKind::Cascade, cascade.id.as_str(), cascade)?);
+    }
+    for class in &sheet.classes {
+        parts.push(part(PartKind::Class, class.id.as_str(), class)?);
+    }
+    for model in &sheet.models {
+        parts.push(part(PartKind::Model, model.id.as_str(), model)?);
+    }
+    for service in &sheet.services {
+        parts.push(part(PartKind::Service, service.id.as_str(), service)?);
+    }
+    for (data_centre, group) in upstream_groups(&sheet.upstreams) {
+        parts.push(part(PartKind::Upstreams, data_centre.as_str(), &group)?);
+    }
+    parts.sort_by(|a, b| a.reference.cmp(&b.reference));
+    Ok(parts)
+}
+
+fn upstream_groups(upstreams: &[Upstream]) -> Vec<(&DataCentre, Vec<&Upstream>)> {
+    let mut groups: Vec<(&DataCentre, Vec<&Upstream>)> = Vec::new();
+    for upstream in upstreams {
+        let key = &upstream.data_centre;
+        match groups.binary_search_by(|(data_centre, _)| (*data_centre).cmp(key)) {
+            Ok(at) => groups[at].1.push(upstream),
+            Err(at) => groups.insert(at, (key, vec![upstream])),
+        }
+    }
+    groups
+}
+
+fn part(kind: PartKind, id: &str, entry: &impl Serialize) -> Result<Part, PartsError> {
+    let text = serde_json::to_vec(entry);
+    let sha256 = Digest::of(text.as_deref().unwrap_or_default());
+    let id = id.to_owned();
+    let reference = PartRef { kind, id, sha256 };
+    let bytes = Bytes::from(text.map_err(|e| bad_part(&reference, &e))?);
+    if bytes.len() > MAX_VALUE_BYTES {
+        return Err(PartsError::PartTooLarge {
+            part: Box::new(reference),
+            bytes: bytes.len(),
+        });
+    }
+    Ok(Part { reference, bytes })
+}
+
+/// Joins the parts that a root names and verifies each.
+///
+/// # Errors
+/// [`PartsError`] if a part is missing or is not what the root says.
+pub fn join(root: &Root, find: impl Fn(&Digest) -> Option<Bytes>) -> Result<Sheet, PartsError> {
+    let mut sheet = Sheet::default();
+    let mut has_policy = false;
+    for part in &root.parts {
+        let bytes = find(&part.sha256).ok_or_else(|| PartsError::Missing(part.clone().into()))?;
+        if Digest::of(&bytes) != part.sha256 {
+            return Err(PartsError::WrongDigest(part.clone().into()));
+        }
+        has_policy |= part.kind == PartKind::Policy;
+        add(&mut sheet, part, &bytes)?;
+    }
+    if !has_policy {
+        return Err(PartsError::NoPolicy);
+    }
+    sheet.sort();
+    Ok(sheet)
+}
+
+fn add(sheet: &mut Sheet, part: &PartRef, bytes: &[u8]) -> Result<(), PartsError> {
+    match part.kind {
+        PartKind::Account => push(&mut sheet.accounts, part, bytes, |e| e.id.as_str()),
+        PartKind::Cascade => push(&mut sheet.cascades, part, bytes, |e| e.id.as_str()),
+        PartKind::Class => push(&mut sheet.classes, part, bytes, |e| e.id.as_str()),
+        PartKind::Model => push(&mut sheet.models, part, bytes, |e| e.id.as_str()),
+        PartKind::Service => push(&mut sheet.services, part, bytes, |e| e.id.as_str()),
+        PartKind::Policy => {
+            sheet.policy = read(part, bytes)?;
+            check_entry(part, part.id.is_empty())
+        }
+        PartKind::Upstreams => {
+            let upstreams: Vec<Upstream> = read(part, bytes)?;
+            let is_member = |u: &Upstream| u.data_centre.as_str() == part.id;
+            check_entry(part, upstreams.iter().all(is_member))?;
+            sheet.upstreams.extend(upstreams);
+            Ok(())
+        }
+    }
+}
+
+fn push<T: DeserializeOwned>(
+    list: &mut Vec<T>,
+    part: &PartRef,
+    bytes: &[u8],
+    id: impl Fn(&T) -> &str,
+) -> Result<(), PartsError> {
+    let entry = read(part, bytes)?;
+    check_entry(part, id(&entry) == part.id)?;
+    list.push(entry);
+    Ok(())
+}
+
+fn read<T: DeserializeOwned>(part: &PartRef, bytes: &[u8]) -> Result<T, PartsError> {
+    serde_json::from_slice(bytes).map_err(|e| bad_part(part, &e))
+}
+
+fn check_entry(part: &PartRef, is_named: bool) -> Result<(), PartsError> {
+    if is_named {
+        Ok(())
+    } else {
+        Err(PartsError::WrongEntry(part.clone().into()))
+    }
+}
+
+fn bad_part(part: &PartRef, error: &serde_json::Error) -> PartsError {
+    PartsError::BadPart {
+        part: part.clone().into(),
+        reason: error.to_string(),
+    }
+}
+
+/// Lists the parts of the new root that the old one does not name: those that must be fetched.
+#[must_use]
+pub fn changed_parts<'a>(old_root: &Root, new_root: &'a Root) -> Vec<&'a PartRef> {
+    let mut held: Vec<_> = old_root.parts.iter().map(|part| part.sha256).collect();
+    held.sort();
+    let parts = new_root.parts.iter();
+    parts
+        .filter(|part| held.binary_search(&part.sha256).is_err())
+        .collect()
+}
+
+/// Parts that a process already has, sorted by digest.
+#[derive(Debug, Clone, Default)]
+pub struct PartCache {
+    parts: Vec<(Digest, Bytes)>,
+}
+
+impl PartCache {
+    /// Returns the bytes of a part.
+    #[must_use]
+    pub fn get(&self, digest: &Digest) -> Option<Bytes> {
+        let at = self.position(digest).ok()?;
+        self.parts.get(at).map(|(_, bytes)| bytes.clone())
+    }
+
+    /// Adds bytes under their digest.
+    pub fn insert(&mut self, bytes: Bytes) {
+        let digest = Digest::of(&bytes);
+        if let Err(at) = self.position(&digest) {
+            self.parts.insert(at, (digest, bytes));
+        }
+    }
+
+    /// Drops the parts that the root does not name.
+    pub fn retain(&mut self, root: &Root) {
+        let mut named: Vec<_> = root.parts.iter().map(|part| part.sha256).collect();
+        named.sort();
+        self.parts
+            .retain(|(digest, _)| named.binary_search(digest).is_ok());
+    }
+
+    /// Returns the number of parts.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.parts.len()
+    }
+
+    /// Tells whether there are no parts.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+
+    fn position(&self, digest: &Digest) -> Result<usize, usize> {
+        self.parts.binary_search_by(|(held, _)| held.cmp(digest))
+    }
+}
--- a/src/sheet/tests.rs
+++ b/src/sheet/tests/mod.rs
@@ -1,12 +1,50 @@
 //! Tests of the sheet.
 
+mod parts;
+
 use serde_json::{Value, json};
 
 use super::*;
 use crate::fixtures::{self, check};
 use crate::ids::VersionRef;
+use crate::units::{Millis, Permille};
+
+const FIXTURE: &str = include_str!("../../fixtures/sheet.json");
+
+/// Returns the fixture after edits that keep it sorted; it need not pass the rules.
+pub fn variant(edits: &[(u8, u8)]) -> Sheet {
+    let mut sheet = fixtures::sheet();
+    for (kind, n) in edits {
+        edit(&mut sheet, kind % 12, *n);
+    }
+    sheet.sort();
+    sheet
+}
 
-const FIXTURE: &str = include_str!("../fixtures/sheet.json");
+fn edit(sheet: &mut Sheet, kind: u8, n: u8) {
+    let at = usize::from(n);
+    let account = at % sheet.accounts.len();
+    let name = format!("extra-{}", n % 4);
+    match kind {
+        0 => sheet.accounts[account].priority = Priority::Low,
+        1 => sheet.accounts[account].allow.truncate(1),
+        2 if sheet.accounts.len() > 1 => drop(sheet.accounts.remove(account)),
+        3 if sheet.account(&name.as_str().into()).is_none() => {
+            let id = name.into();
+            let account = sheet.accounts[0].clone();
+            sheet.accounts.push(Account { id, ..account });
+            sheet.sort();
+        }
+        4 => sheet.accounts[account].limits.clear(),
+        5 => sheet.classes[at % 2].deadline = Millis::from_secs(u64::from(n)),
+        6 => sheet.models[at % 2].versions[0].state = VersionState::Draining,
+        7 => sheet.models[at % 2].versions[0].rollout = None,
+        8 => sheet.upstreams[at % 4].data_centre = "dc-c".into(),
+        9 => sheet.policy.latency_weight = Permille(n.into()),
+        10 => sheet.cascades[0].steps.reverse(),
+        _ => sheet.services.clear(),
+    }
+}
 
 // Guards against a lookup that searches an unsorted list.
 #[test]
