Add the etcd client, its call budget and the stand-ins

Cause: the processes need a client of the platform's key-value service that tells a call without effect from a lost answer, and tests need something to talk to.

Change: - platform::etcd speaks the JSON form of etcd's v3 API with awc: range, txn, lease and watch. A refused connect is Unreachable; anything after a connect is AnswerLost for writes, and so is a 5xx status, because etcd answers 503 to a proposal that may still be applied. - platform::budget limits reads and writes a second and counts them. - standin has the key-value service over MemoryKv, an engine, a plain service and the rating service, usable in a test's own runtime and through the program fireflywind-standin.

Ruled out: actix-server for the stand-ins, because it starts worker threads and signal handlers; sending a write again within the client.

--- a/src/bin/fireflywind-standin/main.rs
+++ b/src/bin/fireflywind-standin/main.rs
@@ -1,3 +1,52 @@
-//! Placeholder of the program until its module lands.
+//! Runs one stand-in of the platform for tests and first steps.
 
-fn main() {}
+mod cli;
+
+use std::io::{self, Write as _};
+use std::process::ExitCode;
+
+use fireflywind::platform::memory::MemoryKv;
+use fireflywind::standin::{Running, engine, kv, rating, service};
+
+use cli::{Command, Kind};
+
+fn main() -> ExitCode {
+    let outcome = cli::parse().and_then(|command| run(&command));
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("fireflywind-standin: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(command: &Command) -> Result<(), String> {
+    actix_rt::System::new().block_on(async {
+        let running = bind(command)
+            .map_err(|error| format!("listening on {} failed: {error}", command.listen))?;
+        announce(&running).map_err(|error| format!("writing the address failed: {error}"))?;
+        actix_rt::signal::ctrl_c()
+            .await
+            .map_err(|error| format!("waiting for a signal failed: {error}"))?;
+        running.stop().await;
+        Ok(())
+    })
+}
+
+fn bind(command: &Command) -> io::Result<Running> {
+    let addr = command.listen;
+    match command.kind {
+        Kind::Kv => kv::bind(addr, MemoryKv::open()),
+        Kind::Engine(options) => engine::bind(addr, options, engine::Behaviour::default()),
+        Kind::Service => service::bind(addr, service::Behaviour::default()),
+        Kind::Rating => rating::bind(addr, rating::Behaviour::default()),
+    }
+}
+
+/// Prints the address, so that a test can read an ephemeral port.
+fn announce(running: &Running) -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    writeln!(out, "listening addr={}", running.addr())?;
+    out.flush()
+}
--- /dev/null
+++ b/src/platform/budget.rs
@@ -0,0 +1,111 @@
+//! Limits of the calls a second that one process sends to the key-value service.
+
+use crate::units::Millis;
+
+/// Parts of one call that a bucket counts, so that a rate a second gives whole parts a millisecond.
+const PARTS_PER_CALL: u64 = 1_000;
+
+/// Kind of a call to the service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallKind {
+    /// A call that changes nothing, such as a range read or a watch.
+    Read,
+    /// A call that may change the store, such as a transaction or a lease renewal.
+    Write,
+}
+
+/// Numbers of calls since the budget was made.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CallCounts {
+    /// Reads that were let through.
+    pub reads: u64,
+    /// Writes that were let through.
+    pub writes: u64,
+    /// Reads over budget.
+    pub refused_reads: u64,
+    /// Writes over budget.
+    pub refused_writes: u64,
+}
+
+/// A token bucket that holds the calls of one second.
+#[derive(Debug, Clone)]
+struct Bucket {
+    per_second: u64,
+    parts: u64,
+    filled_at: Millis,
+}
+
+impl Bucket {
+    const fn new(per_second: u32) -> Self {
+        let per_second = per_second as u64;
+        Self {
+            per_second,
+            parts: per_second * PARTS_PER_CALL,
+            filled_at: Millis(0),
+        }
+    }
+
+    fn take(&mut self, now: Millis) -> bool {
+        let gained = now.since(self.filled_at).0.saturating_mul(self.per_second);
+        let full = self.per_second * PARTS_PER_CALL;
+        self.parts = self.parts.saturating_add(gained).min(full);
+        self.filled_at = self.filled_at.max(now);
+        if self.parts < PARTS_PER_CALL {
+            return false;
+        }
+        self.parts -= PARTS_PER_CALL;
+        true
+    }
+}
+
+/// Limits reads and writes a second and counts them.
+#[derive(Debug, Clone)]
+pub struct CallBudget {
+    reads: Bucket,
+    writes: Bucket,
+    counts: CallCounts,
+}
+
+impl CallBudget {
+    /// Makes a full budget; a rate of zero refuses every call of its kind.
+    #[must_use]
+    pub const fn new(reads_per_second: u32, writes_per_second: u32) -> Self {
+        Self {
+            reads: Bucket::new(reads_per_second),
+            writes: Bucket::new(writes_per_second),
+            counts: CallCounts {
+                reads: 0,
+                writes: 0,
+                refused_reads: 0,
+                refused_writes: 0,
+            },
+        }
+    }
+
+    /// Takes one call from the budget and tells whether the call may be sent.
+    ///
+    /// `now` is the time since any fixed point; an earlier time than before adds nothing.
+    pub fn take(&mut self, kind: CallKind, now: Millis) -> bool {
+        let (bucket, passed, refused) = match kind {
+            CallKind::Read => (
+                &mut self.reads,
+                &mut self.counts.reads,
+                &mut self.counts.refused_reads,
+            ),
+            CallKind::Write => (
+                &mut self.writes,
+                &mut self.counts.writes,
+                &mut self.counts.refused_writes,
+            ),
+        };
+        let taken = bucket.take(now);
+        *(if taken { passed } else { refused }) += 1;
+        taken
+    }
+
+    /// Returns the numbers of calls so far.
+    #[must_use]
+    pub const fn counts(&self) -> CallCounts {
+        self.counts
+    }
+}
--- /dev/null
+++ b/src/platform/etcd.rs
@@ -0,0 +1,455 @@
+//! Client of a key-value service that speaks the JSON form of etcd's v3 API.
+
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::error::PayloadError;
+use actix_rt::time::{Instant, timeout};
+use awc::error::{ConnectError, SendRequestError};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt as _;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::budget::{CallBudget, CallCounts, CallKind};
+use super::memory::WATCH_WAIT;
+use super::wire::{
+    Blob, CODE_NOT_FOUND, Comparison, Condition, DeleteRequest, ErrorBody, Event, EventKind, Int64,
+    LeaseMessage, Operation, Pair, PutRequest, RangeAnswer, RangeRequest, StreamLine, Target,
+    TxnAnswer, TxnRequest, WatchAnswer, WatchCreate, WatchRequest, prefix_range,
+};
+use super::{Change, Compare, Entry, KeyValue, KvError, LeaseId, LocalFuture, TxnOutcome};
+use crate::units::Millis;
+
+/// Longest time from the start of a call to the end of its answer.
+const CALL_TIMEOUT: Millis = Millis::from_secs(2);
+/// Longest time of a watch with its wait.
+const WATCH_TIMEOUT: Millis = Millis::from_secs(12);
+/// Longest time for a connection; shorter than a call, so that a connect that hangs is told apart from a
+/// lost answer.
+const CONNECT_TIMEOUT: Millis = Millis::from_secs(1);
+/// Idle connections older than this are not used again. Servers commonly close theirs after 5 s, and a
+/// write on a connection that is being closed has an unknown outcome.
+const KEEP_ALIVE: Millis = Millis::from_secs(4);
+/// Largest answer, which bounds the memory of one call: a list of about ten values of 1 MB in base64.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Largest message of a watch: an event with the largest value in base64 and room for the rest.
+const MAX_WATCH_BYTES: usize = 4 << 20;
+
+struct Shared {
+    client: awc::Client,
+    addrs: Vec<SocketAddr>,
+    current: Cell<usize>,
+    budget: RefCell<CallBudget>,
+    opened: Instant,
+}
+
+/// A client of the service; clones share connections and the budget.
+#[derive(Clone)]
+pub struct EtcdKv {
+    shared: Rc<Shared>,
+}
+
+impl fmt::Debug for EtcdKv {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EtcdKv")
+            .field("addrs", &self.shared.addrs)
+            .finish_non_exhaustive()
+    }
+}
+
+/// A lease call's refusal that means that the lease does not exist.
+fn lease_gone(error: &ErrorBody) -> bool {
+    error.code == CODE_NOT_FOUND && error.message.contains("lease")
+}
+
+fn connect_error(error: &SendRequestError) -> KvError {
+    let why = error.to_string();
+    match error {
+        // The client library reports a connection that ends before the answer in this way as well.
+        SendRequestError::Connect(ConnectError::Disconnected) => KvError::AnswerLost(why),
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => KvError::Unreachable(why),
+        _ => KvError::AnswerLost(why),
+    }
+}
+
+fn payload_error(error: &PayloadError) -> KvError {
+    match error {
+        PayloadError::Overflow => KvError::AnswerLost("answer is too large".to_owned()),
+        other => KvError::AnswerLost(other.to_string()),
+    }
+}
+
+/// Judges an answer whose status is not a success.
+fn status_error(kind: CallKind, status: u16, body: &[u8]) -> KvError {
+    let error: ErrorBody = serde_json::from_slice(body).unwrap_or_default();
+    if lease_gone(&error) {
+        return KvError::LeaseGone;
+    }
+    let why = format!("status {status}: {}", error.message);
+    match (status, kind) {
+        (400..=499, _) => KvError::Refused(why),
+        (_, CallKind::Read) => KvError::Unreachable(why),
+        // etcd also answers 503 to a proposal that timed out and may still be applied.
+        (_, CallKind::Write) => KvError::AnswerLost(why),
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, KvError> {
+    serde_json::from_slice(body).map_err(|error| KvError::AnswerLost(format!("answer: {error}")))
+}
+
+fn entry(pair: Pair) -> Result<Entry, KvError> {
+    let key = String::from_utf8(pair.key.0)
+        .map_err(|error| KvError::Refused(format!("a stored key is not UTF-8: {error}")))?;
+    Ok(Entry {
+        key,
+        value: Bytes::from(pair.value.0),
+        mod_revision: pair.mod_revision.0,
+        create_revision: pair.create_revision.0,
+    })
+}
+
+fn condition(compare: Compare) -> Condition {
+    let (key, target, create_revision, mod_revision) = match compare {
+        Compare::Absent(key) => (key, Target::Create, Some(Int64(0)), None),
+        Compare::ModRevision(key, revision) => (key, Target::Mod, None, Some(Int64(revision))),
+    };
+    Condition {
+        key: Blob::from(key.as_str()),
+        target,
+        result: Comparison::Equal,
+        create_revision,
+        mod_revision,
+    }
+}
+
+fn operation(change: Change) -> Operation {
+    match change {
+        Change::Put { key, value, lease } => Operation::Put(PutRequest {
+            key: Blob::from(key.as_str()),
+            value: Blob(value.to_vec()),
+            lease: Int64(lease.map_or(0, |id| id.0)),
+        }),
+        Change::Delete(key) => Operation::Delete(DeleteRequest {
+            key: Blob::from(key.as_str()),
+        }),
+    }
+}
+
+impl EtcdKv {
+    /// Opens a client that uses the first address and moves on to the next one after a failure.
+    ///
+    /// Connections are made when they are needed, on the arbiter that polls the calls.
+    #[must_use]
+    pub fn open(addrs: Vec<SocketAddr>, budget: CallBudget) -> Self {
+        let connector = awc::Connector::new()
+            .timeout(CONNECT_TIMEOUT.duration())
+            .conn_keep_alive(KEEP_ALIVE.duration());
+        let client = awc::Client::builder()
+            .connector(connector)
+            .disable_redirects()
+            .disable_timeout()
+            .finish();
+        Self {
+            shared: Rc::new(Shared {
+                client,
+                addrs,
+                current: Cell::new(0),
+                budget: RefCell::new(budget),
+                opened: Instant::now(),
+            }),
+        }
+    }
+
+    /// Returns the numbers of calls so far.
+    #[must_use]
+    pub fn calls(&self) -> CallCounts {
+        self.shared.budget.borrow().counts()
+    }
+
+    /// Takes the call from the budget and picks the address.
+    fn admit(&self, kind: CallKind) -> Result<(usize, SocketAddr), KvError> {
+        let elapsed = self.shared.opened.elapsed().as_millis();
+        let now = Millis(u64::try_from(elapsed).unwrap_or(u64::MAX));
+        if !self.shared.budget.borrow_mut().take(kind, now) {
+            return Err(KvError::Refused("over the budget of calls".to_owned()));
+        }
+        let at = self.shared.current.get();
+        let addr = self.shared.addrs.get(at).copied();
+        let none = || KvError::Unreachable("no address is configured".to_owned());
+        addr.map(|addr| (at, addr)).ok_or_else(none)
+    }
+
+    /// Moves on to the next address unless another call already did.
+    fn leave(&self, at: usize) {
+        if self.shared.current.get() == at {
+            let next = (at + 1) % self.shared.addrs.len();
+            self.shared.current.set(next);
+        }
+    }
+
+    async fn send(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<awc::ClientResponse, KvError> {
+        self.shared
+            .client
+            .post(format!("http://{addr}{path}"))
+            .content_type("application/json")
+            .send_body(body)
+            .await
+            .map_err(|error| connect_error(&error))
+    }
+
+    async fn exchange(
+        &self,
+        kind: CallKind,
+        addr: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<Bytes, KvError> {
+        let mut answer = self.send(addr, path, body).await?;
+        let status = answer.status();
+        let body = answer
+            .body()
+            .limit(MAX_ANSWER_BYTES)
+            .await
+            .map_err(|error| payload_error(&error))?;
+        if status.is_success() {
+            Ok(body)
+        } else {
+            Err(status_error(kind, status.as_u16(), &body))
+        }
+    }
+
+    /// Runs one call; a call is never sent twice.
+    async fn call<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        kind: CallKind,
+        path: &str,
+        request: &Q,
+    ) -> Result<A, KvError> {
+        let body = encode(request)?;
+        let (at, addr) = self.admit(kind)?;
+        let exchange = self.exchange(kind, addr, path, body);
+        let outcome = within(CALL_TIMEOUT.duration(), exchange)
+            .await
+            .and_then(|body| parse(&body));
+        if matches!(
+            outcome,
+            Err(KvError::Unreachable(_) | KvError::AnswerLost(_))
+        ) {
+            self.leave(at);
+        }
+        outcome
+    }
+
+    async fn range(&self, key: Blob, range_end: Blob) -> Result<Vec<Entry>, KvError> {
+        let request = RangeRequest { key, range_end };
+        let answer: RangeAnswer = self.call(CallKind::Read, "/v3/kv/range", &request).await?;
+        answer.kvs.into_iter().map(entry).collect()
+    }
+
+    async fn get_entry(&self, key: &str) -> Result<Option<Entry>, KvError> {
+        let entries = self.range(Blob::from(key), Blob::default()).await?;
+        Ok(entries.into_iter().next())
+    }
+
+    /// Waits for the newest event after a revision; none means that the wait ended without one.
+    async fn next_event(
+        &self,
+        addr: SocketAddr,
+        body: Vec<u8>,
+        deadline: Instant,
+    ) -> Result<Option<Event>, KvError> {
+        let send = self.send(addr, "/v3/watch", body);
+        let mut answer = within(CALL_TIMEOUT.duration(), send).await?;
+        if !answer.status().is_success() {
+            let status = answer.status().as_u16();
+            let body = answer.body().limit(MAX_WATCH_BYTES);
+            let body = within(CALL_TIMEOUT.duration(), async {
+                body.await.map_err(|error| payload_error(&error))
+            });
+            return Err(status_error(CallKind::Read, status, &body.await?));
+        }
+        let mut buf = BytesMut::new();
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            let Ok(chunk) = timeout(left, answer.next()).await else {
+                return Ok(None);
+            };
+            let Some(chunk) = chunk else {
+                return Ok(None);
+            };
+            buf.extend_from_slice(&chunk.map_err(|error| payload_error(&error))?);
+            match newest_event(&mut buf)? {
+                Progress::Waiting => {}
+                Progress::Ended => return Ok(None),
+                Progress::Event(event) => return Ok(Some(*event)),
+            }
+        }
+    }
+}
+
+enum Progress {
+    Waiting,
+    Ended,
+    Event(Box<Event>),
+}
+
+/// Takes the whole lines from a watch's bytes and returns the last event among them.
+fn newest_event(buf: &mut BytesMut) -> Result<Progress, KvError> {
+    let mut progress = Progress::Waiting;
+    while let Some(end) = buf.iter().position(|byte| *byte == b'\n') {
+        let line = buf.split_to(end + 1);
+        if line.trim_ascii().is_empty() {
+            continue;
+        }
+        let line: StreamLine<WatchAnswer> = parse(&line)?;
+        if let Some(error) = line.error {
+            return Err(KvError::Unreachable(error.message));
+        }
+        let Some(answer) = line.result else { continue };
+        if answer.canceled {
+            return Ok(Progress::Ended);
+        }
+        if let Some(event) = answer.events.into_iter().next_back() {
+            progress = Progress::Event(Box::new(event));
+        }
+    }
+    if buf.len() > MAX_WATCH_BYTES {
+        return Err(KvError::AnswerLost("watch event is too large".to_owned()));
+    }
+    Ok(progress)
+}
+
+fn encode<Q: Serialize>(request: &Q) -> Result<Vec<u8>, KvError> {
+    serde_json::to_vec(request).map_err(|error| KvError::Refused(error.to_string()))
+}
+
+async fn within<T>(
+    limit: Duration,
+    call: impl Future<Output = Result<T, KvError>>,
+) -> Result<T, KvError> {
+    match timeout(limit, call).await {
+        Ok(outcome) => outcome,
+        Err(_elapsed) => Err(KvError::AnswerLost("timed out".to_owned())),
+    }
+}
+
+/// Whole seconds of a lease's time, rounded up, because the service counts in seconds.
+const fn lease_seconds(ttl: Millis) -> u64 {
+    ttl.0.div_ceil(1_000)
+}
+
+impl KeyValue for EtcdKv {
+    fn get<'a>(&'a self, key: &'a str) -> LocalFuture<'a, Result<Option<Entry>, KvError>> {
+        Box::pin(self.get_entry(key))
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> LocalFuture<'a, Result<Vec<Entry>, KvError>> {
+        let (key, range_end) = prefix_range(prefix);
+        Box::pin(self.range(key, range_end))
+    }
+
+    fn txn(
+        &self,
+        conditions: Vec<Compare>,
+        changes: Vec<Change>,
+    ) -> LocalFuture<'_, Result<TxnOutcome, KvError>> {
+        let request = TxnRequest {
+            compare: conditions.into_iter().map(condition).collect(),
+            success: changes.into_iter().map(operation).collect(),
+        };
+        Box::pin(async move {
+            let answer: TxnAnswer = self.call(CallKind::Write, "/v3/kv/txn", &request).await?;
+            Ok(if answer.succeeded {
+                TxnOutcome::Applied(answer.header.revision.0)
+            } else {
+                TxnOutcome::Conflict
+            })
+        })
+    }
+
+    fn watch<'a>(
+        &'a self,
+        key: &'a str,
+        after: u64,
+    ) -> LocalFuture<'a, Result<Option<Entry>, KvError>> {
+        Box::pin(async move {
+            let body = encode(&WatchRequest {
+                create_request: WatchCreate {
+                    key: Blob::from(key),
+                    start_revision: Int64(after + 1),
+                },
+            })?;
+            let (at, addr) = self.admit(CallKind::Read)?;
+            let deadline = Instant::now() + WATCH_WAIT.duration();
+            let wait = self.next_event(addr, body, deadline);
+            let event = within(WATCH_TIMEOUT.duration(), wait).await;
+            if event.is_err() {
+                self.leave(at);
+            }
+            match event? {
+                Some(event) if event.kind == EventKind::Put => entry(event.kv).map(Some),
+                Some(_removed) => Ok(None),
+                None => self.get_entry(key).await,
+            }
+        })
+    }
+
+    fn grant(&self, ttl: Millis) -> LocalFuture<'_, Result<LeaseId, KvError>> {
+        Box::pin(async move {
+            let request = LeaseMessage {
+                ttl: Int64(lease_seconds(ttl)),
+                id: Int64(0),
+            };
+            let path = "/v3/lease/grant";
+            let answer: LeaseMessage = self.call(CallKind::Write, path, &request).await?;
+            Ok(LeaseId(answer.id.0))
+        })
+    }
+
+    fn keep_alive(&self, lease: LeaseId) -> LocalFuture<'_, Result<(), KvError>> {
+        Box::pin(async move {
+            let request = lease_request(lease);
+            let path = "/v3/lease/keepalive";
+            let line: StreamLine<LeaseMessage> = self.call(CallKind::Write, path, &request).await?;
+            match (line.result, line.error) {
+                (_, Some(error)) if lease_gone(&error) => Err(KvError::LeaseGone),
+                (_, Some(error)) => Err(KvError::AnswerLost(error.message)),
+                (Some(answer), None) if answer.ttl.0 == 0 => Err(KvError::LeaseGone),
+                (Some(_renewed), None) => Ok(()),
+                (None, None) => Err(KvError::AnswerLost("answer is empty".to_owned())),
+            }
+        })
+    }
+
+    fn revoke(&self, lease: LeaseId) -> LocalFuture<'_, Result<(), KvError>> {
+        Box::pin(async move {
+            let request = lease_request(lease);
+            let path = "/v3/lease/revoke";
+            match self
+                .call::<_, LeaseMessage>(CallKind::Write, path, &request)
+                .await
+            {
+                // The lease ended by itself or by an earlier call.
+                Ok(_) | Err(KvError::LeaseGone) => Ok(()),
+                Err(error) => Err(error),
+            }
+        })
+    }
+}
+
+fn lease_request(lease: LeaseId) -> LeaseMessage {
+    LeaseMessage {
+        ttl: Int64(0),
+        id: Int64(lease.0),
+    }
+}
--- a/src/platform/memory.rs
+++ b/src/platform/memory.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use actix_rt::time::{Instant, timeout};
+use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
 use super::{Change, Compare, Entry, KeyValue, KvError, LeaseId, LocalFuture, TxnOutcome};
@@ -13,7 +14,8 @@
 pub const WATCH_WAIT: Millis = Millis::from_secs(10);
 
 /// How the service answers calls.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Fault {
     /// Calls are answered.
     #[default]
@@ -69,6 +71,20 @@
         self.state.borrow().calls
     }
 
+    /// Returns the store's revision.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.state.borrow().revision
+    }
+
+    /// Tells whether a lease has not ended.
+    #[must_use]
+    pub fn holds_lease(&self, lease: LeaseId) -> bool {
+        let mut state = self.state.borrow_mut();
+        state.expire_leases();
+        state.leases.iter().any(|l| l.id == lease)
+    }
+
     fn begin_read(&self) -> Result<(), KvError> {
         let mut state = self.state.borrow_mut();
         state.calls += 1;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,8 +1,11 @@
 //! The platform's key-value service.
 
+pub mod budget;
+pub mod etcd;
 pub mod memory;
 #[cfg(test)]
 mod tests;
+pub mod wire;
 
 use std::fmt;
 use std::pin::Pin;
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,8 +1,36 @@
-//! Tests of the in-memory key-value service.
+//! Tests of the in-memory key-value service and of the client against its stand-in.
 
+use std::net::SocketAddr;
+
+use quickcheck::{Arbitrary, Gen};
+
+use super::budget::{CallBudget, CallKind};
+use super::etcd::EtcdKv;
 use super::memory::{Fault, MemoryKv};
+use super::wire::{Blob, Int64, TxnRequest, WatchAnswer, prefix_range};
 use super::*;
-use crate::fixtures::run_paused;
+use crate::fixtures::{check, run_paused};
+use crate::standin::{self, Running};
+
+/// Budget that no test reaches.
+const AMPLE: CallBudget = CallBudget::new(1_000_000, 1_000_000);
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Starts a stand-in with its own store.
+fn standin_kv() -> (Running, MemoryKv, EtcdKv) {
+    let store = MemoryKv::open();
+    let running = standin::kv::bind(loopback(), store.clone()).expect("loopback can be bound");
+    let kv = EtcdKv::open(vec![running.addr()], AMPLE);
+    (running, store, kv)
+}
+
+/// Runs a future on the real clock, for tests with sockets.
+fn run<F: Future>(future: F) -> F::Output {
+    actix_rt::System::new().block_on(future)
+}
 
 // Guards against a lost answer that also loses the write.
 #[test]
@@ -41,3 +69,294 @@
         assert_eq!(kv.keep_alive(lease).await, Err(KvError::LeaseGone));
     });
 }
+
+/// A call of the differential test; keys and leases come from small sets so that calls meet.
+#[derive(Debug, Clone)]
+enum Op {
+    Get(u8),
+    List(u8),
+    Txn {
+        conditions: Vec<(u8, u8)>,
+        changes: Vec<(u8, u8, u8)>,
+    },
+    Grant,
+    KeepAlive(u8),
+    Revoke(u8),
+    Fault(Fault),
+}
+
+impl Arbitrary for Op {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let draw: [u8; 5] = std::array::from_fn(|_| u8::arbitrary(g));
+        let [kind, what, ..] = draw;
+        match kind % 16 {
+            0..=2 => Self::Get(what),
+            3 | 4 => Self::List(what),
+            5..=10 => Self::Txn {
+                conditions: Vec::from([(draw[2], draw[3])]).split_off(usize::from(what % 2)),
+                changes: Vec::from([(what, draw[2], draw[3]), (draw[3], draw[4], what)])
+                    .split_off(usize::from(draw[2] % 3)),
+            },
+            11 => Self::Grant,
+            12 => Self::KeepAlive(what),
+            13 => Self::Revoke(what),
+            14 => Self::Fault(Fault::None),
+            _ => Self::Fault(FAULTS[usize::from(what) % FAULTS.len()]),
+        }
+    }
+}
+
+const FAULTS: [Fault; 3] = [Fault::Out, Fault::LoseAnswers, Fault::LoseNextWrite];
+
+fn key(n: u8) -> String {
+    // The last key ends the range of its own prefix with a longer carry.
+    ["a", "a/b", "a/c", "b", "\u{7f}"][usize::from(n % 5)].to_owned()
+}
+
+fn prefix(n: u8) -> &'static str {
+    ["", "a", "a/", "b", "\u{7f}"][usize::from(n % 5)]
+}
+
+fn lease(n: u8) -> LeaseId {
+    LeaseId(u64::from(n % 4) + 1)
+}
+
+fn change((key_of, value, lease_of): (u8, u8, u8)) -> Change {
+    match value % 4 {
+        0 => Change::Delete(key(key_of)),
+        1 => Change::Put {
+            key: key(key_of),
+            value: Bytes::from(vec![value]),
+            lease: Some(lease(lease_of)),
+        },
+        _ => Change::put(key(key_of), vec![value; usize::from(lease_of)]),
+    }
+}
+
+fn compare((key_of, revision): (u8, u8)) -> Compare {
+    if revision.is_multiple_of(2) {
+        Compare::Absent(key(key_of))
+    } else {
+        Compare::ModRevision(key(key_of), u64::from(revision / 2 % 8))
+    }
+}
+
+/// Result of a call without the reasons, which differ in wording.
+#[derive(Debug, PartialEq, Eq)]
+enum Seen {
+    Entries(Vec<Entry>),
+    Outcome(TxnOutcome),
+    Lease(LeaseId),
+    Done,
+    Read(KvError),
+    /// The client cannot tell an outage behind an open connection from a lost answer of a write.
+    WriteOutOrLost,
+    WriteError(KvError),
+}
+
+fn wordless(error: &KvError) -> KvError {
+    match error {
+        KvError::Unreachable(_) => KvError::Unreachable(String::new()),
+        KvError::AnswerLost(_) => KvError::AnswerLost(String::new()),
+        KvError::Refused(_) => KvError::Refused(String::new()),
+        KvError::LeaseGone => KvError::LeaseGone,
+    }
+}
+
+fn write_error(error: KvError) -> Seen {
+    match error {
+        KvError::Unreachable(_) | KvError::AnswerLost(_) => Seen::WriteOutOrLost,
+        other => Seen::WriteError(wordless(&other)),
+    }
+}
+
+async fn apply(kv: &dyn KeyValue, op: &Op) -> Seen {
+    let read = |error| Seen::Read(wordless(&error));
+    match op {
+        Op::Get(n) => {
+            let entry = kv.get(&key(*n)).await;
+            entry.map_or_else(read, |entry| Seen::Entries(entry.into_iter().collect()))
+        }
+        Op::List(n) => kv.list(prefix(*n)).await.map_or_else(read, Seen::Entries),
+        Op::Txn {
+            conditions,
+            changes,
+        } => {
+            let conditions = conditions.iter().copied().map(compare).collect();
+            let changes = changes.iter().copied().map(change).collect();
+            let outcome = kv.txn(conditions, changes).await;
+            outcome.map_or_else(write_error, Seen::Outcome)
+        }
+        Op::Grant => {
+            let lease = kv.grant(Millis::from_secs(1_000)).await;
+            lease.map_or_else(write_error, Seen::Lease)
+        }
+        Op::KeepAlive(n) => {
+            let renewed = kv.keep_alive(lease(*n)).await;
+            renewed.map_or_else(write_error, |()| Seen::Done)
+        }
+        Op::Revoke(n) => {
+            let revoked = kv.revoke(lease(*n)).await;
+            revoked.map_or_else(write_error, |()| Seen::Done)
+        }
+        Op::Fault(_) => Seen::Done,
+    }
+}
+
+// Guards against a client that reads or writes something else than the service does, also in outages.
+#[test]
+fn client_agrees_with_the_store_on_random_calls() {
+    fn property(ops: Vec<Op>) -> bool {
+        run(async {
+            let (_running, store, client) = standin_kv();
+            let oracle = MemoryKv::open();
+            for op in ops {
+                if let Op::Fault(fault) = op {
+                    store.set_fault(fault);
+                    oracle.set_fault(fault);
+                }
+                if apply(&client, &op).await != apply(&oracle, &op).await {
+                    return false;
+                }
+            }
+            true
+        })
+    }
+    check(11, property as fn(Vec<Op>) -> bool);
+}
+
+// Guards against a lost answer that is reported as "nothing changed".
+#[test]
+fn client_reports_a_lost_answer_of_a_write_that_took_effect() {
+    run(async {
+        let (_running, store, kv) = standin_kv();
+        store.set_fault(Fault::LoseNextWrite);
+
+        let outcome = kv.txn(vec![], vec![Change::put("a", "1")]).await;
+
+        assert!(
+            matches!(outcome, Err(KvError::AnswerLost(_))),
+            "{outcome:?}"
+        );
+        let entry = kv.get("a").await.expect("the service is back");
+        assert_eq!(entry.map(|e| e.value), Some(Bytes::from_static(b"1")));
+        assert_eq!(kv.calls().writes, 1);
+        assert_eq!(store.revision(), 1);
+    });
+}
+
+// Guards against a refused connect that is reported as a lost answer, and against a client that stays
+// with a dead address.
+#[test]
+fn client_moves_on_after_a_refused_connect() {
+    run(async {
+        let (dead, _, _) = standin_kv();
+        let gone = dead.addr();
+        dead.stop().await;
+        let (alive, _, _) = standin_kv();
+        let kv = EtcdKv::open(vec![gone, alive.addr()], AMPLE);
+
+        let first = kv.txn(vec![], vec![Change::put("a", "1")]).await;
+        let second = kv.txn(vec![], vec![Change::put("a", "2")]).await;
+
+        assert!(matches!(first, Err(KvError::Unreachable(_))), "{first:?}");
+        assert_eq!(second, Ok(TxnOutcome::Applied(1)));
+    });
+}
+
+// Guards against a watch that misses a change before or after its start.
+#[test]
+fn watch_returns_on_a_change() {
+    run(async {
+        let (_running, store, kv) = standin_kv();
+        store
+            .txn(vec![], vec![Change::put("a", "1")])
+            .await
+            .expect("the store is up");
+        let put = async {
+            // The watch has reached the store when its call is counted.
+            while store.calls() < 3 {
+                tokio::task::yield_now().await;
+            }
+            store.txn(vec![], vec![Change::put("a", "2")]).await
+        };
+
+        let earlier = kv.watch("a", 0).await;
+        let (later, _) = futures_util::join!(kv.watch("a", 1), put);
+
+        let value = |seen: Result<Option<Entry>, _>| seen.ok().flatten().map(|e| e.value);
+        assert_eq!(value(earlier), Some(Bytes::from_static(b"1")));
+        assert_eq!(value(later), Some(Bytes::from_static(b"2")));
+    });
+}
+
+// Guards against more calls than the service grants to one process.
+#[test]
+fn budget_never_passes_more_than_its_rate() {
+    fn property(steps: Vec<(u16, bool)>) -> bool {
+        let rate = 10;
+        let mut budget = CallBudget::new(rate, 0);
+        let mut now = Millis(0);
+        let mut passed: Vec<Millis> = Vec::new();
+        for (step, read) in steps {
+            now = now + Millis(u64::from(step % 300));
+            let kind = if read {
+                CallKind::Read
+            } else {
+                CallKind::Write
+            };
+            if budget.take(kind, now) {
+                assert!(read, "a rate of zero passes nothing");
+                passed.push(now);
+            }
+        }
+        // A full bucket and the calls gained since then bound every window.
+        passed.iter().enumerate().all(|(first, from)| {
+            passed[first..]
+                .iter()
+                .zip(1_u64..)
+                .all(|(to, count)| count * 1_000 <= u64::from(rate) * (1_000 + to.since(*from).0))
+        })
+    }
+    check(12, property as fn(Vec<(u16, bool)>) -> bool);
+}
+
+// Guards against a call over budget that still reaches the service.
+#[test]
+fn client_refuses_calls_over_budget() {
+    run(async {
+        let (running, store, _) = standin_kv();
+        let kv = EtcdKv::open(vec![running.addr()], CallBudget::new(0, 0));
+
+        assert!(matches!(kv.get("a").await, Err(KvError::Refused(_))));
+        assert!(matches!(
+            kv.txn(vec![], vec![]).await,
+            Err(KvError::Refused(_))
+        ));
+        assert_eq!(store.calls(), 0);
+        assert_eq!(kv.calls().refused_writes, 1);
+    });
+}
+
+// Guards against messages that only the stand-in understands; the texts follow etcd's documentation.
+#[test]
+fn messages_have_the_form_of_etcd() {
+    let txn = r#"{"compare":[{"createRevision":"2","target":"CREATE","result":"EQUAL","key":"Zm9v"}],
+        "success":[{"requestPut":{"key":"Zm9v","value":"YmFy"}}]}"#;
+    let txn: TxnRequest = serde_json::from_str(txn).expect("the text is a transaction");
+    let written = serde_json::to_string(&txn).expect("a transaction has a JSON form");
+    assert_eq!(
+        written,
+        concat!(
+            r#"{"compare":[{"key":"Zm9v","target":"CREATE","result":"EQUAL","create_revision":"2"}],"#,
+            r#""success":[{"request_put":{"key":"Zm9v","value":"YmFy","lease":"0"}}]}"#
+        )
+    );
+    let event = r#"{"header":{"cluster_id":"1","member_id":"2","revision":"2","raft_term":"2"},
+        "events":[{"kv":{"key":"Zm9v","create_revision":"2","mod_revision":"2","version":"1",
+        "value":"YmFy"}}]}"#;
+    let answer: WatchAnswer = serde_json::from_str(event).expect("the text is an event");
+    assert_eq!(answer.events[0].kv.value, Blob::from("bar"));
+    assert_eq!(answer.events[0].kv.mod_revision, Int64(2));
+    assert_eq!(prefix_range("foo").1, Blob::from("fop"));
+}
