Add containment of requests that crash upstreams

Change: Fingerprint, Report and Suspects, a union of reports keyed by fingerprint and crash, which expire after an hour and are bounded to 8,192; the oldest go first, those of refused fingerprints last. Admission decides at the agent on run, wait (another suspect runs here) or refuse (two crashes). A crash speaks against the version unless exactly one request in flight was a suspect before it.

Ruled out: clearing a suspect that completed once, since a request that kills only sometimes would then pass the bound. Counting a lone first-time request as a known suspect, since a version that crashes on every request at low load would never be blamed.

Copies that are sent at the same time can run at several upstreams before the first crash is known.

--- /dev/null
+++ b/src/suspect/admission.rs
@@ -0,0 +1,158 @@
+//! Admission of requests at an agent with regard to crashes.
+
+use super::{CrashId, Fingerprint, REFUSE_AT, Report, Suspects};
+use crate::ids::{Incarnation, RequestId};
+use crate::units::Millis;
+
+/// Decision on a request that wants to run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admit {
+    /// Run it.
+    Run,
+    /// The request is a suspect and another suspect runs here; ask again when a run ends.
+    Wait,
+    /// The request was in flight at [`REFUSE_AT`] crashes or more and does not run.
+    Refuse {
+        /// Number of the crashes.
+        crashes: usize,
+    },
+}
+
+/// One run of a request at the engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Run {
+    /// The request.
+    pub request: RequestId,
+    /// The gateway's number of the attempt.
+    pub attempt: u32,
+}
+
+/// What a crash speaks against.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Blame {
+    /// Exactly one request in flight was a suspect before; no evidence against the version.
+    Request(Fingerprint),
+    /// No request or several requests in flight were suspects before; evidence against the version.
+    Version,
+}
+
+/// A crash of the engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Crash {
+    /// Identity of the crash.
+    pub id: CrashId,
+    /// What the crash speaks against.
+    pub blame: Blame,
+    /// Reports for all gateways with a request in flight; they spread them before they answer callers.
+    pub reports: Vec<Report>,
+    /// The runs that the crash ended.
+    pub ended: Vec<Run>,
+}
+
+/// Admission at one agent.
+#[derive(Debug)]
+pub struct Admission {
+    agent: Incarnation,
+    crashes: u64,
+    /// Sorted by run.
+    running: Vec<(Run, Fingerprint)>,
+    suspects: Suspects,
+}
+
+impl Admission {
+    /// Makes the admission of an agent without runs.
+    #[must_use]
+    pub const fn new(agent: Incarnation, suspects: Suspects) -> Self {
+        Self {
+            agent,
+            crashes: 0,
+            running: Vec::new(),
+            suspects,
+        }
+    }
+
+    /// Returns the agent's crash reports.
+    #[must_use]
+    pub const fn suspects(&self) -> &Suspects {
+        &self.suspects
+    }
+
+    /// Adds reports of other processes; see [`Suspects::merge`].
+    pub fn merge(&mut self, reports: &[Report], now: Millis) -> Vec<Report> {
+        self.suspects.merge(reports, now)
+    }
+
+    /// Decides on a run and registers it if it may start.
+    #[must_use]
+    pub fn admit(&mut self, run: Run, fingerprint: Fingerprint, now: Millis) -> Admit {
+        let crashes = self.suspects.count(fingerprint, now);
+        if crashes >= REFUSE_AT {
+            return Admit::Refuse { crashes };
+        }
+        if crashes > 0 && self.suspects_in_flight(now).next().is_some() {
+            return Admit::Wait;
+        }
+        if let Err(at) = self.position(run) {
+            self.running.insert(at, (run, fingerprint));
+        }
+        Admit::Run
+    }
+
+    /// Notes that a run ended without a crash.
+    pub fn finish(&mut self, run: Run) {
+        if let Ok(at) = self.position(run) {
+            self.running.remove(at);
+        }
+    }
+
+    /// Takes a crash of the engine, which ends all runs.
+    ///
+    /// A planned stop of the engine or of its VM is not a crash.
+    pub fn crash(&mut self, now: Millis) -> Crash {
+        self.crashes += 1;
+        let id = CrashId {
+            agent: self.agent,
+            number: self.crashes,
+        };
+        let blame = self.blame(now);
+        let running = std::mem::take(&mut self.running);
+        let mut reports: Vec<_> = running
+            .iter()
+            .map(|&(_, fingerprint)| Report {
+                fingerprint,
+                crash: id,
+                at: now,
+            })
+            .collect();
+        reports.sort_unstable();
+        reports.dedup();
+        self.suspects.merge(&reports, now);
+        Crash {
+            id,
+            blame,
+            reports,
+            ended: running.into_iter().map(|(run, _)| run).collect(),
+        }
+    }
+
+    fn blame(&self, now: Millis) -> Blame {
+        let mut suspects: Vec<_> = self.suspects_in_flight(now).collect();
+        suspects.sort_unstable();
+        suspects.dedup();
+        match suspects.as_slice() {
+            [fingerprint] => Blame::Request(*fingerprint),
+            _ => Blame::Version,
+        }
+    }
+
+    fn suspects_in_flight(&self, now: Millis) -> impl Iterator<Item = Fingerprint> {
+        self.running
+            .iter()
+            .map(|&(_, fingerprint)| fingerprint)
+            .filter(move |&fingerprint| self.suspects.count(fingerprint, now) > 0)
+    }
+
+    fn position(&self, run: Run) -> Result<usize, usize> {
+        self.running.binary_search_by_key(&run, |&(run, _)| run)
+    }
+}
--- a/src/suspect/mod.rs
+++ b/src/suspect/mod.rs
@@ -1,1 +1,160 @@
 //! Containment of requests that crash the upstreams that run them.
+//!
+//! Every request in flight at an engine crash becomes a suspect. Agents and gateways exchange reports, which
+//! form a set: merging is a union, so that repeated and reordered reports do not count twice.
+
+mod admission;
+#[cfg(test)]
+mod tests;
+
+use std::fmt;
+
+use sha2::{Digest, Sha256};
+
+pub use admission::{Admission, Admit, Blame, Crash, Run};
+
+use crate::ids::{AccountId, Incarnation};
+use crate::units::Millis;
+
+/// Number of crashes at which a fingerprint is refused; bounds the upstreams that it takes down.
+pub const REFUSE_AT: usize = 2;
+
+/// How long a crash counts against the requests that were in flight.
+pub const SUSPECT_LIFETIME: Millis = Millis::from_secs(3_600);
+
+/// Default bound of the reports in memory, 64 bytes each.
+pub const MAX_REPORTS: usize = 8_192;
+
+/// SHA-256 of a request's account and body.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Fingerprint(pub [u8; 32]);
+
+impl Fingerprint {
+    /// Makes the fingerprint of a request.
+    #[must_use]
+    pub fn of(account: &AccountId, body: &[u8]) -> Self {
+        let account = account.as_str().as_bytes();
+        let mut hash = Sha256::new();
+        // The length separates the two parts.
+        hash.update((account.len() as u64).to_be_bytes());
+        hash.update(account);
+        hash.update(body);
+        Self(hash.finalize().into())
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+/// One crash of an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CrashId {
+    /// Incarnation of the agent beside the engine.
+    pub agent: Incarnation,
+    /// Number of the crash within the incarnation, from 1.
+    pub number: u64,
+}
+
+/// States that a request was in flight at a crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Report {
+    /// The request's fingerprint.
+    pub fingerprint: Fingerprint,
+    /// The crash.
+    pub crash: CrashId,
+    /// Time of the crash by the agent's clock, in Unix milliseconds.
+    pub at: Millis,
+}
+
+impl Report {
+    const fn id(&self) -> (Fingerprint, CrashId) {
+        (self.fingerprint, self.crash)
+    }
+
+    fn is_expired(&self, now: Millis) -> bool {
+        now.since(self.at) > SUSPECT_LIFETIME
+    }
+}
+
+/// The crash reports that a process knows, bounded in number.
+#[derive(Debug)]
+pub struct Suspects {
+    /// Sorted by fingerprint, then by crash.
+    reports: Vec<Report>,
+    max_reports: usize,
+}
+
+impl Suspects {
+    /// Makes an empty set of at most `max_reports`.
+    #[must_use]
+    pub const fn new(max_reports: usize) -> Self {
+        Self {
+            reports: Vec::new(),
+            max_reports,
+        }
+    }
+
+    /// Adds reports and returns those that were new, which are worth passing on.
+    ///
+    /// Expired reports are not taken; a peer with a slower clock would otherwise bring them back.
+    pub fn merge(&mut self, reports: &[Report], now: Millis) -> Vec<Report> {
+        self.expire(now);
+        let mut news = Vec::new();
+        for report in reports.iter().filter(|r| !r.is_expired(now)) {
+            if let Err(at) = self.reports.binary_search_by_key(&report.id(), Report::id) {
+                self.reports.insert(at, *report);
+                news.push(*report);
+            }
+        }
+        while self.reports.len() > self.max_reports {
+            self.evict();
+        }
+        news
+    }
+
+    /// Returns the number of crashes at which the fingerprint was in flight.
+    #[must_use]
+    pub fn count(&self, fingerprint: Fingerprint, now: Millis) -> usize {
+        let reports = self.of(fingerprint);
+        reports.iter().filter(|r| !r.is_expired(now)).count()
+    }
+
+    /// Returns all reports, for a peer that has just connected.
+    #[must_use]
+    pub fn reports(&self) -> &[Report] {
+        &self.reports
+    }
+
+    fn of(&self, fingerprint: Fingerprint) -> &[Report] {
+        let from = self
+            .reports
+            .partition_point(|r| r.fingerprint < fingerprint);
+        let len = self.reports[from..].partition_point(|r| r.fingerprint == fingerprint);
+        &self.reports[from..from + len]
+    }
+
+    fn expire(&mut self, now: Millis) {
+        self.reports.retain(|report| !report.is_expired(now));
+    }
+
+    /// Drops the oldest report, but those of refused fingerprints last.
+    fn evict(&mut self) {
+        let refused = |r: &Report| self.of(r.fingerprint).len() >= REFUSE_AT;
+        let oldest = (0..self.reports.len()).min_by_key(|&at| {
+            let report = &self.reports[at];
+            (refused(report), report.at)
+        });
+        if let Some(at) = oldest {
+            self.reports.remove(at);
+        }
+    }
+}
