Add the membership of upstreams and subset choice

Change: - Members joins direct evidence with the VM list into live, suspect, leaving or gone, and gives connect, disconnect and ping effects. - subset and targets choose the upstreams of a version by rendezvous hashing, own data centre first.

Ruled out: one back-off for all (2 s costs reconnects to removed VMs, 10 s delays those that the list calls live); remembering all earlier incarnations (unbounded, and attempt numbers already order evidence).

The balance bound is Chernoff's for 410 gateways and 200 upstreams with probability 1e-6.

The test first sent the leaving notice once; a lost notice then left the upstream live.

Conclusion: no new work after a notice or 3 s of silence in all cases.

--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,1 +1,363 @@
 //! Which upstreams are live, leaving or gone, and which of them a gateway talks to.
+//!
+//! Direct evidence (a connection, a reply, a notice, a refusal, silence) takes precedence over the
+//! platform's VM list, which lags. The list only decides where there is no fresh direct evidence.
+
+mod subset;
+#[cfg(test)]
+mod tests;
+
+pub use subset::{SUBSET_SIZE, rank, subset};
+
+use crate::ids::{DataCentre, Incarnation, UpstreamId};
+use crate::units::Millis;
+
+/// Silence after which an upstream gets no new work.
+pub const SILENCE: Millis = Millis::from_secs(3);
+/// Silence after which an upstream is gone whatever the VM list says.
+pub const GONE_SILENCE: Millis = Millis::from_secs(30);
+/// Time between two pings, so that two may be lost before [`SILENCE`].
+pub const PING_INTERVAL: Millis = Millis::from_secs(1);
+/// Time after which a connection attempt without an answer is given up.
+pub const CONNECT_TIMEOUT: Millis = Millis::from_secs(3);
+/// Wait after the first failed connection attempt; it doubles with each further one.
+pub const RETRY_MIN: Millis = Millis(250);
+/// Longest wait between attempts to an upstream that the VM list does not call leaving or absent.
+pub const RETRY_MAX: Millis = Millis::from_secs(2);
+/// Longest wait between attempts to an upstream that the VM list calls leaving or absent.
+pub const RETRY_MAX_UNLISTED: Millis = Millis::from_secs(10);
+/// Time within which a reachable and responsive upstream is usable again, apart from the round trip.
+///
+/// The last attempt before it answered may take the timeout, and the wait after it is at most this long.
+pub const USABLE_WITHIN: Millis = Millis(CONNECT_TIMEOUT.0 + RETRY_MAX_UNLISTED.0);
+/// Incarnations of an upstream that are remembered as having left.
+const MAX_DEPARTED: usize = 8;
+
+/// State of an upstream as one gateway sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum State {
+    /// Connected and heard from; may receive new work.
+    Live,
+    /// No fresh sign of life, and none that it is gone.
+    Suspect,
+    /// Finishes its work and takes no more.
+    Leaving,
+    /// Not there.
+    Gone,
+}
+
+/// What the VM list says about an upstream's VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listed {
+    /// The VM is live.
+    Live,
+    /// The VM is leaving.
+    Leaving,
+    /// The VM is not in the list.
+    Absent,
+}
+
+/// Number of a connection attempt; evidence of an earlier attempt is ignored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Attempt(pub u64);
+
+/// Direct evidence about an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Evidence {
+    /// The attempt succeeded and reached this incarnation.
+    Connected(Attempt, Incarnation),
+    /// The attempt was refused.
+    Refused(Attempt),
+    /// The connection of this attempt was closed.
+    Closed(Attempt),
+    /// A message of this incarnation arrived.
+    Heard(Incarnation),
+    /// This incarnation says that it is leaving; every status reply repeats it, so a lost notice is repaired.
+    Leaving(Incarnation),
+}
+
+/// What the gateway has to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// Connect and report the result with the number of the attempt.
+    Connect(UpstreamId, Attempt),
+    /// Close the connection or give the attempt up.
+    ///
+    /// Responses that are still being read continue on a connection of their own.
+    Disconnect(UpstreamId),
+    /// Send a status message.
+    Ping(UpstreamId),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Link {
+    Down { retry_at: Millis },
+    Connecting { since: Millis },
+    Up { next_ping: Millis },
+}
+
+#[derive(Debug)]
+struct Member {
+    id: UpstreamId,
+    wanted: bool,
+    listed: Option<Listed>,
+    link: Link,
+    attempt: Attempt,
+    failures: u32,
+    refused: bool,
+    process: Option<Incarnation>,
+    heard: Option<Millis>,
+    /// Incarnations that gave notice; they never become live again.
+    departed: Vec<Incarnation>,
+}
+
+/// The upstreams of one gateway.
+#[derive(Debug, Default)]
+pub struct Members {
+    /// Sorted by name. Unwanted ones are kept, so that a notice is not forgotten.
+    members: Vec<Member>,
+}
+
+impl Members {
+    /// Starts without upstreams.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets the upstreams that the gateway is to be connected to.
+    pub fn want(&mut self, wanted: &[UpstreamId], now: Millis) {
+        for member in &mut self.members {
+            member.wanted = false;
+        }
+        for id in wanted {
+            let at = match self.position(id) {
+                Ok(at) => at,
+                Err(at) => {
+                    self.members.insert(at, Member::new(id.clone(), now));
+                    at
+                }
+            };
+            self.members[at].wanted = true;
+        }
+    }
+
+    /// Forgets upstreams that are no longer in the configuration and not wanted.
+    pub fn retain(&mut self, configured: impl Fn(&UpstreamId) -> bool) {
+        self.members
+            .retain(|member| member.wanted || member.is_linked() || configured(&member.id));
+    }
+
+    /// Takes a new VM list; an upstream that is not in it counts as absent.
+    pub fn list(&mut self, list: &[(UpstreamId, Listed)], now: Millis) {
+        for member in &mut self.members {
+            let entry = list.iter().find(|(id, _)| *id == member.id);
+            let listed = entry.map_or(Listed::Absent, |(_, listed)| *listed);
+            let appeared = listed == Listed::Live && member.listed != Some(Listed::Live);
+            member.listed = Some(listed);
+            if let (true, Link::Down { retry_at }) = (appeared, &mut member.link) {
+                *retry_at = now.min(*retry_at);
+            }
+        }
+    }
+
+    /// Takes direct evidence; evidence about an upstream that is not known is ignored.
+    pub fn observe(&mut self, id: &UpstreamId, evidence: Evidence, now: Millis) {
+        if let Ok(at) = self.position(id) {
+            self.members[at].observe(evidence, now);
+        }
+    }
+
+    /// Returns what is due now.
+    pub fn step(&mut self, now: Millis) -> Vec<Effect> {
+        self.members
+            .iter_mut()
+            .flat_map(|member| member.step(now))
+            .collect()
+    }
+
+    /// Returns the state of an upstream; one that is not known is gone.
+    #[must_use]
+    pub fn state(&self, id: &UpstreamId, now: Millis) -> State {
+        self.position(id)
+            .map_or(State::Gone, |at| self.members[at].state(now))
+    }
+
+    /// Returns the incarnation that may receive new work now, if any.
+    #[must_use]
+    pub fn usable(&self, id: &UpstreamId, now: Millis) -> Option<Incarnation> {
+        let member = &self.members[self.position(id).ok()?];
+        member.process.filter(|_| member.state(now) == State::Live)
+    }
+
+    /// Returns all upstreams that may receive new work now, by name.
+    #[must_use]
+    pub fn all_usable(&self, now: Millis) -> Vec<&UpstreamId> {
+        let live = self.members.iter().filter(|m| m.state(now) == State::Live);
+        live.map(|member| &member.id).collect()
+    }
+
+    /// Chooses the upstreams of one version to be connected to.
+    ///
+    /// These are the subset of all, so that an upstream that comes back is found, and the subset of those
+    /// that are neither leaving nor gone, so that the loss of a data centre leaves enough of them.
+    #[must_use]
+    pub fn targets(
+        &self,
+        gateway: &str,
+        own: &DataCentre,
+        upstreams: &[(UpstreamId, DataCentre)],
+        n: usize,
+        now: Millis,
+    ) -> Vec<UpstreamId> {
+        let is_lost = |id: &UpstreamId| {
+            let known = self.position(id).is_ok();
+            known && matches!(self.state(id, now), State::Leaving | State::Gone)
+        };
+        let remaining: Vec<_> = upstreams
+            .iter()
+            .filter(|(id, _)| !is_lost(id))
+            .cloned()
+            .collect();
+        let mut targets = subset(gateway, own, upstreams, n);
+        for id in subset(gateway, own, &remaining, n) {
+            if !targets.contains(&id) {
+                targets.push(id);
+            }
+        }
+        targets
+    }
+
+    fn position(&self, id: &UpstreamId) -> Result<usize, usize> {
+        self.members.binary_search_by(|member| member.id.cmp(id))
+    }
+}
+
+impl Member {
+    const fn new(id: UpstreamId, now: Millis) -> Self {
+        Self {
+            id,
+            wanted: true,
+            listed: None,
+            link: Link::Down { retry_at: now },
+            attempt: Attempt(0),
+            failures: 0,
+            refused: false,
+            process: None,
+            heard: None,
+            departed: Vec::new(),
+        }
+    }
+
+    const fn is_linked(&self) -> bool {
+        !matches!(self.link, Link::Down { .. })
+    }
+
+    fn has_left(&self) -> bool {
+        self.process.is_some_and(|p| self.departed.contains(&p))
+    }
+
+    fn silence(&self, now: Millis) -> Millis {
+        self.heard.map_or(Millis(u64::MAX), |at| now.since(at))
+    }
+
+    fn state(&self, now: Millis) -> State {
+        let silence = self.silence(now);
+        let is_fresh = matches!(self.link, Link::Up { .. }) && silence < SILENCE;
+        let was_heard = self.heard.is_some();
+        match self.listed {
+            _ if self.refused => State::Gone,
+            _ if is_fresh && self.has_left() => State::Leaving,
+            _ if is_fresh => State::Live,
+            _ if was_heard && silence >= GONE_SILENCE => State::Gone,
+            Some(Listed::Absent) if silence >= SILENCE => State::Gone,
+            _ if self.has_left() => State::Leaving,
+            Some(Listed::Leaving) => State::Leaving,
+            _ => State::Suspect,
+        }
+    }
+
+    fn observe(&mut self, evidence: Evidence, now: Millis) {
+        match evidence {
+            Evidence::Connected(attempt, process) if self.is_current(attempt) => {
+                self.link = Link::Up { next_ping: now };
+                self.process = Some(process);
+                self.heard = Some(now);
+                self.refused = false;
+                self.failures = 0;
+            }
+            Evidence::Refused(attempt) if self.is_current(attempt) => {
+                self.refused = true;
+                self.fail(now);
+            }
+            Evidence::Closed(attempt) if self.is_current(attempt) => self.fail(now),
+            Evidence::Heard(process) if self.process == Some(process) => self.heard = Some(now),
+            Evidence::Leaving(process) => self.depart(process),
+            // The evidence is older than what is known.
+            _ => {}
+        }
+    }
+
+    fn is_current(&self, attempt: Attempt) -> bool {
+        self.is_linked() && self.attempt == attempt
+    }
+
+    fn depart(&mut self, process: Incarnation) {
+        if !self.departed.contains(&process) {
+            if self.departed.len() >= MAX_DEPARTED {
+                let current = self.process;
+                let oldest = self.departed.iter().position(|p| Some(*p) != current);
+                oldest.map(|at| self.departed.remove(at));
+            }
+            self.departed.push(process);
+        }
+    }
+
+    fn fail(&mut self, now: Millis) {
+        let wait = Millis(RETRY_MIN.0 << self.failures.min(10));
+        let longest = match self.listed {
+            Some(Listed::Leaving | Listed::Absent) => RETRY_MAX_UNLISTED,
+            Some(Listed::Live) | None => RETRY_MAX,
+        };
+        self.failures = self.failures.saturating_add(1);
+        self.link = Link::Down {
+            retry_at: now + wait.min(longest),
+        };
+    }
+
+    fn step(&mut self, now: Millis) -> Vec<Effect> {
+        if !self.wanted {
+            return self.disconnect(now).into_iter().collect();
+        }
+        let mut effects = Vec::new();
+        let timed_out = match self.link {
+            Link::Up { .. } => self.silence(now) >= SILENCE,
+            Link::Connecting { since } => now.since(since) >= CONNECT_TIMEOUT,
+            Link::Down { .. } => false,
+        };
+        if timed_out {
+            effects.extend(self.disconnect(now));
+        }
+        match &mut self.link {
+            Link::Down { retry_at } if now >= *retry_at => {
+                self.attempt.0 += 1;
+                self.link = Link::Connecting { since: now };
+                effects.push(Effect::Connect(self.id.clone(), self.attempt));
+            }
+            Link::Up { next_ping } if now >= *next_ping => {
+                *next_ping = now + PING_INTERVAL;
+                effects.push(Effect::Ping(self.id.clone()));
+            }
+            _ => {}
+        }
+        effects
+    }
+
+    fn disconnect(&mut self, now: Millis) -> Option<Effect> {
+        if !self.is_linked() {
+            return None;
+        }
+        self.fail(now);
+        Some(Effect::Disconnect(self.id.clone()))
+    }
+}
--- /dev/null
+++ b/src/membership/tests.rs
@@ -0,0 +1,281 @@
+//! Tests of the membership against an oracle that sees the processes and every delivery.
+
+use super::*;
+use crate::fixtures::check;
+
+type Op = (u8, u8, u8);
+
+const TICK: Millis = Millis(100);
+
+/// An upstream as it is, and what the oracle saw delivered about it.
+#[derive(Debug)]
+struct Truth {
+    id: UpstreamId,
+    process: Incarnation,
+    running: bool,
+    hung: bool,
+    leaving: bool,
+    attempt: Attempt,
+    /// Delivered evidence: the last sign of life of each incarnation, and whether it gave notice.
+    signs: Vec<(Incarnation, Millis, bool)>,
+}
+
+#[derive(Debug)]
+struct World {
+    now: Millis,
+    members: Members,
+    truths: Vec<Truth>,
+    /// Evidence that is still under way.
+    late: Vec<(usize, Evidence)>,
+    born: u128,
+    lossy: bool,
+    cut: [bool; 3],
+}
+
+impl World {
+    fn start() -> Self {
+        let truths: Vec<_> = (0..3)
+            .map(|n| Truth {
+                id: format!("u{n}").into(),
+                process: Incarnation(n),
+                running: true,
+                hung: false,
+                leaving: false,
+                attempt: Attempt(0),
+                signs: Vec::new(),
+            })
+            .collect();
+        let wanted: Vec<_> = truths.iter().map(|t| t.id.clone()).collect();
+        let mut members = Members::new();
+        members.want(&wanted, Millis(0));
+        Self {
+            now: Millis(0),
+            members,
+            truths,
+            late: Vec::new(),
+            born: 10,
+            lossy: false,
+            cut: [false; 3],
+        }
+    }
+
+    fn deliver(&mut self, at: usize, evidence: Evidence) {
+        let now = self.now;
+        let truth = &mut self.truths[at];
+        if let Evidence::Connected(_, p) | Evidence::Heard(p) | Evidence::Leaving(p) = evidence {
+            let is_notice = matches!(evidence, Evidence::Leaving(_));
+            match truth.signs.iter_mut().find(|(process, ..)| *process == p) {
+                Some((_, seen, left)) => {
+                    *left |= is_notice;
+                    *seen = if is_notice { *seen } else { now };
+                }
+                None => truth.signs.push((p, now, is_notice)),
+            }
+        }
+        self.members.observe(&truth.id, evidence, now);
+    }
+
+    fn send(&mut self, at: usize, evidence: Evidence) {
+        if self.lossy {
+            self.late.push((at, evidence));
+        } else {
+            self.deliver(at, evidence);
+        }
+    }
+
+    fn apply(&mut self, (kind, pick, arg): Op) {
+        let at = usize::from(pick) % 3;
+        match kind % 12 {
+            0 => {
+                self.born += 1;
+                let truth = &mut self.truths[at];
+                truth.process = Incarnation(self.born);
+                (truth.running, truth.hung, truth.leaving) = (true, false, false);
+            }
+            1 => {
+                self.truths[at].running = false;
+                if !self.cut[at] {
+                    let closed = Evidence::Closed(self.truths[at].attempt);
+                    self.send(at, closed);
+                }
+            }
+            2 => self.truths[at].hung ^= true,
+            3 => self.cut[at] ^= true,
+            4 if self.truths[at].running => {
+                self.truths[at].leaving = true;
+                let notice = Evidence::Leaving(self.truths[at].process);
+                self.send(at, notice);
+            }
+            5 => self.lossy ^= true,
+            6 | 7 if !self.late.is_empty() => {
+                let (at, evidence) = self.late.remove(usize::from(arg) % self.late.len());
+                self.deliver(at, evidence);
+            }
+            8 => {
+                // The list may say anything about each VM.
+                let said = |n: usize| [Listed::Live, Listed::Leaving, Listed::Absent][n % 3];
+                let list: Vec<_> = (0..3)
+                    .map(|n| (self.truths[n].id.clone(), said(usize::from(arg) >> (2 * n))))
+                    .collect();
+                self.members.list(&list, self.now);
+            }
+            9 => {
+                let wanted = self.truths.iter().enumerate().filter(|(n, _)| *n != at);
+                let wanted: Vec<_> = wanted.map(|(_, t)| t.id.clone()).collect();
+                self.members.want(&wanted, self.now);
+            }
+            _ => (0..arg % 64).for_each(|_| self.tick()),
+        }
+        self.verify();
+    }
+
+    fn tick(&mut self) {
+        self.now = self.now + TICK;
+        for effect in self.members.step(self.now) {
+            let (Effect::Connect(id, _) | Effect::Ping(id)) = &effect else {
+                continue;
+            };
+            let at = self.truths.iter().position(|t| t.id == *id).expect("known");
+            let cut = self.cut[at];
+            let truth = &mut self.truths[at];
+            let process = truth.process;
+            let responsive = truth.running && !truth.hung && !cut;
+            match effect {
+                Effect::Connect(_, attempt) if responsive => {
+                    truth.attempt = attempt;
+                    self.send(at, Evidence::Connected(attempt, process));
+                }
+                Effect::Connect(_, attempt) if !truth.running && !cut => {
+                    self.send(at, Evidence::Refused(attempt));
+                }
+                Effect::Ping(_) if responsive => {
+                    let leaving = truth.leaving;
+                    self.send(at, Evidence::Heard(process));
+                    if leaving {
+                        self.send(at, Evidence::Leaving(process));
+                    }
+                }
+                _ => {}
+            }
+        }
+        self.verify();
+    }
+
+    fn verify(&self) {
+        for truth in &self.truths {
+            // Holds without a step, too.
+            let after = self.members.usable(&truth.id, self.now + SILENCE);
+            assert_eq!(after, None, "{} is usable after silence", truth.id);
+            let Some(usable) = self.members.usable(&truth.id, self.now) else {
+                continue;
+            };
+            let sign = truth.signs.iter().find(|(process, ..)| *process == usable);
+            let (_, seen, left) = sign.expect("a usable upstream gave a sign of life");
+            assert!(!left, "{} gets work after its notice", truth.id);
+            assert!(self.now.since(*seen) < SILENCE, "{} is silent", truth.id);
+        }
+    }
+
+    /// Ends all faults but the state of the processes and the VM list.
+    fn settle(&mut self) {
+        self.lossy = false;
+        self.late.clear();
+        let wanted: Vec<_> = self.truths.iter().map(|t| t.id.clone()).collect();
+        self.members.want(&wanted, self.now);
+        self.cut = [false; 3];
+        let end = self.now + USABLE_WITHIN + TICK;
+        while self.now < end {
+            self.tick();
+        }
+        for truth in &self.truths {
+            let usable = self.members.usable(&truth.id, self.now);
+            let expected = truth.running && !truth.hung && !truth.leaving;
+            assert_eq!(usable, expected.then_some(truth.process), "{truth:?}");
+        }
+    }
+}
+
+// Guards against work for an upstream that left or fell silent, and against one that is never used again,
+// whatever the VM list says and however late evidence arrives.
+#[test]
+fn work_follows_direct_evidence() {
+    fn property(ops: Vec<Op>, more: Vec<Op>) -> bool {
+        let mut world = World::start();
+        ops.into_iter().chain(more).for_each(|op| world.apply(op));
+        world.settle();
+        true
+    }
+    check(31, property as fn(Vec<Op>, Vec<Op>) -> bool);
+}
+
+fn fleet(count: usize) -> Vec<(UpstreamId, DataCentre)> {
+    let upstream = |n: usize| (format!("u{n}").into(), ["a", "b", "c"][n % 3].into());
+    (0..count).map(upstream).collect()
+}
+
+// Guards against a change of one upstream that moves the connections to others.
+#[test]
+fn removing_one_upstream_changes_at_most_its_own_place() {
+    fn property(gateway: u16, count: u8, removed: u8, n: u8) -> bool {
+        let all = fleet(usize::from(count) + 1);
+        let mut rest = all.clone();
+        let (gone, _) = rest.remove(usize::from(removed) % all.len());
+        let (gateway, own, n) = (format!("gw{gateway}"), "b".into(), usize::from(n % 40));
+        let before = subset(&gateway, &own, &all, n);
+        let after = subset(&gateway, &own, &rest, n);
+        let kept: Vec<_> = before.iter().filter(|id| **id != gone).collect();
+        let own_count = all.iter().filter(|(_, dc)| *dc == own).count();
+        let is_own = |id: &UpstreamId| all.iter().any(|(u, dc)| u == id && *dc == own);
+        before.len() == n.min(all.len())
+            && before.iter().take(own_count).all(is_own)
+            && after.iter().take(kept.len()).eq(kept)
+            && after.len() == n.min(rest.len())
+    }
+    check(32, property as fn(u16, u8, u8, u8) -> bool);
+}
+
+// Guards against gateways that crowd on a few upstreams.
+//
+// The number of gateways of an upstream is binomial with mean m. By Chernoff's bound it differs from m by
+// more than sqrt(3 m ln(2 U / p)) at any of U upstreams with a probability below p.
+#[test]
+fn subsets_are_balanced_across_gateways() {
+    let (gateways, upstreams, p) = (410, 200, 1e-6_f64);
+    let all: Vec<_> = fleet(upstreams)
+        .into_iter()
+        .map(|(id, _)| (id, "a".into()))
+        .collect();
+    let mut counts = vec![0_u32; upstreams];
+    for gateway in 0..gateways {
+        for id in subset(&format!("gw{gateway}"), &"a".into(), &all, SUBSET_SIZE) {
+            let at = all.iter().position(|(u, _)| *u == id).expect("known");
+            counts[at] += 1;
+        }
+    }
+
+    let mean = f64::from(gateways) * 24.0 / 200.0;
+    let spread = (3.0 * mean * (2.0 * 200.0 / p).ln()).sqrt();
+    let is_near = |count: &u32| (f64::from(*count) - mean).abs() <= spread;
+    assert!(counts.iter().all(is_near), "{counts:?}");
+}
+
+// Guards against a gateway that is left with the upstreams of a lost data centre.
+#[test]
+fn targets_replace_lost_upstreams_and_keep_looking_for_them() {
+    let all = fleet(9);
+    let own = "a".into();
+    let mut members = Members::new();
+    let first = members.targets("gw", &own, &all, 3, Millis(0));
+    members.want(&first, Millis(0));
+    for effect in members.step(Millis(0)) {
+        let Effect::Connect(id, attempt) = effect else {
+            panic!("{effect:?}");
+        };
+        members.observe(&id, Evidence::Refused(attempt), Millis(0));
+    }
+
+    let second = members.targets("gw", &own, &all, 3, Millis(0));
+
+    assert_eq!(second.len(), 6);
+    assert_eq!(second[..3], first);
+}
