Add the HTTP server under the daemons' listeners

Cause: slow and oversized senders must get a 4xx and hold nobody up, and a planned stop must cut off no answer.

Ruled out: actix-server, which handles process signals by itself and runs its own worker threads beside the single-threaded arbiter.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 #[cfg(test)]
 mod fixtures;
 pub mod gateway;
+pub mod http;
 pub mod idempotency;
 pub mod ids;
 pub mod ledger;
