Apply sheets by compare-and-swap and read them back

Change: `operator::apply` writes the missing parts in batches of at most 64 writes and half a value, then the root and the previous root in one transaction. After a lost answer it looks at the root again and repeats the same compare-and-swap; it reports `Unknown` only if the root cannot prove the outcome. `collect` removes parts that neither root names and marks each removal in a key on which the write of a root is conditional. `read` uses a cache of parts, lists the parts if more than four are missing, and starts again when the root was replaced during the read. `status` and `wait` serve the verbs.

Ruled out: taking an unchanged root after a lost answer as proof of no effect (the write may still arrive); collection guarded by the root alone (an apply that had written its parts would lose them).

Conclusion: the daemons can use `read`; the program needs a client.

--- /dev/null
+++ b/src/operator/apply.rs
@@ -0,0 +1,290 @@
+//! Putting a sheet into force.
+
+use std::fmt;
+
+use bytes::Bytes;
+
+use super::read::{ReadError, StoredRoot, read, read_root};
+use super::{COLLECTION_KEY, MAX_TXN_OPS, PREVIOUS_ROOT_KEY, ROOT_KEY, part_key};
+use crate::platform::{Change, Compare, KeyValue, KvError, MAX_VALUE_BYTES, TxnOutcome};
+use crate::sheet::digest::ApplyId;
+use crate::sheet::parts::{Part, PartCache, PartsError, RECENT_APPLIES, Root, split};
+use crate::sheet::{Difference, Sheet, diff};
+use crate::units::Millis;
+
+/// Times that an apply looks at the root and tries to replace it.
+const ATTEMPTS: usize = 4;
+
+/// Time between two attempts.
+const RETRY_WAIT: Millis = Millis(500);
+
+/// Times that a batch of parts is sent when its answer is lost; writing a part twice is harmless.
+const BATCH_ATTEMPTS: usize = 3;
+
+/// Most bytes of parts in one transaction; a larger part goes alone.
+const MAX_BATCH_BYTES: usize = MAX_VALUE_BYTES / 2;
+
+/// A sheet that is or was in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Applied {
+    /// The revision that the apply made.
+    pub revision: u64,
+    /// Whether an earlier call with the same apply ID had put it into force.
+    pub already: bool,
+}
+
+/// An apply that is not known to be in force.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ApplyError {
+    /// Another revision than the base is in force; the apply had no effect.
+    Conflict {
+        /// The revision in force, if there is one.
+        in_force_revision: Option<u64>,
+        /// From the sheet in force to the refused one; absent if the former could not be read.
+        differences: Option<Vec<Difference>>,
+    },
+    /// The write may have taken effect, and reading back gave no proof.
+    Unknown(KvError),
+    /// The service failed before the root was written; the call had no effect.
+    Unavailable(KvError),
+    /// What is in force cannot be read; the call had no effect.
+    Unreadable(ReadError),
+    /// Old parts were removed during each attempt; the call had no effect.
+    Unsettled,
+    /// The sheet does not fit the key-value service.
+    Parts(PartsError),
+    /// The apply ID is in force with another sheet.
+    IdReused {
+        /// The revision in force.
+        revision: u64,
+    },
+}
+
+impl fmt::Display for ApplyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Conflict {
+                in_force_revision: Some(revision),
+                ..
+            } => write!(f, "conflict: revision {revision} is in force"),
+            Self::Conflict { .. } => f.write_str("conflict: no revision is in force"),
+            Self::Unknown(error) => write!(
+                f,
+                "unknown whether the sheet is in force, repeat with the same apply ID: {error}"
+            ),
+            Self::Unavailable(error) => write!(f, "not applied: {error}"),
+            Self::Unreadable(error) => write!(f, "not applied: {error}"),
+            Self::Unsettled => f.write_str("not applied: parts were removed during each attempt"),
+            Self::Parts(error) => write!(f, "not applied: {error}"),
+            Self::IdReused { revision } => write!(
+                f,
+                "not applied: the apply ID belongs to another sheet, in force as revision {revision}"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for ApplyError {}
+
+impl From<PartsError> for ApplyError {
+    fn from(error: PartsError) -> Self {
+        Self::Parts(error)
+    }
+}
+
+impl From<KvError> for ApplyError {
+    fn from(error: KvError) -> Self {
+        Self::Unavailable(error)
+    }
+}
+
+impl From<ReadError> for ApplyError {
+    fn from(error: ReadError) -> Self {
+        match error {
+            ReadError::Store(error) => Self::Unavailable(error),
+            other => Self::Unreadable(other),
+        }
+    }
+}
+
+/// Puts a sheet into force in place of revision `base`, which is absent for the first sheet.
+///
+/// Parts are written before the root. The same `apply_id` may be given again after an error: an apply
+/// takes effect at most once. The ID of an apply that is no longer in force is taken at its word: the
+/// root does not tell which sheet it put into force.
+///
+/// # Errors
+/// [`ApplyError`]; only [`ApplyError::Unknown`] leaves open whether the sheet is in force.
+pub async fn apply(
+    kv: &dyn KeyValue,
+    sheet: &Sheet,
+    base: Option<u64>,
+    apply_id: ApplyId,
+) -> Result<Applied, ApplyError> {
+    let parts = split(sheet)?;
+    let mut attempt = Attempt {
+        kv,
+        sheet,
+        parts: &parts,
+        base,
+        apply_id,
+        lost: None,
+    };
+    for number in 0..ATTEMPTS {
+        if number > 0 {
+            actix_rt::time::sleep(RETRY_WAIT.duration()).await;
+        }
+        match attempt.run().await {
+            Ok(Some(applied)) => return Ok(applied),
+            Err(error) if attempt.lost.is_none() || proves_no_effect(&error) => return Err(error),
+            // After a lost answer, only the root can tell what became of the write.
+            Ok(None) | Err(_) => {}
+        }
+    }
+    Err(attempt
+        .lost
+        .map_or(ApplyError::Unsettled, ApplyError::Unknown))
+}
+
+const fn proves_no_effect(error: &ApplyError) -> bool {
+    matches!(
+        error,
+        ApplyError::Conflict { .. } | ApplyError::Unknown(_) | ApplyError::IdReused { .. }
+    )
+}
+
+struct Attempt<'a> {
+    kv: &'a dyn KeyValue,
+    sheet: &'a Sheet,
+    parts: &'a [Part],
+    base: Option<u64>,
+    apply_id: ApplyId,
+    /// Set once the answer to a write of the root was lost.
+    lost: Option<KvError>,
+}
+
+impl Attempt<'_> {
+    /// Looks at the root and replaces it if it is the base; `None` asks for another look.
+    async fn run(&mut self) -> Result<Option<Applied>, ApplyError> {
+        let stored = read_root(self.kv).await?;
+        if let Some(applied) = self.find_own(stored.as_ref())? {
+            return Ok(Some(applied));
+        }
+        if stored.as_ref().map(|stored| stored.root.revision) != self.base {
+            return Err(self.conflict(stored.as_ref()).await);
+        }
+        // Read before the parts are written: a removal of parts after this changes the key.
+        let collection = self.kv.get(COLLECTION_KEY).await?;
+        let collection = unchanged(COLLECTION_KEY, collection.map(|entry| entry.mod_revision));
+        self.write_parts(stored.as_ref()).await?;
+        self.write_root(stored, collection).await
+    }
+
+    fn find_own(&self, stored: Option<&StoredRoot>) -> Result<Option<Applied>, ApplyError> {
+        let Some(root) = stored.map(|stored| &stored.root) else {
+            return Ok(None);
+        };
+        let Some(revision) = root.revision_of(self.apply_id) else {
+            return Ok(None);
+        };
+        let is_ours = root
+            .parts
+            .iter()
+            .eq(self.parts.iter().map(|part| &part.reference));
+        if root.apply_id == self.apply_id && !is_ours {
+            return Err(ApplyError::IdReused { revision });
+        }
+        Ok(Some(Applied {
+            revision,
+            already: self.lost.is_none(),
+        }))
+    }
+
+    async fn conflict(&self, stored: Option<&StoredRoot>) -> ApplyError {
+        let revision = stored.map(|stored| stored.root.revision);
+        // An older apply than the root names may have been in force and replaced since.
+        let own = self.base.unwrap_or_default() + 1;
+        let is_forgotten = revision.is_some_and(|r| r > own + RECENT_APPLIES as u64);
+        if let Some(error) = self.lost.clone().filter(|_| is_forgotten) {
+            return ApplyError::Unknown(error);
+        }
+        let in_force = read(self.kv, &mut PartCache::default()).await;
+        let in_force = in_force.ok().flatten();
+        ApplyError::Conflict {
+            in_force_revision: in_force.as_ref().map(|it| it.root.revision).or(revision),
+            differences: in_force.map(|it| diff(&it.sheet, self.sheet)),
+        }
+    }
+
+    /// Writes the parts that the root in force does not name.
+    async fn write_parts(&self, stored: Option<&StoredRoot>) -> Result<(), KvError> {
+        let is_new = |part: &&Part| !stored.is_some_and(|s| s.root.names(&part.reference.sha256));
+        let mut batch = Vec::new();
+        let mut bytes = 0;
+        for part in self.parts.iter().filter(is_new) {
+            let is_full = batch.len() == MAX_TXN_OPS || bytes + part.bytes.len() > MAX_BATCH_BYTES;
+            if is_full && !batch.is_empty() {
+                write_batch(self.kv, std::mem::take(&mut batch)).await?;
+                bytes = 0;
+            }
+            bytes += part.bytes.len();
+            batch.push(Change::put(
+                part_key(&part.reference.sha256),
+                part.bytes.clone(),
+            ));
+        }
+        if batch.is_empty() {
+            return Ok(());
+        }
+        write_batch(self.kv, batch).await
+    }
+
+    async fn write_root(
+        &mut self,
+        stored: Option<StoredRoot>,
+        collection: Compare,
+    ) -> Result<Option<Applied>, ApplyError> {
+        let previous = stored.as_ref().map(|stored| &stored.root);
+        let next = Root::next(previous, self.apply_id, self.parts);
+        let mod_revision = stored.as_ref().map(|stored| stored.mod_revision);
+        let conditions = vec![unchanged(ROOT_KEY, mod_revision), collection];
+        let changes = root_changes(next.encode()?, stored.map(|stored| stored.text));
+        match self.kv.txn(conditions, changes).await {
+            Ok(TxnOutcome::Applied(_)) => Ok(Some(Applied {
+                revision: next.revision,
+                already: false,
+            })),
+            Ok(TxnOutcome::Conflict) => Ok(None),
+            Err(error) if error.may_have_applied() => {
+                self.lost = Some(error);
+                Ok(None)
+            }
+            Err(error) => Err(error.into()),
+        }
+    }
+}
+
+fn unchanged(key: &str, mod_revision: Option<u64>) -> Compare {
+    match mod_revision {
+        Some(revision) => Compare::ModRevision(key.to_owned(), revision),
+        None => Compare::Absent(key.to_owned()),
+    }
+}
+
+fn root_changes(next: Bytes, previous: Option<Bytes>) -> Vec<Change> {
+    let previous = previous.map(|text| Change::put(PREVIOUS_ROOT_KEY, text));
+    let mut changes = vec![Change::put(ROOT_KEY, next)];
+    changes.extend(previous);
+    changes
+}
+
+async fn write_batch(kv: &dyn KeyValue, batch: Vec<Change>) -> Result<(), KvError> {
+    let mut attempts = 1;
+    loop {
+        match kv.txn(Vec::new(), batch.clone()).await {
+            Ok(_) => return Ok(()),
+            Err(error) if error.may_have_applied() && attempts < BATCH_ATTEMPTS => attempts += 1,
+            Err(error) => return Err(error),
+        }
+    }
+}
--- /dev/null
+++ b/src/operator/collect.rs
@@ -0,0 +1,49 @@
+//! Removal of old parts.
+
+use super::read::{ReadError, read_root};
+use super::{COLLECTION_KEY, MAX_TXN_OPS, PART_PREFIX, PREVIOUS_ROOT_KEY, ROOT_KEY};
+use crate::platform::{Change, Compare, KeyValue, TxnOutcome};
+use crate::sheet::digest::Digest;
+use crate::sheet::parts::Root;
+
+/// Removes parts that neither the root in force nor the previous one names; returns their number.
+///
+/// Each removal changes [`COLLECTION_KEY`] and holds only while the root is unchanged. An apply that
+/// wrote parts before the removal sees the change and writes them again.
+///
+/// # Errors
+/// [`ReadError`] if the service gave no result or a root cannot be read.
+pub async fn collect(kv: &dyn KeyValue) -> Result<usize, ReadError> {
+    let Some(stored) = read_root(kv).await? else {
+        return Ok(0);
+    };
+    let previous = match kv.get(PREVIOUS_ROOT_KEY).await? {
+        Some(entry) => Some(Root::decode(&entry.value)?),
+        None => None,
+    };
+    let mut old = Vec::new();
+    for entry in kv.list(PART_PREFIX).await? {
+        let digest = entry.key[PART_PREFIX.len()..].parse::<Digest>();
+        let is_named = digest.is_ok_and(|digest| {
+            stored.root.names(&digest) || previous.as_ref().is_some_and(|root| root.names(&digest))
+        });
+        if !is_named {
+            old.push(entry.key);
+        }
+    }
+    let mut removed = 0;
+    for batch in old.chunks(MAX_TXN_OPS - 1) {
+        let conditions = vec![Compare::ModRevision(
+            ROOT_KEY.to_owned(),
+            stored.mod_revision,
+        )];
+        let mark = Change::put(COLLECTION_KEY, stored.root.revision.to_string());
+        let deletes = batch.iter().cloned().map(Change::Delete);
+        let changes = std::iter::once(mark).chain(deletes).collect();
+        match kv.txn(conditions, changes).await? {
+            TxnOutcome::Applied(_) => removed += batch.len(),
+            TxnOutcome::Conflict => break,
+        }
+    }
+    Ok(removed)
+}
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -1,1 +1,38 @@
-//! The operator's verbs: check, apply, show, diff, status, explain, replay and bill.
+//! The operator's side of the configuration: what is in force, and how it is replaced.
+//!
+//! The verbs check, apply, show, diff and status of the program are thin wrappers of this module.
+
+mod apply;
+mod collect;
+mod read;
+mod status;
+#[cfg(test)]
+mod tests;
+mod wait;
+
+pub use apply::{Applied, ApplyError, apply};
+pub use collect::collect;
+pub use read::{InForce, ReadError, StoredRoot, read, read_root};
+pub use status::{RolloutStatus, Status, status};
+pub use wait::{Held, wait};
+
+use crate::sheet::digest::Digest;
+
+/// Key of the root in force.
+pub const ROOT_KEY: &str = "/fireflywind/root";
+
+/// Key of the root before the one in force.
+pub const PREVIOUS_ROOT_KEY: &str = "/fireflywind/root-previous";
+
+/// Prefix of the keys of parts; the SHA-256 in hexadecimal follows.
+pub const PART_PREFIX: &str = "/fireflywind/part/";
+
+/// Key that each removal of old parts changes, so that an apply notices it.
+pub const COLLECTION_KEY: &str = "/fireflywind/part-collection";
+
+/// Most operations in one transaction; etcd's default bound is 128 with conditions.
+const MAX_TXN_OPS: usize = 64;
+
+fn part_key(digest: &Digest) -> String {
+    format!("{PART_PREFIX}{digest}")
+}
--- a/src/sheet/mod.rs
+++ b/src/sheet/mod.rs
@@ -10,7 +10,7 @@
 mod schema;
 pub mod shape;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 pub use diff::{Difference, diff};
 pub use digest::{ApplyId, Digest};
--- a/src/sheet/tests/mod.rs
+++ b/src/sheet/tests/mod.rs
@@ -12,6 +12,7 @@
 const FIXTURE: &str = include_str!("../../fixtures/sheet.json");
 
 /// Returns the fixture after edits that keep it sorted; it need not pass the rules.
+#[must_use]
 pub fn variant(edits: &[(u8, u8)]) -> Sheet {
     let mut sheet = fixtures::sheet();
     for (kind, n) in edits {
