Add the settings of gateway, agent and operator

Cause: the daemons and the operator's program need settings whose faults are reported as those of the sheet are.

Change: one resolved struct for each program; the shapes, findings and the document reader are those of the sheet. Defaults stand in one file. The peer key comes from its field or from a file, not from both. Findings never repeat a secret: secrets are described by their length and a line with a syntax error is not shown.

Ruled out: serde defaults on each field (spread over the types); reading the key file later (its faults would be reported apart).

--- /dev/null
+++ b/src/settings/gateway.rs
@@ -0,0 +1,134 @@
+//! Settings of the gateway.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use log::LevelFilter;
+use serde::Deserialize;
+
+use super::{
+    ADDRESSES, Field, LOG_LEVEL, SECRET, STOP_DEADLINE, Secret, Shape, defaults, finish, peer_key,
+    read, require_entry, require_two_ports,
+};
+use crate::ids::DataCentre;
+use crate::sheet::finding::{Finding, Rule};
+use crate::units::Millis;
+
+/// Bounds of the largest body, in bytes.
+const BODY_BYTES: Shape = Shape::Count(1, 64 * 1_048_576);
+
+/// Bounds of the largest head, in bytes.
+const HEADER_BYTES: Shape = Shape::Count(1_024, 1_048_576);
+
+const GATEWAY: Shape = Shape::Object(&[
+    Field::required("name", Shape::Name),
+    Field::required("data_centre", Shape::Name),
+    Field::required("listen", Shape::Address),
+    Field::required("admin_listen", Shape::Address),
+    Field::required("kv", ADDRESSES),
+    Field::optional("peer_key", SECRET),
+    Field::optional("peer_key_file", Shape::Text),
+    Field::required("session_keys", Shape::List(&SESSION_KEY)),
+    Field::optional("max_body_bytes", BODY_BYTES),
+    Field::optional("max_header_bytes", HEADER_BYTES),
+    Field::optional("log_level", LOG_LEVEL),
+    Field::optional("stop_deadline", STOP_DEADLINE),
+]);
+
+const SESSION_KEY: Shape = Shape::Object(&[
+    Field::required("id", Shape::Name),
+    Field::required("secret", SECRET),
+]);
+
+/// Settings of a gateway.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Gateway {
+    /// Name of the gateway in logs and metrics.
+    pub name: String,
+    /// Data centre of the VM; upstreams in the same one are preferred.
+    pub data_centre: DataCentre,
+    /// Address for requests of callers.
+    pub listen: SocketAddr,
+    /// Address for health, metrics, explanations and the revision in use.
+    pub admin_listen: SocketAddr,
+    /// Addresses of the key-value service.
+    pub kv: Vec<SocketAddr>,
+    /// Key that gateways and agents share.
+    pub peer_key: Secret,
+    /// Keys of session tokens: the first signs, all verify.
+    pub session_keys: Vec<SessionKey>,
+    /// Largest body of a request, in bytes.
+    pub max_body_bytes: u64,
+    /// Largest head of a request, in bytes.
+    pub max_header_bytes: u64,
+    /// Least severe level that is logged.
+    pub log_level: LevelFilter,
+    /// Time that a planned stop may take.
+    pub stop_deadline: Millis,
+}
+
+/// A key of session tokens.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct SessionKey {
+    /// Name of the key, which tokens carry.
+    pub id: String,
+    /// The key.
+    pub secret: Secret,
+}
+
+/// The file's fields, with defaults still absent.
+#[derive(Deserialize)]
+struct Given {
+    name: String,
+    data_centre: DataCentre,
+    listen: SocketAddr,
+    admin_listen: SocketAddr,
+    kv: Vec<SocketAddr>,
+    peer_key: Option<Secret>,
+    peer_key_file: Option<PathBuf>,
+    session_keys: Vec<SessionKey>,
+    max_body_bytes: Option<u64>,
+    max_header_bytes: Option<u64>,
+    log_level: Option<String>,
+    stop_deadline: Option<Millis>,
+}
+
+impl Gateway {
+    /// Parses the settings and reads the peer key's file if they name one.
+    ///
+    /// # Errors
+    /// Every finding; at least one.
+    pub fn parse(text: &[u8]) -> Result<Self, Vec<Finding>> {
+        let mut found = Vec::new();
+        let file: Given = read(text, &GATEWAY, &mut found)?;
+        require_entry(&file.kv, "kv", &mut found);
+        require_entry(&file.session_keys, "session_keys", &mut found);
+        require_distinct(&file.session_keys, &mut found);
+        require_two_ports(file.listen, file.admin_listen, &mut found);
+        let settings = Self {
+            peer_key: peer_key(file.peer_key, file.peer_key_file, &mut found),
+            name: file.name,
+            data_centre: file.data_centre,
+            listen: file.listen,
+            admin_listen: file.admin_listen,
+            kv: file.kv,
+            session_keys: file.session_keys,
+            max_body_bytes: file.max_body_bytes.unwrap_or(defaults::MAX_BODY_BYTES),
+            max_header_bytes: file.max_header_bytes.unwrap_or(defaults::MAX_HEADER_BYTES),
+            log_level: super::log_level(file.log_level.as_deref()),
+            stop_deadline: file.stop_deadline.unwrap_or(defaults::STOP_DEADLINE),
+        };
+        finish(settings, found)
+    }
+}
+
+fn require_distinct(keys: &[SessionKey], found: &mut Vec<Finding>) {
+    for (at, key) in keys.iter().enumerate() {
+        if let Some(first) = keys[..at].iter().position(|earlier| earlier.id == key.id) {
+            let first = format!("/session_keys/{first}/id");
+            let place = format!("/session_keys/{at}/id");
+            let finding = Finding::at(place, Rule::Duplicate { first }, &key.id);
+            super::add(found, finding);
+        }
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,1 +1,182 @@
-//! Settings of the daemons.
+//! Settings of the gateway, the agent and the operator's program.
+//!
+//! Settings are JSON files. Their findings are those of the sheet: all are reported together.
+
+mod agent;
+pub mod defaults;
+mod gateway;
+mod operator;
+mod secret;
+#[cfg(test)]
+mod tests;
+
+use std::fmt;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use log::LevelFilter;
+use serde::de::DeserializeOwned;
+
+pub use agent::{Agent, AgentKind};
+pub use gateway::{Gateway, SessionKey};
+pub use operator::Operator;
+pub use secret::Secret;
+
+use crate::sheet::document;
+use crate::sheet::finding::{Finding, Rule, join};
+use crate::sheet::shape::{self, Field, Shape};
+use crate::units::Millis;
+
+/// Fewest characters of a peer key or a session key.
+pub const MIN_SECRET_CHARS: usize = 32;
+
+const MIN_STOP_DEADLINE: Millis = Millis::from_secs(1);
+const MAX_STOP_DEADLINE: Millis = Millis::from_secs(600);
+
+const SECRET: Shape = Shape::Secret(MIN_SECRET_CHARS);
+const ADDRESSES: Shape = Shape::List(&Shape::Address);
+const LOG_LEVEL: Shape = Shape::OneOf(&["off", "error", "warn", "info", "debug", "trace"]);
+const STOP_DEADLINE: Shape = Shape::Span(MIN_STOP_DEADLINE, MAX_STOP_DEADLINE);
+
+/// Settings that could not be loaded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LoadError {
+    /// The file cannot be read.
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// What the operating system says.
+        reason: String,
+    },
+    /// The file breaks rules.
+    Findings {
+        /// The file.
+        path: PathBuf,
+        /// Every finding; at least one.
+        findings: Vec<Finding>,
+    },
+}
+
+impl fmt::Display for LoadError {
+    /// Writes one line for each finding.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreadable { path, reason } => write!(f, "{}: {reason}", path.display()),
+            Self::Findings { path, findings } => {
+                for (at, finding) in findings.iter().enumerate() {
+                    let line_end = if at == 0 { "" } else { "\n" };
+                    write!(f, "{line_end}{}: {finding}", path.display())?;
+                }
+                Ok(())
+            }
+        }
+    }
+}
+
+impl std::error::Error for LoadError {}
+
+/// Loads the settings of a process from a file.
+///
+/// # Errors
+/// [`LoadError`] if the file cannot be read or breaks rules.
+pub fn load<T>(
+    path: &Path,
+    parse: impl FnOnce(&[u8]) -> Result<T, Vec<Finding>>,
+) -> Result<T, LoadError> {
+    let text = fs::read(path).map_err(|error| LoadError::Unreadable {
+        path: path.to_owned(),
+        reason: error.to_string(),
+    })?;
+    parse(&text).map_err(|findings| LoadError::Findings {
+        path: path.to_owned(),
+        findings,
+    })
+}
+
+/// Reads a file by its shape; the result has placeholders where `found` has findings.
+fn read<T: DeserializeOwned>(
+    text: &[u8],
+    shape: &Shape,
+    found: &mut Vec<Finding>,
+) -> Result<T, Vec<Finding>> {
+    let node = document::parse(text).map_err(|mut finding| {
+        // The line at fault may hold a secret.
+        "(line not shown)".clone_into(&mut finding.value);
+        vec![finding]
+    })?;
+    shape::typed(shape::read(&node, shape, found))
+}
+
+/// Returns the settings unless there are findings.
+fn finish<T>(settings: T, found: Vec<Finding>) -> Result<T, Vec<Finding>> {
+    if found.is_empty() {
+        Ok(settings)
+    } else {
+        Err(found)
+    }
+}
+
+/// Adds a finding unless the shape has one at or above the place.
+fn add(found: &mut Vec<Finding>, finding: Finding) {
+    if !found.iter().any(|it| finding.place.is_within(&it.place)) {
+        found.push(finding);
+    }
+}
+
+fn require_entry<T>(list: &[T], field: &str, found: &mut Vec<Finding>) {
+    if list.is_empty() {
+        add(
+            found,
+            Finding::at(join("", field), Rule::EmptyList, "list of 0"),
+        );
+    }
+}
+
+/// Two listeners cannot share a port, unless the operating system chooses it.
+fn require_two_ports(listen: SocketAddr, admin: SocketAddr, found: &mut Vec<Finding>) {
+    if listen == admin && listen.port() != 0 {
+        let first = "/listen".to_owned();
+        let rule = Rule::SharedAddress { first };
+        add(found, Finding::at("/admin_listen", rule, admin));
+    }
+}
+
+fn log_level(text: Option<&str>) -> LevelFilter {
+    text.and_then(|level| level.parse().ok())
+        .unwrap_or(defaults::LOG_LEVEL)
+}
+
+/// Returns the peer key from its field or its file.
+fn peer_key(key: Option<Secret>, file: Option<PathBuf>, found: &mut Vec<Finding>) -> Secret {
+    match (key, file) {
+        (Some(key), None) => return key,
+        (None, Some(path)) => match fs::read_to_string(&path) {
+            Ok(text) => return key_of_file(&text, &path, found),
+            Err(error) => {
+                let reason = error.to_string();
+                let rule = Rule::Unreadable { reason };
+                add(found, Finding::at("/peer_key_file", rule, path.display()));
+            }
+        },
+        (Some(_), Some(path)) => {
+            let rule = Rule::Exclusive { other: "peer_key" };
+            add(found, Finding::at("/peer_key_file", rule, path.display()));
+        }
+        (None, None) => add(
+            found,
+            Finding::at("/peer_key", Rule::MissingField, "(absent)"),
+        ),
+    }
+    Secret::default()
+}
+
+fn key_of_file(text: &str, path: &Path, found: &mut Vec<Finding>) -> Secret {
+    let key = text.trim();
+    if key.chars().count() < MIN_SECRET_CHARS {
+        let min = MIN_SECRET_CHARS;
+        let rule = Rule::ShortSecret { min };
+        add(found, Finding::at("/peer_key_file", rule, path.display()));
+    }
+    Secret::from(key)
+}
--- a/src/sheet/finding.rs
+++ b/src/sheet/finding.rs
@@ -175,7 +175,7 @@
         /// Pointer to the first entry.
         first: String,
     },
-    /// Two upstreams have the same agent address.
+    /// Two upstreams, or two listeners of a process, have the same address.
     SharedAddress {
         /// Pointer to the first entry.
         first: String,
@@ -190,6 +190,13 @@
         /// The bound, in characters.
         min: usize,
     },
+    /// A list that needs an entry has none.
+    EmptyList,
+    /// A file that a setting names cannot be read.
+    Unreadable {
+        /// What the operating system says.
+        reason: String,
+    },
     /// Two fields exclude each other.
     Exclusive {
         /// The other field.
@@ -255,11 +262,13 @@
             }
             Self::PathPrefix => f.write_str("must be a path that starts with '/'"),
             Self::SharedPrefix { first } => write!(f, "path prefix is already used at {first}"),
-            Self::SharedAddress { first } => write!(f, "agent address is already used at {first}"),
+            Self::SharedAddress { first } => write!(f, "address is already used at {first}"),
             Self::PriceOutsideService { prefix } => {
                 write!(f, "price is outside the service's path prefix {prefix}")
             }
             Self::ShortSecret { min } => write!(f, "must have at least {min} characters"),
+            Self::EmptyList => f.write_str("must have at least one entry"),
+            Self::Unreadable { reason } => write!(f, "file cannot be read ({reason})"),
             Self::Exclusive { other } => write!(f, "cannot be given together with {other}"),
         }
     }
