Add clients for engines, plain services and ratings

Cause: the agent needs to start and cancel completions, pass calls through and rate answers, and has to know whether a request that failed may have run.

Change: upstream has EngineClient, ServiceClient and RatingClient over one HTTP/1.1 exchange for each call, an incremental parser of server-sent events with bounded memory, and errors that tell a request that was not sent, a broken connection, silence, a status and an invalid answer apart.

Ruled out: awc for these calls. A trial showed that it ends a chunked body without an error when the connection is cut between two chunks, so a truncated response would look complete. Its pooled connections can also turn a request that never ran into a crash. The exchange uses the client codec of actix-http directly. A response that declares no length is refused, because its end cannot be verified.

Conclusion: a cut stream, a crash and a cancel are seen on real sockets.

--- /dev/null
+++ b/src/upstream/engine.rs
@@ -0,0 +1,285 @@
+//! Client of a model engine.
+
+use std::net::SocketAddr;
+
+use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use actix_http::{Method, StatusCode};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value, json};
+
+use super::exchange::{Body, Request, send};
+use super::sse::{self, Parser};
+use super::{UpstreamError, Waits};
+use crate::ids::VersionRef;
+use crate::units::Tokens;
+
+/// Largest answer of the engine's small calls.
+const MAX_SMALL_BYTES: usize = 64 << 10;
+/// Largest answer that is not a stream.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+/// Content type of a streamed answer, before its parameters.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+/// Data of the event that ends a stream.
+const DONE: &str = "[DONE]";
+
+/// Tokens of a completion.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Tokens of the prompt, if the engine reported them.
+    pub prompt: Option<Tokens>,
+    /// Tokens of the answer: as the engine reported them, or the number of content chunks.
+    pub completion: Tokens,
+}
+
+#[derive(Debug, Deserialize)]
+struct UsageReport {
+    prompt_tokens: Tokens,
+    completion_tokens: Tokens,
+}
+
+impl From<UsageReport> for Usage {
+    fn from(report: UsageReport) -> Self {
+        Self {
+            prompt: Some(report.prompt_tokens),
+            completion: report.completion_tokens,
+        }
+    }
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Delta {
+    content: Option<String>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Choice {
+    delta: Delta,
+}
+
+/// The parts of a chunk or a whole answer that count.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Chunk {
+    choices: Vec<Choice>,
+    usage: Option<UsageReport>,
+}
+
+/// Load that an engine reports.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u64,
+    /// Requests that wait.
+    pub queued: u64,
+}
+
+/// Client of one engine.
+#[derive(Debug, Clone)]
+pub struct EngineClient {
+    addr: SocketAddr,
+    waits: Waits,
+}
+
+impl EngineClient {
+    /// Makes a client; connections are made for each call.
+    #[must_use]
+    pub const fn new(addr: SocketAddr, waits: Waits) -> Self {
+        Self { addr, waits }
+    }
+
+    /// Starts a chat completion of a version and waits for the head of the response.
+    ///
+    /// `request` is the body of the caller; its `model` is replaced.
+    ///
+    /// # Errors
+    /// [`UpstreamError`] if there is no response or its status is not a success.
+    pub async fn chat(
+        &self,
+        version: &VersionRef,
+        mut request: Map<String, Value>,
+    ) -> Result<Completion, UpstreamError> {
+        request.insert("model".to_owned(), version.to_string().into());
+        let request = post("/v1/chat/completions", &Value::Object(request));
+        let response = send(self.addr, self.waits, &request).await?;
+        let response = response.success().await?;
+        let kind = response.headers.get(CONTENT_TYPE);
+        let streamed = kind.is_some_and(|kind| kind.as_bytes().starts_with(EVENT_STREAM));
+        Ok(Completion {
+            status: response.status,
+            headers: response.headers,
+            body: response.body,
+            counter: if streamed {
+                Counter::Streamed(StreamCounter::default())
+            } else {
+                Counter::Whole(Vec::new())
+            },
+        })
+    }
+
+    /// Asks for the engine's load.
+    ///
+    /// # Errors
+    /// [`UpstreamError`] if there is no valid answer.
+    pub async fn load(&self) -> Result<Load, UpstreamError> {
+        let request = Request {
+            method: Method::GET,
+            target: "/load".to_owned(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+        };
+        let body = self.small(&request).await?;
+        serde_json::from_slice(&body).map_err(|error| UpstreamError::Invalid(error.to_string()))
+    }
+
+    /// Sends a command with the fencing token of its sender.
+    ///
+    /// # Errors
+    /// [`UpstreamError::Status`] with 409 if the engine checks fencing tokens and knows a higher one.
+    pub async fn order(&self, fence: u64, order: &Value) -> Result<(), UpstreamError> {
+        let request = post("/orders", &json!({"order": order, "fence": fence}));
+        self.small(&request).await.map(|_answer| ())
+    }
+
+    async fn small(&self, request: &Request) -> Result<Bytes, UpstreamError> {
+        let response = send(self.addr, self.waits, request).await?;
+        let response = response.success().await?;
+        response.body.collect(MAX_SMALL_BYTES).await
+    }
+}
+
+/// Makes a request with a JSON body.
+pub(super) fn post(target: &str, body: &Value) -> Request {
+    let json = HeaderValue::from_static("application/json");
+    Request {
+        method: Method::POST,
+        target: target.to_owned(),
+        headers: vec![(CONTENT_TYPE, json)],
+        body: Bytes::from(body.to_string()),
+    }
+}
+
+/// A chat completion in progress; dropping it cancels the run by closing the connection.
+#[derive(Debug)]
+pub struct Completion {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    body: Body,
+    counter: Counter,
+}
+
+impl Completion {
+    /// Waits for the next bytes of the body; none means that the answer is complete.
+    ///
+    /// The bytes are passed on as the engine sent them.
+    ///
+    /// # Errors
+    /// [`UpstreamError`] if the answer is cut off, silent for too long, invalid, or a stream without its
+    /// final event.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, UpstreamError> {
+        match self.body.next().await? {
+            Some(bytes) => {
+                self.counter.count(&bytes)?;
+                Ok(Some(bytes))
+            }
+            None if self.counter.is_complete() => Ok(None),
+            None => Err(UpstreamError::Crashed("stream has no end event".to_owned())),
+        }
+    }
+
+    /// Returns the tokens so far; final once [`Completion::next`] returned none.
+    #[must_use]
+    pub fn usage(&self) -> Usage {
+        match &self.counter {
+            Counter::Whole(body) => {
+                let chunk: Chunk = serde_json::from_slice(body).unwrap_or_default();
+                chunk.usage.map(Usage::from).unwrap_or_default()
+            }
+            Counter::Streamed(counter) => counter.usage(),
+        }
+    }
+}
+
+#[derive(Debug)]
+enum Counter {
+    /// The body so far.
+    Whole(Vec<u8>),
+    Streamed(StreamCounter),
+}
+
+impl Counter {
+    fn count(&mut self, bytes: &[u8]) -> Result<(), UpstreamError> {
+        match self {
+            Self::Whole(body) if body.len() + bytes.len() > MAX_ANSWER_BYTES => {
+                let why = format!("answer is over {MAX_ANSWER_BYTES} bytes");
+                Err(UpstreamError::Invalid(why))
+            }
+            Self::Whole(body) => {
+                body.extend_from_slice(bytes);
+                Ok(())
+            }
+            Self::Streamed(counter) => counter.feed(bytes),
+        }
+    }
+
+    const fn is_complete(&self) -> bool {
+        match self {
+            // The length of the body was declared and verified.
+            Self::Whole(_) => true,
+            Self::Streamed(counter) => counter.done,
+        }
+    }
+}
+
+/// Counts the tokens of a stream as its bytes pass.
+#[derive(Debug, Default)]
+struct StreamCounter {
+    parser: Parser,
+    chunks: u64,
+    reported: Option<Usage>,
+    done: bool,
+}
+
+impl StreamCounter {
+    fn feed(&mut self, bytes: &[u8]) -> Result<(), UpstreamError> {
+        let events = self.parser.feed(bytes).map_err(|sse::TooLarge| {
+            UpstreamError::Invalid(format!("event is over {} bytes", sse::MAX_EVENT_BYTES))
+        })?;
+        for event in events {
+            self.take(&event.data);
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, data: &str) {
+        if data == DONE {
+            self.done = true;
+            return;
+        }
+        // An event of another shape is the engine's own extension and carries no tokens.
+        let chunk: Chunk = serde_json::from_str(data).unwrap_or_default();
+        let has_content = |choice: &Choice| {
+            let content = choice.delta.content.as_deref();
+            content.is_some_and(|text| !text.is_empty())
+        };
+        self.chunks += chunk
+            .choices
+            .iter()
+            .map(|c| u64::from(has_content(c)))
+            .sum::<u64>();
+        if let Some(report) = chunk.usage {
+            self.reported = Some(report.into());
+        }
+    }
+
+    fn usage(&self) -> Usage {
+        self.reported.unwrap_or(Usage {
+            prompt: None,
+            completion: Tokens(self.chunks),
+        })
+    }
+}
--- /dev/null
+++ b/src/upstream/exchange.rs
@@ -0,0 +1,296 @@
+//! One HTTP/1.1 request and its response on a connection of their own.
+//!
+//! `awc` is not used here for two reasons. It ends a chunked or sized body without an error when the
+//! connection is cut between two chunks, so that a truncated response looks complete. And a connection from
+//! its pool may be closing, so that a request that never ran looks like a crash.
+
+use std::net::SocketAddr;
+
+use actix_http::body::BodySize;
+use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
+use actix_http::header::{
+    CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
+};
+use actix_http::{ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead, StatusCode};
+use actix_rt::net::TcpStream;
+use actix_rt::time::timeout;
+use bytes::{Bytes, BytesMut};
+use tokio_util::codec::{Decoder as _, Encoder as _};
+
+use super::{UpstreamError, Waits};
+use crate::units::Millis;
+
+/// Bytes that are read from the socket at once, which bounds a chunk of a body.
+const READ_BYTES: usize = 16 << 10;
+/// Part of an error's body that is kept.
+const MAX_ERROR_BYTES: usize = 16 << 10;
+
+/// A request to an upstream.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// The method.
+    pub method: Method,
+    /// The path with the query.
+    pub target: String,
+    /// Headers besides those of the connection.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A response whose body is still being received.
+#[derive(Debug)]
+pub struct Response {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Body,
+}
+
+impl Response {
+    /// Passes a success on and turns any other status into an error with the start of its body.
+    ///
+    /// # Errors
+    /// [`UpstreamError::Status`] for a status that is not a success.
+    pub async fn success(mut self) -> Result<Self, UpstreamError> {
+        if self.status.is_success() {
+            return Ok(self);
+        }
+        let mut body = BytesMut::new();
+        while let Ok(Some(chunk)) = self.body.next().await {
+            let room = MAX_ERROR_BYTES - body.len();
+            body.extend_from_slice(&chunk[..chunk.len().min(room)]);
+            if body.len() == MAX_ERROR_BYTES {
+                break;
+            }
+        }
+        Err(UpstreamError::Status {
+            status: self.status.as_u16(),
+            body: body.freeze(),
+        })
+    }
+}
+
+/// The bytes of a response's body; dropping it closes the connection.
+#[derive(Debug)]
+pub struct Body {
+    wire: Wire,
+    /// None once the body has ended.
+    codec: Option<PayloadCodec>,
+}
+
+/// Gives the codec of the HTTP library a `Debug` form.
+struct PayloadCodec(ClientPayloadCodec);
+
+impl std::fmt::Debug for PayloadCodec {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("PayloadCodec")
+    }
+}
+
+impl Body {
+    /// Waits for the next bytes; none means that the body is complete.
+    ///
+    /// Dropping the future loses no bytes.
+    ///
+    /// # Errors
+    /// [`UpstreamError`] if the body is cut off, silent for too long or invalid.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, UpstreamError> {
+        loop {
+            let Some(codec) = &mut self.codec else {
+                return Ok(None);
+            };
+            let item = codec.0.decode(&mut self.wire.buf);
+            match item.map_err(|error| UpstreamError::Invalid(error.to_string()))? {
+                Some(Some(chunk)) => return Ok(Some(chunk)),
+                Some(None) => self.codec = None,
+                None => within(self.wire.waits.idle, self.wire.fill()).await?,
+            }
+        }
+    }
+
+    /// Reads the rest of the body.
+    ///
+    /// # Errors
+    /// [`UpstreamError::Invalid`] if it is longer than `limit`; others as [`Body::next`].
+    pub async fn collect(mut self, limit: usize) -> Result<Bytes, UpstreamError> {
+        let mut body = BytesMut::new();
+        while let Some(chunk) = self.next().await? {
+            if body.len() + chunk.len() > limit {
+                let why = format!("body is over {limit} bytes");
+                return Err(UpstreamError::Invalid(why));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    }
+}
+
+/// A connection with the bytes that were read but not decoded.
+#[derive(Debug)]
+struct Wire {
+    io: TcpStream,
+    buf: BytesMut,
+    waits: Waits,
+}
+
+async fn within<T>(
+    limit: Millis,
+    call: impl Future<Output = Result<T, UpstreamError>>,
+) -> Result<T, UpstreamError> {
+    match timeout(limit.duration(), call).await {
+        Ok(outcome) => outcome,
+        Err(_elapsed) => Err(UpstreamError::Silent(format!("no answer within {limit}"))),
+    }
+}
+
+fn crashed(error: &std::io::Error) -> UpstreamError {
+    UpstreamError::Crashed(error.to_string())
+}
+
+impl Wire {
+    /// Reads more bytes; the end of the connection is an error here because more were needed.
+    async fn fill(&mut self) -> Result<(), UpstreamError> {
+        match self.read().await.map_err(|error| crashed(&error))? {
+            0 => Err(UpstreamError::Crashed("answer is incomplete".to_owned())),
+            _ => Ok(()),
+        }
+    }
+
+    async fn read(&mut self) -> std::io::Result<usize> {
+        loop {
+            self.io.readable().await?;
+            match self.try_read() {
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                outcome => return outcome,
+            }
+        }
+    }
+
+    fn try_read(&mut self) -> std::io::Result<usize> {
+        let mut part = [0; READ_BYTES];
+        let count = self.io.try_read(&mut part)?;
+        self.buf.extend_from_slice(&part[..count]);
+        Ok(count)
+    }
+
+    async fn write(&self, mut bytes: &[u8]) -> std::io::Result<()> {
+        while !bytes.is_empty() {
+            self.io.writable().await?;
+            match self.io.try_write(bytes) {
+                Ok(count) => bytes = &bytes[count..],
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+}
+
+fn head(addr: SocketAddr, request: &Request) -> Result<RequestHead, UpstreamError> {
+    let mut head = RequestHead::default();
+    head.method = request.method.clone();
+    head.uri = request
+        .target
+        .parse()
+        .map_err(|error| UpstreamError::NotSent(format!("target {:?}: {error}", request.target)))?;
+    let host = HeaderValue::from_str(&addr.to_string())
+        .map_err(|error| UpstreamError::NotSent(error.to_string()))?;
+    head.headers.insert(HOST, host);
+    for (name, value) in &request.headers {
+        head.headers.append(name.clone(), value.clone());
+    }
+    head.set_connection_type(ConnectionType::Close);
+    Ok(head)
+}
+
+fn encode(
+    codec: &mut ClientCodec,
+    head: RequestHead,
+    body: &Bytes,
+) -> Result<BytesMut, UpstreamError> {
+    let mut out = BytesMut::new();
+    let size = match body.len() {
+        0 => BodySize::None,
+        len => BodySize::Sized(len as u64),
+    };
+    let message = Message::Item((RequestHeadType::from(head), size));
+    codec
+        .encode(message, &mut out)
+        .and_then(|()| codec.encode(Message::Chunk(Some(body.clone())), &mut out))
+        .map_err(|error| UpstreamError::NotSent(error.to_string()))?;
+    Ok(out)
+}
+
+async fn connect(addr: SocketAddr, waits: Waits) -> Result<TcpStream, UpstreamError> {
+    let connect = timeout(waits.connect.duration(), TcpStream::connect(addr)).await;
+    let io = connect
+        .map_err(|_elapsed| UpstreamError::NotSent(format!("connecting to {addr} timed out")))?
+        .map_err(|error| UpstreamError::NotSent(format!("connecting to {addr} failed: {error}")))?;
+    // Small requests would wait for the acknowledgement of earlier segments otherwise.
+    io.set_nodelay(true).map_err(|error| crashed(&error))?;
+    Ok(io)
+}
+
+async fn read_head(
+    wire: &mut Wire,
+    codec: &mut ClientCodec,
+) -> Result<ResponseHead, UpstreamError> {
+    loop {
+        let head = codec.decode(&mut wire.buf);
+        match head.map_err(|error| UpstreamError::Invalid(error.to_string()))? {
+            Some(head) if head.status.is_informational() => {}
+            Some(head) => return Ok(head),
+            None => wire.fill().await?,
+        }
+    }
+}
+
+/// Tells whether the end of the body can be recognised without the end of the connection.
+fn is_delimited(method: &Method, head: &ResponseHead) -> bool {
+    let bodiless = matches!(
+        head.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    let headers = &head.headers;
+    bodiless
+        || *method == Method::HEAD
+        || headers.contains_key(CONTENT_LENGTH)
+        || headers.contains_key(TRANSFER_ENCODING)
+}
+
+/// Sends a request on a new connection and waits for the head of the response.
+///
+/// # Errors
+/// [`UpstreamError`] if there is no response; its status is not judged.
+pub async fn send(
+    addr: SocketAddr,
+    waits: Waits,
+    request: &Request,
+) -> Result<Response, UpstreamError> {
+    let mut codec = ClientCodec::default();
+    let out = encode(&mut codec, head(addr, request)?, &request.body)?;
+    let mut wire = Wire {
+        io: connect(addr, waits).await?,
+        buf: BytesMut::new(),
+        waits,
+    };
+    let head = within(waits.first_byte, async {
+        wire.write(&out).await.map_err(|error| crashed(&error))?;
+        read_head(&mut wire, &mut codec).await
+    });
+    let head = head.await?;
+    if !is_delimited(&request.method, &head) {
+        let why = "the length of the body is not declared, so its end cannot be verified";
+        return Err(UpstreamError::Invalid(why.to_owned()));
+    }
+    let has_body = !matches!(codec.message_type(), MessageType::None);
+    let codec = has_body.then(|| PayloadCodec(codec.into_payload_codec()));
+    Ok(Response {
+        status: head.status,
+        headers: head.headers.clone(),
+        body: Body { wire, codec },
+    })
+}
--- /dev/null
+++ b/src/upstream/tests.rs
@@ -0,0 +1,452 @@
+//! Tests of the upstream clients on loopback sockets.
+
+use std::net::SocketAddr;
+
+use actix_http::Method;
+use actix_http::header::{HeaderName, HeaderValue};
+use serde_json::{Map, Value, json};
+
+use super::engine::{Completion, EngineClient, Load};
+use super::exchange::Request;
+use super::rating::RatingClient;
+use super::service::{ServiceClient, end_to_end};
+use super::sse::{Event, MAX_EVENT_BYTES, Parser, TooLarge};
+use super::*;
+use crate::fixtures::check;
+use crate::ids::VersionRef;
+use crate::standin::engine::{
+    Behaviour, Options, Run, RunState, answer_text, prompt_tokens, token,
+};
+use crate::standin::{self, Running};
+use crate::units::{Permille, Tokens};
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Runs a future on the real clock, for tests with sockets.
+fn run<F: Future>(future: F) -> F::Output {
+    actix_rt::System::new().block_on(future)
+}
+
+fn engine() -> (Running, EngineClient) {
+    let running = standin::engine::bind(loopback(), Options::default(), Behaviour::default())
+        .expect("loopback can be bound");
+    let client = EngineClient::new(running.addr(), Waits::default());
+    (running, client)
+}
+
+fn service(behaviour: standin::service::Behaviour) -> (Running, ServiceClient) {
+    let running = standin::service::bind(loopback(), behaviour).expect("loopback can be bound");
+    let client = ServiceClient::new(running.addr(), Waits::default());
+    (running, client)
+}
+
+fn version() -> VersionRef {
+    VersionRef::new("small", "v1")
+}
+
+fn chat(prompt: &str, extra: &Value) -> Map<String, Value> {
+    let mut request = json!({"messages": [{"role": "user", "content": prompt}]});
+    let request = request.as_object_mut().expect("the request is an object");
+    request.extend(
+        extra
+            .as_object()
+            .expect("the extra fields are an object")
+            .clone(),
+    );
+    request.clone()
+}
+
+async fn rest(completion: &mut Completion) -> Result<Vec<u8>, UpstreamError> {
+    let mut body = Vec::new();
+    while let Some(bytes) = completion.next().await? {
+        body.extend_from_slice(&bytes);
+    }
+    Ok(body)
+}
+
+async fn runs(addr: SocketAddr) -> Vec<Run> {
+    let mut response = awc::Client::new()
+        .get(format!("http://{addr}/runs"))
+        .send()
+        .await
+        .expect("the stand-in answers");
+    response.json().await.expect("the answer is a list of runs")
+}
+
+fn call(method: Method, body: &'static [u8]) -> Request {
+    let key = HeaderValue::from_static("k1");
+    Request {
+        method,
+        target: "/orders?shop=1".to_owned(),
+        headers: vec![(HeaderName::from_static("idempotency-key"), key)],
+        body: Bytes::from_static(body),
+    }
+}
+
+// Guards against a stream whose bytes are changed, lost or miscounted on the way.
+#[test]
+fn engine_streams_byte_for_byte() {
+    run(async {
+        let (_running, client) = engine();
+        let prompt = "three short words [[tokens=5]]";
+        let mut expected = String::new();
+        for at in 0..5 {
+            let text = token("small/v1", prompt, at);
+            let choices = json!([{"index": 0, "delta": {"content": text}, "finish_reason": null}]);
+            expected += &event(&choices);
+        }
+        expected += &event(&json!([{"index": 0, "delta": {}, "finish_reason": "stop"}]));
+        expected += "data: [DONE]\n\n";
+
+        let request = chat(prompt, &json!({"stream": true}));
+        let mut completion = client.chat(&version(), request).await.expect("it starts");
+        let body = rest(&mut completion).await;
+
+        assert_eq!(body, Ok(expected.into_bytes()));
+        assert_eq!(completion.usage().completion, Tokens(5));
+        assert_eq!(completion.usage().prompt, None);
+    });
+}
+
+fn event(choices: &Value) -> String {
+    let chunk = json!({
+        "object": "chat.completion.chunk",
+        "model": "small/v1",
+        "choices": choices,
+    });
+    format!("data: {chunk}\n\n")
+}
+
+// Guards against tokens that are billed otherwise than the engine counts them.
+#[test]
+fn reported_usage_takes_precedence() {
+    run(async {
+        let (_running, client) = engine();
+        let prompt = "three short words [[tokens=5]]";
+        let asked = json!({"stream": true, "stream_options": {"include_usage": true}});
+        for extra in [asked, json!({})] {
+            let request = chat(prompt, &extra);
+            let mut completion = client.chat(&version(), request).await.expect("it starts");
+            let body = rest(&mut completion).await.expect("the answer is complete");
+
+            let text = String::from_utf8(body).expect("the answer is text");
+            assert!(text.contains(token("small/v1", prompt, 4).as_str()));
+            assert_eq!(completion.usage().completion, Tokens(5));
+            let tokens = prompt_tokens(prompt);
+            assert_eq!(completion.usage().prompt, Some(Tokens(tokens)));
+        }
+    });
+}
+
+// Guards against a whole answer that is changed on the way.
+#[test]
+fn engine_answers_whole() {
+    run(async {
+        let (_running, client) = engine();
+        let request = chat("hello [[tokens=3]]", &json!({}));
+
+        let mut completion = client.chat(&version(), request).await.expect("it starts");
+        let body = rest(&mut completion).await.expect("the answer is complete");
+
+        let answer: Value = serde_json::from_slice(&body).expect("the answer is JSON");
+        let text = answer_text("small/v1", "hello [[tokens=3]]", 3);
+        assert_eq!(answer["choices"][0]["message"]["content"], text);
+    });
+}
+
+// Guards against a crash that is taken for a refused connection or for the end of the answer.
+#[test]
+fn a_crash_is_told_apart() {
+    run(async {
+        for prompt in ["[[crash]]", "[[crash=2]] [[tokens=9]]"] {
+            for extra in [json!({}), json!({"stream": true})] {
+                let (running, client) = engine();
+                let request = chat(prompt, &extra);
+
+                let outcome = match client.chat(&version(), request).await {
+                    Ok(mut completion) => rest(&mut completion).await,
+                    Err(error) => Err(error),
+                };
+
+                assert!(
+                    matches!(outcome, Err(UpstreamError::Crashed(_))),
+                    "{outcome:?}"
+                );
+                running.stop().await;
+                assert!(client.load().await.is_err_and(|error| error.not_sent()));
+            }
+        }
+    });
+}
+
+// Guards against a crash that leaves the engine's other requests waiting, and against an engine that does
+// not come back.
+#[test]
+fn a_crash_ends_all_requests_of_the_engine() {
+    run(async {
+        let (_running, client) = engine();
+        let bystander = chat("[[silent]]", &json!({"stream": true}));
+        let mut bystander = client.chat(&version(), bystander).await.expect("it starts");
+
+        let culprit = client.chat(&version(), chat("[[crash]]", &json!({}))).await;
+        let ended = rest(&mut bystander).await;
+
+        assert!(matches!(culprit, Err(UpstreamError::Crashed(_))));
+        assert!(matches!(ended, Err(UpstreamError::Crashed(_))));
+        while client.load().await != Ok(Load::default()) {
+            actix_rt::time::sleep(Millis(10).duration()).await;
+        }
+    });
+}
+
+// Guards against an error status that is taken for an answer.
+#[test]
+fn an_error_status_is_told_apart() {
+    run(async {
+        let (_running, client) = engine();
+        let outcome = client.chat(&version(), chat("[[error]]", &json!({}))).await;
+        let error = outcome.expect_err("the engine fails");
+        assert!(matches!(error, UpstreamError::Status { status: 500, .. }));
+    });
+}
+
+// Guards against a dropped stream that still occupies its engine.
+#[test]
+fn dropping_a_stream_cancels_the_run() {
+    run(async {
+        let (running, client) = engine();
+        let request = chat("[[tokens=1]] [[delay=0]]", &json!({"stream": true}));
+        let mut endless = request.clone();
+        endless.extend(chat("[[silent]]", &json!({"stream": true})));
+
+        let done = client.chat(&version(), request).await;
+        rest(&mut done.expect("it starts"))
+            .await
+            .expect("it is complete");
+        let stream = client.chat(&version(), endless).await.expect("it starts");
+        assert_eq!(
+            client.load().await,
+            Ok(Load {
+                running: 1,
+                queued: 0
+            })
+        );
+        drop(stream);
+
+        while client.load().await != Ok(Load::default()) {
+            tokio::task::yield_now().await;
+        }
+        let states: Vec<_> = runs(running.addr()).await.iter().map(|r| r.state).collect();
+        assert_eq!(states, [RunState::Done, RunState::Ended]);
+    });
+}
+
+// Guards against a wait without end for an engine that is connected and silent.
+#[test]
+fn silence_ends_with_an_error() {
+    run(async {
+        let (running, _) = engine();
+        let waits = Waits {
+            first_byte: Millis(50),
+            idle: Millis(50),
+            ..Waits::default()
+        };
+        let client = EngineClient::new(running.addr(), waits);
+        for extra in [json!({}), json!({"stream": true})] {
+            let outcome = match client.chat(&version(), chat("[[silent]]", &extra)).await {
+                Ok(mut completion) => rest(&mut completion).await,
+                Err(error) => Err(error),
+            };
+            assert!(
+                matches!(outcome, Err(UpstreamError::Silent(_))),
+                "{outcome:?}"
+            );
+        }
+    });
+}
+
+// Guards against a call that reaches the service changed or more than once.
+#[test]
+fn service_calls_pass_through_once() {
+    run(async {
+        let (running, client) = service(standin::service::Behaviour::default());
+
+        let response = client.call(call(Method::PUT, b"two pallets")).await;
+        let body = response
+            .expect("the service answers")
+            .body
+            .collect(1_000)
+            .await;
+
+        let body: Value = serde_json::from_slice(&body.expect("it is complete")).expect("JSON");
+        assert_eq!(body["number"], 1);
+        let mut listed = awc::Client::new()
+            .get(format!("http://{}/__runs", running.addr()))
+            .send()
+            .await
+            .expect("the stand-in answers");
+        let listed: Vec<standin::service::Run> = listed.json().await.expect("a list of runs");
+        let expected = standin::service::Run {
+            method: "PUT".to_owned(),
+            path: "/orders?shop=1".to_owned(),
+            digest: standin::digest(b"two pallets"),
+            key: Some("k1".to_owned()),
+            count: 1,
+        };
+        assert_eq!(listed, [expected]);
+    });
+}
+
+// Guards against headers of one connection that reach the next one.
+#[test]
+fn headers_of_the_connection_stay_behind() {
+    let headers = [
+        "connection: x-hop, close",
+        "x-hop: 1",
+        "host: a",
+        "accept: b",
+    ]
+    .map(|line| {
+        let (name, value) = line.split_once(": ").expect("a header has a value");
+        (
+            HeaderName::from_static(name),
+            HeaderValue::from_static(value),
+        )
+    });
+    let kept = end_to_end(headers.iter().map(|(name, value)| (name, value)));
+    let kept: Vec<_> = kept.iter().map(|(name, _)| name.as_str()).collect();
+    assert_eq!(kept, ["accept"]);
+}
+
+// Guards against a truncated response that looks complete: the cut is between two chunks.
+#[test]
+fn a_cut_response_is_an_error() {
+    run(async {
+        let (_running, client) = service(standin::service::Behaviour {
+            cut_answer: true,
+            ..standin::service::Behaviour::default()
+        });
+
+        let response = client.call(call(Method::GET, b"")).await;
+        let body = response
+            .expect("the head arrives")
+            .body
+            .collect(1_000)
+            .await;
+
+        assert!(matches!(body, Err(UpstreamError::Crashed(_))), "{body:?}");
+    });
+}
+
+// Guards against a call that ran and is reported as not sent.
+#[test]
+fn a_dropped_answer_is_a_crash() {
+    run(async {
+        let (_running, client) = service(standin::service::Behaviour {
+            drop_answer: true,
+            ..standin::service::Behaviour::default()
+        });
+        let outcome = client.call(call(Method::POST, b"order")).await;
+        let error = outcome.expect_err("the answer is dropped");
+        assert!(matches!(error, UpstreamError::Crashed(_)));
+    });
+}
+
+// Guards against a failing rating service whose error is taken for a rating.
+#[test]
+fn ratings_arrive_or_fail() {
+    run(async {
+        for failing in [false, true] {
+            let behaviour = standin::rating::Behaviour {
+                failing,
+                ..standin::rating::Behaviour::default()
+            };
+            let running = standin::rating::bind(loopback(), behaviour).expect("loopback");
+            let client = RatingClient::new(running.addr(), Waits::default());
+
+            let rating = client
+                .rate(&"tags".into(), &version(), "prompt", "answer")
+                .await;
+
+            assert_eq!(rating.is_err(), failing);
+            assert!(rating.is_ok_and(|rating| rating >= Permille(700)) || failing);
+        }
+    });
+}
+
+// Guards against events that depend on how the network divides the bytes.
+#[test]
+fn events_are_the_same_for_any_split() {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck passes owned values"
+    )]
+    fn property(pieces: Vec<u8>, cuts: Vec<usize>) -> bool {
+        let parts = [
+            "data: a", "\n", "\r", "\r\n", "\n\n", "event: x", ": c", "data", "\u{feff}", "é", ":",
+        ];
+        let text: String = pieces
+            .iter()
+            .map(|n| parts[usize::from(*n) % parts.len()])
+            .collect();
+        let mut cuts: Vec<_> = cuts.iter().map(|cut| cut % (text.len() + 1)).collect();
+        cuts.sort_unstable();
+        cuts.push(text.len());
+
+        let whole = Parser::default()
+            .feed(text.as_bytes())
+            .expect("the events are small");
+        let mut parser = Parser::default();
+        let mut from = 0;
+        let mut split = Vec::new();
+        for cut in cuts {
+            split.extend(
+                parser
+                    .feed(&text.as_bytes()[from..cut])
+                    .expect("the events are small"),
+            );
+            from = cut;
+        }
+        whole == split
+    }
+    check(21, property as fn(Vec<u8>, Vec<usize>) -> bool);
+}
+
+// Guards against a panic or unbounded memory on bytes that an upstream makes up.
+#[test]
+fn parser_is_bounded_on_arbitrary_bytes() {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck passes owned values"
+    )]
+    fn property(chunk: Vec<u8>, field: u8, repeats: u16) -> bool {
+        let start = [&b""[..], b"data:", b"event:", b"data:\n", b"\xff"][usize::from(field % 5)];
+        let mut parser = Parser::default();
+        // Enough rounds that the longest chunk passes the limit.
+        for _ in 0..repeats % 4_096 {
+            let failed = parser.feed(start).is_err() | parser.feed(&chunk).is_err();
+            if parser.held() > MAX_EVENT_BYTES || (failed && parser.held() != 0) {
+                return false;
+            }
+        }
+        true
+    }
+    check(22, property as fn(Vec<u8>, u8, u16) -> bool);
+}
+
+// Guards against a parser that joins or drops lines otherwise than the specification.
+#[test]
+fn events_follow_the_specification() {
+    let text =
+        "\u{feff}: comment\ndata: one\ndata:two\nid: 7\n\nevent: end\r\ndata\r\n\r\nevent: x\n\n";
+    let events = Parser::default().feed(text.as_bytes());
+    let expected = [("", "one\ntwo"), ("end", "")].map(|(name, data)| Event {
+        name: name.to_owned(),
+        data: data.to_owned(),
+    });
+    assert_eq!(events, Ok(expected.to_vec()));
+    let long = vec![b'a'; MAX_EVENT_BYTES + 1];
+    assert_eq!(Parser::default().feed(&long), Err(TooLarge));
+}
