Add fencing of engine orders

Change: EngineOrders at the agent starts closed until the highest token has been read, refuses lower ones, gives the engine one order at a time and tells whether to pass the token on. A claim also writes a key that outlives the lease; the revision of the claim is the token.

Ruled out: the lease key as the source of the highest token, since it is gone between two holders and an agent that starts then would accept the order of a paused holder.

--- a/src/fencing/mod.rs
+++ b/src/fencing/mod.rs
@@ -1,1 +1,78 @@
 //! Fencing of engine orders: the highest number wins, older ones are refused.
+//!
+//! A duty is performed by the holder of its lease. Its fencing token is the store revision at which the
+//! holder claimed the duty. The claim also writes a key that outlives the lease, so that an agent that
+//! starts between two holders still learns the highest token.
+
+mod holder;
+mod orders;
+#[cfg(test)]
+mod tests;
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+pub use holder::Holder;
+pub use orders::{
+    EngineOrders, MAX_QUEUED_ORDERS, OrderEffect, OrderEnd, READ_RETRY, SETTLE, Verdict,
+};
+
+use crate::ids::Incarnation;
+use crate::platform::{Change, Compare, Entry, LeaseId};
+
+/// A fencing token.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Fence(pub u64);
+
+impl Fence {
+    /// Returns the highest token of a duty from the entry of its [`fence_key`].
+    #[must_use]
+    pub fn highest(entry: Option<&Entry>) -> Self {
+        Self(entry.map_or(0, |entry| entry.mod_revision))
+    }
+
+    /// Returns the token of a claim whose answer was lost, from the entry of the [`lease_key`].
+    #[must_use]
+    pub fn of_claim(entry: &Entry, holder: Incarnation) -> Option<Self> {
+        let own = entry.value == holder.to_string().as_bytes();
+        own.then_some(Self(entry.create_revision))
+    }
+}
+
+impl fmt::Display for Fence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+/// Returns the key that exists while a duty has a holder.
+#[must_use]
+pub fn lease_key(duty: &str) -> String {
+    format!("/fireflywind/lease/{duty}")
+}
+
+/// Returns the key whose last change is the latest claim of a duty.
+#[must_use]
+pub fn fence_key(duty: &str) -> String {
+    format!("/fireflywind/fence/{duty}")
+}
+
+/// Returns the transaction that claims a duty; its revision is the fencing token.
+#[must_use]
+pub fn claim(duty: &str, holder: Incarnation, lease: LeaseId) -> (Vec<Compare>, Vec<Change>) {
+    let value = holder.to_string();
+    let conditions = vec![Compare::Absent(lease_key(duty))];
+    let changes = vec![
+        Change::Put {
+            key: lease_key(duty),
+            value: value.clone().into(),
+            lease: Some(lease),
+        },
+        Change::put(fence_key(duty), value),
+    ];
+    (conditions, changes)
+}
