--- /dev/null
+++ b/src/bin/fireflywind/cli.rs
@@ -0,0 +1,227 @@
+//! The command line.
+
+use std::ffi::OsString;
+use std::ops::RangeInclusive;
+use std::path::PathBuf;
+
+use fireflywind::sheet::ApplyId;
+use fireflywind::units::Millis;
+use lexopt::prelude::*;
+
+/// Help on the whole program.
+pub const HELP: &str = "\
+Operates fireflywind, a model-aware router for versions and cascades.
+
+Usage: fireflywind VERB [OPTIONS]
+
+Verbs:
+  check    Check a sheet without the platform
+  apply    Put a sheet into force
+  show     Print the sheet in force
+  diff     Compare two sheets, or the one in force with a file
+  status   Summarise what is in force
+  explain, replay, bill, drain, demo: not built yet
+
+Options:
+  -h, --help     Print help, also after a verb
+  -V, --version  Print the version
+
+Exit codes: 0 success, 1 differences, 2 usage, 3 invalid file, 4 conflict, 5 unknown outcome,
+6 service unavailable, 7 processes behind, 8 verb not built
+";
+
+const CHECK: Verb = Verb {
+    name: "check",
+    help: "\
+Checks a sheet and prints every finding with its place, rule and value.
+
+Usage: fireflywind check FILE [--json]
+
+Options:
+  --json  Print the findings as JSON
+",
+    options: &["json"],
+    files: 1..=1,
+};
+
+const APPLY: Verb = Verb {
+    name: "apply",
+    help: "\
+Puts a sheet into force in place of the base revision.
+
+Usage: fireflywind apply FILE [OPTIONS]
+
+Options:
+  --base N           Revision that the sheet was made from, 0 for none; by default the one in
+                     force when the program starts
+  --apply-id UUID    ID of the apply; give the same one to repeat an apply of unknown outcome
+  --wait             Wait until all gateways have the revision
+  --wait-limit SPAN  Longest wait, 30s by default
+  --settings FILE    Settings, operator.json by default
+  --json             Print the result as JSON
+",
+    options: &["base", "apply-id", "wait", "wait-limit", "settings", "json"],
+    files: 1..=1,
+};
+
+const SHOW: Verb = Verb {
+    name: "show",
+    help: "\
+Prints the sheet in force, in the form that apply takes.
+
+Usage: fireflywind show [OPTIONS]
+
+Options:
+  --settings FILE  Settings, operator.json by default
+  --json           Print revision, apply ID and sheet as one JSON object
+",
+    options: &["settings", "json"],
+    files: 0..=0,
+};
+
+const DIFF: Verb = Verb {
+    name: "diff",
+    help: "\
+Prints the differences from OLD, or from the sheet in force, to NEW.
+
+Usage: fireflywind diff [OLD] NEW [OPTIONS]
+
+Options:
+  --settings FILE  Settings, operator.json by default; not used with two files
+  --json           Print the differences as JSON
+",
+    options: &["settings", "json"],
+    files: 1..=2,
+};
+
+const STATUS: Verb = Verb {
+    name: "status",
+    help: "\
+Summarises what is in force and which gateways have it.
+
+Usage: fireflywind status [OPTIONS]
+
+Options:
+  --settings FILE  Settings, operator.json by default
+  --json           Print the summary as JSON
+",
+    options: &["settings", "json"],
+    files: 0..=0,
+};
+
+const VERBS: [Verb; 5] = [CHECK, APPLY, SHOW, DIFF, STATUS];
+
+const NOT_BUILT: [&str; 5] = ["explain", "replay", "bill", "drain", "demo"];
+
+struct Verb {
+    name: &'static str,
+    help: &'static str,
+    options: &'static [&'static str],
+    files: RangeInclusive<usize>,
+}
+
+/// What the command line asks for.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Print a help text.
+    Help(&'static str),
+    /// Print the version.
+    Version,
+    /// Run a verb.
+    Run(&'static str, Options),
+    /// A verb that is not built yet.
+    NotBuilt(&'static str),
+}
+
+/// Options and files of a verb.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Options {
+    /// The files, in order.
+    pub files: Vec<PathBuf>,
+    /// Whether a script reads the output.
+    pub json: bool,
+    /// Settings of the program.
+    pub settings: PathBuf,
+    /// Revision that the sheet was made from; 0 for none.
+    pub base: Option<u64>,
+    /// ID of the apply.
+    pub apply_id: Option<ApplyId>,
+    /// Whether to wait for all gateways.
+    pub wait: bool,
+    /// Longest wait.
+    pub wait_limit: Millis,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            files: Vec::new(),
+            json: false,
+            settings: PathBuf::from("operator.json"),
+            base: None,
+            apply_id: None,
+            wait: false,
+            wait_limit: Millis::from_secs(30),
+        }
+    }
+}
+
+/// Parses the arguments after the program's name.
+///
+/// # Errors
+/// The first argument that is wrong.
+pub fn parse(args: impl IntoIterator<Item = OsString>) -> Result<Command, lexopt::Error> {
+    let mut parser = lexopt::Parser::from_args(args);
+    let name = match parser.next()? {
+        None => return Err("a verb is missing, see --help".into()),
+        Some(Short('h') | Long("help")) => return Ok(Command::Help(HELP)),
+        Some(Short('V') | Long("version")) => return Ok(Command::Version),
+        Some(Value(name)) => name.string()?,
+        Some(other) => return Err(other.unexpected()),
+    };
+    if let Some(name) = NOT_BUILT.into_iter().find(|verb| *verb == name) {
+        return Ok(Command::NotBuilt(name));
+    }
+    match VERBS.into_iter().find(|verb| verb.name == name) {
+        Some(verb) => parse_verb(&mut parser, &verb),
+        None => Err(format!("unknown verb {name:?}, see --help").into()),
+    }
+}
+
+fn parse_verb(parser: &mut lexopt::Parser, verb: &Verb) -> Result<Command, lexopt::Error> {
+    let mut options = Options::default();
+    while let Some(arg) = parser.next()? {
+        let name = match arg {
+            Short('h') | Long("help") => return Ok(Command::Help(verb.help)),
+            Value(file) => {
+                options.files.push(file.into());
+                continue;
+            }
+            Long(name) if verb.options.contains(&name) => name.to_owned(),
+            other => return Err(other.unexpected()),
+        };
+        set(&mut options, &name, parser)?;
+    }
+    if !verb.files.contains(&options.files.len()) {
+        let found = options.files.len();
+        let name = verb.name;
+        return Err(format!("{name} does not take {found} files, see {name} --help").into());
+    }
+    Ok(Command::Run(verb.name, options))
+}
+
+fn set(
+    options: &mut Options,
+    name: &str,
+    parser: &mut lexopt::Parser,
+) -> Result<(), lexopt::Error> {
+    match name {
+        "json" => options.json = true,
+        "wait" => options.wait = true,
+        "settings" => options.settings = parser.value()?.into(),
+        "base" => options.base = Some(parser.value()?.parse()?),
+        "apply-id" => options.apply_id = Some(parser.value()?.parse()?),
+        _ => options.wait_limit = parser.value()?.parse()?,
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/bin/fireflywind/exit_codes.rs
@@ -0,0 +1,33 @@
+//! Exit codes of the program.
+
+use std::process;
+
+/// What the program tells the shell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub enum ExitCode {
+    /// The verb did what it says.
+    Success = 0,
+    /// `diff` found differences.
+    Different = 1,
+    /// The command line is wrong.
+    Usage = 2,
+    /// A file cannot be read or breaks rules, or the sheet does not fit the key-value service.
+    Invalid = 3,
+    /// `apply` had no effect, because another revision than the base is in force.
+    Conflict = 4,
+    /// It is unknown whether `apply` took effect; repeat it with the same apply ID.
+    Unknown = 5,
+    /// The key-value service gave no result or holds no whole sheet; nothing changed.
+    Unavailable = 6,
+    /// `apply --wait` or `status` found processes that do not have the revision in force.
+    Behind = 7,
+    /// The verb is not built yet.
+    NotBuilt = 8,
+}
+
+impl From<ExitCode> for process::ExitCode {
+    fn from(code: ExitCode) -> Self {
+        Self::from(code as u8)
+    }
+}
--- /dev/null
+++ b/src/bin/fireflywind/verbs.rs
@@ -0,0 +1,360 @@
+//! The verbs.
+
+use std::fmt::Display;
+use std::fs;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::path::Path;
+
+use fireflywind::operator::{self, ApplyError, InForce, ReadError};
+use fireflywind::platform::KeyValue;
+use fireflywind::settings::{self, Operator};
+use fireflywind::sheet::parts::{PartCache, Root, split};
+use fireflywind::sheet::{self, ApplyId, Difference, Finding, Sheet};
+use serde_json::{Value, json};
+
+use crate::cli::Options;
+use crate::exit_codes::ExitCode;
+use crate::platform;
+
+/// Where a verb writes its result and its errors.
+pub struct Io<'a> {
+    pub out: &'a mut dyn Write,
+    pub err: &'a mut dyn Write,
+}
+
+impl Io<'_> {
+    /// Writes a one-line error.
+    fn fail(&mut self, code: ExitCode, error: impl Display) -> io::Result<ExitCode> {
+        writeln!(self.err, "fireflywind: {error}")?;
+        Ok(code)
+    }
+
+    fn json(&mut self, value: &Value) -> io::Result<()> {
+        writeln!(self.out, "{value:#}")
+    }
+}
+
+/// A verb that ended early.
+#[derive(Debug)]
+pub enum Stop {
+    Code(ExitCode),
+    Io(io::Error),
+}
+
+impl From<io::Error> for Stop {
+    fn from(error: io::Error) -> Self {
+        Self::Io(error)
+    }
+}
+
+/// Runs a verb; the command line has checked its files and options.
+///
+/// # Errors
+/// The output cannot be written.
+pub fn run(verb: &str, options: &Options, io: &mut Io<'_>) -> io::Result<ExitCode> {
+    let result = match (verb, options.files.as_slice()) {
+        ("check", [file]) => check(file, options, io),
+        ("diff", [old, new]) => diff_files(old, new, options, io),
+        _ => with_platform(verb, options, io),
+    };
+    code(result)
+}
+
+/// Returns the exit code of a verb that ended, early or not.
+pub fn code(result: Result<ExitCode, Stop>) -> io::Result<ExitCode> {
+    match result {
+        Ok(code) | Err(Stop::Code(code)) => Ok(code),
+        Err(Stop::Io(error)) => Err(error),
+    }
+}
+
+fn with_platform(verb: &str, options: &Options, io: &mut Io<'_>) -> Result<ExitCode, Stop> {
+    let settings = match settings::load(&options.settings, Operator::parse) {
+        Ok(settings) => settings,
+        Err(error) => return Ok(io.fail(ExitCode::Invalid, error)?),
+    };
+    let kv = match platform::connect(&settings) {
+        Ok(kv) => kv,
+        Err(error) => return Ok(io.fail(ExitCode::Unavailable, error)?),
+    };
+    let run = run_on(verb, kv.as_ref(), &settings.gateways, options, io);
+    actix_rt::System::new().block_on(run)
+}
+
+/// Runs a verb on the key-value service.
+pub async fn run_on(
+    verb: &str,
+    kv: &dyn KeyValue,
+    gateways: &[SocketAddr],
+    options: &Options,
+    io: &mut Io<'_>,
+) -> Result<ExitCode, Stop> {
+    match (verb, options.files.as_slice()) {
+        ("apply", [file]) => apply(kv, gateways, file, options, io).await,
+        ("diff", [file]) => diff(kv, file, options, io).await,
+        ("show", _) => show(kv, options, io).await,
+        _ => status(kv, gateways, options, io).await,
+    }
+}
+
+fn check(file: &Path, options: &Options, io: &mut Io<'_>) -> Result<ExitCode, Stop> {
+    load(file, options.json, io)?;
+    if options.json {
+        io.json(&json!({"findings": []}))?;
+    } else {
+        writeln!(io.out, "{}: no findings", file.display())?;
+    }
+    Ok(ExitCode::Success)
+}
+
+/// Loads a sheet, or reports its findings.
+fn load(file: &Path, as_json: bool, io: &mut Io<'_>) -> Result<Sheet, Stop> {
+    let text = match fs::read(file) {
+        Ok(text) => text,
+        Err(error) => {
+            let error = format!("{}: {error}", file.display());
+            return Err(Stop::Code(io.fail(ExitCode::Invalid, error)?));
+        }
+    };
+    let sheet = match sheet::parse(&text) {
+        Ok(sheet) => sheet,
+        Err(findings) => return Err(report(file, &findings, as_json, io)?),
+    };
+    // A sheet that the key-value service cannot hold is of no use.
+    let encoded =
+        split(&sheet).and_then(|parts| Root::next(None, ApplyId::random(), &parts).encode());
+    match encoded {
+        Ok(_) => Ok(sheet),
+        Err(error) => {
+            let error = format!("{}: {error}", file.display());
+            Err(Stop::Code(io.fail(ExitCode::Invalid, error)?))
+        }
+    }
+}
+
+fn report(file: &Path, findings: &[Finding], as_json: bool, io: &mut Io<'_>) -> io::Result<Stop> {
+    if as_json {
+        let findings: Vec<_> = findings.iter().map(Finding::to_json).collect();
+        io.json(&json!({"findings": findings}))?;
+    } else {
+        for finding in findings {
+            writeln!(io.err, "{}: {finding}", file.display())?;
+        }
+    }
+    Ok(Stop::Code(ExitCode::Invalid))
+}
+
+fn diff_files(
+    old: &Path,
+    new: &Path,
+    options: &Options,
+    io: &mut Io<'_>,
+) -> Result<ExitCode, Stop> {
+    let old = load(old, options.json, io)?;
+    let new = load(new, options.json, io)?;
+    print_differences(&sheet::diff(&old, &new), options.json, io)
+}
+
+async fn diff(
+    kv: &dyn KeyValue,
+    file: &Path,
+    options: &Options,
+    io: &mut Io<'_>,
+) -> Result<ExitCode, Stop> {
+    let new = load(file, options.json, io)?;
+    let old = read(kv, io).await?.map(|it| it.sheet).unwrap_or_default();
+    print_differences(&sheet::diff(&old, &new), options.json, io)
+}
+
+fn print_differences(
+    found: &[Difference],
+    as_json: bool,
+    io: &mut Io<'_>,
+) -> Result<ExitCode, Stop> {
+    if as_json {
+        let found: Vec<_> = found.iter().map(Difference::to_json).collect();
+        io.json(&json!({"differences": found}))?;
+    } else {
+        for difference in found {
+            writeln!(io.out, "{difference}")?;
+        }
+    }
+    Ok(if found.is_empty() {
+        ExitCode::Success
+    } else {
+        ExitCode::Different
+    })
+}
+
+async fn read(kv: &dyn KeyValue, io: &mut Io<'_>) -> Result<Option<InForce>, Stop> {
+    match operator::read(kv, &mut PartCache::default()).await {
+        Ok(in_force) => Ok(in_force),
+        Err(error) => Err(unreadable(&error, io)?),
+    }
+}
+
+/// Reads what is in force; it is an error if there is nothing.
+async fn read_some(kv: &dyn KeyValue, io: &mut Io<'_>) -> Result<InForce, Stop> {
+    if let Some(in_force) = read(kv, io).await? {
+        return Ok(in_force);
+    }
+    let code = io.fail(ExitCode::Unavailable, "no sheet is in force")?;
+    Err(Stop::Code(code))
+}
+
+fn unreadable(error: &ReadError, io: &mut Io<'_>) -> io::Result<Stop> {
+    Ok(Stop::Code(io.fail(ExitCode::Unavailable, error)?))
+}
+
+async fn show(kv: &dyn KeyValue, options: &Options, io: &mut Io<'_>) -> Result<ExitCode, Stop> {
+    let in_force = read_some(kv, io).await?;
+    let root = &in_force.root;
+    if options.json {
+        io.json(&json!({
+            "revision": root.revision,
+            "apply_id": root.apply_id,
+            "sheet": in_force.sheet,
+        }))?;
+    } else {
+        io.json(&json!(in_force.sheet))?;
+    }
+    Ok(ExitCode::Success)
+}
+
+async fn status(
+    kv: &dyn KeyValue,
+    gateways: &[SocketAddr],
+    options: &Options,
+    io: &mut Io<'_>,
+) -> Result<ExitCode, Stop> {
+    let status = operator::status(&read_some(kv, io).await?);
+    let held = platform::poll(gateways);
+    let behind = |it: &&operator::Held| it.revision.is_none_or(|held| held < status.revision);
+    let behind: Vec<_> = held
+        .iter()
+        .filter(behind)
+        .map(ToString::to_string)
+        .collect();
+    if options.json {
+        io.json(&json!({"in_force": status, "behind": behind}))?;
+    } else {
+        let fields = json!(status);
+        for (name, value) in fields.as_object().into_iter().flatten() {
+            writeln!(io.out, "{name}: {value}")?;
+        }
+        for process in &behind {
+            writeln!(io.out, "behind: {process}")?;
+        }
+    }
+    Ok(if behind.is_empty() {
+        ExitCode::Success
+    } else {
+        ExitCode::Behind
+    })
+}
+
+async fn apply(
+    kv: &dyn KeyValue,
+    gateways: &[SocketAddr],
+    file: &Path,
+    options: &Options,
+    io: &mut Io<'_>,
+) -> Result<ExitCode, Stop> {
+    if options.wait && gateways.is_empty() {
+        let error = format!("{}: no gateways to wait for", options.settings.display());
+        return Ok(io.fail(ExitCode::Invalid, error)?);
+    }
+    let sheet = load(file, options.json, io)?;
+    let base = match options.base {
+        Some(revision) => (revision > 0).then_some(revision),
+        None => match operator::read_root(kv).await {
+            Ok(stored) => stored.map(|stored| stored.root.revision),
+            Err(error) => return Err(unreadable(&error, io)?),
+        },
+    };
+    let apply_id = options.apply_id.unwrap_or_else(ApplyId::random);
+    let applied = match operator::apply(kv, &sheet, base, apply_id).await {
+        Ok(applied) => applied,
+        Err(error) => return refuse(&error, base, apply_id, options, io),
+    };
+    if options.json {
+        let already = applied.already;
+        io.json(&json!({
+            "revision": applied.revision, "already": already, "apply_id": apply_id,
+        }))?;
+    } else {
+        let revision = applied.revision;
+        writeln!(
+            io.out,
+            "revision {revision} is accepted, apply ID {apply_id}"
+        )?;
+    }
+    if let Err(error) = operator::collect(kv).await {
+        writeln!(io.err, "fireflywind: old parts are not removed: {error}")?;
+    }
+    if options.wait {
+        return wait(applied.revision, gateways, options, io).await;
+    }
+    Ok(ExitCode::Success)
+}
+
+async fn wait(
+    revision: u64,
+    gateways: &[SocketAddr],
+    options: &Options,
+    io: &mut Io<'_>,
+) -> Result<ExitCode, Stop> {
+    let poll = async || platform::poll(gateways);
+    let Err(behind) = operator::wait(revision, options.wait_limit, poll).await else {
+        return Ok(ExitCode::Success);
+    };
+    for process in behind {
+        io.fail(ExitCode::Behind, process)?;
+    }
+    Ok(ExitCode::Behind)
+}
+
+fn refuse(
+    error: &ApplyError,
+    base: Option<u64>,
+    apply_id: ApplyId,
+    options: &Options,
+    io: &mut Io<'_>,
+) -> Result<ExitCode, Stop> {
+    let code = match error {
+        ApplyError::Conflict { .. } => ExitCode::Conflict,
+        ApplyError::Unknown(_) => ExitCode::Unknown,
+        ApplyError::Unavailable(_) | ApplyError::Unreadable(_) | ApplyError::Unsettled => {
+            ExitCode::Unavailable
+        }
+        ApplyError::Parts(_) | ApplyError::IdReused { .. } => ExitCode::Invalid,
+    };
+    let differences = match error {
+        ApplyError::Conflict { differences, .. } => differences.as_deref().unwrap_or_default(),
+        _ => &[],
+    };
+    if options.json {
+        let differences: Vec<_> = differences.iter().map(Difference::to_json).collect();
+        let mut result = json!({
+            "error": error.to_string(), "base": base, "apply_id": apply_id,
+            "differences": differences,
+        });
+        if let ApplyError::Conflict {
+            in_force_revision, ..
+        } = error
+        {
+            result["in_force_revision"] = json!(in_force_revision);
+        }
+        io.json(&result)?;
+        return Ok(code);
+    }
+    for difference in differences {
+        writeln!(io.out, "{difference}")?;
+    }
+    let base = base.unwrap_or_default();
+    Ok(io.fail(
+        code,
+        format!("{error} (--base {base} --apply-id {apply_id})"),
+    )?)
+}
