--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -96,6 +96,11 @@
             keys,
             "/session_keys/1/secret: must have at least 32 characters: (secret of 5 characters)|/session_keys/1/id: already listed at /session_keys/0/id: k",
         ),
+        (
+            "session_keys",
+            json!("hunter2"),
+            "/session_keys: must be a list: (secret)",
+        ),
         (
             "max_body_bytes",
             json!(0),
--- a/src/sheet/shape.rs
+++ b/src/sheet/shape.rs
@@ -112,13 +112,13 @@
             (Shape::Object(fields), Node::Object(given)) => Some(self.object(given, fields, place)),
             (Shape::Choice(fields), Node::Object(given)) => self.choice(given, fields, place),
             (Shape::List(_) | Shape::Object(_) | Shape::Choice(_), _) => {
-                self.add(place, wrong_type(shape), node);
+                self.add_value(place, wrong_type(shape), node, shape);
                 None
             }
             _ => match scalar(node, shape) {
                 Ok(value) => Some(value),
                 Err((rule, kept)) => {
-                    self.add_scalar(place, rule, node, shape);
+                    self.add_value(place, rule, node, shape);
                     kept
                 }
             },
@@ -172,7 +172,7 @@
                 continue;
             };
             if object.contains_key(name) {
-                self.add_scalar(&at, Rule::DuplicateField, node, &field.shape);
+                self.add_value(&at, Rule::DuplicateField, node, &field.shape);
                 continue;
             }
             let value = self.value(node, &field.shape, &at);
@@ -185,18 +185,29 @@
         self.found.push(Finding::at(place, rule, node.summary()));
     }
 
-    fn add_scalar(&mut self, place: &str, rule: Rule, node: &Node, shape: &Shape) {
+    fn add_value(&mut self, place: &str, rule: Rule, node: &Node, shape: &Shape) {
         match (shape, node) {
             (Shape::Secret(_), Node::Text(text)) => {
                 let value = format!("(secret of {} characters)", text.chars().count());
                 self.found.push(Finding::at(place, rule, value));
             }
-            (Shape::Secret(_), _) => self.found.push(Finding::at(place, rule, "(secret)")),
+            _ if holds_secret(shape) => self.found.push(Finding::at(place, rule, "(secret)")),
             _ => self.add(place, rule, node),
         }
     }
 }
 
+fn holds_secret(shape: &Shape) -> bool {
+    match shape {
+        Shape::Secret(_) => true,
+        Shape::List(shape) => holds_secret(shape),
+        Shape::Object(fields) | Shape::Choice(fields) => {
+            fields.iter().any(|field| holds_secret(&field.shape))
+        }
+        _ => false,
+    }
+}
+
 /// The broken rule, and the value to continue with if it can be known.
 type Fault = (Rule, Option<Value>);
 
