Bring the in-memory key-value store closer to etcd

Cause: the fake accepted what the real service refuses, slept through removals and lease ends in a watch, and could not answer late or from the past.

Change: a transaction that changes a key twice is refused; one that removes only missing keys does not raise the revision; a missing key compares as revision 0. A watch returns on a removal and when a lease ends. New faults: reads from the past and late answers, also over POST /fault. The client's call timeout can be set in its own tests.

Ruled out: keeping the history of all revisions in the fake; a watch only needs the last change of a key.

--- a/src/platform/etcd.rs
+++ b/src/platform/etcd.rs
@@ -25,9 +25,9 @@
 use crate::units::Millis;
 
 /// Longest time from the start of a call to the end of its answer.
+///
+/// A watch takes at most [`WATCH_WAIT`] and one call.
 const CALL_TIMEOUT: Millis = Millis::from_secs(2);
-/// Longest time of a watch with its wait.
-const WATCH_TIMEOUT: Millis = Millis::from_secs(12);
 /// Longest time for a connection; shorter than a call, so that a connect that hangs is told apart from a
 /// lost answer.
 const CONNECT_TIMEOUT: Millis = Millis::from_secs(1);
@@ -43,6 +43,7 @@
     client: awc::Client,
     addrs: Vec<SocketAddr>,
     current: Cell<usize>,
+    call_timeout: Duration,
     budget: RefCell<CallBudget>,
     opened: Instant,
 }
@@ -146,6 +147,15 @@
     /// Connections are made when they are needed, on the arbiter that polls the calls.
     #[must_use]
     pub fn open(addrs: Vec<SocketAddr>, budget: CallBudget) -> Self {
+        Self::open_with(addrs, budget, CALL_TIMEOUT)
+    }
+
+    /// Opens a client with another timeout of its calls, for tests of the timeout.
+    pub(super) fn open_with(
+        addrs: Vec<SocketAddr>,
+        budget: CallBudget,
+        call_timeout: Millis,
+    ) -> Self {
         let connector = awc::Connector::new()
             .timeout(CONNECT_TIMEOUT.duration())
             .conn_keep_alive(KEEP_ALIVE.duration());
@@ -159,6 +169,7 @@
                 client,
                 addrs,
                 current: Cell::new(0),
+                call_timeout: call_timeout.duration(),
                 budget: RefCell::new(budget),
                 opened: Instant::now(),
             }),
@@ -238,7 +249,7 @@
         let body = encode(request)?;
         let (at, addr) = self.admit(kind)?;
         let exchange = self.exchange(kind, addr, path, body);
-        let outcome = within(CALL_TIMEOUT.duration(), exchange)
+        let outcome = within(self.shared.call_timeout, exchange)
             .await
             .and_then(|body| parse(&body));
         if matches!(
@@ -269,11 +280,11 @@
         deadline: Instant,
     ) -> Result<Option<Event>, KvError> {
         let send = self.send(addr, "/v3/watch", body);
-        let mut answer = within(CALL_TIMEOUT.duration(), send).await?;
+        let mut answer = within(self.shared.call_timeout, send).await?;
         if !answer.status().is_success() {
             let status = answer.status().as_u16();
             let body = answer.body().limit(MAX_WATCH_BYTES);
-            let body = within(CALL_TIMEOUT.duration(), async {
+            let body = within(self.shared.call_timeout, async {
                 body.await.map_err(|error| payload_error(&error))
             });
             return Err(status_error(CallKind::Read, status, &body.await?));
@@ -386,13 +397,12 @@
             let body = encode(&WatchRequest {
                 create_request: WatchCreate {
                     key: Blob::from(key),
-                    start_revision: Int64(after + 1),
+                    start_revision: Int64(after.saturating_add(1)),
                 },
             })?;
             let (at, addr) = self.admit(CallKind::Read)?;
             let deadline = Instant::now() + WATCH_WAIT.duration();
-            let wait = self.next_event(addr, body, deadline);
-            let event = within(WATCH_TIMEOUT.duration(), wait).await;
+            let event = self.next_event(addr, body, deadline).await;
             if event.is_err() {
                 self.leave(at);
             }
--- a/src/platform/memory.rs
+++ b/src/platform/memory.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use actix_rt::time::{Instant, timeout};
+use actix_rt::time::{Instant, sleep, timeout};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
@@ -13,6 +13,9 @@
 /// Longest time that a watch waits before it returns the unchanged entry.
 pub const WATCH_WAIT: Millis = Millis::from_secs(10);
 
+/// Most removed keys that are remembered; a watch of one that was forgotten waits for its whole time.
+const MAX_REMOVED: usize = 10_000;
+
 /// How the service answers calls.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -26,6 +29,8 @@
     LoseAnswers,
     /// The answer of the next write is lost after it took effect.
     LoseNextWrite,
+    /// Reads and watches see the keys as they were when the fault was set; writes work.
+    StaleReads,
 }
 
 #[derive(Debug)]
@@ -42,6 +47,11 @@
     leases: Vec<Lease>,
     next_lease: u64,
     fault: Fault,
+    delay: Millis,
+    /// What reads see under [`Fault::StaleReads`].
+    snapshot: Vec<(Entry, Option<LeaseId>)>,
+    /// Removed keys with the revision of their removal, sorted by key.
+    removed: Vec<(String, u64)>,
     calls: u64,
 }
 
@@ -61,10 +71,26 @@
 
     /// Sets how calls are answered from now on.
     pub fn set_fault(&self, fault: Fault) {
-        self.state.borrow_mut().fault = fault;
+        let mut state = self.state.borrow_mut();
+        state.fault = fault;
+        let entries = state.entries.clone();
+        state.snapshot = entries;
+        drop(state);
         self.changed.notify_waiters();
     }
 
+    /// Sets the time by which answers of calls are late; their effect is not.
+    pub fn set_delay(&self, delay: Millis) {
+        self.state.borrow_mut().delay = delay;
+    }
+
+    async fn lag(&self) {
+        let delay = self.state.borrow().delay;
+        if delay > Millis(0) {
+            sleep(delay.duration()).await;
+        }
+    }
+
     /// Returns the number of calls so far; a watch counts as one.
     #[must_use]
     pub fn calls(&self) -> u64 {
@@ -85,6 +111,14 @@
         state.leases.iter().any(|l| l.id == lease)
     }
 
+    /// Returns the revision of a key's removal if it is newer than `after`.
+    #[must_use]
+    pub fn removed_after(&self, key: &str, after: u64) -> Option<u64> {
+        let state = self.state.borrow();
+        let revision = state.changed_at(key);
+        (state.seen_key(key).is_none() && revision > after).then_some(revision)
+    }
+
     fn begin_read(&self) -> Result<(), KvError> {
         let mut state = self.state.borrow_mut();
         state.calls += 1;
@@ -92,7 +126,7 @@
         match state.fault {
             Fault::Out => Err(KvError::Unreachable("outage".to_owned())),
             Fault::LoseAnswers => Err(KvError::AnswerLost("outage".to_owned())),
-            Fault::None | Fault::LoseNextWrite => Ok(()),
+            Fault::None | Fault::LoseNextWrite | Fault::StaleReads => Ok(()),
         }
     }
 
@@ -114,7 +148,7 @@
                 state.fault = Fault::None;
                 Err(KvError::AnswerLost("answer dropped".to_owned()))
             }
-            Fault::None | Fault::Out => Ok(outcome),
+            Fault::None | Fault::Out | Fault::StaleReads => Ok(outcome),
         }
     }
 }
@@ -130,12 +164,58 @@
         self.entries.get(at).map(|(entry, _)| entry.clone())
     }
 
+    /// Returns the keys with a prefix that reads see.
+    fn seen<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a Entry> {
+        let entries = match self.fault {
+            Fault::StaleReads => &self.snapshot,
+            _ => &self.entries,
+        };
+        let from = entries.partition_point(|(entry, _)| entry.key.as_str() < prefix);
+        entries[from..]
+            .iter()
+            .map(|(entry, _)| entry)
+            .take_while(move |entry| entry.key.starts_with(prefix))
+    }
+
+    /// Returns the key that reads see.
+    fn seen_key(&self, key: &str) -> Option<Entry> {
+        self.seen(key).find(|entry| entry.key == key).cloned()
+    }
+
+    /// Returns the revision of a key's last change or removal, as watches see it.
+    fn changed_at(&self, key: &str) -> u64 {
+        let removed = self.removed.binary_search_by(|(k, _)| k.as_str().cmp(key));
+        match (self.seen_key(key), removed) {
+            (Some(entry), _) => entry.mod_revision,
+            (None, Ok(at)) if self.fault != Fault::StaleReads => self.removed[at].1,
+            (None, _) => 0,
+        }
+    }
+
+    /// Returns a key, whether it changed after a revision, and the end of the next lease.
+    fn watched(&self, key: &str, after: u64) -> (Option<Entry>, bool, Option<Instant>) {
+        let lease_end = self.leases.iter().map(|lease| lease.ends).min();
+        (self.seen_key(key), self.changed_at(key) > after, lease_end)
+    }
+
+    fn remember_removed(&mut self, key: String) {
+        if self.removed.len() >= MAX_REMOVED {
+            self.removed.clear();
+        }
+        let revision = self.revision;
+        match self.removed.binary_search_by(|(k, _)| k.cmp(&key)) {
+            Ok(at) => self.removed[at].1 = revision,
+            Err(at) => self.removed.insert(at, (key, revision)),
+        }
+    }
+
     fn holds(&self, condition: &Compare) -> bool {
         match condition {
             Compare::Absent(key) => self.position(key).is_err(),
-            Compare::ModRevision(key, revision) => self
-                .get(key)
-                .is_some_and(|entry| entry.mod_revision == *revision),
+            // A key that does not exist compares as revision 0, as in etcd.
+            Compare::ModRevision(key, revision) => {
+                self.get(key).map_or(0, |entry| entry.mod_revision) == *revision
+            }
         }
     }
 
@@ -144,6 +224,7 @@
             Change::Delete(key) => {
                 if let Ok(at) = self.position(&key) {
                     self.entries.remove(at);
+                    self.remember_removed(key);
                 }
             }
             Change::Put { key, value, lease } => match self.position(&key) {
@@ -182,11 +263,43 @@
 
     fn end_lease(&mut self, lease: LeaseId) {
         self.leases.retain(|l| l.id != lease);
-        let before = self.entries.len();
-        self.entries.retain(|(_, held_by)| *held_by != Some(lease));
-        if self.entries.len() != before {
+        let held = |(_, by): &mut (Entry, Option<LeaseId>)| *by == Some(lease);
+        let ended: Vec<_> = self.entries.extract_if(.., held).collect();
+        if !ended.is_empty() {
             self.revision += 1;
         }
+        for (entry, _) in ended {
+            self.remember_removed(entry.key);
+        }
+    }
+
+    /// Tells whether the changes of a transaction change the store.
+    fn is_effective(&self, changes: &[Change]) -> bool {
+        changes.iter().any(|change| match change {
+            Change::Put { .. } => true,
+            Change::Delete(key) => self.position(key).is_ok(),
+        })
+    }
+
+    /// Checks what the service checks before it looks at the conditions.
+    fn check_changes(changes: &[Change]) -> Result<(), KvError> {
+        let mut keys = Vec::new();
+        for change in changes {
+            match change {
+                Change::Put { key, value, .. } => {
+                    if value.len() > super::MAX_VALUE_BYTES {
+                        return Err(KvError::Refused("value is over 1 MB".to_owned()));
+                    }
+                    keys.push(key);
+                }
+                Change::Delete(key) => keys.push(key),
+            }
+        }
+        keys.sort_unstable();
+        if keys.windows(2).any(|pair| pair[0] == pair[1]) {
+            return Err(KvError::Refused("a key is changed twice".to_owned()));
+        }
+        Ok(())
     }
 }
 
@@ -194,23 +307,18 @@
     fn get<'a>(&'a self, key: &'a str) -> LocalFuture<'a, Result<Option<Entry>, KvError>> {
         Box::pin(async move {
             self.begin_read()?;
-            Ok(self.state.borrow().get(key))
+            let entry = self.state.borrow().seen_key(key);
+            self.lag().await;
+            Ok(entry)
         })
     }
 
     fn list<'a>(&'a self, prefix: &'a str) -> LocalFuture<'a, Result<Vec<Entry>, KvError>> {
         Box::pin(async move {
             self.begin_read()?;
-            let state = self.state.borrow();
-            let from = state
-                .entries
-                .partition_point(|(entry, _)| entry.key.as_str() < prefix);
-            Ok(state.entries[from..]
-                .iter()
-                .map(|(entry, _)| entry)
-                .take_while(|entry| entry.key.starts_with(prefix))
-                .cloned()
-                .collect())
+            let entries = self.state.borrow().seen(prefix).cloned().collect();
+            self.lag().await;
+            Ok(entries)
         })
     }
 
@@ -220,14 +328,8 @@
         changes: Vec<Change>,
     ) -> LocalFuture<'_, Result<TxnOutcome, KvError>> {
         Box::pin(async move {
-            self.write(|state| {
-                let too_large = changes.iter().any(|change| match change {
-                    Change::Put { value, .. } => value.len() > super::MAX_VALUE_BYTES,
-                    Change::Delete(_) => false,
-                });
-                if too_large {
-                    return Err(KvError::Refused("value is over 1 MB".to_owned()));
-                }
+            let outcome = self.write(|state| {
+                State::check_changes(&changes)?;
                 if !conditions.iter().all(|condition| state.holds(condition)) {
                     return Ok(TxnOutcome::Conflict);
                 }
@@ -240,12 +342,16 @@
                 if lease_gone {
                     return Err(KvError::LeaseGone);
                 }
-                state.revision += 1;
+                if state.is_effective(&changes) {
+                    state.revision += 1;
+                }
                 for change in changes {
                     state.apply(change);
                 }
                 Ok(TxnOutcome::Applied(state.revision))
-            })
+            });
+            self.lag().await;
+            outcome
         })
     }
 
@@ -261,23 +367,22 @@
                 let notified = self.changed.notified();
                 self.begin_read()?;
                 self.state.borrow_mut().calls -= 1;
-                let entry = self.state.borrow().get(key);
-                let newer = entry
-                    .as_ref()
-                    .is_some_and(|entry| entry.mod_revision > after);
-                let left = deadline.saturating_duration_since(Instant::now());
-                if newer || left.is_zero() {
+                let (entry, newer, lease_end) = self.state.borrow().watched(key, after);
+                let now = Instant::now();
+                if newer || now >= deadline {
                     return Ok(entry);
                 }
+                // The end of a lease changes keys without a call that would notify.
+                let wake = lease_end.map_or(deadline, |end| end.min(deadline));
                 // The loop checks the deadline itself.
-                let _ = timeout(left, notified).await;
+                let _ = timeout(wake.saturating_duration_since(now), notified).await;
             }
         })
     }
 
     fn grant(&self, ttl: Millis) -> LocalFuture<'_, Result<LeaseId, KvError>> {
         Box::pin(async move {
-            self.write(|state| {
+            let outcome = self.write(|state| {
                 state.next_lease += 1;
                 let id = LeaseId(state.next_lease);
                 state.leases.push(Lease {
@@ -286,13 +391,15 @@
                     ends: Instant::now() + ttl.duration(),
                 });
                 Ok(id)
-            })
+            });
+            self.lag().await;
+            outcome
         })
     }
 
     fn keep_alive(&self, lease: LeaseId) -> LocalFuture<'_, Result<(), KvError>> {
         Box::pin(async move {
-            self.write(|state| {
+            let outcome = self.write(|state| {
                 let lease = state
                     .leases
                     .iter_mut()
@@ -300,16 +407,20 @@
                     .ok_or(KvError::LeaseGone)?;
                 lease.ends = Instant::now() + lease.ttl.duration();
                 Ok(())
-            })
+            });
+            self.lag().await;
+            outcome
         })
     }
 
     fn revoke(&self, lease: LeaseId) -> LocalFuture<'_, Result<(), KvError>> {
         Box::pin(async move {
-            self.write(|state| {
+            let outcome = self.write(|state| {
                 state.end_lease(lease);
                 Ok(())
-            })
+            });
+            self.lag().await;
+            outcome
         })
     }
 }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -70,6 +70,36 @@
     });
 }
 
+// Guards against a transaction that the real service would refuse and the fake applies.
+#[test]
+fn a_transaction_changes_each_key_once() {
+    run_paused(async {
+        let kv = MemoryKv::open();
+        let twice = vec![Change::put("a", "1"), Change::Delete("a".into())];
+        let outcome = kv.txn(vec![], twice).await;
+        assert!(matches!(outcome, Err(KvError::Refused(_))), "{outcome:?}");
+        assert_eq!(kv.revision(), 0);
+    });
+}
+
+// Guards against reads that see newer keys than a stale replica would.
+#[test]
+fn stale_reads_see_the_past_and_writes_do_not() {
+    run_paused(async {
+        let kv = MemoryKv::open();
+        let first = kv.txn(vec![], vec![Change::put("a", "1")]).await;
+        kv.set_fault(Fault::StaleReads);
+
+        let compare = vec![Compare::ModRevision("a".into(), 1)];
+        let second = kv.txn(compare, vec![Change::put("a", "2")]).await;
+        let stale = kv.get("a").await;
+
+        assert_eq!(first, Ok(TxnOutcome::Applied(1)));
+        assert_eq!(second, Ok(TxnOutcome::Applied(2)));
+        assert_eq!(stale.map(|e| e.map(|e| e.mod_revision)), Ok(Some(1)));
+    });
+}
+
 /// A call of the differential test; keys and leases come from small sets so that calls meet.
 #[derive(Debug, Clone)]
 enum Op {
@@ -106,7 +136,12 @@
     }
 }
 
-const FAULTS: [Fault; 3] = [Fault::Out, Fault::LoseAnswers, Fault::LoseNextWrite];
+const FAULTS: [Fault; 4] = [
+    Fault::Out,
+    Fault::LoseAnswers,
+    Fault::LoseNextWrite,
+    Fault::StaleReads,
+];
 
 fn key(n: u8) -> String {
     // The last key ends the range of its own prefix with a longer carry.
@@ -287,6 +322,55 @@
         let value = |seen: Result<Option<Entry>, _>| seen.ok().flatten().map(|e| e.value);
         assert_eq!(value(earlier), Some(Bytes::from_static(b"1")));
         assert_eq!(value(later), Some(Bytes::from_static(b"2")));
+        // A watch that ends without an event reads the key with a second call.
+        assert_eq!(kv.calls().reads, 2);
+    });
+}
+
+// Guards against a lease holder whose end nobody notices, over the wire.
+#[test]
+fn watch_returns_when_a_lease_ends() {
+    run(async {
+        let (_running, _store, kv) = standin_kv();
+        for ends_early in [true, false] {
+            let lease = kv.grant(Millis::from_secs(1)).await.expect("it is up");
+            let put = Change::Put {
+                key: "holder".into(),
+                value: "1".into(),
+                lease: Some(lease),
+            };
+            let applied = kv.txn(vec![], vec![put]).await;
+            let Ok(TxnOutcome::Applied(revision)) = applied else {
+                panic!("the write failed: {applied:?}");
+            };
+            if ends_early {
+                assert_eq!(kv.keep_alive(lease).await, Ok(()));
+                assert_eq!(kv.revoke(lease).await, Ok(()));
+            }
+
+            let reads = kv.calls().reads;
+            assert_eq!(kv.watch("holder", revision).await, Ok(None));
+            // A watch that ends without an event reads the key with a second call.
+            assert_eq!(kv.calls().reads, reads + 1);
+            assert_eq!(kv.get("holder").await, Ok(None));
+            assert_eq!(kv.keep_alive(lease).await, Err(KvError::LeaseGone));
+            assert_eq!(kv.revoke(lease).await, Ok(()));
+        }
+    });
+}
+
+// Guards against a write that timed out after it was sent and is reported as "nothing changed".
+#[test]
+fn a_late_answer_is_a_lost_answer() {
+    run(async {
+        let (running, store, _) = standin_kv();
+        store.set_delay(Millis::from_secs(60));
+        let kv = EtcdKv::open_with(vec![running.addr()], AMPLE, Millis(100));
+        let outcome = kv.txn(vec![], vec![Change::put("a", "1")]).await;
+        assert!(
+            matches!(outcome, Err(KvError::AnswerLost(_))),
+            "{outcome:?}"
+        );
     });
 }
 
--- a/src/standin/kv.rs
+++ b/src/standin/kv.rs
@@ -22,9 +22,13 @@
 
 /// Body of `POST /fault`.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct FaultRequest {
     /// How calls are answered from now on.
     pub fault: Fault,
+    /// Time by which answers are late from now on.
+    #[serde(default)]
+    pub delay: Millis,
 }
 
 /// Starts the stand-in over a store, which the caller may share.
@@ -52,6 +56,7 @@
         ("POST", "/fault") => {
             let request: FaultRequest = call.json()?;
             store.set_fault(request.fault);
+            store.set_delay(request.delay);
             Ok(Reply::json(StatusCode::OK, &request))
         }
         ("GET", "/calls") => {
@@ -216,6 +221,24 @@
     Bytes::from(text)
 }
 
+/// Makes the event of a key's change after a revision, if there was one.
+fn event(key: String, entry: Option<Entry>, after: u64, store: &MemoryKv) -> Option<Event> {
+    match entry {
+        Some(entry) => (entry.mod_revision > after).then(|| Event {
+            kind: EventKind::Put,
+            kv: pair(&entry),
+        }),
+        None => store.removed_after(&key, after).map(|revision| Event {
+            kind: EventKind::Delete,
+            kv: Pair {
+                key: Blob(key.into_bytes()),
+                mod_revision: Int64(revision),
+                ..Pair::default()
+            },
+        }),
+    }
+}
+
 /// Streams the start of the watch and the next change; ends when the store's wait ends.
 fn watch(request: &WatchRequest, store: MemoryKv) -> Result<Reply, Reply> {
     let key = text(&request.create_request.key.0)?;
@@ -227,12 +250,8 @@
     });
     let change = async move {
         let entry = store.watch(&key, after).await.map_err(io::Error::other)?;
-        let event = match entry {
-            Some(entry) if entry.mod_revision > after => Event {
-                kind: EventKind::Put,
-                kv: pair(&entry),
-            },
-            _ => return Ok(Bytes::new()),
+        let Some(event) = event(key, entry, after, &store) else {
+            return Ok(Bytes::new());
         };
         Ok(line(WatchAnswer {
             header: header(&store),
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -447,6 +447,17 @@
         data: data.to_owned(),
     });
     assert_eq!(events, Ok(expected.to_vec()));
-    let long = vec![b'a'; MAX_EVENT_BYTES + 1];
-    assert_eq!(Parser::default().feed(&long), Err(TooLarge));
+}
+
+// Guards against an event without end, in one line or in many.
+#[test]
+fn an_event_over_the_limit_is_refused() {
+    let line = vec![b'a'; MAX_EVENT_BYTES + 1];
+    let lines = b"data: a\n".repeat(MAX_EVENT_BYTES);
+    for bytes in [line, lines] {
+        let mut parser = Parser::default();
+        assert_eq!(parser.feed(&bytes), Err(TooLarge));
+        assert_eq!(parser.feed(b"data: a\n\n"), Err(TooLarge));
+        assert_eq!(parser.held(), 0);
+    }
 }
