Check not_run against the moment of its proof

Cause: a trial with 5,000 cases found a sequence in which a read proved that no record existed, a concurrent attempt of the same key then ran, and the read's answer arrived after that. The test called this not_run false. No answer that rests on a read can be newer than the read, so the test asked for more than any protocol gives.

Change: the oracle compares not_run with the runs at the moment of the proof (the read of the record, or the attempt to send), and in addition that a call answered with not_run never runs, at any later step. A new test asks for a store-out answer while an intent of the call may still arrive, and for unknown when a record was there and is gone.

Ruled out: answering not_run before the record of a call that was not sent is released; the caller's next attempt would then find the intent and get unknown.

Conclusion: the state machine is unchanged.

--- a/src/idempotency/tests.rs
+++ b/src/idempotency/tests.rs
@@ -56,6 +56,8 @@
     call: Call,
     next: Option<Effect>,
     reply: Option<Reply>,
+    /// Nothing had run under the key when the call last read its record or was sent.
+    unrun: bool,
 }
 
 /// The world: agents that are replaced, calls between any two effects, one store, one run counter a key.
@@ -69,8 +71,10 @@
     agents: Vec<(u128, KnownKeys)>,
     calls: Vec<Running>,
     started: u64,
-    /// Outcomes that the upstream produced, by key.
-    runs: Vec<(IdempotencyKey, Outcome)>,
+    /// Runs at the upstream, with the number of the call and the outcome.
+    runs: Vec<(IdempotencyKey, u64, Outcome)>,
+    /// Numbers of the calls that were answered with `not_run`.
+    not_run: Vec<u64>,
     seen: Vec<(IdempotencyKey, CallDigest)>,
     answers: usize,
 }
@@ -127,7 +131,7 @@
         }
     }
 
-    fn upstream(&mut self, key: IdempotencyKey, fault: u8) -> RunEnd {
+    fn upstream(&mut self, key: IdempotencyKey, call: u64, fault: u8) -> RunEnd {
         let end = match fault % 6 {
             0 | 1 => return RunEnd::NotSent,
             2 => return RunEnd::Broken,
@@ -136,7 +140,7 @@
         let n = self.runs.len();
         let text = Bytes::from(vec![b'x'; (n % 2) * (MAX_KEPT_BODY_BYTES + 1) + n % 3]);
         let outcome = Outcome::new(200, None, text, n.into());
-        self.runs.push((key, outcome.clone()));
+        self.runs.push((key, call, outcome.clone()));
         if end == 3 {
             RunEnd::Broken
         } else {
@@ -155,6 +159,7 @@
             call,
             next: None,
             reply: None,
+            unrun: false,
         });
         self.take(self.calls.len() - 1, step);
     }
@@ -176,10 +181,13 @@
             };
             return self.take(at, step);
         }
-        let key = self.calls[at].call.of.key;
+        let KeyedCall { key, by, .. } = self.calls[at].call.of;
         let Some(effect) = self.calls[at].next.take() else {
             return;
         };
+        if matches!(effect, Effect::ReadBack(_) | Effect::Run) {
+            self.calls[at].unrun = self.run_of(key).is_none();
+        }
         self.calls[at].reply = Some(match effect {
             Effect::WriteIntent(write) => Reply::Write(self.txn(write, fault)),
             Effect::WriteOutcome(write) => Reply::Outcome(self.txn(write, fault)),
@@ -189,21 +197,32 @@
             Effect::ReadBack(key) => {
                 Reply::Read(Ok(self.entries.iter().find(|e| e.key == key).cloned()))
             }
-            Effect::Run => Reply::Run(self.upstream(key, fault)),
+            Effect::Run => Reply::Run(self.upstream(key, by.call, fault)),
             Effect::RetryOutcome(_) => Reply::Retry,
         });
     }
 
+    fn run_of(&self, key: IdempotencyKey) -> Option<&Outcome> {
+        let run = self.runs.iter().find(|(k, ..)| *k == key);
+        run.map(|(.., outcome)| outcome)
+    }
+
     fn take(&mut self, at: usize, step: Step) {
         self.calls[at].next = step.next;
         let Some(answer) = step.answer else {
             return;
         };
         self.answers += 1;
-        let KeyedCall { key, digest, .. } = self.calls[at].call.of;
-        let run = self.runs.iter().find(|(k, _)| *k == key).map(|(_, o)| o);
+        let KeyedCall {
+            key, digest, by, ..
+        } = self.calls[at].call.of;
+        let run = self.run_of(key);
         match answer {
-            KeyedAnswer::NotRun => assert_eq!(run, None, "not_run after a run"),
+            KeyedAnswer::NotRun => {
+                // A concurrent attempt may run after the proof and before the answer.
+                assert!(self.calls[at].unrun, "not_run after a run");
+                self.not_run.push(by.call);
+            }
             KeyedAnswer::Fresh(outcome) | KeyedAnswer::Replayed(outcome) => {
                 assert_eq!(run, Some(&outcome), "an answer that no run produced");
             }
@@ -258,8 +277,9 @@
                 }
             }
         }
-        for (at, (key, _)) in self.runs.iter().enumerate() {
-            assert!(!self.runs[..at].iter().any(|(k, _)| k == key), "ran twice");
+        for (at, (key, call, _)) in self.runs.iter().enumerate() {
+            assert!(!self.runs[..at].iter().any(|(k, ..)| k == key), "ran twice");
+            assert!(!self.not_run.contains(call), "ran after not_run");
         }
         for (_, known) in &self.agents {
             assert!(known.bytes() <= 4_000 + 3 * (MAX_KEPT_BODY_BYTES + 512));
@@ -350,6 +370,35 @@
     assert_eq!(other, Step::last(KeyedAnswer::StoreOut));
 }
 
+// Guards against a `not_run` while an intent of the call may still reach the store and block its key.
+#[test]
+fn not_run_needs_writes_without_effect() {
+    let lost = KvError::AnswerLost(String::new());
+    let refused = KvError::Refused(String::new());
+    let cases = [
+        ([&refused, &refused], KeyedAnswer::NotRun),
+        ([&lost, &refused], KeyedAnswer::StoreOut),
+        ([&refused, &lost], KeyedAnswer::StoreOut),
+    ];
+    for (errors, expected) in cases {
+        let mut known = KnownKeys::new(KNOWN_BYTES);
+        let (mut call, mut step) = Call::start(keyed(key(START, 1), body(0), 1, 1), START, &known);
+        for error in errors {
+            assert!(matches!(step.next, Some(Effect::WriteIntent(_))));
+            call.on_write(Err(error.clone()), START, &mut known);
+            step = call.on_read(Ok(None), START, &mut known);
+        }
+        assert_eq!(step, Step::last(expected));
+    }
+
+    // The record that caused the conflict is gone, and with it the outcome of a run.
+    let mut known = KnownKeys::new(KNOWN_BYTES);
+    let (mut call, _) = Call::start(keyed(key(START, 1), body(0), 1, 1), START, &known);
+    call.on_write(Ok(TxnOutcome::Conflict), START, &mut known);
+    let step = call.on_read(Ok(None), START, &mut known);
+    assert_eq!(step, Step::last(KeyedAnswer::Unknown));
+}
+
 // Guards against keys whose age cannot be told and against a panic on a stranger's header.
 #[test]
 fn headers_are_checked() {
