Count a stream's tokens on engines that report less

Cause: a usage report without completion tokens, or a chunk with a tool call instead of text, made the count of a stream wrong.

Change: a report counts only if it has the completion tokens. Without one, each chunk with any output counts: text, reasoning or a tool call. A read whose answer is over the limit is refused and stays with its address, because another address would send the same. Timeouts have their usual name.

Ruled out: asking every engine for usage in streams; it would change the bytes that the caller receives.

--- a/src/platform/etcd.rs
+++ b/src/platform/etcd.rs
@@ -77,10 +77,13 @@
     }
 }
 
-fn payload_error(error: &PayloadError) -> KvError {
-    match error {
-        PayloadError::Overflow => KvError::AnswerLost("answer is too large".to_owned()),
-        other => KvError::AnswerLost(other.to_string()),
+fn payload_error(kind: CallKind, error: &PayloadError) -> KvError {
+    match (error, kind) {
+        // Another address would send the same answer, and a read changes nothing.
+        (PayloadError::Overflow, CallKind::Read) => {
+            KvError::Refused("answer is too large".to_owned())
+        }
+        _ => KvError::AnswerLost(error.to_string()),
     }
 }
 
@@ -196,7 +199,7 @@
     }
 
     /// Moves on to the next address unless another call already did.
-    fn leave(&self, at: usize) {
+    fn advance_from(&self, at: usize) {
         if self.shared.current.get() == at {
             let next = (at + 1) % self.shared.addrs.len();
             self.shared.current.set(next);
@@ -231,7 +234,7 @@
             .body()
             .limit(MAX_ANSWER_BYTES)
             .await
-            .map_err(|error| payload_error(&error))?;
+            .map_err(|error| payload_error(kind, &error))?;
         if status.is_success() {
             Ok(body)
         } else {
@@ -256,7 +259,7 @@
             outcome,
             Err(KvError::Unreachable(_) | KvError::AnswerLost(_))
         ) {
-            self.leave(at);
+            self.advance_from(at);
         }
         outcome
     }
@@ -285,7 +288,8 @@
             let status = answer.status().as_u16();
             let body = answer.body().limit(MAX_WATCH_BYTES);
             let body = within(self.shared.call_timeout, async {
-                body.await.map_err(|error| payload_error(&error))
+                body.await
+                    .map_err(|error| payload_error(CallKind::Read, &error))
             });
             return Err(status_error(CallKind::Read, status, &body.await?));
         }
@@ -298,7 +302,7 @@
             let Some(chunk) = chunk else {
                 return Ok(None);
             };
-            buf.extend_from_slice(&chunk.map_err(|error| payload_error(&error))?);
+            buf.extend_from_slice(&chunk.map_err(|error| payload_error(CallKind::Read, &error))?);
             match newest_event(&mut buf)? {
                 Progress::Waiting => {}
                 Progress::Ended => return Ok(None),
@@ -404,7 +408,7 @@
             let deadline = Instant::now() + WATCH_WAIT.duration();
             let event = self.next_event(addr, body, deadline).await;
             if event.is_err() {
-                self.leave(at);
+                self.advance_from(at);
             }
             match event? {
                 Some(event) if event.kind == EventKind::Put => entry(event.kv).map(Some),
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -178,9 +178,9 @@
 
 /// Result of a call without the reasons, which differ in wording.
 #[derive(Debug, PartialEq, Eq)]
-enum Seen {
+enum Outcome {
     Entries(Vec<Entry>),
-    Outcome(TxnOutcome),
+    Txn(TxnOutcome),
     Lease(LeaseId),
     Done,
     Read(KvError),
@@ -189,7 +189,7 @@
     WriteError(KvError),
 }
 
-fn wordless(error: &KvError) -> KvError {
+fn without_reason(error: &KvError) -> KvError {
     match error {
         KvError::Unreachable(_) => KvError::Unreachable(String::new()),
         KvError::AnswerLost(_) => KvError::AnswerLost(String::new()),
@@ -198,21 +198,24 @@
     }
 }
 
-fn write_error(error: KvError) -> Seen {
+fn write_error(error: KvError) -> Outcome {
     match error {
-        KvError::Unreachable(_) | KvError::AnswerLost(_) => Seen::WriteOutOrLost,
-        other => Seen::WriteError(wordless(&other)),
+        KvError::Unreachable(_) | KvError::AnswerLost(_) => Outcome::WriteOutOrLost,
+        other => Outcome::WriteError(without_reason(&other)),
     }
 }
 
-async fn apply(kv: &dyn KeyValue, op: &Op) -> Seen {
-    let read = |error| Seen::Read(wordless(&error));
+async fn apply(kv: &dyn KeyValue, op: &Op) -> Outcome {
+    let read = |error| Outcome::Read(without_reason(&error));
     match op {
         Op::Get(n) => {
             let entry = kv.get(&key(*n)).await;
-            entry.map_or_else(read, |entry| Seen::Entries(entry.into_iter().collect()))
+            entry.map_or_else(read, |entry| Outcome::Entries(entry.into_iter().collect()))
         }
-        Op::List(n) => kv.list(prefix(*n)).await.map_or_else(read, Seen::Entries),
+        Op::List(n) => kv
+            .list(prefix(*n))
+            .await
+            .map_or_else(read, Outcome::Entries),
         Op::Txn {
             conditions,
             changes,
@@ -220,21 +223,21 @@
             let conditions = conditions.iter().copied().map(compare).collect();
             let changes = changes.iter().copied().map(change).collect();
             let outcome = kv.txn(conditions, changes).await;
-            outcome.map_or_else(write_error, Seen::Outcome)
+            outcome.map_or_else(write_error, Outcome::Txn)
         }
         Op::Grant => {
             let lease = kv.grant(Millis::from_secs(1_000)).await;
-            lease.map_or_else(write_error, Seen::Lease)
+            lease.map_or_else(write_error, Outcome::Lease)
         }
         Op::KeepAlive(n) => {
             let renewed = kv.keep_alive(lease(*n)).await;
-            renewed.map_or_else(write_error, |()| Seen::Done)
+            renewed.map_or_else(write_error, |()| Outcome::Done)
         }
         Op::Revoke(n) => {
             let revoked = kv.revoke(lease(*n)).await;
-            revoked.map_or_else(write_error, |()| Seen::Done)
+            revoked.map_or_else(write_error, |()| Outcome::Done)
         }
-        Op::Fault(_) => Seen::Done,
+        Op::Fault(_) => Outcome::Done,
     }
 }
 
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -246,7 +246,7 @@
     }
 
     /// Waits for the token at a place; a crash or silence never returns.
-    async fn reach(&self, at: u64, control: &Control) {
+    async fn wait_for_token(&self, at: u64, control: &Control) {
         if self.crash_after == Some(at) {
             control.restart(self.restart);
             pending::<()>().await;
@@ -388,7 +388,7 @@
 
 async fn whole(plan: Plan, mut active: Active, control: &Control) -> Result<Reply, Reply> {
     for at in 0..=plan.tokens {
-        plan.reach(at, control).await;
+        plan.wait_for_token(at, control).await;
     }
     active.done = true;
     let text = answer_text(&plan.model, &plan.prompt, plan.tokens);
@@ -424,12 +424,12 @@
     let events = stream::unfold(start, |(plan, mut active, control, at)| async move {
         let usage_at = plan.tokens + 1;
         let bytes = if at < plan.tokens {
-            plan.reach(at, &control).await;
+            plan.wait_for_token(at, &control).await;
             let text = token(&plan.model, &plan.prompt, at);
             let choices = json!([{"index": 0, "delta": {"content": text}, "finish_reason": null}]);
             event(&plan, &choices, None)
         } else if at == plan.tokens {
-            plan.reach(at, &control).await;
+            plan.wait_for_token(at, &control).await;
             let choices = json!([{"index": 0, "delta": {}, "finish_reason": "stop"}]);
             event(&plan, &choices, None)
         } else if at == usage_at && plan.usage {
--- a/src/upstream/engine.rs
+++ b/src/upstream/engine.rs
@@ -10,7 +10,7 @@
 
 use super::exchange::{Body, Request, send};
 use super::sse::{self, Parser};
-use super::{UpstreamError, Waits};
+use super::{Timeouts, UpstreamError};
 use crate::ids::VersionRef;
 use crate::units::Tokens;
 
@@ -21,7 +21,7 @@
 /// Content type of a streamed answer, before its parameters.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// Data of the event that ends a stream.
-const DONE: &str = "[DONE]";
+pub(super) const DONE: &str = "[DONE]";
 
 /// Tokens of a completion.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -32,31 +32,44 @@
     pub completion: Tokens,
 }
 
-#[derive(Debug, Deserialize)]
+/// The reported numbers; engines leave some out.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
 struct UsageReport {
-    prompt_tokens: Tokens,
-    completion_tokens: Tokens,
+    prompt_tokens: Option<Tokens>,
+    completion_tokens: Option<Tokens>,
 }
 
-impl From<UsageReport> for Usage {
-    fn from(report: UsageReport) -> Self {
-        Self {
-            prompt: Some(report.prompt_tokens),
-            completion: report.completion_tokens,
-        }
+impl UsageReport {
+    fn usage(&self) -> Option<Usage> {
+        self.completion_tokens.map(|completion| Usage {
+            prompt: self.prompt_tokens,
+            completion,
+        })
     }
 }
 
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
-struct Delta {
-    content: Option<String>,
+struct Choice {
+    delta: Map<String, Value>,
 }
 
-#[derive(Debug, Default, Deserialize)]
-#[serde(default)]
-struct Choice {
-    delta: Delta,
+impl Choice {
+    /// Tells whether the chunk carries a part of the answer: text, reasoning or a tool call.
+    fn has_output(&self) -> bool {
+        let mut fields = self.delta.iter();
+        fields.any(|(name, value)| name != "role" && !is_blank(value))
+    }
+}
+
+fn is_blank(value: &Value) -> bool {
+    match value {
+        Value::Null => true,
+        Value::String(text) => text.is_empty(),
+        Value::Array(items) => items.is_empty(),
+        _ => false,
+    }
 }
 
 /// The parts of a chunk or a whole answer that count.
@@ -80,17 +93,17 @@
 #[derive(Debug, Clone)]
 pub struct EngineClient {
     addr: SocketAddr,
-    waits: Waits,
+    timeouts: Timeouts,
 }
 
 impl EngineClient {
     /// Makes a client; connections are made for each call.
     #[must_use]
-    pub const fn new(addr: SocketAddr, waits: Waits) -> Self {
-        Self { addr, waits }
+    pub const fn new(addr: SocketAddr, timeouts: Timeouts) -> Self {
+        Self { addr, timeouts }
     }
 
-    /// Starts a chat completion of a version and waits for the head of the response.
+    /// Starts a chat completion of a version and timeouts for the head of the response.
     ///
     /// `request` is the body of the caller; its `model` is replaced.
     ///
@@ -103,7 +116,7 @@
     ) -> Result<Completion, UpstreamError> {
         request.insert("model".to_owned(), version.to_string().into());
         let request = post("/v1/chat/completions", &Value::Object(request));
-        let response = send(self.addr, self.waits, &request).await?;
+        let response = send(self.addr, self.timeouts, &request).await?;
         let response = response.success().await?;
         let kind = response.headers.get(CONTENT_TYPE);
         let streamed = kind.is_some_and(|kind| kind.as_bytes().starts_with(EVENT_STREAM));
@@ -144,7 +157,7 @@
     }
 
     async fn small(&self, request: &Request) -> Result<Bytes, UpstreamError> {
-        let response = send(self.addr, self.waits, request).await?;
+        let response = send(self.addr, self.timeouts, request).await?;
         let response = response.success().await?;
         response.body.collect(MAX_SMALL_BYTES).await
     }
@@ -173,7 +186,7 @@
 }
 
 impl Completion {
-    /// Waits for the next bytes of the body; none means that the answer is complete.
+    /// Timeouts for the next bytes of the body; none means that the answer is complete.
     ///
     /// The bytes are passed on as the engine sent them.
     ///
@@ -197,7 +210,8 @@
         match &self.counter {
             Counter::Whole(body) => {
                 let chunk: Chunk = serde_json::from_slice(body).unwrap_or_default();
-                chunk.usage.map(Usage::from).unwrap_or_default()
+                let usage = chunk.usage.and_then(|report| report.usage());
+                usage.unwrap_or_default()
             }
             Counter::Streamed(counter) => counter.usage(),
         }
@@ -262,18 +276,10 @@
         }
         // An event of another shape is the engine's own extension and carries no tokens.
         let chunk: Chunk = serde_json::from_str(data).unwrap_or_default();
-        let has_content = |choice: &Choice| {
-            let content = choice.delta.content.as_deref();
-            content.is_some_and(|text| !text.is_empty())
-        };
-        self.chunks += chunk
-            .choices
-            .iter()
-            .map(|c| u64::from(has_content(c)))
-            .sum::<u64>();
-        if let Some(report) = chunk.usage {
-            self.reported = Some(report.into());
-        }
+        let outputs = chunk.choices.iter().filter(|choice| choice.has_output());
+        self.chunks += outputs.map(|_| 1).sum::<u64>();
+        let reported = chunk.usage.and_then(|report| report.usage());
+        self.reported = reported.or(self.reported);
     }
 
     fn usage(&self) -> Usage {
--- a/src/upstream/exchange.rs
+++ b/src/upstream/exchange.rs
@@ -17,7 +17,7 @@
 use bytes::{Bytes, BytesMut};
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
-use super::{UpstreamError, Waits};
+use super::{Timeouts, UpstreamError};
 use crate::units::Millis;
 
 /// Bytes that are read from the socket at once, which bounds a chunk of a body.
@@ -91,7 +91,7 @@
 }
 
 impl Body {
-    /// Waits for the next bytes; none means that the body is complete.
+    /// Timeouts for the next bytes; none means that the body is complete.
     ///
     /// Dropping the future loses no bytes.
     ///
@@ -106,7 +106,7 @@
             match item.map_err(|error| UpstreamError::Invalid(error.to_string()))? {
                 Some(Some(chunk)) => return Ok(Some(chunk)),
                 Some(None) => self.codec = None,
-                None => within(self.wire.waits.idle, self.wire.fill()).await?,
+                None => within(self.wire.timeouts.idle, self.wire.fill()).await?,
             }
         }
     }
@@ -133,7 +133,7 @@
 struct Wire {
     io: TcpStream,
     buf: BytesMut,
-    waits: Waits,
+    timeouts: Timeouts,
 }
 
 async fn within<T>(
@@ -224,8 +224,8 @@
     Ok(out)
 }
 
-async fn connect(addr: SocketAddr, waits: Waits) -> Result<TcpStream, UpstreamError> {
-    let connect = timeout(waits.connect.duration(), TcpStream::connect(addr)).await;
+async fn connect(addr: SocketAddr, timeouts: Timeouts) -> Result<TcpStream, UpstreamError> {
+    let connect = timeout(timeouts.connect.duration(), TcpStream::connect(addr)).await;
     let io = connect
         .map_err(|_elapsed| UpstreamError::NotSent(format!("connecting to {addr} timed out")))?
         .map_err(|error| UpstreamError::NotSent(format!("connecting to {addr} failed: {error}")))?;
@@ -261,23 +261,23 @@
         || headers.contains_key(TRANSFER_ENCODING)
 }
 
-/// Sends a request on a new connection and waits for the head of the response.
+/// Sends a request on a new connection and timeouts for the head of the response.
 ///
 /// # Errors
 /// [`UpstreamError`] if there is no response; its status is not judged.
 pub async fn send(
     addr: SocketAddr,
-    waits: Waits,
+    timeouts: Timeouts,
     request: &Request,
 ) -> Result<Response, UpstreamError> {
     let mut codec = ClientCodec::default();
     let out = encode(&mut codec, head(addr, request)?, &request.body)?;
     let mut wire = Wire {
-        io: connect(addr, waits).await?,
+        io: connect(addr, timeouts).await?,
         buf: BytesMut::new(),
-        waits,
+        timeouts,
     };
-    let head = within(waits.first_byte, async {
+    let head = within(timeouts.first_byte, async {
         wire.write(&out).await.map_err(|error| crashed(&error))?;
         read_head(&mut wire, &mut codec).await
     });
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -56,9 +56,9 @@
 
 impl std::error::Error for UpstreamError {}
 
-/// Longest waits for an upstream.
+/// Longest timeouts for an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Waits {
+pub struct Timeouts {
     /// For a connection.
     pub connect: Millis,
     /// From the connection to the head of the response, which for a whole answer follows its last token.
@@ -67,7 +67,7 @@
     pub idle: Millis,
 }
 
-impl Default for Waits {
+impl Default for Timeouts {
     fn default() -> Self {
         Self {
             connect: Millis::from_secs(1),
--- a/src/upstream/rating.rs
+++ b/src/upstream/rating.rs
@@ -7,7 +7,7 @@
 
 use super::engine::post;
 use super::exchange::send;
-use super::{UpstreamError, Waits};
+use super::{Timeouts, UpstreamError};
 use crate::ids::{ClassId, VersionRef};
 use crate::units::Permille;
 
@@ -23,14 +23,14 @@
 #[derive(Debug, Clone)]
 pub struct RatingClient {
     addr: SocketAddr,
-    waits: Waits,
+    timeouts: Timeouts,
 }
 
 impl RatingClient {
     /// Makes a client; connections are made for each call.
     #[must_use]
-    pub const fn new(addr: SocketAddr, waits: Waits) -> Self {
-        Self { addr, waits }
+    pub const fn new(addr: SocketAddr, timeouts: Timeouts) -> Self {
+        Self { addr, timeouts }
     }
 
     /// Rates an answer.
@@ -45,7 +45,7 @@
         answer: &str,
     ) -> Result<Permille, UpstreamError> {
         let body = json!({"class": class, "model": version, "prompt": prompt, "answer": answer});
-        let response = send(self.addr, self.waits, &post("/rate", &body)).await?;
+        let response = send(self.addr, self.timeouts, &post("/rate", &body)).await?;
         let response = response.success().await?;
         let body = response.body.collect(MAX_ANSWER_BYTES).await?;
         let answer: Answer = serde_json::from_slice(&body)
--- a/src/upstream/service.rs
+++ b/src/upstream/service.rs
@@ -5,7 +5,7 @@
 use actix_http::header::{CONNECTION, HeaderName, HeaderValue};
 
 use super::exchange::{Request, Response, send};
-use super::{UpstreamError, Waits};
+use super::{Timeouts, UpstreamError};
 
 /// Most headers that are passed on.
 const MAX_HEADERS: usize = 64;
@@ -52,17 +52,17 @@
 #[derive(Debug, Clone)]
 pub struct ServiceClient {
     addr: SocketAddr,
-    waits: Waits,
+    timeouts: Timeouts,
 }
 
 impl ServiceClient {
     /// Makes a client; connections are made for each call.
     #[must_use]
-    pub const fn new(addr: SocketAddr, waits: Waits) -> Self {
-        Self { addr, waits }
+    pub const fn new(addr: SocketAddr, timeouts: Timeouts) -> Self {
+        Self { addr, timeouts }
     }
 
-    /// Passes a call through and waits for the head of the response.
+    /// Passes a call through and timeouts for the head of the response.
     ///
     /// Any status is returned as the service sent it. Headers of the connection are left out.
     ///
@@ -76,6 +76,6 @@
             let why = format!("headers are over {MAX_HEADERS} or {MAX_HEADER_BYTES} bytes");
             return Err(UpstreamError::NotSent(why));
         }
-        send(self.addr, self.waits, &request).await
+        send(self.addr, self.timeouts, &request).await
     }
 }
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -6,7 +6,7 @@
 use actix_http::header::{HeaderName, HeaderValue};
 use serde_json::{Map, Value, json};
 
-use super::engine::{Completion, EngineClient, Load};
+use super::engine::{Completion, DONE, EngineClient, Load};
 use super::exchange::Request;
 use super::rating::RatingClient;
 use super::service::{ServiceClient, end_to_end};
@@ -30,13 +30,13 @@
 fn engine() -> (Running, EngineClient) {
     let running = standin::engine::bind(loopback(), Options::default(), Behaviour::default())
         .expect("loopback can be bound");
-    let client = EngineClient::new(running.addr(), Waits::default());
+    let client = EngineClient::new(running.addr(), Timeouts::default());
     (running, client)
 }
 
 fn service(behaviour: standin::service::Behaviour) -> (Running, ServiceClient) {
     let running = standin::service::bind(loopback(), behaviour).expect("loopback can be bound");
-    let client = ServiceClient::new(running.addr(), Waits::default());
+    let client = ServiceClient::new(running.addr(), Timeouts::default());
     (running, client)
 }
 
@@ -64,7 +64,7 @@
     Ok(body)
 }
 
-/// Waits until an engine is up and runs nothing; the limit only keeps a failing test from hanging.
+/// Timeouts until an engine is up and runs nothing; the limit only keeps a failing test from hanging.
 async fn idle(client: &EngineClient) {
     let wait = async {
         while client.load().await != Ok(Load::default()) {
@@ -150,6 +150,33 @@
     });
 }
 
+// Guards against chunks that are billed although they carry no output, or the reverse.
+#[test]
+fn chunks_with_output_are_counted() {
+    run(async {
+        let chunks = [
+            r#"{"choices":[{"delta":{"role":"assistant","content":""}}],"usage":null}"#,
+            r#"{"choices":[{"delta":{"content":"a"}}]}"#,
+            r#"{"choices":[{"delta":{"tool_calls":[{"index":0}]}}],"usage":{"prompt_tokens":4}}"#,
+            r#"{"choices":[{"delta":{},"finish_reason":"stop"}]}"#,
+            "not JSON",
+            DONE,
+        ];
+        let body = format!("data: {}\n\n", chunks.join("\n\ndata: "));
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream; charset=utf-8";
+        let answer = format!("{head}\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+        let addr = raw_server(answer.into_bytes());
+        let client = EngineClient::new(addr, Timeouts::default());
+
+        let started = client.chat(&version(), chat("p", &json!({}))).await;
+        let mut completion = started.expect("it starts");
+        let received = rest(&mut completion).await;
+
+        assert_eq!(received, Ok(body.into_bytes()));
+        assert_eq!(completion.usage().completion, Tokens(2));
+    });
+}
+
 // Guards against a whole answer that is changed on the way.
 #[test]
 fn engine_answers_whole() {
@@ -197,13 +224,13 @@
 fn a_crash_ends_all_requests_of_the_engine() {
     run(async {
         let (_running, client) = engine();
-        let bystander = chat("[[silent]]", &json!({"stream": true}));
-        let mut bystander = client.chat(&version(), bystander).await.expect("it starts");
+        let other = chat("[[silent]]", &json!({"stream": true}));
+        let mut other = client.chat(&version(), other).await.expect("it starts");
 
-        let culprit = client.chat(&version(), chat("[[crash]]", &json!({}))).await;
-        let ended = rest(&mut bystander).await;
+        let crashing = client.chat(&version(), chat("[[crash]]", &json!({}))).await;
+        let ended = rest(&mut other).await;
 
-        assert!(matches!(culprit, Err(UpstreamError::Crashed(_))));
+        assert!(matches!(crashing, Err(UpstreamError::Crashed(_))));
         assert!(matches!(ended, Err(UpstreamError::Crashed(_))));
         idle(&client).await;
     });
@@ -254,12 +281,12 @@
 fn silence_ends_with_an_error() {
     run(async {
         let (running, _) = engine();
-        let waits = Waits {
+        let timeouts = Timeouts {
             first_byte: Millis(50),
             idle: Millis(50),
-            ..Waits::default()
+            ..Timeouts::default()
         };
-        let client = EngineClient::new(running.addr(), waits);
+        let client = EngineClient::new(running.addr(), timeouts);
         for extra in [json!({}), json!({"stream": true})] {
             let outcome = match client.chat(&version(), chat("[[silent]]", &extra)).await {
                 Ok(mut completion) => rest(&mut completion).await,
@@ -361,7 +388,7 @@
 
 /// Outcome of a call to a server that sends raw bytes.
 async fn raw_outcome(answer: &[u8]) -> Result<Bytes, UpstreamError> {
-    let client = ServiceClient::new(raw_server(answer.to_vec()), Waits::default());
+    let client = ServiceClient::new(raw_server(answer.to_vec()), Timeouts::default());
     let response = client.call(call(Method::GET, b"")).await?;
     response.body.collect(1_000).await
 }
@@ -439,7 +466,7 @@
                 ..standin::rating::Behaviour::default()
             };
             let running = standin::rating::bind(loopback(), behaviour).expect("loopback");
-            let client = RatingClient::new(running.addr(), Waits::default());
+            let client = RatingClient::new(running.addr(), Timeouts::default());
 
             let rating = client
                 .rate(&"tags".into(), &version(), "prompt", "answer")
