--- /dev/null
+++ b/src/agent/answers.rs
@@ -0,0 +1,243 @@
+//! Answers that the agent keeps until gateways have them.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use actix_rt::task::JoinHandle;
+use actix_rt::time::timeout;
+use bytes::Bytes;
+use tokio::sync::Notify;
+
+use crate::clock::Clock;
+use crate::ledger::Charge;
+use crate::peer::{Failure, Head, ReadBody, ReadReply, RunRequest};
+use crate::refusal::{Code, Ran, Refusal};
+use crate::stream::{EndStatus, Fate, KeptAnswer, LONG_POLL, Part, Source};
+
+/// One answer and the run that produces it.
+#[derive(Debug)]
+pub(super) struct Answer {
+    clock: Clock,
+    kept: RefCell<KeptAnswer>,
+    attempt: u32,
+    head: RefCell<Head>,
+    failure: RefCell<Option<Failure>>,
+    charge: RefCell<Bytes>,
+    replayed: Cell<bool>,
+    changed: Notify,
+    /// Set when the run has to end early.
+    cancelled: Cell<bool>,
+    cancel: Notify,
+}
+
+impl Answer {
+    /// Opens the answer of an attempt, of which at most `max_bytes` wait for the gateway.
+    pub fn open(req: &RunRequest, clock: Clock, max_bytes: usize) -> Rc<Self> {
+        let attempt = req.attempt_number();
+        let source = Source {
+            request: req.request,
+            attempt,
+        };
+        let kept = KeptAnswer::open(source, max_bytes, clock.now());
+        Rc::new(Self {
+            clock,
+            kept: RefCell::new(kept),
+            attempt,
+            head: RefCell::default(),
+            failure: RefCell::default(),
+            charge: RefCell::default(),
+            replayed: Cell::new(false),
+            changed: Notify::new(),
+            cancelled: Cell::new(false),
+            cancel: Notify::new(),
+        })
+    }
+
+    /// Sets the status line.
+    pub fn set_head(&self, status: u16, content_type: &str) {
+        *self.head.borrow_mut() = Head {
+            status,
+            content_type: content_type.to_owned(),
+        };
+    }
+
+    /// Appends bytes; waits while the gateway has too many unread.
+    pub async fn append(&self, mut bytes: Bytes) {
+        while !bytes.is_empty() && !self.cancelled.get() {
+            let taken = self.kept.borrow_mut().append(&bytes);
+            if taken == 0 {
+                self.changed.notified().await;
+                continue;
+            }
+            bytes = bytes.split_off(taken);
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Appends a whole body at once; `false` if it is over the bound of the answer.
+    pub fn append_whole(&self, body: &[u8]) -> bool {
+        self.kept.borrow_mut().append(body) == body.len()
+    }
+
+    /// Ends the answer as whole.
+    pub fn complete(&self, charge: Option<&Charge>, replayed: bool) {
+        if let Some(charge) = charge {
+            // A charge always has a JSON form.
+            let json = serde_json::to_vec(charge).unwrap_or_default();
+            *self.charge.borrow_mut() = json.into();
+        }
+        self.replayed.set(replayed);
+        self.kept
+            .borrow_mut()
+            .end(EndStatus::Complete, self.clock.now());
+        self.changed.notify_waiters();
+    }
+
+    /// Ends the answer as failed.
+    pub fn fail(&self, refusal: Refusal, crashed: bool) {
+        let offset = self.kept.borrow().length();
+        *self.failure.borrow_mut() = Some(Failure {
+            refusal,
+            crashed,
+            offset,
+        });
+        self.kept
+            .borrow_mut()
+            .end(EndStatus::Broken, self.clock.now());
+        self.changed.notify_waiters();
+    }
+
+    /// Asks the run to end early.
+    pub fn cancel(&self) {
+        self.cancelled.set(true);
+        self.cancel.notify_waiters();
+        self.changed.notify_waiters();
+    }
+
+    /// Waits until the run has to end early.
+    pub async fn cancelled(&self) {
+        while !self.cancelled.get() {
+            self.cancel.notified().await;
+        }
+    }
+
+    /// Reads from an offset; waits for a while if there is nothing.
+    pub async fn read(&self, offset: u64, max: u32) -> ReadReply {
+        let max = usize::try_from(max).unwrap_or(usize::MAX);
+        let wait = async {
+            loop {
+                let changed = self.changed.notified();
+                let body = self.read_now(offset, max);
+                if body != ReadBody::Pending {
+                    return body;
+                }
+                changed.await;
+            }
+        };
+        let body = timeout(LONG_POLL.duration(), wait)
+            .await
+            .unwrap_or(ReadBody::Pending);
+        // A read makes room for the producer.
+        self.changed.notify_waiters();
+        ReadReply {
+            head: self.head.borrow().clone(),
+            attempt: self.attempt,
+            body,
+        }
+    }
+
+    fn read_now(&self, offset: u64, max: usize) -> ReadBody {
+        let reply = self.kept.borrow_mut().read(offset, max, self.clock.now());
+        match reply.part {
+            Part::Pending => ReadBody::Pending,
+            Part::Chunk { offset, bytes } => ReadBody::Chunk { offset, bytes },
+            Part::Gone { .. } => ReadBody::Gone,
+            Part::End(end) if end.status == EndStatus::Complete => ReadBody::End {
+                length: end.length,
+                digest: end.digest,
+                charge: self.charge.borrow().clone(),
+                replayed: self.replayed.get(),
+            },
+            Part::End(_) => ReadBody::Failed(self.failure()),
+        }
+    }
+
+    fn failure(&self) -> Failure {
+        let cancelled = || {
+            let refusal =
+                Refusal::after_run(Code::UpstreamFailed, Ran::Unknown, "run was cancelled");
+            Failure {
+                refusal,
+                crashed: false,
+                offset: self.kept.borrow().length(),
+            }
+        };
+        self.failure.borrow().clone().unwrap_or_else(cancelled)
+    }
+}
+
+#[derive(Debug)]
+struct Entry {
+    number: u64,
+    answer: Rc<Answer>,
+    /// The run; `None` if it must not be ended early.
+    run: Option<JoinHandle<()>>,
+}
+
+/// The answers of one agent, sorted by number.
+#[derive(Debug, Default)]
+pub(super) struct Answers {
+    entries: Vec<Entry>,
+    last: u64,
+}
+
+impl Answers {
+    /// Returns the number of answers that are kept.
+    pub const fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Keeps an answer and returns its number.
+    pub fn add(&mut self, answer: Rc<Answer>, run: Option<JoinHandle<()>>) -> u64 {
+        self.last += 1;
+        self.entries.push(Entry {
+            number: self.last,
+            answer,
+            run,
+        });
+        self.last
+    }
+
+    /// Finds an answer.
+    pub fn get(&self, number: u64) -> Option<Rc<Answer>> {
+        let at = self
+            .entries
+            .binary_search_by_key(&number, |e| e.number)
+            .ok()?;
+        self.entries.get(at).map(|e| Rc::clone(&e.answer))
+    }
+
+    /// Drops an answer that the gateway has whole or no longer wants.
+    pub fn acknowledge(&mut self, number: u64, now: crate::units::Millis) {
+        if let Some(answer) = self.get(number) {
+            answer.kept.borrow_mut().acknowledge();
+        }
+        self.sweep(now);
+    }
+
+    /// Ends runs that nobody reads and drops answers whose time is over.
+    pub fn sweep(&mut self, now: crate::units::Millis) {
+        self.entries.retain(|entry| {
+            let fate = entry.answer.kept.borrow().fate(now);
+            match fate {
+                Fate::Drop => false,
+                Fate::Cancel if entry.run.is_some() => {
+                    entry.answer.cancel();
+                    // The run ends the answer, and the next sweep drops it.
+                    true
+                }
+                Fate::KeepUntil(_) | Fate::Cancel => true,
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/agent/background.rs
@@ -0,0 +1,80 @@
+//! Periodic work of an agent and its admin listener.
+
+use std::rc::Rc;
+
+use actix_rt::time::sleep;
+use serde_json::json;
+
+use super::shared::Shared;
+use crate::http::{Handler, Incoming, Outgoing};
+use crate::ledger::{HeldEffect, write_orphans};
+use crate::units::Millis;
+
+/// Time between two steps of the periodic work.
+const STEP: Millis = Millis(250);
+
+/// Does the periodic work until it is aborted.
+pub(super) async fn run(shared: Rc<Shared>) {
+    loop {
+        let now = shared.clock.now();
+        shared.answers.borrow_mut().sweep(now);
+        let effects = shared.held.borrow_mut().step(now);
+        for HeldEffect::WriteOrphans(page) in effects {
+            let shared = Rc::clone(&shared);
+            actix_rt::spawn(async move {
+                let result = write_orphans(&*shared.kv, &page).await;
+                let now = shared.clock.now();
+                shared
+                    .held
+                    .borrow_mut()
+                    .on_written(page.gateway, page.page, result, now);
+            });
+        }
+        export(&shared);
+        sleep(STEP.duration()).await;
+    }
+}
+
+fn export(shared: &Shared) {
+    let count = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
+    shared
+        .metrics
+        .value("answers", count(shared.answers.borrow().len()));
+    shared
+        .metrics
+        .value("charge_copies", count(shared.held.borrow().len()));
+    shared
+        .metrics
+        .value("running", i64::from(shared.running.get()));
+    let revision = i64::try_from(shared.follower.revision()).unwrap_or(i64::MAX);
+    shared.metrics.value("revision", revision);
+}
+
+/// Returns the handler of the admin listener.
+pub(super) fn admin(shared: Rc<Shared>) -> Handler {
+    Rc::new(move |incoming: Incoming| {
+        let outgoing = answer(&shared, &incoming.path);
+        Box::pin(async move { outgoing })
+    })
+}
+
+fn answer(shared: &Shared, path: &str) -> Outgoing {
+    let ready = !shared.leaving.get() && shared.follower.may_serve();
+    match path {
+        "/healthz" => Outgoing::whole(200, "text/plain", "ok\n"),
+        "/readyz" if ready => Outgoing::whole(200, "text/plain", "ready\n"),
+        "/readyz" => Outgoing::whole(503, "text/plain", "not ready\n"),
+        "/metrics" => Outgoing::whole(200, "text/plain; version=0.0.4", shared.metrics.text()),
+        "/status" => Outgoing::json(
+            200,
+            &json!({
+                "upstream": shared.upstream,
+                "incarnation": shared.incarnation,
+                "revision": shared.follower.revision(),
+                "leaving": shared.leaving.get(),
+                "running": shared.running.get(),
+            }),
+        ),
+        _ => Outgoing::whole(404, "text/plain", "not found\n"),
+    }
+}
--- /dev/null
+++ b/src/agent/calls.rs
@@ -0,0 +1,212 @@
+//! The calls that gateways make.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+
+use super::answers::Answer;
+use super::shared::{Client, Shared, Slots};
+use super::{admission, engine, keyed, orders, service};
+use crate::dissemination::Admission;
+use crate::follower::InForce;
+use crate::idempotency::IdempotencyKey;
+use crate::ledger::Flushed;
+use crate::peer::{Head, PeerCalls, ReadBody, ReadReply, RunReply, RunRequest, Status};
+use crate::platform::LocalFuture;
+use crate::refusal::{Code, Refusal};
+use crate::stream::MAX_UNACKNOWLEDGED_BYTES;
+use crate::suspect;
+use crate::units::Millis;
+
+/// Age up to which crash reports are repeated in each status; older ones have reached every gateway.
+const REPEAT_REPORTS: Millis = Millis::from_secs(10);
+
+/// Time after which a caller may try a full upstream again.
+const FULL_RETRY: Millis = Millis::from_secs(1);
+
+/// The calls of one agent.
+#[derive(Debug)]
+pub(super) struct Calls(pub Rc<Shared>);
+
+impl Calls {
+    fn start(&self, req: RunRequest) -> RunReply {
+        match self.admit(&req) {
+            Err(reply) => reply,
+            Ok((in_force, slots)) => self.spawn(req, in_force, slots),
+        }
+    }
+
+    fn admit(&self, req: &RunRequest) -> Result<(Rc<InForce>, Slots), RunReply> {
+        let shared = &self.0;
+        let refuse = |refusal| Err(RunReply::Refused(refusal));
+        if shared.leaving.get() {
+            return refuse(Refusal::not_run(Code::Stopping, "upstream is leaving"));
+        }
+        let own = shared.follower.revision();
+        match shared.follower.admit(req.revision) {
+            Admission::Run => {}
+            Admission::FetchFirst => return Err(RunReply::Older(own)),
+            Admission::CallerBehind => return Err(RunReply::Newer(own)),
+            Admission::Stale => {
+                let why = "no sheet is in force, or it was not confirmed for too long";
+                return refuse(Refusal::not_run(Code::NoSheet, why));
+            }
+        }
+        let Some(in_force) = shared.follower.in_force() else {
+            return Err(RunReply::Older(own));
+        };
+        let count =
+            admission::admit(&in_force.sheet, &shared.upstream, req).map_err(RunReply::Refused)?;
+        let running = usize::try_from(shared.running.get()).unwrap_or(usize::MAX);
+        if !shared.has_queue_room(count) || !shared.held.borrow().has_room(running) {
+            shared.metrics.event("full");
+            let refusal = Refusal::not_run(Code::Overloaded, "upstream is at capacity");
+            return refuse(refusal.retry_after(FULL_RETRY));
+        }
+        Ok((in_force, shared.slots(count)))
+    }
+
+    fn spawn(&self, req: RunRequest, in_force: Rc<InForce>, slots: Slots) -> RunReply {
+        let shared = Rc::clone(&self.0);
+        let key = match keyed_by(&req, &shared) {
+            Ok(key) => key,
+            Err(refusal) => return RunReply::Refused(refusal),
+        };
+        let max_bytes = if key.is_some() {
+            service::MAX_KEYED_ANSWER_BYTES
+        } else {
+            MAX_UNACKNOWLEDGED_BYTES
+        };
+        let answer = Answer::open(&req, shared.clock, max_bytes);
+        let running = Running::new(&shared);
+        let to = Rc::clone(&answer);
+        let may_cancel = key.is_none();
+        let run = actix_rt::spawn(async move {
+            let _running = running;
+            match (&shared.client, key) {
+                (_, Some(key)) => {
+                    keyed::run(Rc::clone(&shared), to, in_force, slots, key, req).await;
+                }
+                (Client::Engine(_), None) => {
+                    engine::run(Rc::clone(&shared), to, in_force, slots, req).await;
+                }
+                (Client::Service(_), None) => {
+                    service::run(Rc::clone(&shared), to, in_force, slots, req).await;
+                }
+            }
+        });
+        let run = may_cancel.then_some(run);
+        RunReply::Accepted(self.0.answers.borrow_mut().add(answer, run))
+    }
+}
+
+/// Returns the idempotency key under which a request has to run; `None` if it may run more than once.
+fn keyed_by(req: &RunRequest, shared: &Shared) -> Result<Option<IdempotencyKey>, Refusal> {
+    if req.idempotent || matches!(shared.client, Client::Engine(_)) {
+        return Ok(None);
+    }
+    let Some(key) = &req.idempotency_key else {
+        let why = "this call must not be repeated, so it needs an Idempotency-Key";
+        return Err(Refusal::not_run(Code::BadKey, why));
+    };
+    let bad = |error| Refusal::not_run(Code::BadKey, format!("Idempotency-Key: {error}"));
+    key.parse().map(Some).map_err(bad)
+}
+
+/// Counts a request as running until it is dropped.
+struct Running(Rc<Shared>);
+
+impl Running {
+    fn new(shared: &Rc<Shared>) -> Self {
+        shared.running.set(shared.running.get() + 1);
+        Self(Rc::clone(shared))
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
+
+impl PeerCalls for Calls {
+    fn run(&self, req: RunRequest) -> LocalFuture<'_, RunReply> {
+        Box::pin(async move { self.start(req) })
+    }
+
+    fn read(&self, answer: u64, offset: u64, max: u32) -> LocalFuture<'_, ReadReply> {
+        Box::pin(async move {
+            let found = self.0.answers.borrow().get(answer);
+            match found {
+                Some(answer) => answer.read(offset, max).await,
+                None => ReadReply {
+                    head: Head::default(),
+                    attempt: 0,
+                    body: ReadBody::Gone,
+                },
+            }
+        })
+    }
+
+    fn ack(&self, answer: u64) {
+        let now = self.0.clock.now();
+        self.0.answers.borrow_mut().acknowledge(answer, now);
+    }
+
+    fn cancel(&self, answer: u64) {
+        self.0.metrics.event("cancelled");
+        self.ack(answer);
+    }
+
+    fn status(&self, gateway: Status) -> Status {
+        let shared = &self.0;
+        let now = shared.clock.now();
+        match serde_json::from_slice::<Flushed>(&gateway.flushed) {
+            Ok(flushed) => {
+                shared
+                    .held
+                    .borrow_mut()
+                    .release(gateway.incarnation, &flushed, now);
+            }
+            Err(_) => shared.held.borrow_mut().heard(gateway.incarnation, now),
+        }
+        self.suspects(gateway.suspects);
+        let unix = shared.clock.unix();
+        let suspects = shared.suspects.borrow();
+        let reports = suspects.suspects().reports().iter();
+        let recent: Vec<_> = reports
+            .filter(|r| unix.since(r.at) < REPEAT_REPORTS)
+            .copied()
+            .collect();
+        Status {
+            name: shared.upstream.as_str().to_owned(),
+            incarnation: shared.incarnation,
+            revision: shared.follower.revision(),
+            freshness: shared.follower.freshness().unwrap_or_default(),
+            leaving: shared.leaving.get(),
+            running: shared.running.get(),
+            slots: shared.slots.borrow().count,
+            flushed: Bytes::new(),
+            suspects: suspect::encode(&recent).into(),
+        }
+    }
+
+    fn exchange(&self, messages: Bytes) -> Bytes {
+        let from = self.0.follower.on_messages(&messages);
+        let replies = from.and_then(|from| self.0.follower.take_messages(&from));
+        replies.unwrap_or_default()
+    }
+
+    fn suspects(&self, reports: Bytes) {
+        let Some(reports) = suspect::decode(&reports) else {
+            log::warn!(event = "crash_reports_malformed", bytes = reports.len(); "");
+            return;
+        };
+        let now = self.0.clock.unix();
+        self.0.suspects.borrow_mut().merge(&reports, now);
+    }
+
+    fn order(&self, fence: u64, order: Bytes) -> LocalFuture<'_, Bytes> {
+        Box::pin(async move { orders::submit(&self.0, fence, order).await })
+    }
+}
--- /dev/null
+++ b/src/agent/engine.rs
@@ -0,0 +1,229 @@
+//! Runs a request at the model engine.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use serde_json::{Map, Value};
+
+use super::answers::Answer;
+use super::price;
+use super::shared::{Client, Shared, Slots};
+use crate::follower::InForce;
+use crate::ledger::Charge;
+use crate::peer::{RunRequest, Target};
+use crate::refusal::{Code, Ran, Refusal};
+use crate::suspect::{Admit, Fingerprint, Run};
+use crate::units::Tokens;
+use crate::upstream::UpstreamError;
+use crate::upstream::engine::{Completion, EngineClient};
+
+/// Why a run gave no whole answer.
+struct Failed {
+    refusal: Refusal,
+    crashed: bool,
+}
+
+impl From<Refusal> for Failed {
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            refusal,
+            crashed: false,
+        }
+    }
+}
+
+/// Runs a request and puts its answer together.
+pub(super) async fn run(
+    shared: Rc<Shared>,
+    answer: Rc<Answer>,
+    in_force: Rc<InForce>,
+    slots: Slots,
+    req: RunRequest,
+) {
+    let run = Run {
+        request: req.request,
+        attempt: req.attempt_number(),
+    };
+    let billed = Billed::new(&shared, &in_force, &req);
+    let work = run_admitted(&shared, &answer, &billed, &slots, &req, run);
+    let ended = tokio::select! {
+        ended = work => ended,
+        () = answer.cancelled() => {
+            // The tokens so far were generated for a caller who left.
+            billed.settle();
+            Err(cancelled().into())
+        }
+        () = actix_rt::time::sleep(req.deadline.duration()) => Err(deadline().into()),
+    };
+    shared.suspects.borrow_mut().finish(run);
+    shared.run_ended.notify_waiters();
+    if let Err(failed) = ended {
+        answer.fail(failed.refusal, failed.crashed);
+    }
+}
+
+async fn run_admitted(
+    shared: &Rc<Shared>,
+    answer: &Answer,
+    billed: &Billed<'_>,
+    slots: &Slots,
+    req: &RunRequest,
+    run: Run,
+) -> Result<(), Failed> {
+    let Ok(_slot) = slots.semaphore.acquire().await else {
+        return Err(Refusal::not_run(Code::Stopping, "agent is stopping").into());
+    };
+    admit_suspect(shared, req, run).await?;
+    let Client::Engine(engine) = &shared.client else {
+        return Err(Refusal::not_run(Code::NoUpstream, "upstream is no engine").into());
+    };
+    let mut completion = start(shared, engine, req, run).await?;
+    let content_type = completion.headers.get("content-type");
+    let content_type = content_type
+        .and_then(|v| v.to_str().ok())
+        .unwrap_or_default();
+    answer.set_head(completion.status.as_u16(), content_type);
+    loop {
+        let next = completion.next().await;
+        billed.count(&completion);
+        match next {
+            Ok(Some(bytes)) => answer.append(bytes).await,
+            Ok(None) => {
+                let charge = billed.settle();
+                answer.complete(charge.as_ref(), false);
+                return Ok(());
+            }
+            Err(error) => return Err(failure(shared, run, &error)),
+        }
+    }
+}
+
+/// The tokens of a run so far.
+///
+/// A whole answer is charged, and what was generated for a caller who left; a failed run is not.
+struct Billed<'a> {
+    shared: &'a Shared,
+    in_force: &'a InForce,
+    req: &'a RunRequest,
+    usage: Cell<(Tokens, Tokens)>,
+}
+
+impl<'a> Billed<'a> {
+    fn new(shared: &'a Shared, in_force: &'a InForce, req: &'a RunRequest) -> Self {
+        Self {
+            shared,
+            in_force,
+            req,
+            usage: Cell::default(),
+        }
+    }
+
+    fn count(&self, completion: &Completion) {
+        let usage = completion.usage();
+        self.usage
+            .set((usage.prompt.unwrap_or_default(), usage.completion));
+    }
+
+    /// Returns the charge, which is held from then on; `None` if nothing was generated.
+    fn settle(&self) -> Option<Charge> {
+        let (input, output) = self.usage.get();
+        if output == Tokens(0) {
+            return None;
+        }
+        let charge = price::tokens(&self.in_force.sheet, self.req, input, output)?;
+        let now = self.shared.clock.now();
+        self.shared.held.borrow_mut().hold(charge.clone(), now);
+        Some(charge)
+    }
+}
+
+async fn start(
+    shared: &Rc<Shared>,
+    engine: &EngineClient,
+    req: &RunRequest,
+    run: Run,
+) -> Result<Completion, Failed> {
+    let body: Map<String, Value> = serde_json::from_slice(&req.body)
+        .map_err(|error| Refusal::not_run(Code::BadRequest, format!("body: {error}")))?;
+    let Target::Version(version) = &req.target else {
+        return Err(Refusal::not_run(Code::NoUpstream, "upstream is no service").into());
+    };
+    let started = engine.chat(version, body).await;
+    started.map_err(|error| failure(shared, run, &error))
+}
+
+/// Waits until no other suspect runs here, or refuses a request that was in flight at two crashes.
+async fn admit_suspect(shared: &Rc<Shared>, req: &RunRequest, run: Run) -> Result<(), Refusal> {
+    let fingerprint = Fingerprint::of(&req.account, &req.body);
+    loop {
+        let ended = shared.run_ended.notified();
+        let now = shared.clock.unix();
+        let admitted = shared.suspects.borrow_mut().admit(run, fingerprint, now);
+        match admitted {
+            Admit::Run => return Ok(()),
+            Admit::Wait => ended.await,
+            Admit::Refuse { crashes } => {
+                shared.metrics.event("crashing_request_refused");
+                let why = format!("request was in flight at {crashes} crashes of upstreams");
+                return Err(Refusal::after_run(
+                    Code::RequestCrashesUpstream,
+                    Ran::Ran,
+                    why,
+                ));
+            }
+        }
+    }
+}
+
+fn failure(shared: &Rc<Shared>, run: Run, error: &UpstreamError) -> Failed {
+    let why = error.to_string();
+    match error {
+        UpstreamError::NotSent(_) => Refusal::not_run(Code::UpstreamFailed, why).into(),
+        UpstreamError::Crashed(_) => {
+            note_crash(shared, run);
+            let refusal = Refusal::after_run(Code::UpstreamFailed, Ran::Unknown, why);
+            Failed {
+                refusal: refusal.resend_safe(),
+                crashed: true,
+            }
+        }
+        UpstreamError::Status { status, .. } if (400..500).contains(status) => {
+            let why = format!("engine refused the request with status {status}");
+            Refusal::after_run(Code::BadRequest, Ran::Ran, why)
+                .resend_safe()
+                .into()
+        }
+        UpstreamError::Status { .. } | UpstreamError::Silent(_) | UpstreamError::Invalid(_) => {
+            Refusal::after_run(Code::UpstreamFailed, Ran::Unknown, why)
+                .resend_safe()
+                .into()
+        }
+    }
+}
+
+/// Makes suspects of all requests in flight, once for each crash.
+fn note_crash(shared: &Rc<Shared>, run: Run) {
+    let mut suspects = shared.suspects.borrow_mut();
+    if !suspects.is_running(run) {
+        // An earlier failure of the same crash has ended this run.
+        return;
+    }
+    let crash = suspects.crash(shared.clock.unix());
+    shared.metrics.event("engine_crashes");
+    log::warn!(
+        event = "engine_crashed",
+        upstream = shared.upstream.as_str(),
+        requests = crash.ended.len(),
+        blame:? = crash.blame;
+        ""
+    );
+}
+
+fn cancelled() -> Refusal {
+    Refusal::after_run(Code::UpstreamFailed, Ran::Unknown, "run was cancelled").resend_safe()
+}
+
+fn deadline() -> Refusal {
+    let why = "deadline passed before the end of the answer";
+    Refusal::after_run(Code::DeadlineExceeded, Ran::Unknown, why).resend_safe()
+}
--- /dev/null
+++ b/src/agent/keyed.rs
@@ -0,0 +1,224 @@
+//! Runs a call that must run at most once: performs the effects of its state machine.
+
+use std::rc::Rc;
+
+use actix_rt::time::sleep;
+use bytes::Bytes;
+
+use super::answers::Answer;
+use super::service::{self, Whole};
+use super::shared::{Shared, Slots, draw};
+use crate::follower::InForce;
+use crate::idempotency::{
+    Attempt, Call, CallDigest, Effect, IdempotencyKey, KeptBody, KeyAge, KeyedAnswer, KeyedCall,
+    Outcome, RecordWrite, RunEnd, Step,
+};
+use crate::peer::RunRequest;
+use crate::platform::{Change, KvError, TxnOutcome};
+use crate::refusal::{Code, Ran, Refusal};
+use crate::units::Millis;
+use crate::upstream::UpstreamError;
+
+/// Time after which a caller may ask again whether an outcome has become known.
+const ASK_AGAIN: Millis = Millis::from_secs(5);
+
+/// Runs a keyed call to its end, also if nobody reads its answer any more.
+pub(super) async fn run(
+    shared: Rc<Shared>,
+    answer: Rc<Answer>,
+    in_force: Rc<InForce>,
+    slots: Slots,
+    key: IdempotencyKey,
+    req: RunRequest,
+) {
+    let Ok(_slot) = slots.semaphore.acquire().await else {
+        answer.fail(Refusal::not_run(Code::Stopping, "agent is stopping"), false);
+        return;
+    };
+    let call = KeyedCall {
+        account: req.account.clone(),
+        key,
+        digest: CallDigest::of(&req.method, &req.path, &req.body),
+        by: attempt(&shared, &req),
+        lifetime: in_force.sheet.policy.key_lifetime,
+    };
+    shared.outcome_writes.set(shared.outcome_writes.get() + 1);
+    let driver = Driver {
+        shared: &shared,
+        answer: &answer,
+        in_force: &in_force,
+        req: &req,
+    };
+    driver.drive(call).await;
+    shared.outcome_writes.set(shared.outcome_writes.get() - 1);
+}
+
+fn attempt(shared: &Shared, req: &RunRequest) -> Attempt {
+    let call = shared.calls.get() + 1;
+    shared.calls.set(call);
+    Attempt {
+        agent: shared.incarnation,
+        call,
+        request: req.request,
+        attempt: req.attempt_number(),
+    }
+}
+
+struct Driver<'a> {
+    shared: &'a Rc<Shared>,
+    answer: &'a Answer,
+    in_force: &'a InForce,
+    req: &'a RunRequest,
+}
+
+impl Driver<'_> {
+    async fn drive(&self, call: KeyedCall) {
+        let now = self.shared.clock.unix();
+        let (mut call, mut step) = Call::start(call, now, &self.shared.known.borrow());
+        // The whole answer of a run of this call; a record keeps small bodies only.
+        let mut whole = None;
+        loop {
+            if let Some(given) = step.answer.take() {
+                self.give(given, whole.take());
+            }
+            let Some(effect) = step.next.take() else {
+                return;
+            };
+            step = self.perform(&mut call, effect, &mut whole).await;
+        }
+    }
+
+    async fn perform(&self, call: &mut Call, effect: Effect, whole: &mut Option<Bytes>) -> Step {
+        let kv = &self.shared.kv;
+        match effect {
+            Effect::WriteIntent(write) => {
+                let written = self.write(write).await;
+                let now = self.shared.clock.unix();
+                call.on_write(written, now, &mut self.shared.known.borrow_mut())
+            }
+            Effect::ReadBack(key) => {
+                let read = kv.get(&key).await;
+                let now = self.shared.clock.unix();
+                call.on_read(read, now, &mut self.shared.known.borrow_mut())
+            }
+            Effect::Run => {
+                let end = self.run_once(whole).await;
+                call.on_run_end(end, &mut self.shared.known.borrow_mut())
+            }
+            Effect::WriteOutcome(write) => {
+                let written = self.write(write).await;
+                call.on_outcome_write(&written, draw(), &mut self.shared.known.borrow_mut())
+            }
+            Effect::RetryOutcome(wait) => {
+                sleep(wait.duration()).await;
+                let now = self.shared.clock.unix();
+                call.on_retry(now, &mut self.shared.known.borrow_mut())
+            }
+        }
+    }
+
+    async fn write(&self, write: RecordWrite) -> Result<TxnOutcome, KvError> {
+        let change = Change::put(write.key, write.value);
+        self.shared
+            .kv
+            .txn(vec![write.condition], vec![change])
+            .await
+    }
+
+    async fn run_once(&self, whole: &mut Option<Bytes>) -> RunEnd {
+        self.shared.metrics.event("keyed_runs");
+        let call = service::call(self.shared, self.req);
+        let deadline = sleep(self.req.deadline.duration());
+        let ended = tokio::select! {
+            ended = call => ended,
+            () = deadline => Err(UpstreamError::Silent("deadline passed".to_owned())),
+        };
+        match ended {
+            Ok(Whole {
+                status,
+                content_type,
+                body,
+            }) => {
+                let charge = service::charge(self.shared, self.in_force, self.req, status);
+                // A charge always has a JSON form.
+                let charge = serde_json::to_value(&charge).unwrap_or_default();
+                *whole = Some(body.clone());
+                RunEnd::Done(Outcome::new(status, Some(content_type), body, charge))
+            }
+            Err(error) if error.not_sent() => RunEnd::NotSent,
+            Err(_) => RunEnd::Broken,
+        }
+    }
+
+    /// Gives the gateway its answer; the outcome is stored whether the gateway reads it or not.
+    fn give(&self, given: KeyedAnswer, whole: Option<Bytes>) {
+        let (outcome, replayed) = match given {
+            KeyedAnswer::Fresh(outcome) => (outcome, false),
+            KeyedAnswer::Replayed(outcome) => (outcome, true),
+            refused => {
+                self.answer.fail(refusal(&refused), false);
+                return;
+            }
+        };
+        let body = match (whole, &outcome.body) {
+            (Some(body), _) => body,
+            (None, KeptBody::Whole(body)) => body.clone(),
+            (None, KeptBody::TooLarge { length }) => {
+                let why = format!("the call ran; its answer of {length} bytes was not kept");
+                let refusal = Refusal::after_run(Code::OutcomeUnknown, Ran::Ran, why);
+                self.answer.fail(refusal.resend_safe(), false);
+                return;
+            }
+        };
+        self.answer.set_head(
+            outcome.status,
+            outcome.content_type.as_deref().unwrap_or_default(),
+        );
+        let charge = serde_json::from_value(outcome.charge)
+            .ok()
+            .filter(|_| !replayed);
+        if !self.answer.append_whole(&body) {
+            let why = "the call ran; its answer is over the bound";
+            let refusal = Refusal::after_run(Code::OutcomeUnknown, Ran::Ran, why);
+            self.answer.fail(refusal.resend_safe(), false);
+            return;
+        }
+        self.answer.complete(charge.as_ref(), replayed);
+    }
+}
+
+fn refusal(answer: &KeyedAnswer) -> Refusal {
+    let unknown = |code, why: &str| Refusal::after_run(code, Ran::Unknown, why);
+    match answer {
+        KeyedAnswer::Unknown => {
+            let why = "an earlier attempt with this key may have run; it never runs again";
+            unknown(Code::OutcomeUnknown, why)
+                .resend_safe()
+                .retry_after(ASK_AGAIN)
+        }
+        KeyedAnswer::KeyReused => Refusal::not_run(
+            Code::KeyReused,
+            "the idempotency key belongs to another request",
+        ),
+        KeyedAnswer::KeyRefused(KeyAge::Expired) => unknown(
+            Code::BadKey,
+            "the idempotency key has expired and never runs again",
+        ),
+        KeyedAnswer::KeyRefused(KeyAge::InFuture) => unknown(
+            Code::BadKey,
+            "the idempotency key's time is too far in the future",
+        ),
+        KeyedAnswer::StoreOut => {
+            let why = "the record of the idempotency key cannot be read; resend with the same key";
+            unknown(Code::KeyStoreDown, why)
+                .resend_safe()
+                .retry_after(ASK_AGAIN)
+        }
+        KeyedAnswer::NotRun => {
+            Refusal::not_run(Code::UpstreamFailed, "the call was not sent to the service")
+        }
+        KeyedAnswer::Fresh(_) | KeyedAnswer::Replayed(_) => {
+            unknown(Code::OutcomeUnknown, "the call ran")
+        }
+    }
+}
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -1,1 +1,125 @@
 //! The agent daemon, which stands beside one upstream.
+//!
+//! It is the only way to its upstream: it admits requests against the newest sheet, suppresses duplicates,
+//! keeps answers until the gateway has them, gives orders to the engine as its single writer, and holds
+//! copies of charges.
+
+mod admission;
+mod answers;
+mod background;
+mod calls;
+mod engine;
+mod keyed;
+mod orders;
+mod price;
+mod service;
+mod shared;
+#[cfg(test)]
+mod tests;
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use actix_rt::task::JoinHandle;
+use actix_rt::time::{Instant, sleep};
+
+use crate::http;
+use crate::peer::{PeerKey, Server};
+use crate::platform::KeyValue;
+use crate::settings;
+use crate::units::Millis;
+
+pub(crate) use price::covers;
+use shared::Shared;
+
+/// Time between two looks at what a planned stop still waits for.
+const STOP_STEP: Millis = Millis(50);
+
+/// A running agent; dropping it stops it at once.
+#[derive(Debug)]
+pub struct Agent {
+    server: Server,
+    admin: http::Running,
+    shared: Rc<Shared>,
+    background: JoinHandle<()>,
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        self.background.abort();
+    }
+}
+
+impl Agent {
+    /// Binds the agent's addresses and starts to serve gateways.
+    ///
+    /// # Errors
+    /// The error of a socket, for instance because another agent holds the address, or of a short peer key.
+    pub async fn bind(cfg: &settings::Agent, kv: Rc<dyn KeyValue>) -> io::Result<Self> {
+        let key = PeerKey::new(cfg.peer_key.expose())
+            .ok_or_else(|| io::Error::other("peer key is shorter than 32 bytes"))?;
+        let shared = Shared::open(cfg, kv);
+        let calls = Rc::new(calls::Calls(Rc::clone(&shared)));
+        let server = Server::bind(cfg.listen, key, calls).await?;
+        let handler = background::admin(Rc::clone(&shared));
+        let admin = http::bind(cfg.admin_listen, http::Bounds::default(), handler)?;
+        orders::start(&shared);
+        let background = actix_rt::spawn(background::run(Rc::clone(&shared)));
+        log::info!(
+            event = "agent_started",
+            upstream = cfg.upstream.as_str(),
+            incarnation:% = shared.incarnation,
+            listen:% = server.addr();
+            ""
+        );
+        Ok(Self {
+            server,
+            admin,
+            shared,
+            background,
+        })
+    }
+
+    /// Returns the address for gateways.
+    #[must_use]
+    pub const fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Returns the address for health and metrics.
+    #[must_use]
+    pub const fn admin_addr(&self) -> SocketAddr {
+        self.admin.addr()
+    }
+
+    /// Stops gracefully: takes no new work, finishes, and keeps answers until gateways have them.
+    ///
+    /// Returns whether everything was finished and every charge copy stored before the deadline.
+    pub async fn stop(self, deadline: Millis) -> bool {
+        self.shared.leaving.set(true);
+        self.shared.held.borrow_mut().stop();
+        let end = Instant::now() + deadline.duration();
+        loop {
+            let answers = self.shared.answers.borrow().len();
+            let copies = self.shared.held.borrow().len();
+            let writes = self.shared.outcome_writes.get();
+            if answers == 0 && copies == 0 && writes == 0 {
+                log::info!(event = "agent_stopped", finished = true; "");
+                return true;
+            }
+            if Instant::now() >= end {
+                log::warn!(
+                    event = "agent_stopped",
+                    finished = false,
+                    answers = answers,
+                    charge_copies = copies,
+                    outcome_writes = writes;
+                    ""
+                );
+                return false;
+            }
+            sleep(STOP_STEP.duration()).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/agent/orders.rs
@@ -0,0 +1,152 @@
+//! Gives orders to the engine as its single writer: performs the effects of the fencing state machine.
+
+use std::rc::Rc;
+
+use actix_rt::time::sleep;
+use bytes::Bytes;
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+
+use super::shared::{Client, Shared};
+use crate::fencing::{EngineOrders, Fence, OrderEffect, OrderEnd, SETTLE, Verdict, fence_key};
+use crate::upstream::UpstreamError;
+
+/// Status with which an engine refuses an order of an old fencing token.
+const CONFLICT: u16 = 409;
+
+/// Orders of the engine and the holders that wait for their answers.
+#[derive(Debug)]
+pub(super) struct Orders {
+    machine: EngineOrders<Value>,
+    waiting: Vec<(u64, oneshot::Sender<Verdict>)>,
+    last: u64,
+}
+
+/// Returns the duty under which orders to an upstream are given.
+pub(super) fn duty(upstream: &str) -> String {
+    format!("engine/{upstream}")
+}
+
+/// Starts to take orders, if the upstream is an engine.
+pub(super) fn start(shared: &Rc<Shared>) {
+    if !matches!(shared.client, Client::Engine(_)) {
+        return;
+    }
+    // Without a sheet yet, the engine is treated as one that ignores fencing tokens, which is the safe case.
+    let (machine, effects) = EngineOrders::start(false, SETTLE, shared.clock.now());
+    *shared.orders.borrow_mut() = Some(Orders {
+        machine,
+        waiting: Vec::new(),
+        last: 0,
+    });
+    perform(shared, effects);
+}
+
+/// Takes an order and returns the verdict as JSON.
+pub(super) async fn submit(shared: &Rc<Shared>, fence: u64, order: Bytes) -> Bytes {
+    let Ok(command) = serde_json::from_slice::<Value>(&order) else {
+        return reply("refused");
+    };
+    let (tx, rx) = oneshot::channel();
+    let effects = {
+        let mut orders = shared.orders.borrow_mut();
+        let Some(orders) = orders.as_mut() else {
+            return reply("refused");
+        };
+        orders.last += 1;
+        orders.waiting.push((orders.last, tx));
+        orders
+            .machine
+            .submit(orders.last, Fence(fence), command, shared.clock.now())
+    };
+    perform(shared, effects);
+    match rx.await {
+        Ok(Verdict::Done) => reply("done"),
+        Ok(Verdict::Refused) => reply("refused"),
+        Ok(Verdict::Stale(_)) => reply("stale"),
+        Ok(Verdict::NotReady) => reply("not_ready"),
+        Ok(Verdict::QueueFull) => reply("queue_full"),
+        Ok(Verdict::Unknown) | Err(_) => reply("unknown"),
+    }
+}
+
+fn reply(verdict: &str) -> Bytes {
+    json!({ "verdict": verdict }).to_string().into()
+}
+
+fn perform(shared: &Rc<Shared>, effects: Vec<OrderEffect<Value>>) {
+    for effect in effects {
+        match effect {
+            OrderEffect::ReadHighest => {
+                actix_rt::spawn(read_highest(Rc::clone(shared)));
+            }
+            OrderEffect::Apply { id, fence, command } => {
+                actix_rt::spawn(apply(Rc::clone(shared), id, fence, command));
+            }
+            OrderEffect::Reply { id, verdict } => answer(shared, id, verdict),
+            OrderEffect::WakeAt(at) => {
+                let shared = Rc::clone(shared);
+                actix_rt::spawn(async move {
+                    sleep(at.since(shared.clock.now()).duration()).await;
+                    let now = shared.clock.now();
+                    step(&shared, |machine| machine.on_wake(now));
+                });
+            }
+        }
+    }
+}
+
+fn step(
+    shared: &Rc<Shared>,
+    event: impl FnOnce(&mut EngineOrders<Value>) -> Vec<OrderEffect<Value>>,
+) {
+    let effects = shared
+        .orders
+        .borrow_mut()
+        .as_mut()
+        .map(|orders| event(&mut orders.machine));
+    perform(shared, effects.unwrap_or_default());
+}
+
+fn answer(shared: &Rc<Shared>, id: u64, verdict: Verdict) {
+    let mut orders = shared.orders.borrow_mut();
+    let waiting = orders.as_mut().and_then(|orders| {
+        let at = orders
+            .waiting
+            .iter()
+            .position(|(waiting, _)| *waiting == id)?;
+        Some(orders.waiting.swap_remove(at))
+    });
+    if let Some((_, tx)) = waiting {
+        // The holder may have left.
+        let _ = tx.send(verdict);
+    }
+}
+
+async fn read_highest(shared: Rc<Shared>) {
+    let key = fence_key(&duty(shared.upstream.as_str()));
+    let read = shared.kv.get(&key).await;
+    let highest = read.map(|entry| Fence::highest(entry.as_ref()));
+    let now = shared.clock.now();
+    step(&shared, |machine| machine.on_highest(&highest, now));
+}
+
+async fn apply(shared: Rc<Shared>, id: u64, fence: Option<Fence>, command: Value) {
+    let Client::Engine(engine) = &shared.client else {
+        return;
+    };
+    let given = engine.order(fence.map_or(0, |f| f.0), &command).await;
+    let end = match given {
+        Ok(()) => OrderEnd::Done,
+        Err(
+            UpstreamError::Status {
+                status: CONFLICT, ..
+            }
+            | UpstreamError::NotSent(_),
+        ) => OrderEnd::Refused,
+        Err(_) => OrderEnd::Lost,
+    };
+    shared.metrics.event("engine_orders");
+    let now = shared.clock.now();
+    step(&shared, |machine| machine.on_end(id, end, now));
+}
--- /dev/null
+++ b/src/agent/service.rs
@@ -0,0 +1,168 @@
+//! Runs a call at the plain service.
+
+use std::rc::Rc;
+
+use actix_http::Method;
+use actix_http::header::{HeaderName, HeaderValue};
+use bytes::{Bytes, BytesMut};
+
+use super::answers::Answer;
+use super::price;
+use super::shared::{Client, Shared, Slots};
+use crate::follower::InForce;
+use crate::ledger::Charge;
+use crate::peer::{RunRequest, Target};
+use crate::refusal::{Code, Ran, Refusal};
+use crate::upstream::UpstreamError;
+use crate::upstream::exchange::{Request, Response};
+
+/// Largest answer of a keyed call, in bytes; it is held in memory until its outcome is stored.
+pub(super) const MAX_KEYED_ANSWER_BYTES: usize = 8 << 20;
+
+/// Statuses from this one on are failures of the call, which are not charged.
+const FIRST_ERROR_STATUS: u16 = 400;
+
+/// Runs an idempotent call and streams its answer.
+pub(super) async fn run(
+    shared: Rc<Shared>,
+    answer: Rc<Answer>,
+    in_force: Rc<InForce>,
+    slots: Slots,
+    req: RunRequest,
+) {
+    let work = pass_through(&shared, &answer, &in_force, &slots, &req);
+    let ended = tokio::select! {
+        ended = work => ended,
+        () = answer.cancelled() => Err(cut_short(Code::UpstreamFailed, "call was cancelled")),
+        () = actix_rt::time::sleep(req.deadline.duration()) => {
+            Err(cut_short(Code::DeadlineExceeded, "deadline passed before the end of the answer"))
+        }
+    };
+    if let Err(refusal) = ended {
+        answer.fail(refusal, false);
+    }
+}
+
+fn cut_short(code: Code, why: &str) -> Refusal {
+    Refusal::after_run(code, Ran::Unknown, why).resend_safe()
+}
+
+async fn pass_through(
+    shared: &Shared,
+    answer: &Answer,
+    in_force: &InForce,
+    slots: &Slots,
+    req: &RunRequest,
+) -> Result<(), Refusal> {
+    let Ok(_slot) = slots.semaphore.acquire().await else {
+        return Err(Refusal::not_run(Code::Stopping, "agent is stopping"));
+    };
+    let mut response = send(shared, req)
+        .await
+        .map_err(|error| refusal(&error).resend_safe())?;
+    let status = response.status.as_u16();
+    answer.set_head(status, &content_type(&response));
+    loop {
+        match response.body.next().await {
+            Ok(Some(bytes)) => answer.append(bytes).await,
+            Ok(None) => break,
+            Err(error) => return Err(refusal(&error).resend_safe()),
+        }
+    }
+    let charge = charge(shared, in_force, req, status);
+    answer.complete(charge.as_ref(), false);
+    Ok(())
+}
+
+/// Holds and returns the charge of a call that ended with this status.
+pub(super) fn charge(
+    shared: &Shared,
+    in_force: &InForce,
+    req: &RunRequest,
+    status: u16,
+) -> Option<Charge> {
+    let Target::Service(service) = &req.target else {
+        return None;
+    };
+    if status >= FIRST_ERROR_STATUS {
+        return None;
+    }
+    let charge = price::call(&in_force.sheet, req, service)?;
+    let now = shared.clock.now();
+    shared.held.borrow_mut().hold(charge.clone(), now);
+    Some(charge)
+}
+
+/// A whole answer of the service.
+pub(super) struct Whole {
+    pub status: u16,
+    pub content_type: String,
+    pub body: Bytes,
+}
+
+/// Runs a call and reads its whole answer.
+pub(super) async fn call(shared: &Shared, req: &RunRequest) -> Result<Whole, UpstreamError> {
+    let mut response = send(shared, req).await?;
+    let mut body = BytesMut::new();
+    while let Some(bytes) = response.body.next().await? {
+        if body.len() + bytes.len() > MAX_KEYED_ANSWER_BYTES {
+            let why = format!("answer is over {MAX_KEYED_ANSWER_BYTES} bytes");
+            return Err(UpstreamError::Invalid(why));
+        }
+        body.extend_from_slice(&bytes);
+    }
+    let content_type = content_type(&response);
+    Ok(Whole {
+        status: response.status.as_u16(),
+        content_type,
+        body: body.freeze(),
+    })
+}
+
+async fn send(shared: &Shared, req: &RunRequest) -> Result<Response, UpstreamError> {
+    let Client::Service(service) = &shared.client else {
+        return Err(UpstreamError::NotSent(
+            "upstream is no plain service".to_owned(),
+        ));
+    };
+    let method: Method = req
+        .method
+        .parse()
+        .map_err(|_method| UpstreamError::NotSent(format!("method {:?}", req.method)))?;
+    let named = [
+        (
+            "content-type",
+            Some(req.content_type.as_str()).filter(|v| !v.is_empty()),
+        ),
+        ("idempotency-key", req.idempotency_key.as_deref()),
+        ("fireflywind-account", Some(req.account.as_str())),
+    ];
+    let headers = named.into_iter().filter_map(|(name, value)| {
+        let value = HeaderValue::from_str(value?).ok()?;
+        Some((HeaderName::from_static(name), value))
+    });
+    let request = Request {
+        method,
+        target: req.path.clone(),
+        headers: headers.collect(),
+        body: req.body.clone(),
+    };
+    service.call(request).await
+}
+
+fn content_type(response: &Response) -> String {
+    let value = response.headers.get("content-type");
+    value
+        .and_then(|v| v.to_str().ok())
+        .unwrap_or_default()
+        .to_owned()
+}
+
+fn refusal(error: &UpstreamError) -> Refusal {
+    let why = error.to_string();
+    if error.not_sent() {
+        Refusal::not_run(Code::UpstreamFailed, why)
+    } else {
+        Refusal::after_run(Code::UpstreamFailed, Ran::Unknown, why)
+    }
+}
--- /dev/null
+++ b/src/agent/shared.rs
@@ -0,0 +1,132 @@
+//! State that the parts of an agent share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use tokio::sync::Semaphore;
+
+use super::answers::Answers;
+use super::orders::Orders;
+use crate::clock::Clock;
+use crate::follower::Follower;
+use crate::idempotency::{KNOWN_BYTES, KnownKeys};
+use crate::ids::{Incarnation, UpstreamId};
+use crate::ledger::HeldCharges;
+use crate::platform::KeyValue;
+use crate::settings;
+use crate::suspect::{self, MAX_REPORTS, Suspects};
+use crate::telemetry::Metrics;
+use crate::upstream::Timeouts;
+use crate::upstream::engine::EngineClient;
+use crate::upstream::service::ServiceClient;
+
+/// Requests that may wait for a slot, for each slot.
+const QUEUE_PER_SLOT: u32 = 2;
+
+/// The upstream beside the agent.
+#[derive(Debug)]
+pub(super) enum Client {
+    Engine(EngineClient),
+    Service(ServiceClient),
+}
+
+/// Slots of the upstream as the sheet in force states them.
+#[derive(Debug, Clone)]
+pub(super) struct Slots {
+    pub count: u32,
+    pub semaphore: Rc<Semaphore>,
+}
+
+/// State of one agent.
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub upstream: UpstreamId,
+    pub incarnation: Incarnation,
+    pub clock: Clock,
+    pub kv: Rc<dyn KeyValue>,
+    pub follower: Follower,
+    pub client: Client,
+    pub answers: RefCell<Answers>,
+    pub held: RefCell<HeldCharges>,
+    pub known: RefCell<KnownKeys>,
+    pub suspects: RefCell<suspect::Admission>,
+    /// Wakes requests that wait for another suspect to end.
+    pub run_ended: tokio::sync::Notify,
+    pub orders: RefCell<Option<Orders>>,
+    pub slots: RefCell<Slots>,
+    /// Requests that run or wait for a slot.
+    pub running: Cell<u32>,
+    /// Number of the last keyed call.
+    pub calls: Cell<u64>,
+    /// Keyed calls whose outcome is not stored yet.
+    pub outcome_writes: Cell<u32>,
+    pub leaving: Cell<bool>,
+    pub metrics: Metrics,
+}
+
+impl Shared {
+    pub fn open(cfg: &settings::Agent, kv: Rc<dyn KeyValue>) -> Rc<Self> {
+        let incarnation = Incarnation::random();
+        let clock = Clock::start();
+        let timeouts = Timeouts::default();
+        let client = match cfg.kind {
+            settings::AgentKind::Engine => {
+                Client::Engine(EngineClient::new(cfg.upstream_addr, timeouts))
+            }
+            settings::AgentKind::Service => {
+                Client::Service(ServiceClient::new(cfg.upstream_addr, timeouts))
+            }
+        };
+        let name = cfg.upstream.as_str();
+        Rc::new(Self {
+            upstream: cfg.upstream.clone(),
+            incarnation,
+            clock,
+            follower: Follower::open(name, Rc::clone(&kv), clock, draw()),
+            kv,
+            client,
+            answers: RefCell::default(),
+            held: RefCell::new(HeldCharges::new(incarnation)),
+            known: RefCell::new(KnownKeys::new(KNOWN_BYTES)),
+            suspects: RefCell::new(suspect::Admission::new(
+                incarnation,
+                Suspects::new(MAX_REPORTS),
+            )),
+            run_ended: tokio::sync::Notify::new(),
+            orders: RefCell::default(),
+            slots: RefCell::new(Slots {
+                count: 0,
+                semaphore: Rc::new(Semaphore::new(0)),
+            }),
+            running: Cell::new(0),
+            calls: Cell::new(0),
+            outcome_writes: Cell::new(0),
+            leaving: Cell::new(false),
+            metrics: Metrics::open(),
+        })
+    }
+
+    /// Returns the slots, adjusted to the sheet in force; requests that run keep their old slot.
+    pub fn slots(&self, count: u32) -> Slots {
+        let mut slots = self.slots.borrow_mut();
+        if slots.count != count {
+            let permits = usize::try_from(count).unwrap_or_default();
+            *slots = Slots {
+                count,
+                semaphore: Rc::new(Semaphore::new(permits)),
+            };
+        }
+        slots.clone()
+    }
+
+    /// Tells whether another request may wait for a slot.
+    pub fn has_queue_room(&self, slots: u32) -> bool {
+        self.running.get() < slots.saturating_mul(1 + QUEUE_PER_SLOT)
+    }
+}
+
+/// Draws a random number.
+pub(super) fn draw() -> u64 {
+    let (draw, _) = uuid::Uuid::new_v4().as_u64_pair();
+    draw
+}
--- /dev/null
+++ b/src/agent/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the agent.
--- a/src/bin/fireflywind/cli.rs
+++ b/src/bin/fireflywind/cli.rs
@@ -20,14 +20,17 @@
   show     Print the sheet in force
   diff     Compare two sheets, or the one in force with a file
   status   Summarise what is in force
-  explain, replay, bill, drain, demo: not built yet
+  explain  Tell why a request had its outcome
+  replay   Compute the decisions of recorded requests again
+  bill     Print what each client account owes
+  drain    Let a version finish its sessions and take no new ones
 
 Options:
   -h, --help     Print help, also after a verb
   -V, --version  Print the version
 
 Exit codes: 0 success, 1 differences, 2 usage, 3 invalid file, 4 conflict, 5 unknown outcome,
-6 service unavailable, 7 processes behind, 8 verb not built
+6 service unavailable, 7 processes behind, 8 replay differs, 9 not found
 ";
 
 const CHECK: Verb = Verb {
@@ -109,9 +112,67 @@
     files: 0..=0,
 };
 
-const VERBS: [Verb; 5] = [CHECK, APPLY, SHOW, DIFF, STATUS];
+const EXPLAIN: Verb = Verb {
+    name: "explain",
+    help: "\
+Tells which candidates a request had, why each was dropped and why the winner won.
+
+Usage: fireflywind explain REQUEST [OPTIONS]
+
+Options:
+  --settings FILE  Settings, operator.json by default; its gateways are asked
+  --json           Print the record as JSON
+",
+    options: &["settings", "json"],
+    files: 1..=1,
+};
+
+const REPLAY: Verb = Verb {
+    name: "replay",
+    help: "\
+Computes the decisions of recorded requests again and names the first difference.
+
+Usage: fireflywind replay FILE
+
+FILE holds records as JSON, one on each line, or the log of a gateway.
+",
+    options: &[],
+    files: 1..=1,
+};
+
+const BILL: Verb = Verb {
+    name: "bill",
+    help: "\
+Prints what each client account owes, and the requests whose charge is not known.
+
+Usage: fireflywind bill [OPTIONS]
 
-const NOT_BUILT: [&str; 5] = ["explain", "replay", "bill", "drain", "demo"];
+Options:
+  --settings FILE  Settings, operator.json by default
+  --json           Print the bill as JSON
+",
+    options: &["settings", "json"],
+    files: 0..=0,
+};
+
+const DRAIN: Verb = Verb {
+    name: "drain",
+    help: "\
+Sets a version to draining in the sheet in force.
+
+Usage: fireflywind drain MODEL/VERSION [OPTIONS]
+
+Options:
+  --settings FILE  Settings, operator.json by default
+  --json           Print the result as JSON
+",
+    options: &["settings", "json"],
+    files: 1..=1,
+};
+
+const VERBS: [Verb; 9] = [
+    CHECK, APPLY, SHOW, DIFF, STATUS, EXPLAIN, REPLAY, BILL, DRAIN,
+];
 
 struct Verb {
     name: &'static str,
@@ -129,14 +190,12 @@
     Version,
     /// Run a verb.
     Run(&'static str, Options),
-    /// A verb that is not built yet.
-    NotBuilt(&'static str),
 }
 
 /// Options and files of a verb.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Options {
-    /// The files, in order.
+    /// The files or names, in order.
     pub files: Vec<PathBuf>,
     /// Whether a script reads the output.
     pub json: bool,
@@ -179,9 +238,6 @@
         Some(Value(name)) => name.string()?,
         Some(other) => return Err(other.unexpected()),
     };
-    if let Some(name) = NOT_BUILT.into_iter().find(|verb| *verb == name) {
-        return Ok(Command::NotBuilt(name));
-    }
     match VERBS.into_iter().find(|verb| verb.name == name) {
         Some(verb) => parse_verb(&mut parser, &verb),
         None => Err(format!("unknown verb {name:?}, see --help").into()),
--- a/src/bin/fireflywind/exit_codes.rs
+++ b/src/bin/fireflywind/exit_codes.rs
@@ -22,8 +22,10 @@
     Unavailable = 6,
     /// `apply --wait` or `status` found processes that do not have the revision in force.
     Behind = 7,
-    /// The verb is not built yet.
-    NotBuilt = 8,
+    /// `replay` found a decision that its record does not give again.
+    ReplayDiffers = 8,
+    /// No gateway has the record, or the sheet has no such version.
+    NotFound = 9,
 }
 
 impl From<ExitCode> for process::ExitCode {
--- a/src/bin/fireflywind/main.rs
+++ b/src/bin/fireflywind/main.rs
@@ -1,8 +1,10 @@
 //! The operator's program.
 
+mod bill;
 mod cli;
 mod exit_codes;
 mod platform;
+mod records;
 #[cfg(test)]
 mod tests;
 mod verbs;
@@ -42,10 +44,6 @@
             writeln!(out, "fireflywind {}", env!("CARGO_PKG_VERSION"))?;
             Ok(ExitCode::Success)
         }
-        Ok(Command::NotBuilt(verb)) => {
-            writeln!(err, "fireflywind: verb {verb} is not built yet")?;
-            Ok(ExitCode::NotBuilt)
-        }
         Ok(Command::Run(verb, options)) => verbs::run(verb, &options, &mut verbs::Io { out, err }),
         Err(error) => {
             writeln!(err, "fireflywind: {error}")?;
--- a/src/bin/fireflywind/platform.rs
+++ b/src/bin/fireflywind/platform.rs
@@ -1,27 +1,66 @@
-//! Connections of the program: the key-value service and the gateways.
+//! Connections of the program: the key-value service and the gateways' admin listeners.
 
 use std::net::SocketAddr;
 
+use actix_http::Method;
+use bytes::Bytes;
 use fireflywind::operator::Held;
-use fireflywind::platform::KeyValue;
+use fireflywind::platform::budget::CallBudget;
+use fireflywind::platform::etcd::EtcdKv;
 use fireflywind::settings::Operator;
+use fireflywind::units::Millis;
+use fireflywind::upstream::exchange::{Request, send};
+use fireflywind::upstream::{Timeouts, UpstreamError};
+use serde_json::Value;
 
-/// Connects to the key-value service.
-///
-/// # Errors
-/// Always, until the library has a client of the service.
-pub fn connect(settings: &Operator) -> Result<Box<dyn KeyValue>, String> {
-    Err(format!(
-        "no client of the key-value service at {:?} is compiled in",
-        settings.kv
-    ))
+/// Reads and writes a second that a shell session may make.
+const CALLS_PER_SECOND: u32 = 200;
+
+/// Largest answer of an admin listener, in bytes.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
+const TIMEOUTS: Timeouts = Timeouts {
+    connect: Millis::from_secs(1),
+    first_byte: Millis::from_secs(2),
+    idle: Millis::from_secs(2),
+};
+
+/// Makes the client of the key-value service.
+#[must_use]
+pub fn connect(settings: &Operator) -> EtcdKv {
+    let budget = CallBudget::new(CALLS_PER_SECOND, CALLS_PER_SECOND);
+    EtcdKv::open(settings.kv.clone(), budget)
 }
 
-/// Asks each gateway for its revision; none answers until gateways have an admin interface.
-pub fn poll(gateways: &[SocketAddr]) -> Vec<Held> {
-    let held = |address: &SocketAddr| Held {
-        process: address.to_string(),
-        revision: None,
+/// Asks each gateway for its revision.
+pub async fn poll(gateways: &[SocketAddr]) -> Vec<Held> {
+    let mut held = Vec::with_capacity(gateways.len());
+    for gateway in gateways {
+        let status = get(*gateway, "/status").await;
+        let status: Value = status
+            .ok()
+            .and_then(|s| serde_json::from_slice(&s).ok())
+            .unwrap_or_default();
+        let revision = status.get("revision").and_then(Value::as_u64);
+        held.push(Held {
+            process: gateway.to_string(),
+            revision,
+        });
+    }
+    held
+}
+
+/// Gets a path of an admin listener.
+///
+/// # Errors
+/// [`UpstreamError`] if there is no answer or its status is not a success.
+pub async fn get(addr: SocketAddr, path: &str) -> Result<Bytes, UpstreamError> {
+    let request = Request {
+        method: Method::GET,
+        target: path.to_owned(),
+        headers: Vec::new(),
+        body: Bytes::new(),
     };
-    gateways.iter().map(held).collect()
+    let response = send(addr, TIMEOUTS, &request).await?.success().await?;
+    response.body.collect(MAX_ANSWER_BYTES).await
 }
--- /dev/null
+++ b/src/follower/mod.rs
@@ -0,0 +1,324 @@
+//! Follows the sheet in force: performs the effects of the dissemination's state machine.
+//!
+//! The rules (never a lower revision, never a root with missing parts) are those of
+//! [`Replica`](crate::dissemination::Replica); this module does its reads and turns the parts into a sheet.
+
+mod root;
+#[cfg(test)]
+mod tests;
+
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::rc::Rc;
+
+use actix_rt::task::JoinHandle;
+use actix_rt::time::sleep;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+
+use crate::clock::Clock;
+use crate::dissemination::{
+    Admission, Digest, Effect, Message, Neighbours, Part, PeerId, Replica, RootRef,
+};
+use crate::operator::{PART_PREFIX, ROOT_KEY};
+use crate::platform::KeyValue;
+use crate::sheet::Sheet;
+use crate::units::Millis;
+
+/// Time between two steps of the state machine.
+const STEP: Millis = Millis(100);
+
+/// A sheet in force.
+#[derive(Debug, Clone, PartialEq)]
+pub struct InForce {
+    /// Its revision.
+    pub revision: u64,
+    /// The sheet.
+    pub sheet: Sheet,
+}
+
+/// Messages of one process to another, as they go over a link.
+#[derive(Debug, Serialize, Deserialize)]
+struct Envelope {
+    from: String,
+    messages: Vec<Message>,
+}
+
+/// Follows the sheet in force until it is dropped.
+#[derive(Debug)]
+pub struct Follower {
+    inner: Rc<Inner>,
+    stepping: JoinHandle<()>,
+}
+
+struct Inner {
+    name: String,
+    clock: Clock,
+    kv: Rc<dyn KeyValue>,
+    replica: RefCell<Replica>,
+    in_force: RefCell<Option<Rc<InForce>>>,
+    outbox: RefCell<Vec<(PeerId, Message)>>,
+    /// Store revision of the root that was read last.
+    seen: Cell<u64>,
+    changed: Notify,
+}
+
+impl fmt::Debug for Inner {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Inner")
+            .field("name", &self.name)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Drop for Follower {
+    fn drop(&mut self) {
+        self.stepping.abort();
+    }
+}
+
+impl Follower {
+    /// Starts to follow the root of the key-value service; `draw` is a random number.
+    #[must_use]
+    pub fn open(name: &str, kv: Rc<dyn KeyValue>, clock: Clock, draw: u64) -> Self {
+        let role = Neighbours {
+            watches: true,
+            ..Neighbours::default()
+        };
+        let inner = Rc::new(Inner {
+            name: name.to_owned(),
+            clock,
+            kv,
+            replica: RefCell::new(Replica::new(role, draw, clock.now())),
+            in_force: RefCell::default(),
+            outbox: RefCell::default(),
+            seen: Cell::new(0),
+            changed: Notify::new(),
+        });
+        let stepping = actix_rt::spawn(step(Rc::clone(&inner)));
+        Self { inner, stepping }
+    }
+
+    /// Returns the sheet in force, if there is one.
+    #[must_use]
+    pub fn in_force(&self) -> Option<Rc<InForce>> {
+        self.inner.in_force.borrow().clone()
+    }
+
+    /// Returns the revision in force; 0 if there is none.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.in_force().map_or(0, |held| held.revision)
+    }
+
+    /// Returns the time since the service last confirmed the sheet, as far as this process knows.
+    #[must_use]
+    pub fn freshness(&self) -> Option<Millis> {
+        let now = self.inner.clock.now();
+        self.inner.replica.borrow().freshness(now)
+    }
+
+    /// Tells whether requests may be served with the sheet in force.
+    #[must_use]
+    pub fn may_serve(&self) -> bool {
+        let Some(held) = self.in_force() else {
+            return false;
+        };
+        let now = self.inner.clock.now();
+        self.inner
+            .replica
+            .borrow()
+            .may_serve(now, held.sheet.policy.max_staleness)
+    }
+
+    /// Decides about a call of a process that decided under this revision.
+    #[must_use]
+    pub fn admit(&self, revision: u64) -> Admission {
+        let Some(held) = self.in_force() else {
+            return if revision > 0 {
+                Admission::FetchFirst
+            } else {
+                Admission::Stale
+            };
+        };
+        let now = self.inner.clock.now();
+        self.inner
+            .replica
+            .borrow()
+            .admit(revision, now, held.sheet.policy.max_staleness)
+    }
+
+    /// Waits for the next change of the sheet in force.
+    pub async fn changed(&self) {
+        self.inner.changed.notified().await;
+    }
+
+    /// Sets the processes with which status is exchanged.
+    pub fn set_peers(&self, names: &[String]) {
+        let parents = names
+            .iter()
+            .map(|name| PeerId::from(name.as_str()))
+            .collect();
+        let role = Neighbours {
+            parents,
+            watches: true,
+            ..Neighbours::default()
+        };
+        self.inner.replica.borrow_mut().set_role(role);
+        let known = |peer: &PeerId| names.iter().any(|name| name == peer.as_str());
+        self.inner
+            .outbox
+            .borrow_mut()
+            .retain(|(peer, _)| known(peer));
+    }
+
+    /// Adds the own status to the messages for a peer, which then pulls what is newer here.
+    pub fn announce_to(&self, name: &str) {
+        let now = self.inner.clock.now();
+        let effects = self
+            .inner
+            .replica
+            .borrow()
+            .announce_to(&PeerId::from(name), now);
+        perform(&self.inner, effects);
+    }
+
+    /// Adds a pull of what is newer at a peer to the messages for it.
+    pub fn pull_from(&self, name: &str) {
+        let now = self.inner.clock.now();
+        let effects = self
+            .inner
+            .replica
+            .borrow_mut()
+            .fetch_from(&PeerId::from(name), now);
+        perform(&self.inner, effects);
+    }
+
+    /// Takes the messages that wait for a peer; `None` if there are none.
+    #[must_use]
+    pub fn take_messages(&self, name: &str) -> Option<Bytes> {
+        let mut outbox = self.inner.outbox.borrow_mut();
+        let of_peer = outbox.extract_if(.., |(peer, _)| peer.as_str() == name);
+        let messages: Vec<_> = of_peer.map(|(_, message)| message).collect();
+        if messages.is_empty() {
+            return None;
+        }
+        let envelope = Envelope {
+            from: self.inner.name.clone(),
+            messages,
+        };
+        serde_json::to_vec(&envelope).ok().map(Bytes::from)
+    }
+
+    /// Takes messages of a peer and returns the name of the sender.
+    ///
+    /// Replies wait in [`Self::take_messages`]. `None` if the bytes are no messages.
+    #[must_use]
+    pub fn on_messages(&self, bytes: &[u8]) -> Option<String> {
+        let envelope: Envelope = serde_json::from_slice(bytes).ok()?;
+        let from = PeerId::from(envelope.from.as_str());
+        for message in envelope.messages {
+            let now = self.inner.clock.now();
+            let effects = self
+                .inner
+                .replica
+                .borrow_mut()
+                .on_message(&from, message, now);
+            perform(&self.inner, effects);
+        }
+        Some(envelope.from)
+    }
+}
+
+async fn step(inner: Rc<Inner>) {
+    loop {
+        let now = inner.clock.now();
+        let effects = inner.replica.borrow_mut().step(now);
+        perform(&inner, effects);
+        sleep(STEP.duration()).await;
+    }
+}
+
+fn perform(inner: &Rc<Inner>, effects: Vec<Effect>) {
+    for effect in effects {
+        match effect {
+            Effect::ReadRoot { wait, .. } => {
+                actix_rt::spawn(read_root(Rc::clone(inner), wait));
+            }
+            Effect::ReadParts(digests) => {
+                actix_rt::spawn(read_parts(Rc::clone(inner), digests));
+            }
+            Effect::Send(peer, message) => inner.outbox.borrow_mut().push((peer, message)),
+            Effect::InForce(revision) => put_into_force(inner, revision),
+            Effect::Refused(revision) => {
+                log::warn!(event = "older_sheet_refused", revision = revision; "");
+            }
+        }
+    }
+}
+
+async fn read_root(inner: Rc<Inner>, wait: bool) {
+    let sent = inner.clock.now();
+    let read = if wait {
+        inner.kv.watch(ROOT_KEY, inner.seen.get()).await
+    } else {
+        inner.kv.get(ROOT_KEY).await
+    };
+    let now = inner.clock.now();
+    let read = read.map_err(|error| error.to_string());
+    let root = read.and_then(|entry| entry.as_ref().map(root::read).transpose());
+    let effects = match root {
+        Ok(found) => {
+            let (root, seen) = found.map_or((None, 0), |(root, seen)| (Some(root), seen));
+            inner.seen.set(seen);
+            inner.replica.borrow_mut().on_root(root, sent, now)
+        }
+        Err(error) => {
+            log::warn!(event = "sheet_read_failed", error = error.as_str(); "");
+            inner.replica.borrow_mut().on_root_failed(now);
+            Vec::new()
+        }
+    };
+    perform(&inner, effects);
+}
+
+async fn read_parts(inner: Rc<Inner>, digests: Vec<Digest>) {
+    let mut parts: Vec<Part> = Vec::new();
+    for digest in digests {
+        let key = format!("{PART_PREFIX}{digest}");
+        let Ok(Some(entry)) = inner.kv.get(&key).await else {
+            // The state machine asks again.
+            break;
+        };
+        if let Ok(text) = std::str::from_utf8(&entry.value) {
+            parts.push(Part::from(text));
+        }
+    }
+    let now = inner.clock.now();
+    let effects = inner.replica.borrow_mut().on_parts(&parts, now);
+    perform(&inner, effects);
+}
+
+fn put_into_force(inner: &Rc<Inner>, revision: u64) {
+    let joined = {
+        let replica = inner.replica.borrow();
+        replica
+            .root()
+            .map(|root: &RootRef| root::sheet(root, |name| replica.part(name).cloned()))
+    };
+    let in_force = match joined {
+        Some(Ok(sheet)) => {
+            log::info!(event = "sheet_in_force", process = inner.name.as_str(), revision; "");
+            Some(Rc::new(InForce { revision, sheet }))
+        }
+        Some(Err(error)) => {
+            // Serving the older sheet could serve a version that this one withdraws.
+            log::error!(event = "sheet_damaged", revision, error:% = error; "");
+            None
+        }
+        None => None,
+    };
+    *inner.in_force.borrow_mut() = in_force;
+    inner.changed.notify_waiters();
+}
--- /dev/null
+++ b/src/follower/root.rs
@@ -0,0 +1,81 @@
+//! Conversion between the stored root and the root of the dissemination.
+
+use bytes::Bytes;
+
+use crate::dissemination::{Digest, Part, RootRef};
+use crate::platform::Entry;
+use crate::sheet::Sheet;
+use crate::sheet::digest::ApplyId;
+use crate::sheet::parts::{self, PartKind, PartRef, PartsError, Root};
+
+/// Reads a stored root and its store revision.
+pub(super) fn read(entry: &Entry) -> Result<(RootRef, u64), String> {
+    let root = Root::decode(&entry.value).map_err(|error| error.to_string())?;
+    let named = root
+        .parts
+        .iter()
+        .map(|part| Ok((name(part), digest(part)?)));
+    let mut parts = named.collect::<Result<Vec<_>, String>>()?;
+    parts.sort_unstable();
+    Ok((
+        RootRef {
+            revision: root.revision,
+            parts,
+        },
+        entry.mod_revision,
+    ))
+}
+
+/// Joins the parts of a root.
+pub(super) fn sheet(
+    root: &RootRef,
+    find: impl Fn(&str) -> Option<Part>,
+) -> Result<Sheet, PartsError> {
+    let mut refs = Vec::with_capacity(root.parts.len());
+    let mut texts = Vec::with_capacity(root.parts.len());
+    for (name, digest) in &root.parts {
+        let reference = reference(name, *digest)?;
+        if let Some(text) = find(name) {
+            texts.push((reference.sha256, Bytes::copy_from_slice(text.as_bytes())));
+        }
+        refs.push(reference);
+    }
+    refs.sort_unstable();
+    texts.sort_unstable_by_key(|(digest, _)| *digest);
+    let joined = Root {
+        revision: root.revision,
+        // The applies matter to operators only, who read them from the service.
+        apply_id: ApplyId(uuid::Uuid::nil()),
+        recent_apply_ids: Vec::new(),
+        parts: refs,
+    };
+    parts::join(&joined, |wanted| {
+        let at = texts
+            .binary_search_by_key(wanted, |(digest, _)| *digest)
+            .ok()?;
+        texts.get(at).map(|(_, text)| text.clone())
+    })
+}
+
+fn name(part: &PartRef) -> String {
+    format!("{}/{}", part.kind, part.id)
+}
+
+fn digest(part: &PartRef) -> Result<Digest, String> {
+    part.sha256
+        .to_string()
+        .parse()
+        .map_err(|error| format!("digest: {error}"))
+}
+
+fn reference(name: &str, digest: Digest) -> Result<PartRef, PartsError> {
+    let bad = || PartsError::BadRoot(format!("part {name:?} has no known kind"));
+    let (kind, id) = name.split_once('/').ok_or_else(bad)?;
+    let kind: PartKind = serde_json::from_value(kind.into()).map_err(|_unknown| bad())?;
+    let sha256 = digest.to_string().parse().map_err(|_digits| bad())?;
+    Ok(PartRef {
+        kind,
+        id: id.to_owned(),
+        sha256,
+    })
+}
--- /dev/null
+++ b/src/follower/tests.rs
@@ -0,0 +1,127 @@
+//! Tests of following the sheet in force.
+
+use super::*;
+use crate::fixtures::{self, run_paused};
+use crate::ids::VersionRef;
+use crate::operator::apply;
+use crate::platform::memory::{Fault, MemoryKv};
+use crate::sheet::VersionState;
+use crate::sheet::digest::ApplyId;
+
+fn follower(name: &str, kv: &MemoryKv) -> Follower {
+    Follower::open(name, Rc::new(kv.clone()), Clock::start(), 7)
+}
+
+async fn put(kv: &MemoryKv, sheet: &Sheet, base: Option<u64>) -> u64 {
+    let applied = apply(kv, sheet, base, ApplyId::random()).await;
+    applied
+        .expect("the service is up and nobody else applies")
+        .revision
+}
+
+async fn until(follower: &Follower, revision: u64) {
+    while follower.revision() < revision {
+        sleep(Millis(10).duration()).await;
+    }
+}
+
+/// Carries messages between two processes until none is left.
+fn carry(from: &Follower, from_name: &str, to: &Follower, to_name: &str) {
+    for _ in 0..20 {
+        let there = from.take_messages(to_name);
+        let back = to.take_messages(from_name);
+        if there.is_none() && back.is_none() {
+            return;
+        }
+        assert!(there.is_none_or(|bytes| to.on_messages(&bytes).is_some()));
+        assert!(back.is_none_or(|bytes| from.on_messages(&bytes).is_some()));
+    }
+}
+
+fn withdrawn() -> Sheet {
+    let mut sheet = fixtures::sheet();
+    sheet.cascades[0]
+        .steps
+        .retain(|step| *step != VersionRef::new("small", "v1"));
+    let small = sheet.models.iter_mut().find(|m| m.id.as_str() == "small");
+    small.expect("the fixture has it").versions[0].state = VersionState::Withdrawn;
+    sheet
+}
+
+// Guards against an accepted sheet that a process does not take up.
+#[test]
+fn an_applied_sheet_comes_into_force() {
+    run_paused(async {
+        let kv = MemoryKv::open();
+        let follower = follower("a", &kv);
+
+        let first = put(&kv, &fixtures::sheet(), None).await;
+        until(&follower, first).await;
+        let second = put(&kv, &withdrawn(), Some(first)).await;
+        until(&follower, second).await;
+
+        let held = follower.in_force().expect("a sheet is in force");
+        assert_eq!((held.revision, &held.sheet), (second, &withdrawn()));
+        assert!(follower.may_serve());
+    });
+}
+
+// Guards against a process that starts during an outage and serves an older sheet than a peer holds, or none.
+#[test]
+fn a_process_that_starts_during_an_outage_gets_the_sheet_from_a_peer() {
+    run_paused(async {
+        let kv = MemoryKv::open();
+        let old = follower("old", &kv);
+        let revision = put(&kv, &fixtures::sheet(), None).await;
+        until(&old, revision).await;
+        kv.set_fault(Fault::Out);
+        let new = follower("new", &kv);
+        assert_eq!(new.admit(revision), Admission::FetchFirst);
+
+        new.set_peers(&["old".to_owned()]);
+        for _ in 0..40 {
+            sleep(STEP.duration()).await;
+            carry(&new, "new", &old, "old");
+        }
+
+        assert_eq!(new.revision(), revision);
+        assert!(new.may_serve());
+        assert_eq!(new.admit(revision - 1), Admission::CallerBehind);
+    });
+}
+
+// Guards against service with a sheet that nobody has confirmed for too long.
+#[test]
+fn an_unconfirmed_sheet_stops_the_service() {
+    run_paused(async {
+        let kv = MemoryKv::open();
+        let follower = follower("a", &kv);
+        let revision = put(&kv, &fixtures::sheet(), None).await;
+        until(&follower, revision).await;
+        kv.set_fault(Fault::Out);
+
+        sleep(Millis::from_secs(7_100).duration()).await;
+        assert!(follower.may_serve());
+        sleep(Millis::from_secs(200).duration()).await;
+        assert!(!follower.may_serve());
+        kv.set_fault(Fault::None);
+        sleep(Millis::from_secs(30).duration()).await;
+        assert!(follower.may_serve());
+    });
+}
+
+// Guards against a peer's bytes that stop a process.
+#[test]
+fn arbitrary_messages_are_refused() {
+    run_paused(async {
+        let follower = follower("a", &MemoryKv::open());
+        for bytes in [
+            &b""[..],
+            b"{}",
+            b"{\"from\":\"b\",\"messages\":[{}]}",
+            b"\xff",
+        ] {
+            assert_eq!(follower.on_messages(bytes), None);
+        }
+    });
+}
--- /dev/null
+++ b/src/gateway/account.rs
@@ -0,0 +1,47 @@
+//! Finds the client account of an API key.
+
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use crate::http::Incoming;
+use crate::refusal::{Code, Refusal};
+use crate::sheet::{Account, Sheet};
+
+/// Longest API key, in bytes.
+const MAX_KEY_BYTES: usize = 256;
+
+/// Finds the account whose key the request carries as a bearer token.
+///
+/// Every hash is compared, each in constant time, so the time does not tell which one is close.
+///
+/// # Errors
+/// A refusal if the key is missing, malformed or unknown.
+pub(super) fn of<'a>(sheet: &'a Sheet, incoming: &Incoming) -> Result<&'a Account, Refusal> {
+    let refuse = |why| Refusal::not_run(Code::Unauthorized, why);
+    let header = incoming.header("authorization");
+    let key = header
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .map(str::trim);
+    let key = key.filter(|key| !key.is_empty() && key.len() <= MAX_KEY_BYTES);
+    let key = key.ok_or_else(|| refuse("an API key is needed as a bearer token"))?;
+    let hash = hex(&Sha256::digest(key));
+    let mut found = None;
+    for account in &sheet.accounts {
+        for known in &account.key_hashes {
+            if bool::from(known.as_bytes().ct_eq(hash.as_bytes())) {
+                found = Some(account);
+            }
+        }
+    }
+    found.ok_or_else(|| refuse("the API key is not known"))
+}
+
+fn hex(bytes: &[u8]) -> String {
+    use std::fmt::Write as _;
+
+    bytes.iter().fold(String::new(), |mut text, byte| {
+        // Writing to a string cannot fail.
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,309 @@
+//! One attempt of a request at one agent: runs it there and puts its answer together.
+
+use std::rc::Rc;
+
+use actix_rt::time::Instant;
+use bytes::Bytes;
+
+use super::links::{self, InFlight};
+use super::shared::Shared;
+use crate::ids::UpstreamId;
+use crate::ledger::Charge;
+use crate::peer::{Failure, Head, Link, LinkError, ReadBody, ReadReply, RunReply, RunRequest};
+use crate::refusal::{Code, Ran, Refusal};
+use crate::stream::{
+    Assembly, End, EndStatus, Fed, IncompleteReason, Part, READ_TIMEOUT, Reply, Source,
+};
+use crate::units::Millis;
+
+/// Time for an agent to accept or refuse an attempt.
+const RUN_TIMEOUT: Millis = Millis::from_secs(3);
+
+/// Most bytes in one read.
+const READ_BYTES: u32 = 64 * 1024;
+
+/// New connections that are tried for an answer whose connection went silent.
+const RECONNECTS: u32 = 3;
+
+/// Takes the bytes of an answer as they arrive.
+pub(super) trait Sink {
+    /// Takes the status line; called once before any bytes.
+    fn head(&mut self, head: &Head);
+    /// Takes the next bytes; `false` if the caller has left.
+    async fn bytes(&mut self, bytes: Bytes) -> bool;
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub(super) enum Ended {
+    /// The whole answer was handed to the sink.
+    Whole(Whole),
+    /// The agent holds a newer sheet, so the decision has to be made again; nothing ran.
+    SheetBehind,
+    /// The agent could not be reached before anything was sent.
+    Unreachable(String),
+    /// The agent refused it, or it failed.
+    Refused(Failed),
+    /// The caller left.
+    CallerLeft,
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub(super) struct Whole {
+    pub status: u16,
+    pub bytes: u64,
+    pub charge: Option<Charge>,
+    pub replayed: bool,
+}
+
+/// An attempt without a whole answer.
+#[derive(Debug)]
+pub(super) struct Failed {
+    pub refusal: Refusal,
+    /// Whether the upstream crashed under it.
+    pub crashed: bool,
+    /// Bytes that were handed to the sink.
+    pub handed: u64,
+}
+
+impl From<Refusal> for Ended {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(Failed {
+            refusal,
+            crashed: false,
+            handed: 0,
+        })
+    }
+}
+
+/// Runs one attempt at an agent.
+pub(super) async fn run(
+    shared: &Rc<Shared>,
+    upstream: &UpstreamId,
+    req: &RunRequest,
+    sink: &mut impl Sink,
+) -> Ended {
+    let link = shared.links.borrow().link(upstream);
+    let Some(link) = link else {
+        return Ended::Unreachable("no connection to the agent".to_owned());
+    };
+    let in_flight = InFlight::new(shared, upstream);
+    let end = Instant::now() + req.deadline.duration();
+    let answer = match start(shared, upstream, &link, req).await {
+        Ok(answer) => answer,
+        Err(ended) => return ended,
+    };
+    let mut pull = Pull {
+        shared,
+        upstream,
+        link,
+        req,
+        answer,
+        end,
+    };
+    let ended = pull.read(sink).await;
+    drop(in_flight);
+    ended
+}
+
+/// Asks the agent to run the attempt; brings an agent with an older sheet up to date first.
+async fn start(
+    shared: &Rc<Shared>,
+    upstream: &UpstreamId,
+    link: &Link,
+    req: &RunRequest,
+) -> Result<u64, Ended> {
+    let mut reply = link.run(req, RUN_TIMEOUT).await;
+    if let Ok(RunReply::Older(_)) = reply {
+        shared.follower.announce_to(upstream.as_str());
+        links::exchange(shared, upstream, link).await;
+        reply = link.run(req, RUN_TIMEOUT).await;
+    }
+    match reply {
+        Ok(RunReply::Accepted(answer)) => Ok(answer),
+        Ok(RunReply::Refused(refusal)) => Err(refusal.into()),
+        Ok(RunReply::Older(_)) => {
+            let why = "agent did not take up the sheet in force";
+            Err(Refusal::not_run(Code::NoUpstream, why).into())
+        }
+        Ok(RunReply::Newer(_)) => {
+            shared.follower.pull_from(upstream.as_str());
+            links::exchange(shared, upstream, link).await;
+            Err(Ended::SheetBehind)
+        }
+        Err(error) => {
+            let now = shared.clock.now();
+            shared.links.borrow_mut().note_lost(upstream, now);
+            Err(match error {
+                LinkError::Unreachable(why) => Ended::Unreachable(why),
+                error => {
+                    let why = format!("agent {upstream} was lost: {error}");
+                    Refusal::after_run(Code::UpstreamFailed, Ran::Unknown, why).into()
+                }
+            })
+        }
+    }
+}
+
+/// Reads the answer of one accepted attempt.
+struct Pull<'a> {
+    shared: &'a Rc<Shared>,
+    upstream: &'a UpstreamId,
+    link: Rc<Link>,
+    req: &'a RunRequest,
+    answer: u64,
+    end: Instant,
+}
+
+impl Pull<'_> {
+    async fn read(&mut self, sink: &mut impl Sink) -> Ended {
+        let attempt = self.req.attempt_number();
+        let source = Source {
+            request: self.req.request,
+            attempt,
+        };
+        let mut assembly = Assembly::open(source);
+        let mut head_given = false;
+        loop {
+            if Instant::now() >= self.end {
+                self.cancel();
+                return incomplete(&mut assembly, IncompleteReason::Deadline);
+            }
+            let Some(reply) = self.next(assembly.offset()).await else {
+                return incomplete(&mut assembly, IncompleteReason::AgentLost);
+            };
+            if let ReadBody::Failed(failure) = reply.body {
+                return self.failed(failure, assembly.offset()).await;
+            }
+            if !head_given && reply.head.status != 0 {
+                head_given = true;
+                sink.head(&reply.head);
+            }
+            let status = reply.head.status;
+            let (charge, replayed) = settled(&reply.body);
+            let Some(part) = part(reply.body) else {
+                return incomplete(&mut assembly, IncompleteReason::AgentLost);
+            };
+            let source = Source {
+                request: self.req.request,
+                attempt: reply.attempt,
+            };
+            match assembly.feed(Reply { source, part }) {
+                Fed::Waiting | Fed::Dropped | Fed::ReadAgain(_) => {}
+                Fed::Bytes(bytes) => {
+                    if !sink.bytes(bytes).await {
+                        self.cancel();
+                        return Ended::CallerLeft;
+                    }
+                }
+                Fed::Whole => {
+                    self.acknowledge();
+                    let bytes = assembly.offset();
+                    return Ended::Whole(Whole {
+                        status,
+                        bytes,
+                        charge,
+                        replayed,
+                    });
+                }
+                Fed::Incomplete(reason) => return incomplete(&mut assembly, reason),
+            }
+        }
+    }
+
+    /// Reads once; replaces a connection that went silent or broke and reads again from the offset.
+    async fn next(&mut self, offset: u64) -> Option<ReadReply> {
+        for _ in 0..=RECONNECTS {
+            match self
+                .link
+                .read(self.answer, offset, READ_BYTES, READ_TIMEOUT)
+                .await
+            {
+                Ok(reply) => return Some(reply),
+                Err(error) => {
+                    let upstream = self.upstream.as_str();
+                    self.shared.metrics.event("answer_reconnects");
+                    log::info!(event = "answer_reconnects", upstream, offset, error:% = error; "");
+                }
+            }
+            let in_force = self.shared.follower.in_force()?;
+            let addr = in_force.sheet.upstream(self.upstream)?.agent;
+            match Link::connect(addr, &self.shared.peer_key, READ_TIMEOUT).await {
+                Ok(link) => self.link = Rc::new(link),
+                Err(LinkError::Unreachable(_)) => {
+                    let now = self.shared.clock.now();
+                    self.shared.links.borrow_mut().note_lost(self.upstream, now);
+                    return None;
+                }
+                Err(_) => {}
+            }
+        }
+        None
+    }
+
+    async fn failed(&self, failure: Failure, handed: u64) -> Ended {
+        self.acknowledge();
+        if failure.crashed {
+            links::fetch_suspects(self.shared, self.upstream, &self.link).await;
+            links::spread_suspects(self.shared).await;
+        }
+        Ended::Refused(Failed {
+            refusal: failure.refusal,
+            crashed: failure.crashed,
+            handed,
+        })
+    }
+
+    fn acknowledge(&self) {
+        let (link, answer) = (Rc::clone(&self.link), self.answer);
+        actix_rt::spawn(async move {
+            // Without the acknowledgement the agent keeps the answer until its time is over.
+            let _ = link.ack(answer, READ_TIMEOUT).await;
+        });
+    }
+
+    fn cancel(&self) {
+        let (link, answer) = (Rc::clone(&self.link), self.answer);
+        actix_rt::spawn(async move {
+            // Without the call the agent ends the run once no reader has been seen for a while.
+            let _ = link.cancel(answer, READ_TIMEOUT).await;
+        });
+    }
+}
+
+fn incomplete(assembly: &mut Assembly, reason: IncompleteReason) -> Ended {
+    assembly.give_up(reason);
+    let code = match reason {
+        IncompleteReason::Deadline => Code::DeadlineExceeded,
+        _ => Code::UpstreamFailed,
+    };
+    let refusal = Refusal::after_run(code, Ran::Unknown, reason.to_string());
+    Ended::Refused(Failed {
+        refusal,
+        crashed: false,
+        handed: assembly.offset(),
+    })
+}
+
+fn settled(body: &ReadBody) -> (Option<Charge>, bool) {
+    match body {
+        ReadBody::End {
+            charge, replayed, ..
+        } => (serde_json::from_slice(charge).ok(), *replayed),
+        _ => (None, false),
+    }
+}
+
+fn part(body: ReadBody) -> Option<Part> {
+    Some(match body {
+        ReadBody::Pending => Part::Pending,
+        ReadBody::Chunk { offset, bytes } => Part::Chunk { offset, bytes },
+        ReadBody::End { length, digest, .. } => Part::End(End {
+            status: EndStatus::Complete,
+            length,
+            digest,
+        }),
+        ReadBody::Failed(_) | ReadBody::Gone => return None,
+    })
+}
--- /dev/null
+++ b/src/gateway/quality.rs
@@ -0,0 +1,141 @@
+//! What the gateway knows of the quality of versions, and the rating of answers.
+
+use std::rc::Rc;
+
+use actix_rt::time::timeout;
+use serde_json::Value;
+
+use super::shared::Shared;
+use crate::ids::{ClassId, Incarnation, VersionRef};
+use crate::rating::{Outcome, RatingTable, Reach};
+use crate::record::Rated;
+use crate::units::{Millis, Permille};
+use crate::upstream::Timeouts;
+use crate::upstream::rating::RatingClient;
+
+/// Rating from which on an answer is good enough.
+const PASS: Permille = Permille(500);
+
+/// Time for a rating that decides on an escalation.
+const RATING_BUDGET: Millis = Millis(500);
+
+/// One in so many answers that need no rating is rated all the same, so that estimates stay fresh.
+const SAMPLE_ONE_IN: u64 = 10;
+
+/// Ratings that may be under way at one time; the rating service is scarce.
+const MAX_RATINGS: u32 = 64;
+
+/// Pass rates and the ratings under way.
+#[derive(Debug)]
+pub(super) struct Quality {
+    pub table: RatingTable,
+    under_way: u32,
+}
+
+impl Quality {
+    pub const fn new(source: Incarnation) -> Self {
+        Self {
+            table: RatingTable::new(source),
+            under_way: 0,
+        }
+    }
+}
+
+/// An answer to rate.
+#[derive(Debug, Clone)]
+pub(super) struct Answered {
+    pub class: ClassId,
+    pub version: VersionRef,
+    pub reach: Reach,
+    pub prompt: Rc<str>,
+    pub text: String,
+}
+
+/// Rates an answer; without a rating in time the result is `Missing`, and a late one still counts.
+pub(super) async fn rate(shared: &Rc<Shared>, answered: Answered) -> Rated {
+    let Some(addr) = shared
+        .rating
+        .filter(|_| shared.quality.borrow().under_way < MAX_RATINGS)
+    else {
+        observe(shared, &answered, Outcome::Missing);
+        return Rated::Missing;
+    };
+    shared.quality.borrow_mut().under_way += 1;
+    let (tx, rx) = tokio::sync::oneshot::channel();
+    let late = Rc::clone(shared);
+    actix_rt::spawn(async move {
+        let client = RatingClient::new(addr, Timeouts::default());
+        let a = &answered;
+        let rating = client.rate(&a.class, &a.version, &a.prompt, &a.text).await;
+        late.quality.borrow_mut().under_way -= 1;
+        let passed = match rating {
+            Ok(rating) => Some(rating >= PASS),
+            Err(error) => {
+                late.metrics.event("rating_failed");
+                log::debug!(event = "rating_failed", error:% = error; "");
+                None
+            }
+        };
+        // The receiver has gone if the budget is over.
+        if tx.send((passed, answered.clone())).is_err() {
+            match passed {
+                Some(true) => observe(&late, &answered, Outcome::LatePass),
+                Some(false) => observe(&late, &answered, Outcome::LateFail),
+                None => {}
+            }
+        }
+    });
+    await_rating(shared, rx).await
+}
+
+async fn await_rating(
+    shared: &Rc<Shared>,
+    rx: tokio::sync::oneshot::Receiver<(Option<bool>, Answered)>,
+) -> Rated {
+    match timeout(RATING_BUDGET.duration(), rx).await {
+        Ok(Ok((Some(true), answered))) => {
+            observe(shared, &answered, Outcome::Pass);
+            Rated::Pass
+        }
+        Ok(Ok((Some(false), answered))) => {
+            observe(shared, &answered, Outcome::Fail);
+            Rated::Fail
+        }
+        Ok(Ok((None, answered))) => {
+            observe(shared, &answered, Outcome::Missing);
+            Rated::Missing
+        }
+        Ok(Err(_)) | Err(_) => Rated::Missing,
+    }
+}
+
+/// Rates a share of the answers that go to the caller without a rating.
+pub(super) fn sample(shared: &Rc<Shared>, draw: u64, answered: Answered) {
+    if draw.is_multiple_of(SAMPLE_ONE_IN) {
+        let shared = Rc::clone(shared);
+        actix_rt::spawn(async move {
+            rate(&shared, answered).await;
+        });
+    }
+}
+
+fn observe(shared: &Shared, answered: &Answered, outcome: Outcome) {
+    let now = shared.clock.unix();
+    let mut quality = shared.quality.borrow_mut();
+    quality.table.observe(
+        &answered.class,
+        &answered.version,
+        answered.reach,
+        outcome,
+        now,
+    );
+}
+
+/// Returns the text of a whole chat completion.
+pub(super) fn text_of(body: &[u8]) -> String {
+    let body: Value = serde_json::from_slice(body).unwrap_or_default();
+    let text = body
+        .pointer("/choices/0/message/content")
+        .and_then(Value::as_str);
+    text.unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/src/gateway/serve/job.rs
@@ -0,0 +1,390 @@
+//! One request from its arrival to its record.
+
+use std::rc::Rc;
+
+use actix_rt::time::Instant;
+use bytes::Bytes;
+
+use super::super::attempt::{self, Ended, Failed, Whole};
+use super::super::shared::{Shared, draw};
+use super::Ask;
+use super::sinks::{Labels, Reply, Restart};
+use crate::follower::InForce;
+use crate::http::Outgoing;
+use crate::ids::{ClassId, RequestId, UpstreamId, VersionRef};
+use crate::ledger::Charge;
+use crate::peer::{Head, RunRequest, Target};
+use crate::record::{Asked, AttemptEnd, Event, Outcome, Record};
+use crate::refusal::{Code, Ran, Refusal};
+use crate::units::Millis;
+
+/// Attempts of one step that were refused without a run.
+const MAX_ATTEMPTS: u16 = 8;
+
+/// Attempts of one step after one that may have run.
+const MAX_RESENDS: u32 = 2;
+
+/// How long a session lasts.
+const SESSION_LIFETIME: Millis = Millis::from_secs(86_400);
+
+/// Time after which a caller may try again when no upstream has room.
+const FULL_RETRY: Millis = Millis::from_secs(1);
+
+/// How a step, and with the last one the request, ended.
+#[derive(Debug)]
+pub(super) enum StepEnd {
+    /// The whole answer went to the sink.
+    Whole(Whole),
+    /// The whole answer is in memory.
+    Buffered {
+        whole: Whole,
+        head: Head,
+        body: Bytes,
+        version: VersionRef,
+    },
+    /// Nothing went to the caller.
+    Refused(Refusal),
+    /// The caller has a part of the answer and was told that it is not whole.
+    CutOff { bytes: u64, refusal: Refusal },
+    /// The sheet has changed, and nothing ran under the new one.
+    SheetBehind,
+    /// The caller left.
+    CallerLeft,
+}
+
+/// One request.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub shared: Rc<Shared>,
+    pub in_force: Rc<InForce>,
+    pub ask: Ask,
+    pub events: Vec<Event>,
+    class: ClassId,
+    asked: Asked,
+    request: RequestId,
+    arrival: Instant,
+    at: Millis,
+    deadline: Millis,
+    /// Number of the next attempt of the current step.
+    next_attempt: u16,
+    /// Whether some attempt has run or may have run.
+    may_have_run: bool,
+    /// Whether an agent was lost that may hold the request's charge.
+    charge_unknown: bool,
+}
+
+impl Job {
+    /// Opens a request in the ledger.
+    pub fn open(
+        shared: &Rc<Shared>,
+        in_force: Rc<InForce>,
+        ask: Ask,
+        class: ClassId,
+        asked: Asked,
+    ) -> Result<Self, Refusal> {
+        let mut ledger = shared.ledger.borrow_mut();
+        if !ledger.has_room() {
+            let refusal = Refusal::not_run(Code::Overloaded, "the ledger cannot be stored");
+            return Err(refusal.retry_after(FULL_RETRY));
+        }
+        Ok(Self {
+            request: ledger.open_request(),
+            shared: Rc::clone(shared),
+            in_force,
+            ask,
+            events: Vec::new(),
+            class,
+            asked,
+            arrival: Instant::now(),
+            at: shared.clock.unix(),
+            deadline: Millis(0),
+            next_attempt: 0,
+            may_have_run: false,
+            charge_unknown: false,
+        })
+    }
+
+    /// Sets the time from arrival to the end of the answer.
+    pub const fn set_deadline(&mut self, deadline: Millis) {
+        self.deadline = deadline;
+    }
+
+    /// Takes the sheet that came into force since the last plan.
+    pub fn renew(&mut self) -> Result<(), Refusal> {
+        match self.shared.follower.in_force() {
+            Some(in_force) if self.shared.follower.may_serve() => {
+                self.in_force = in_force;
+                Ok(())
+            }
+            _ => Err(Refusal::not_run(Code::NoSheet, "no sheet is in force")),
+        }
+    }
+
+    /// Takes the newer sheet and checks a call of a service against it.
+    pub fn refresh(&mut self, target: &Target) -> Result<(), Refusal> {
+        self.renew()?;
+        let account = self.in_force.sheet.account(&self.ask.account);
+        let allowed = account.is_some_and(|account| match target {
+            Target::Service(id) => account.services.binary_search(id).is_ok(),
+            Target::Version(id) => account.allow.binary_search(id).is_ok(),
+        });
+        if allowed {
+            return Ok(());
+        }
+        let why = "the account may no longer use the service";
+        Err(Refusal::not_run(Code::Forbidden, why))
+    }
+
+    /// Returns the headers of the answer; a version starts or goes on with a session.
+    pub fn labels(&self, version: Option<&VersionRef>) -> Labels {
+        let session = version.map(|version| {
+            let now = self.shared.clock.unix();
+            self.shared
+                .sessions
+                .sign(&self.ask.account, version, now, SESSION_LIFETIME)
+        });
+        Labels {
+            request: self.request.to_string(),
+            version: version.map(ToString::to_string),
+            session,
+        }
+    }
+
+    /// Runs one step: attempts at one upstream after another until one gives the whole answer.
+    pub async fn step(
+        &mut self,
+        step: u16,
+        target: &Target,
+        pinned: bool,
+        prefix: Option<u64>,
+        sink: &mut impl Restart,
+    ) -> StepEnd {
+        let mut tried: Vec<UpstreamId> = Vec::new();
+        let mut resends = 0;
+        let mut last = None;
+        self.next_attempt = 0;
+        while self.next_attempt < MAX_ATTEMPTS {
+            let pool = self
+                .shared
+                .links
+                .borrow()
+                .pool(&self.in_force, target, &self.shared);
+            let Some(pick) = pool.pick([draw(), draw()], prefix, &tried) else {
+                break;
+            };
+            let upstream = pick.upstream.clone();
+            let attempt = self.next_attempt;
+            self.next_attempt += 1;
+            self.events.push(Event::Picked {
+                step,
+                attempt,
+                pick,
+            });
+            let req = self.run_request(step, attempt, target, pinned);
+            let ended = attempt::run(&self.shared, &upstream, &req, sink).await;
+            self.note(step, attempt, &upstream, &ended);
+            let failed = match ended {
+                Ended::Whole(whole) => return StepEnd::Whole(whole),
+                Ended::CallerLeft => return StepEnd::CallerLeft,
+                Ended::SheetBehind if self.may_have_run => {
+                    return StepEnd::Refused(changed_meanwhile());
+                }
+                Ended::SheetBehind => return StepEnd::SheetBehind,
+                Ended::Unreachable(why) => {
+                    let refusal = Refusal::not_run(Code::NoUpstream, why);
+                    Failed {
+                        refusal,
+                        crashed: false,
+                        handed: 0,
+                    }
+                }
+                Ended::Refused(failed) => failed,
+            };
+            tried.push(upstream);
+            if failed.refusal.ran != Ran::NotRun {
+                if !sink.restart() {
+                    sink.cut_off(&failed.refusal).await;
+                    return StepEnd::CutOff {
+                        bytes: failed.handed,
+                        refusal: failed.refusal,
+                    };
+                }
+                let may_repeat = self.ask.idempotency_key.is_none()
+                    && matches!(failed.refusal.code, Code::UpstreamFailed)
+                    && resends < MAX_RESENDS;
+                if !may_repeat {
+                    return StepEnd::Refused(failed.refusal);
+                }
+                self.shared.metrics.event("resends");
+                resends += 1;
+            } else if !is_worth_another(failed.refusal.code) {
+                return StepEnd::Refused(failed.refusal);
+            }
+            last = Some(failed.refusal);
+        }
+        let full = || {
+            let refusal = Refusal::not_run(Code::NoUpstream, "no upstream can take the request");
+            refusal.retry_after(FULL_RETRY)
+        };
+        StepEnd::Refused(last.unwrap_or_else(full))
+    }
+
+    fn run_request(&self, step: u16, attempt: u16, target: &Target, pinned: bool) -> RunRequest {
+        let elapsed = u64::try_from(self.arrival.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let idempotent = self.ask.idempotency_key.is_none();
+        RunRequest {
+            request: self.request,
+            step,
+            attempt,
+            account: self.ask.account.clone(),
+            class: self.class.clone(),
+            target: target.clone(),
+            pinned,
+            method: self.ask.method.clone(),
+            path: self.ask.path.clone(),
+            content_type: self.ask.content_type.clone(),
+            body: self.ask.body.clone(),
+            idempotency_key: self.ask.idempotency_key.clone(),
+            idempotent,
+            streamed: false,
+            deadline: self.deadline.since(Millis(elapsed)),
+            revision: self.in_force.revision,
+            freshness: self.shared.follower.freshness().unwrap_or_default(),
+        }
+    }
+
+    fn note(&mut self, step: u16, attempt: u16, upstream: &UpstreamId, ended: &Ended) {
+        let end = match ended {
+            Ended::Whole(whole) => {
+                self.may_have_run = true;
+                AttemptEnd::Whole {
+                    status: whole.status,
+                    bytes: whole.bytes,
+                }
+            }
+            Ended::SheetBehind => {
+                let why = "agent holds a newer sheet";
+                AttemptEnd::Refused(Refusal::not_run(Code::NoSheet, why))
+            }
+            Ended::Unreachable(why) => {
+                AttemptEnd::Refused(Refusal::not_run(Code::NoUpstream, why.clone()))
+            }
+            Ended::Refused(failed) => {
+                let ran = failed.refusal.ran != Ran::NotRun;
+                self.may_have_run |= ran;
+                // A crashed or failed run is not charged; an agent that was lost may hold a charge.
+                self.charge_unknown |= ran && !failed.crashed;
+                AttemptEnd::Refused(failed.refusal.clone())
+            }
+            Ended::CallerLeft => {
+                self.charge_unknown = true;
+                AttemptEnd::Lost("the caller left".to_owned())
+            }
+        };
+        let upstream = upstream.clone();
+        self.events.push(Event::Attempted {
+            step,
+            attempt,
+            upstream,
+            end,
+        });
+    }
+
+    /// Ends the request: response, ledger, metrics and record.
+    pub fn finish(mut self, ended: StepEnd, reply: &Reply) {
+        let outcome = match ended {
+            StepEnd::Whole(whole) => self.answered(&whole),
+            StepEnd::Buffered {
+                whole,
+                head,
+                body,
+                version,
+            } => {
+                let outgoing = Outgoing::whole(head.status, &head.content_type, body);
+                reply.give(self.labels(Some(&version)).put(outgoing));
+                self.answered(&whole)
+            }
+            StepEnd::Refused(refusal) => {
+                let refusal = self.truthful(refusal);
+                let outgoing = Outgoing::refusal(&refusal);
+                reply.give(self.labels(None).put(outgoing));
+                self.close_without_charge();
+                Outcome::Refused(refusal)
+            }
+            StepEnd::CutOff { bytes, refusal } => {
+                self.close_without_charge();
+                Outcome::Incomplete { bytes, refusal }
+            }
+            StepEnd::SheetBehind => Outcome::Refused(super::sheet_changes()),
+            StepEnd::CallerLeft => Outcome::CallerLeft,
+        };
+        self.record(outcome);
+    }
+
+    /// A refusal of the last attempt must not hide an earlier one that may have run.
+    fn truthful(&self, mut refusal: Refusal) -> Refusal {
+        if refusal.ran == Ran::NotRun && self.may_have_run {
+            refusal.ran = Ran::Unknown;
+        }
+        refusal
+    }
+
+    fn answered(&mut self, whole: &Whole) -> Outcome {
+        let charge = whole.charge.clone().filter(|_| !whole.replayed);
+        let amount = charge.as_ref().map(|c| c.amount);
+        self.close(charge);
+        Outcome::Answered {
+            status: whole.status,
+            bytes: whole.bytes,
+            replayed: whole.replayed,
+            charge: amount,
+        }
+    }
+
+    fn close_without_charge(&mut self) {
+        if !self.charge_unknown {
+            self.close(None);
+        }
+    }
+
+    fn close(&mut self, charge: Option<Charge>) {
+        if let Err(error) = self.shared.ledger.borrow_mut().close(self.request, charge) {
+            log::error!(event = "ledger_close_failed", request:% = self.request, error:% = error; "");
+        }
+    }
+
+    fn record(self, outcome: Outcome) {
+        let elapsed = self.arrival.elapsed();
+        let millis = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+        let (account, class) = (self.ask.account.as_str(), self.class.as_str());
+        let seconds = elapsed.as_secs_f64();
+        self.shared
+            .metrics
+            .request(account, class, outcome.as_str(), seconds);
+        let record = Record {
+            request: self.request,
+            at: self.at,
+            gateway: self.shared.name.clone(),
+            revision: self.in_force.revision,
+            account: self.ask.account.clone(),
+            asked: self.asked.clone(),
+            events: self.events,
+            outcome,
+            duration: Millis(millis),
+        };
+        self.shared.keep(&record);
+    }
+}
+
+fn changed_meanwhile() -> Refusal {
+    let why = "the sheet changed after an attempt that may have run";
+    Refusal::after_run(Code::UpstreamFailed, Ran::Unknown, why)
+}
+
+/// Tells whether another upstream may take what one refused without a run.
+const fn is_worth_another(code: Code) -> bool {
+    matches!(
+        code,
+        Code::Overloaded | Code::Stopping | Code::NoUpstream | Code::UpstreamFailed | Code::NoSheet
+    )
+}
--- /dev/null
+++ b/src/gateway/shared.rs
@@ -0,0 +1,93 @@
+//! State that the parts of a gateway share.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use super::links::Links;
+use super::quality::Quality;
+use crate::clock::Clock;
+use crate::follower::Follower;
+use crate::ids::{DataCentre, Incarnation};
+use crate::ledger::GatewayLedger;
+use crate::peer::PeerKey;
+use crate::platform::KeyValue;
+use crate::record::{Record, Ring};
+use crate::session::SessionKeys;
+use crate::settings;
+use crate::suspect::{MAX_REPORTS, Suspects};
+use crate::telemetry::Metrics;
+
+/// Memory for the latest explanation records, in bytes.
+const RING_BYTES: usize = 8 << 20;
+
+/// State of one gateway.
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub name: String,
+    pub data_centre: DataCentre,
+    pub incarnation: Incarnation,
+    pub clock: Clock,
+    pub kv: Rc<dyn KeyValue>,
+    pub peer_key: PeerKey,
+    pub follower: Follower,
+    pub sessions: SessionKeys,
+    pub ledger: RefCell<GatewayLedger>,
+    pub links: RefCell<Links>,
+    pub suspects: RefCell<Suspects>,
+    pub quality: RefCell<Quality>,
+    pub rating: Option<SocketAddr>,
+    pub records: RefCell<Ring>,
+    pub stopping: Cell<bool>,
+    pub metrics: Metrics,
+}
+
+impl Shared {
+    pub fn open(
+        cfg: &settings::Gateway,
+        kv: Rc<dyn KeyValue>,
+        peer_key: PeerKey,
+        sessions: SessionKeys,
+    ) -> Rc<Self> {
+        let incarnation = Incarnation::random();
+        let clock = Clock::start();
+        Rc::new(Self {
+            name: cfg.name.clone(),
+            data_centre: cfg.data_centre.clone(),
+            incarnation,
+            clock,
+            follower: Follower::open(&cfg.name, Rc::clone(&kv), clock, draw()),
+            kv,
+            peer_key,
+            sessions,
+            ledger: RefCell::new(GatewayLedger::new(incarnation)),
+            links: RefCell::default(),
+            suspects: RefCell::new(Suspects::new(MAX_REPORTS)),
+            quality: RefCell::new(Quality::new(incarnation)),
+            rating: cfg.rating,
+            records: RefCell::new(Ring::new(RING_BYTES)),
+            stopping: Cell::new(false),
+            metrics: Metrics::open(),
+        })
+    }
+
+    /// Keeps a record in the ring and writes it to the log.
+    pub fn keep(&self, record: &Record) {
+        let json = self.records.borrow_mut().push(record);
+        log::info!(
+            event = "request",
+            id:% = record.request,
+            account = record.account.as_str(),
+            outcome = record.outcome.as_str(),
+            ms = record.duration.0,
+            record = String::from_utf8_lossy(&json).as_ref();
+            ""
+        );
+    }
+}
+
+/// Draws a random number.
+pub(super) fn draw() -> u64 {
+    let (draw, _) = uuid::Uuid::new_v4().as_u64_pair();
+    draw
+}
--- a/src/idempotency/key.rs
+++ b/src/idempotency/key.rs
@@ -47,6 +47,9 @@
 
 impl std::error::Error for KeyError {}
 
+/// Prefix of the records of keyed calls; account and key follow.
+pub const RECORD_PREFIX: &str = "/fireflywind/idem/";
+
 /// Why a key is refused for its time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum KeyAge {
@@ -94,7 +97,7 @@
     /// Returns the key of the call's record in the key-value service.
     #[must_use]
     pub fn record_key(self, account: &AccountId) -> String {
-        format!("/fireflywind/idem/{account}/{self}")
+        format!("{RECORD_PREFIX}{account}/{self}")
     }
 }
 
--- a/src/idempotency/mod.rs
+++ b/src/idempotency/mod.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 
-pub use key::{IdempotencyKey, KeyAge, KeyError, MAX_AHEAD, MAX_KEY_BYTES};
+pub use key::{IdempotencyKey, KeyAge, KeyError, MAX_AHEAD, MAX_KEY_BYTES, RECORD_PREFIX};
 pub use known::{KNOWN_BYTES, KnownKeys};
 pub use record::{
     Attempt, CallDigest, DigestError, KeptBody, MAX_KEPT_BODY_BYTES, Outcome, Record, RecordState,
--- a/src/ledger/bill.rs
+++ b/src/ledger/bill.rs
@@ -2,6 +2,7 @@
 
 use super::keys::{Key, PREFIX};
 use super::{Charge, Checkpoint, Intervals, OrphanPage, Totals};
+use crate::idempotency::{RECORD_PREFIX, Record, RecordState};
 use crate::ids::{Incarnation, RequestId};
 use crate::platform::{KeyValue, KvError};
 
@@ -155,7 +156,7 @@
     gateways
 }
 
-/// Reads the ledger from the key-value service; records of idempotency keys are not part of it.
+/// Reads the ledger and the records of keyed calls and joins them.
 ///
 /// # Errors
 /// [`KvError`] if the service gave no result.
@@ -165,5 +166,41 @@
         .iter()
         .map(|entry| (entry.key.as_str(), entry.value.as_ref()))
         .collect();
-    Ok(Bill::union(&entries))
+    let (mut charges, mut intents, mut unreadable) = (Vec::new(), Vec::new(), Vec::new());
+    for entry in kv.list(RECORD_PREFIX).await? {
+        match keyed(&entry.value) {
+            Ok(Keyed::Charged(charge)) => charges.push(charge),
+            Ok(Keyed::Intent(request)) => intents.push(request),
+            Ok(Keyed::Free) => {}
+            Err(why) => unreadable.push(Unreadable {
+                key: entry.key,
+                why,
+            }),
+        }
+    }
+    let mut bill = Bill::union_with(&entries, &charges, &intents);
+    bill.unreadable.extend(unreadable);
+    Ok(bill)
+}
+
+/// What a record of a keyed call adds to a bill.
+enum Keyed {
+    Charged(Charge),
+    Intent(RequestId),
+    Free,
+}
+
+fn keyed(value: &[u8]) -> Result<Keyed, String> {
+    let record = Record::from_json(value).map_err(|error| error.to_string())?;
+    match record.state {
+        RecordState::Intent => Ok(Keyed::Intent(record.by.request)),
+        RecordState::NotRun => Ok(Keyed::Free),
+        RecordState::Done(outcome) if outcome.charge.is_null() => Ok(Keyed::Free),
+        RecordState::Done(outcome) => {
+            let charge = serde_json::from_value(outcome.charge);
+            charge
+                .map(Keyed::Charged)
+                .map_err(|error| format!("charge: {error}"))
+        }
+    }
 }
--- a/src/ledger/gateway.rs
+++ b/src/ledger/gateway.rs
@@ -237,6 +237,12 @@
         self.stored
     }
 
+    /// Tells whether the service holds everything that was closed.
+    #[must_use]
+    pub fn is_flushed(&self) -> bool {
+        self.closed == self.flushed.closed && self.waiting.is_empty()
+    }
+
     /// Returns N such that requests 1 to N are in a checkpoint that the service confirmed.
     #[must_use]
     pub fn flushed_prefix(&self) -> u64 {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,10 +4,13 @@
 //! inputs, the time and random draws as arguments and perform no I/O, so that a decision can be replayed.
 
 pub mod agent;
+pub mod clock;
+pub mod daemon;
 pub mod dissemination;
 pub mod fencing;
 #[cfg(test)]
 mod fixtures;
+pub mod follower;
 pub mod gateway;
 pub mod http;
 pub mod idempotency;
--- a/src/platform/budget.rs
+++ b/src/platform/budget.rs
@@ -82,6 +82,15 @@
         }
     }
 
+    /// Makes the budget of one daemon.
+    ///
+    /// At today's two sites, 26 daemons that all use it up stay under the service's 2,000 reads a second.
+    /// Writes are bounded by what daemons need: two for an order, and a checkpoint every few seconds.
+    #[must_use]
+    pub const fn per_process() -> Self {
+        Self::new(60, 40)
+    }
+
     /// Takes one call from the budget and tells whether the call may be sent.
     ///
     /// `now` is the time since any fixed point; an earlier time than before adds nothing.
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -29,6 +29,7 @@
     Field::optional("peer_key", SECRET),
     Field::optional("peer_key_file", Shape::Text),
     Field::required("session_keys", Shape::List(&SESSION_KEY)),
+    Field::optional("rating", Shape::Address),
     Field::optional("max_body_bytes", BODY_BYTES),
     Field::optional("max_header_bytes", HEADER_BYTES),
     Field::optional("log_level", LOG_LEVEL),
@@ -57,6 +58,8 @@
     pub peer_key: Secret,
     /// Keys of session tokens: the first signs, all verify.
     pub session_keys: Vec<SessionKey>,
+    /// Address of the rating service; without one, no answer is rated.
+    pub rating: Option<SocketAddr>,
     /// Largest body of a request, in bytes.
     pub max_body_bytes: u64,
     /// Largest head of a request, in bytes.
@@ -87,6 +90,7 @@
     peer_key: Option<Secret>,
     peer_key_file: Option<PathBuf>,
     session_keys: Vec<SessionKey>,
+    rating: Option<SocketAddr>,
     max_body_bytes: Option<u64>,
     max_header_bytes: Option<u64>,
     log_level: Option<String>,
@@ -113,6 +117,7 @@
             admin_listen: file.admin_listen,
             kv: file.kv,
             session_keys: file.session_keys,
+            rating: file.rating,
             max_body_bytes: file.max_body_bytes.unwrap_or(defaults::MAX_BODY_BYTES),
             max_header_bytes: file.max_header_bytes.unwrap_or(defaults::MAX_HEADER_BYTES),
             log_level: super::log_level(file.log_level.as_deref()),
--- a/src/suspect/admission.rs
+++ b/src/suspect/admission.rs
@@ -98,6 +98,12 @@
         Admit::Run
     }
 
+    /// Tells whether a run is registered.
+    #[must_use]
+    pub fn is_running(&self, run: Run) -> bool {
+        self.position(run).is_ok()
+    }
+
     /// Notes that a run ended without a crash.
     pub fn finish(&mut self, run: Run) {
         if let Ok(at) = self.position(run) {
--- /dev/null
+++ b/src/suspect/codec.rs
@@ -0,0 +1,52 @@
+//! The form in which crash reports travel between processes: 64 bytes each.
+
+use super::{CrashId, Fingerprint, Report};
+use crate::ids::Incarnation;
+use crate::units::Millis;
+
+/// Bytes of one report.
+pub const REPORT_BYTES: usize = 64;
+
+/// Most reports in one message.
+pub const MAX_REPORTS_IN_MESSAGE: usize = 1_024;
+
+/// Encodes reports; those past [`MAX_REPORTS_IN_MESSAGE`] are left out.
+#[must_use]
+pub fn encode(reports: &[Report]) -> Vec<u8> {
+    let reports = &reports[..reports.len().min(MAX_REPORTS_IN_MESSAGE)];
+    let mut buf = Vec::with_capacity(reports.len() * REPORT_BYTES);
+    for report in reports {
+        buf.extend_from_slice(&report.fingerprint.0);
+        buf.extend_from_slice(&report.crash.agent.0.to_be_bytes());
+        buf.extend_from_slice(&report.crash.number.to_be_bytes());
+        buf.extend_from_slice(&report.at.0.to_be_bytes());
+    }
+    buf
+}
+
+/// Decodes reports; `None` if the length is not that of whole reports or over the bound.
+#[must_use]
+pub fn decode(buf: &[u8]) -> Option<Vec<Report>> {
+    if buf.len() > MAX_REPORTS_IN_MESSAGE * REPORT_BYTES || !buf.len().is_multiple_of(REPORT_BYTES)
+    {
+        return None;
+    }
+    buf.chunks_exact(REPORT_BYTES).map(report).collect()
+}
+
+fn report(buf: &[u8]) -> Option<Report> {
+    let (fingerprint, rest) = buf.split_first_chunk::<32>()?;
+    let (agent, rest) = rest.split_first_chunk::<16>()?;
+    let (number, at) = rest.split_first_chunk::<8>()?;
+    let agent = Incarnation(u128::from_be_bytes(*agent));
+    let crash = CrashId {
+        agent,
+        number: u64::from_be_bytes(*number),
+    };
+    let at = Millis(u64::from_be_bytes(at.try_into().ok()?));
+    Some(Report {
+        fingerprint: Fingerprint(*fingerprint),
+        crash,
+        at,
+    })
+}
--- a/src/suspect/mod.rs
+++ b/src/suspect/mod.rs
@@ -4,6 +4,7 @@
 //! form a set: merging is a union, so that repeated and reordered reports do not count twice.
 
 mod admission;
+mod codec;
 #[cfg(test)]
 mod tests;
 
@@ -12,6 +13,7 @@
 use sha2::{Digest, Sha256};
 
 pub use admission::{Admission, Admit, Blame, Crash, Run};
+pub use codec::{MAX_REPORTS_IN_MESSAGE, REPORT_BYTES, decode, encode};
 
 use crate::ids::{AccountId, Incarnation};
 use crate::units::Millis;
--- a/src/telemetry/logging.rs
+++ b/src/telemetry/logging.rs
@@ -6,7 +6,9 @@
 use log::{LevelFilter, Record};
 
 /// Longest value in a log line, in bytes; longer ones are cut.
-const MAX_VALUE_BYTES: usize = 16 * 1024;
+///
+/// An explanation record of 13 versions takes about 8 KB, and a cut one cannot be replayed.
+const MAX_VALUE_BYTES: usize = 64 * 1024;
 
 /// Starts logging to standard error.
 ///
@@ -89,3 +91,40 @@
     }
     out.push('"');
 }
+
+/// Returns a value of a log line, as it was before it was quoted.
+#[must_use]
+pub fn value_of(line: &str, key: &str) -> Option<String> {
+    let start = format!("{key}=");
+    let at = line.match_indices(&start).map(|(at, _)| at);
+    let at = at
+        .into_iter()
+        .find(|at| *at == 0 || line[..*at].ends_with(' '))?;
+    let value = &line[at + start.len()..];
+    let Some(quoted) = value.strip_prefix('"') else {
+        return value.split(' ').next().map(str::to_owned);
+    };
+    unquote(quoted)
+}
+
+/// Reads a quoted value up to its closing quote.
+fn unquote(quoted: &str) -> Option<String> {
+    let mut value = String::new();
+    let mut chars = quoted.chars();
+    loop {
+        match chars.next()? {
+            '"' => return Some(value),
+            '\\' => match chars.next()? {
+                'n' => value.push('\n'),
+                'u' => value.push(escaped(&mut chars)?),
+                c => value.push(c),
+            },
+            c => value.push(c),
+        }
+    }
+}
+
+fn escaped(chars: &mut std::str::Chars<'_>) -> Option<char> {
+    let digits: String = chars.by_ref().skip(1).take_while(|c| *c != '}').collect();
+    char::from_u32(u32::from_str_radix(&digits, 16).ok()?)
+}
--- a/src/telemetry/tests.rs
+++ b/src/telemetry/tests.rs
@@ -29,7 +29,8 @@
             .replace("\\\"", "")
             .matches('"')
             .count();
-        !line.contains('\n') && (quotes == 0 || quotes == 2)
+        let read = logging::value_of(&line, "path");
+        !line.contains('\n') && (quotes == 0 || quotes == 2) && read.as_deref() == Some(value)
     }
     check(1, property as fn(String) -> bool);
 }
--- /dev/null
+++ b/tests/processes/faults.rs
@@ -0,0 +1,203 @@
+//! Kills, cuts, outages and races against the real programs.
+
+use serde_json::json;
+
+use crate::fixture::{Site, new_key, prompt, text, wait_for};
+
+fn site(test: &str) -> Site {
+    let mut site = Site::start(test);
+    site.add_engine("engine-a", "dc-a", &["small/v1", "large/v1"]);
+    site.add_engine("engine-b", "dc-b", &["small/v1", "large/v1"]);
+    site.add_service("orders-a", "dc-a", "orders");
+    site.add_gateway("gateway-a", "dc-a");
+    site.add_gateway("gateway-b", "dc-b");
+    site.apply(&site.sheet());
+    site.wait_ready(0, 3);
+    site.wait_ready(1, 3);
+    site
+}
+
+// Guards against a second run of an order that is sent again through another gateway after its own was killed.
+#[test]
+fn an_order_survives_the_death_of_its_gateway_and_agent() {
+    let mut site = site("order-faults");
+    let key = new_key();
+    let first = site.order(0, &key, r#"{"pallets":1}"#).expect("an answer");
+
+    site.gateways[0].kill();
+    let through_other = site.order(1, &key, r#"{"pallets":1}"#).expect("an answer");
+    site.restart_agent("orders-a");
+    let mut after_restart = None;
+    wait_for("answer through the new agent", || {
+        after_restart = site.order(1, &key, r#"{"pallets":1}"#);
+        after_restart
+            .as_ref()
+            .is_some_and(|a| a.status == first.status)
+    });
+
+    assert!(first.status < 300, "{first:?}");
+    assert_eq!(through_other.body, first.body);
+    assert_eq!(after_restart.map(|a| a.body), Some(first.body));
+    assert_eq!(
+        site.service_runs("orders-a").as_array().map(Vec::len),
+        Some(1)
+    );
+}
+
+// Guards against an order that runs, or is said not to have run, while nobody can read its record.
+#[test]
+fn an_order_during_an_outage_is_unknown_and_runs_later() {
+    let site = site("order-outage");
+    let key = new_key();
+    site.set_fault("out");
+
+    let during = site.order(0, &key, r#"{"pallets":1}"#).expect("an answer");
+    site.set_fault("none");
+    let after = site.order(0, &key, r#"{"pallets":1}"#).expect("an answer");
+
+    assert_eq!(
+        (during.status, during.ran().as_str()),
+        (503, "unknown"),
+        "{during:?}"
+    );
+    assert_eq!(during.json()["error"]["resend_safe"], json!(true));
+    assert!(after.status < 300, "{after:?}");
+    assert_eq!(
+        site.service_runs("orders-a").as_array().map(Vec::len),
+        Some(1)
+    );
+}
+
+// Guards against a charge that is lost or doubled when the gateway dies before its ledger is stored.
+#[test]
+fn a_charge_survives_the_death_of_its_gateway() {
+    let mut site = site("charge");
+    let answer = site
+        .chat(0, &prompt("small/v1", "x"), &[])
+        .expect("an answer");
+    assert_eq!(answer.status, 200, "{answer:?}");
+    site.gateways[0].kill();
+
+    let bill = site.bill(1);
+
+    assert_eq!(bill["totals"][0]["requests"], json!(1), "{bill}");
+    assert_eq!(bill["totals"].as_array().map(Vec::len), Some(1), "{bill}");
+}
+
+// Guards against a withdrawn version that still gets requests, and against a sheet that reverts.
+#[test]
+fn a_withdrawn_version_gets_no_request_and_never_comes_back() {
+    let mut site = site("withdrawn");
+    let mut sheet = site.sheet();
+    let session = site
+        .chat(0, &prompt("small/v1", "x"), &[])
+        .expect("an answer");
+    let token = session
+        .header("fireflywind-session")
+        .expect("a session")
+        .to_owned();
+    sheet["models"][0]["versions"][0]["state"] = json!("withdrawn");
+    sheet["cascades"][0]["steps"] = json!(["large/v1"]);
+    site.apply(&sheet);
+
+    let direct = site
+        .chat(1, &prompt("small/v1", "y"), &[])
+        .expect("an answer");
+    let headers = [("fireflywind-session", token.as_str())];
+    let pinned = site
+        .chat(1, &prompt("tags", "y"), &headers)
+        .expect("an answer");
+    let other = site.chat(1, &prompt("tags", "y"), &[]).expect("an answer");
+    site.set_fault("out");
+    site.gateways[1].kill();
+    site.gateways.remove(1);
+    site.add_gateway("gateway-c", "dc-a");
+    site.restart_agent("engine-a");
+
+    assert_eq!(direct.ran(), "not_run", "{direct:?}");
+    assert_eq!(pinned.code(), "session_version_withdrawn");
+    assert_eq!(other.header("fireflywind-version"), Some("large/v1"));
+    // The agent that started during the outage learns the sheet from the gateway.
+    wait_for("an answer by the new agent", || {
+        let answer = site
+            .chat(0, &prompt("small/v1", "z"), &[])
+            .expect("an answer");
+        assert_ne!(answer.status, 200, "the withdrawn version answered");
+        let answer = site
+            .chat(0, &prompt("large/v1", "z"), &[])
+            .expect("an answer");
+        answer.status == 200
+    });
+}
+
+// Guards against a planned stop that cuts off a request.
+#[test]
+fn a_stopped_gateway_and_agent_finish_their_requests() {
+    let mut site = site("graceful");
+    let mut body = prompt("large/v1", "slow [[tokens=20]] [[delay=50]]");
+    body["stream"] = json!(true);
+
+    let answers: Vec<_> = std::thread::scope(|scope| {
+        let site = &site;
+        let body = &body;
+        let streams: Vec<_> = (0..4)
+            .map(|n| scope.spawn(move || site.chat(n % 2, body, &[])))
+            .collect();
+        wait_for("requests at the agents", || {
+            let busy = |u: &crate::fixture::Upstream| {
+                let admin = u.agent.admin.expect("an agent has an admin listener");
+                let status = crate::fixture::http(admin, "GET", "/status", &[], "");
+                status.is_some_and(|s| s.json()["running"].as_u64() > Some(0))
+            };
+            site.upstreams.iter().filter(|u| busy(u)).count() >= 2
+        });
+        site.gateways[0].signal("TERM");
+        site.upstreams[0].agent.signal("TERM");
+        streams
+            .into_iter()
+            .map(|s| s.join().expect("no panic"))
+            .collect()
+    });
+
+    for answer in answers {
+        let answer = answer.expect("an answer");
+        assert!(answer.whole && answer.status == 200, "{answer:?}");
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        assert!(text.trim_end().ends_with("data: [DONE]"), "{text}");
+    }
+    assert_eq!(
+        site.gateways[0].wait(),
+        Some(0),
+        "{}",
+        site.gateways[0].log()
+    );
+    assert_eq!(
+        site.upstreams[0].agent.wait(),
+        Some(0),
+        "{}",
+        site.upstreams[0].agent.log()
+    );
+}
+
+// Guards against two operators who both hear that their sheet is in force.
+#[test]
+fn of_two_operators_one_gets_the_difference() {
+    let site = site("operators");
+    let mut mine = site.sheet();
+    mine["classes"][0]["deadline"] = json!("31s");
+    site.apply(&mine);
+    let mut theirs = site.sheet();
+    theirs["classes"][0]["deadline"] = json!("32s");
+    let path = std::env::temp_dir().join(format!("fireflywind-{}.json", new_key()));
+    std::fs::write(&path, theirs.to_string()).expect("the file can be written");
+
+    let output = site.operate(&["apply", &path.to_string_lossy(), "--base", "1"]);
+    std::fs::remove_file(&path).expect("the file exists");
+
+    assert_eq!(output.status.code(), Some(4), "{}", text(&output));
+    assert!(
+        text(&output).contains("/classes/tags/deadline"),
+        "{}",
+        text(&output)
+    );
+}
--- /dev/null
+++ b/tests/processes/fixture.rs
@@ -0,0 +1,518 @@
+//! Starts the real programs on loopback with ephemeral ports.
+
+use std::fmt::Write as _;
+use std::fs;
+use std::io::{BufRead as _, BufReader, Read as _};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use actix_http::Method;
+use actix_http::header::{HeaderName, HeaderValue};
+use bytes::Bytes;
+use fireflywind::upstream::Timeouts;
+use fireflywind::upstream::exchange::{Request, send};
+use serde_json::{Value, json};
+
+/// One generous deadline for everything that a test waits for.
+const DEADLINE: Duration = Duration::from_mins(1);
+
+/// Key that the processes of a test share.
+const PEER_KEY: &str = "peer-key-of-the-process-tests-0123456789";
+
+/// API key of the account `shop`.
+pub const SHOP_KEY: &str = "key-shop";
+
+/// A running program; it is killed when the handle is dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    /// Address for callers or gateways.
+    pub addr: SocketAddr,
+    /// Address of the admin listener, if the program has one.
+    pub admin: Option<SocketAddr>,
+    log: Arc<Mutex<String>>,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    /// Starts a program and waits until it says where it listens.
+    pub fn start(program: &str, args: &[&str]) -> Self {
+        let mut child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let log = Arc::new(Mutex::new(String::new()));
+        let mut stderr = child.stderr.take().expect("standard error is piped");
+        let copy = Arc::clone(&log);
+        thread::spawn(move || {
+            let mut buf = [0; 4096];
+            while let Ok(read @ 1..) = stderr.read(&mut buf) {
+                copy.lock()
+                    .expect("no panic")
+                    .push_str(&String::from_utf8_lossy(&buf[..read]));
+            }
+        });
+        let mut stdout = BufReader::new(child.stdout.take().expect("standard output is piped"));
+        let mut line = String::new();
+        stdout
+            .read_line(&mut line)
+            .expect("the program prints a line");
+        let field = |name: &str| {
+            let start = format!("{name}=");
+            let field = line
+                .split_whitespace()
+                .find_map(|pair| pair.strip_prefix(&start));
+            field.map(|addr| addr.parse().expect("it is an address"))
+        };
+        let Some(addr) = field("addr") else {
+            let _ = child.wait();
+            panic!(
+                "{program} {args:?} printed {line:?}: {}",
+                log.lock().expect("no panic")
+            );
+        };
+        let admin = field("admin");
+        Self {
+            child,
+            addr,
+            admin,
+            log,
+        }
+    }
+
+    /// Sends a signal by its name, such as `TERM`.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &id]).status();
+        assert!(
+            status.expect("kill starts").success(),
+            "kill -s {name} {id}"
+        );
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process can be killed");
+        self.child.wait().expect("the process ends");
+    }
+
+    /// Waits until the process has ended and returns its exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        let mut code = None;
+        wait_for("the end of the process", || {
+            let status = self.child.try_wait().expect("the process can be asked");
+            code = status.map(|s| s.code());
+            status.is_some()
+        });
+        code.flatten()
+    }
+
+    /// Returns what the process has logged so far.
+    pub fn log(&self) -> String {
+        self.log.lock().expect("no panic").clone()
+    }
+}
+
+/// Waits for a condition under the one deadline.
+pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + DEADLINE;
+    while !condition() {
+        assert!(Instant::now() < end, "no {what} within {DEADLINE:?}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A response to a test's request.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub body: Bytes,
+    /// Whether the body arrived whole.
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(known, _)| known == name);
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// Returns the code of an error answer.
+    pub fn code(&self) -> String {
+        self.json()["error"]["code"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    }
+
+    /// Returns whether an error answer says that the request ran.
+    pub fn ran(&self) -> String {
+        self.json()["error"]["ran"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    }
+}
+
+/// Sends a request; `None` if there was no response.
+pub fn http(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Option<Answer> {
+    let named = |(name, value): &(&str, &str)| {
+        let name = HeaderName::from_bytes(name.as_bytes()).expect("the name is valid");
+        (
+            name,
+            HeaderValue::from_str(value).expect("the value is valid"),
+        )
+    };
+    let request = Request {
+        method: method.parse::<Method>().expect("the method is valid"),
+        target: path.to_owned(),
+        headers: headers.iter().map(named).collect(),
+        body: Bytes::copy_from_slice(body.as_bytes()),
+    };
+    actix_rt::System::new().block_on(async {
+        let mut response = send(addr, Timeouts::default(), &request).await.ok()?;
+        let text = |value: &HeaderValue| value.to_str().unwrap_or_default().to_owned();
+        let headers = response
+            .headers
+            .iter()
+            .map(|(n, v)| (n.as_str().to_owned(), text(v)));
+        let headers = headers.collect();
+        let (mut body, mut whole) = (Vec::new(), true);
+        loop {
+            match response.body.next().await {
+                Ok(Some(bytes)) => body.extend_from_slice(&bytes),
+                Ok(None) => break,
+                Err(_) => {
+                    whole = false;
+                    break;
+                }
+            }
+        }
+        let status = response.status.as_u16();
+        Some(Answer {
+            status,
+            headers,
+            body: body.into(),
+            whole,
+        })
+    })
+}
+
+/// A site: the platform's stand-ins, upstreams with their agents, and gateways.
+#[derive(Debug)]
+pub struct Site {
+    dir: PathBuf,
+    pub kv: Process,
+    pub rating: Process,
+    pub upstreams: Vec<Upstream>,
+    pub gateways: Vec<Process>,
+}
+
+/// An upstream, its agent and its entry in the sheet.
+#[derive(Debug)]
+pub struct Upstream {
+    pub name: String,
+    pub process: Process,
+    pub agent: Process,
+    data_centre: String,
+    serves: Value,
+    kind: &'static str,
+}
+
+static NEXT_DIR: AtomicU32 = AtomicU32::new(0);
+
+impl Site {
+    /// Starts the platform's stand-ins.
+    pub fn start(test: &str) -> Self {
+        let number = NEXT_DIR.fetch_add(1, Ordering::Relaxed);
+        let name = format!("{test}-{}-{number}", std::process::id());
+        let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        fs::create_dir_all(&dir).expect("the directory can be made");
+        Self {
+            dir,
+            kv: standin("kv", &[]),
+            rating: standin("rating", &[]),
+            upstreams: Vec::new(),
+            gateways: Vec::new(),
+        }
+    }
+
+    /// Starts an engine and its agent.
+    pub fn add_engine(&mut self, name: &str, data_centre: &str, versions: &[&str]) {
+        let process = standin("engine", &[]);
+        let serves = json!({ "engine": { "versions": versions, "slots": 8 } });
+        self.add(name, data_centre, process, serves, "engine");
+    }
+
+    /// Starts a plain service and its agent.
+    pub fn add_service(&mut self, name: &str, data_centre: &str, service: &str) {
+        let process = standin("service", &[]);
+        let serves = json!({ "service": { "service": service, "slots": 8 } });
+        self.add(name, data_centre, process, serves, "service");
+    }
+
+    fn add(
+        &mut self,
+        name: &str,
+        data_centre: &str,
+        process: Process,
+        serves: Value,
+        kind: &'static str,
+    ) {
+        let agent = self.start_agent(name, data_centre, kind, process.addr, "127.0.0.1:0");
+        let (name, data_centre) = (name.to_owned(), data_centre.to_owned());
+        self.upstreams.push(Upstream {
+            name,
+            process,
+            agent,
+            data_centre,
+            serves,
+            kind,
+        });
+    }
+
+    fn start_agent(
+        &self,
+        name: &str,
+        data_centre: &str,
+        kind: &str,
+        upstream: SocketAddr,
+        listen: &str,
+    ) -> Process {
+        let settings = json!({
+            "upstream": name, "data_centre": data_centre, "listen": listen,
+            "admin_listen": "127.0.0.1:0", "kv": [self.kv.addr], "peer_key": PEER_KEY,
+            "upstream_addr": upstream, "kind": kind, "stop_deadline": "20s",
+        });
+        let path = self.write(&format!("agent-{name}.json"), &settings);
+        Process::start(env!("CARGO_BIN_EXE_fireflywind-agent"), &[&path])
+    }
+
+    /// Replaces an agent by a new process at the same address.
+    pub fn restart_agent(&mut self, name: &str) {
+        let at = self
+            .upstreams
+            .iter()
+            .position(|u| u.name == name)
+            .expect("it exists");
+        self.upstreams[at].agent.kill();
+        let u = &self.upstreams[at];
+        let listen = u.agent.addr.to_string();
+        let agent = self.start_agent(name, &u.data_centre, u.kind, u.process.addr, &listen);
+        self.upstreams[at].agent = agent;
+    }
+
+    /// Starts a gateway.
+    pub fn add_gateway(&mut self, name: &str, data_centre: &str) {
+        let settings = json!({
+            "name": name, "data_centre": data_centre, "listen": "127.0.0.1:0",
+            "admin_listen": "127.0.0.1:0", "kv": [self.kv.addr], "peer_key": PEER_KEY,
+            "rating": self.rating.addr, "stop_deadline": "20s",
+            "session_keys": [{ "id": "k1", "secret": "session-key-of-the-process-tests-01" }],
+        });
+        let path = self.write(&format!("{name}.json"), &settings);
+        let gateway = Process::start(env!("CARGO_BIN_EXE_fireflywind-gateway"), &[&path]);
+        self.gateways.push(gateway);
+    }
+
+    fn write(&self, name: &str, value: &Value) -> String {
+        let path = self.dir.join(name);
+        fs::write(&path, value.to_string()).expect("the file can be written");
+        path.to_string_lossy().into_owned()
+    }
+
+    /// Returns a sheet of all upstreams: class `tags` with a cascade from `small/v1` to `large/v1`.
+    pub fn sheet(&self) -> Value {
+        let upstreams: Vec<_> = self
+            .upstreams
+            .iter()
+            .map(|u| {
+                json!({
+                    "id": u.name, "agent": u.agent.addr, "data_centre": u.data_centre,
+                    "serves": u.serves,
+                })
+            })
+            .collect();
+        let version = |id, cost, price| json!({ "id": id, "state": "serving", "cost_per_1k": cost, "price_per_1k": price });
+        json!({
+            "accounts": [{
+                "id": "shop", "key_hashes": [sha256(SHOP_KEY)],
+                "allow": ["small/v1", "large/v1"], "services": ["orders"],
+            }],
+            "models": [
+                { "id": "small", "versions": [version("v1", "0.1", "0.2")] },
+                { "id": "large", "versions": [version("v1", "1.0", "2.0")] },
+            ],
+            "cascades": [{ "id": "small-first", "steps": ["small/v1", "large/v1"] }],
+            "classes": [{
+                "id": "tags", "quality_target": 800, "cascade": "small-first", "deadline": "30s",
+            }],
+            "services": [{
+                "id": "orders", "path_prefix": "/orders", "deadline": "20s",
+                "prices": [{
+                    "item": "order", "method": "POST", "path_prefix": "/orders", "amount": "0.05",
+                }],
+            }],
+            "upstreams": upstreams,
+        })
+    }
+
+    /// Runs the operator's program.
+    pub fn operate(&self, args: &[&str]) -> Output {
+        let gateways: Vec<_> = self.gateways.iter().filter_map(|g| g.admin).collect();
+        let settings = json!({ "kv": [self.kv.addr], "gateways": gateways });
+        let settings = self.write("operator.json", &settings);
+        Command::new(env!("CARGO_BIN_EXE_fireflywind"))
+            .args(args)
+            .args(["--settings", &settings])
+            .output()
+            .expect("the program starts")
+    }
+
+    /// Puts a sheet into force and waits until all gateways have it.
+    pub fn apply(&self, sheet: &Value) {
+        let path = self.write("sheet.json", sheet);
+        let output = self.operate(&["apply", &path, "--wait"]);
+        assert!(output.status.success(), "apply: {}", text(&output));
+    }
+
+    /// Waits until a gateway is ready and has links to `upstreams` agents.
+    pub fn wait_ready(&self, gateway: usize, upstreams: usize) {
+        let admin = self.gateways[gateway]
+            .admin
+            .expect("a gateway has an admin listener");
+        wait_for("readiness of the gateway", || {
+            let status = http(admin, "GET", "/status", &[], "");
+            let usable = status.map(|s| s.json()["usable_upstreams"].as_u64().unwrap_or(0));
+            usable.is_some_and(|usable| usable >= upstreams as u64)
+        });
+    }
+
+    /// Sends a chat completion to a gateway.
+    pub fn chat(&self, gateway: usize, body: &Value, headers: &[(&str, &str)]) -> Option<Answer> {
+        let bearer = format!("Bearer {SHOP_KEY}");
+        let mut all = vec![
+            ("authorization", bearer.as_str()),
+            ("content-type", "application/json"),
+        ];
+        all.extend_from_slice(headers);
+        let addr = self.gateways[gateway].addr;
+        http(
+            addr,
+            "POST",
+            "/v1/chat/completions",
+            &all,
+            &body.to_string(),
+        )
+    }
+
+    /// Places an order with an idempotency key.
+    pub fn order(&self, gateway: usize, key: &str, body: &str) -> Option<Answer> {
+        let bearer = format!("Bearer {SHOP_KEY}");
+        let headers = [
+            ("authorization", bearer.as_str()),
+            ("content-type", "application/json"),
+            ("idempotency-key", key),
+        ];
+        http(
+            self.gateways[gateway].addr,
+            "POST",
+            "/orders",
+            &headers,
+            body,
+        )
+    }
+
+    /// Returns the runs of a plain service.
+    pub fn service_runs(&self, name: &str) -> Value {
+        let upstream = self
+            .upstreams
+            .iter()
+            .find(|u| u.name == name)
+            .expect("it exists");
+        let runs = http(upstream.process.addr, "GET", "/__runs", &[], "");
+        runs.expect("the stand-in answers").json()
+    }
+
+    /// Sets how the key-value stand-in answers.
+    pub fn set_fault(&self, fault: &str) {
+        let body = json!({ "fault": fault }).to_string();
+        let answer = http(self.kv.addr, "POST", "/fault", &[], &body);
+        assert_eq!(answer.map(|a| a.status), Some(200));
+    }
+
+    /// Waits until the bill has this many requests with a known outcome, and returns it.
+    pub fn bill(&self, requests: u64) -> Value {
+        let mut bill = Value::Null;
+        wait_for("bill of all requests", || {
+            let output = self.operate(&["bill", "--json"]);
+            bill = serde_json::from_slice(&output.stdout).unwrap_or_default();
+            bill["requests"]
+                .as_u64()
+                .is_some_and(|known| known >= requests)
+        });
+        bill
+    }
+}
+
+/// Returns an `UUIDv7` of the present time.
+pub fn new_key() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
+
+/// Returns a chat completion request.
+pub fn prompt(model: &str, text: &str) -> Value {
+    json!({ "model": model, "messages": [{ "role": "user", "content": text }] })
+}
+
+/// Returns both outputs of a program as text.
+pub fn text(output: &Output) -> String {
+    let (out, err) = (&output.stdout, &output.stderr);
+    format!(
+        "{}{}",
+        String::from_utf8_lossy(out),
+        String::from_utf8_lossy(err)
+    )
+}
+
+fn standin(kind: &str, args: &[&str]) -> Process {
+    let mut all = vec![kind, "--listen", "127.0.0.1:0"];
+    all.extend_from_slice(args);
+    Process::start(env!("CARGO_BIN_EXE_fireflywind-standin"), &all)
+}
+
+fn sha256(text: &str) -> String {
+    use sha2::Digest as _;
+
+    let digest = sha2::Sha256::digest(text);
+    digest.iter().fold(String::new(), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
--- /dev/null
+++ b/tests/processes/main.rs
@@ -0,0 +1,5 @@
+//! Tests with the real programs as processes.
+
+mod faults;
+mod fixture;
+mod whole_path;
--- /dev/null
+++ b/tests/processes/whole_path.rs
@@ -0,0 +1,147 @@
+//! The whole path through the real programs, each a process of its own.
+
+use crate::fixture::{self, Site, new_key, prompt, text};
+use serde_json::{Value, json};
+
+fn site(test: &str) -> Site {
+    let mut site = Site::start(test);
+    site.add_engine("engine-a", "dc-a", &["small/v1", "large/v1"]);
+    site.add_engine("engine-b", "dc-b", &["small/v1", "large/v1"]);
+    site.add_service("orders-a", "dc-a", "orders");
+    site.add_gateway("gateway-a", "dc-a");
+    site.apply(&site.sheet());
+    site.wait_ready(0, 3);
+    site
+}
+
+fn total(bill: &Value) -> u64 {
+    let rows = bill["totals"].as_array().expect("the bill has totals");
+    rows.iter()
+        .map(|row| row["requests"].as_u64().unwrap_or(0))
+        .sum()
+}
+
+// Guards against a part of the path that works alone but not with the others.
+#[test]
+fn a_request_is_routed_answered_charged_and_explained() {
+    let site = site("whole-path");
+
+    let answer = site
+        .chat(0, &prompt("tags", "name this picture"), &[])
+        .expect("an answer");
+
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let content = answer.json()["choices"][0]["message"]["content"].clone();
+    let version = answer
+        .header("fireflywind-version")
+        .expect("the version is named")
+        .to_owned();
+    let expected = fireflywind::standin::engine::answer_text(&version, "name this picture", 16);
+    assert_eq!(content, json!(expected));
+    assert!(answer.header("fireflywind-session").is_some());
+
+    let id = answer
+        .header("fireflywind-request")
+        .expect("the request is named");
+    let explained = site.operate(&["explain", id]);
+    assert!(explained.status.success(), "{}", text(&explained));
+    let explained = text(&explained);
+    assert!(explained.contains("considered small/v1"), "{explained}");
+    assert!(explained.contains("picked engine-"), "{explained}");
+
+    let bill = site.bill(1);
+    assert_eq!(total(&bill), 1, "{bill}");
+    assert_eq!(bill["unknown"], json!([]));
+}
+
+// Guards against a stream whose bytes differ from what the engine sent.
+#[test]
+fn a_stream_arrives_whole() {
+    let site = site("stream");
+    let mut body = prompt("large/v1", "describe the collection [[tokens=50]]");
+    body["stream"] = json!(true);
+
+    let answer = site.chat(0, &body, &[]).expect("an answer");
+
+    assert_eq!((answer.status, answer.whole), (200, true));
+    let events = String::from_utf8(answer.body.to_vec()).expect("events are text");
+    let text: String = events
+        .lines()
+        .filter_map(|line| serde_json::from_str::<Value>(line.strip_prefix("data: ")?).ok())
+        .filter_map(|event| {
+            event["choices"][0]["delta"]["content"]
+                .as_str()
+                .map(str::to_owned)
+        })
+        .collect();
+    let prompt = "describe the collection [[tokens=50]]";
+    assert_eq!(
+        text,
+        fireflywind::standin::engine::answer_text("large/v1", prompt, 50)
+    );
+    assert!(events.trim_end().ends_with("data: [DONE]"), "{events}");
+}
+
+// Guards against an order that runs twice when its caller sends it again, and against a second bill.
+#[test]
+fn a_repeated_order_runs_once_and_is_billed_once() {
+    let site = site("order");
+    let key = new_key();
+
+    let first = site.order(0, &key, r#"{"pallets":1}"#).expect("an answer");
+    let second = site.order(0, &key, r#"{"pallets":1}"#).expect("an answer");
+    let other = site.order(0, &key, r#"{"pallets":2}"#).expect("an answer");
+    let keyless = site
+        .order(0, "not-a-key", r#"{"pallets":1}"#)
+        .expect("an answer");
+
+    assert_eq!((first.status, &first.body), (second.status, &second.body));
+    assert!(first.status < 300, "{first:?}");
+    assert_eq!((other.status, other.code().as_str()), (422, "key_reused"));
+    assert_eq!((keyless.status, keyless.ran().as_str()), (400, "not_run"));
+    let runs = site.service_runs("orders-a");
+    assert_eq!(runs.as_array().map(Vec::len), Some(1), "{runs}");
+    let bill = site.bill(4);
+    assert_eq!(total(&bill), 1, "{bill}");
+}
+
+// Guards against access to what the account may not use.
+#[test]
+fn strangers_and_unknown_models_are_refused() {
+    let site = site("refusals");
+    let addr = site.gateways[0].addr;
+
+    let unknown = fixture::http(
+        addr,
+        "GET",
+        "/v1/models",
+        &[("authorization", "Bearer x")],
+        "",
+    );
+    let models = fixture::http(
+        addr,
+        "GET",
+        "/v1/models",
+        &[("authorization", "Bearer key-shop")],
+        "",
+    );
+    let missing = site
+        .chat(0, &prompt("nothing", "x"), &[])
+        .expect("an answer");
+    let malformed = site.chat(0, &json!([]), &[]).expect("an answer");
+
+    assert_eq!(unknown.expect("an answer").code(), "unauthorized");
+    let models = models.expect("an answer").json();
+    let ids: Vec<_> = models["data"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .map(|m| &m["id"])
+        .collect();
+    assert_eq!(ids, ["tags", "large/v1", "small/v1"]);
+    assert_eq!((missing.status, missing.ran().as_str()), (404, "not_run"));
+    assert_eq!(
+        (malformed.status, malformed.ran().as_str()),
+        (400, "not_run")
+    );
+}
