Use a version's record on harder requests for direct ones

Cause: while ratings are out, plans have one step.

Change: where the lower bound on requests that an earlier step failed is higher than the direct one, it is used for direct requests too.

Ruled out: more exploration (each start at the last step costs twenty times the first).

--- a/src/route/plan/steps.rs
+++ b/src/route/plan/steps.rs
@@ -21,14 +21,18 @@
 
 impl Usable<'_> {
     pub(super) fn priced(&self, input: &PlanInput) -> Priced {
-        let cost = self
-            .stands_for
-            .cost_per_1k
-            .for_tokens(input.expected_tokens);
+        let cost = self.stands_for.cost_per_1k;
+        let cost = cost.for_tokens(input.expected_tokens);
+        let CandidateInput {
+            first, escalated, ..
+        } = *self.stands_for;
+        // Requests that an earlier step failed are harder. A version that passes them passes others at
+        // least as often, and few requests start at the last step, so its direct evidence is thin.
+        let harder = escalated.lower > first.lower;
         Priced {
             cost: to_f64(cost),
-            first: self.stands_for.first,
-            escalated: self.stands_for.escalated,
+            first: if harder { escalated } else { first },
+            escalated,
         }
     }
 
