Aim plans by the surplus that a class has delivered

Cause: plans count on lower bounds, so each class delivered about a point more than its target and paid for it.

Change: each process counts the answers that it returned beyond or short of a class's target; the aim of the next plans falls or rises by a thousandth for each. An aim equal to the target keeps a reserve of ten answers, two standard deviations of the surplus. An unrated answer counts with the lower bound of its version. The tests draw their rates from an even sequence: quickcheck's integers favour limits, so the roll-out tests ran at other rates than they said.

Deliberate defect: the aim ignores the surplus; caught by the_aim_steers_delivered_quality_to_the_target; taken out again.

--- a/src/rating/mod.rs
+++ b/src/rating/mod.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{ClassId, Incarnation, VersionRef};
-use crate::units::Millis;
+use crate::units::{Millis, Permille};
 
 mod beta;
 #[cfg(test)]
@@ -28,6 +28,14 @@
 const PRIOR: f64 = 1.0;
 /// Probability that the pass rate is outside one of the two bounds.
 const TAIL: f64 = 0.05;
+/// Change of the aim for one answer more or less than the target asks. The surplus settles where the
+/// aim's reduction equals the caution of the lower bounds, at 10 to 20 answers.
+const AIM_PPM_PER_ANSWER: i64 = 1_000;
+/// Surplus that an aim equal to the target keeps, in thousandths of an answer: two standard deviations of
+/// the surplus, so that a class is rarely short when its ratings stop.
+const RESERVE: i64 = 10_000;
+/// Largest surplus or shortfall that is remembered, in thousandths of an answer: 4 points of aim.
+const SURPLUS_LIMIT: i64 = 40_000;
 /// Observations over which the share of ratings in time is smoothed.
 const TIMELY_WINDOW: i64 = 16;
 
@@ -217,12 +225,21 @@
     share: Ppm,
 }
 
+/// Answers returned by this process beyond, or short of, what a class's target asks.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Surplus {
+    class: ClassId,
+    /// Thousandths of an answer.
+    millis: i64,
+}
+
 /// Counts of all classes and versions that this process knows of.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RatingTable {
     source: Incarnation,
     rows: Vec<Row>,
     timely: Vec<Timely>,
+    surplus: Vec<Surplus>,
 }
 
 impl RatingTable {
@@ -233,6 +250,7 @@
             source,
             rows: Vec::new(),
             timely: Vec::new(),
+            surplus: Vec::new(),
         }
     }
 
@@ -282,6 +300,37 @@
         }
     }
 
+    /// Counts an answer that was returned to a caller.
+    ///
+    /// `quality` is one or zero for a rated answer, and the lower bound of its version for an unrated
+    /// one. Leaving unrated answers out would hide failures: an answer that was accepted for its rating
+    /// always has one.
+    pub fn returned(&mut self, class: &ClassId, target: Permille, quality: Ppm) {
+        let at = match self.surplus.binary_search_by(|s| s.class.cmp(class)) {
+            Ok(at) => at,
+            Err(at) => {
+                let class = class.clone();
+                self.surplus.insert(at, Surplus { class, millis: 0 });
+                at
+            }
+        };
+        let gain = i64::from(quality.0 / 1_000) - i64::from(target.0);
+        let surplus = &mut self.surplus[at].millis;
+        *surplus = (*surplus + gain).clamp(-SURPLUS_LIMIT, SURPLUS_LIMIT);
+    }
+
+    /// Returns the quality to aim at so that the answers of a class meet its target on the whole.
+    ///
+    /// Plans count on lower bounds of pass rates, so they deliver more than they aim at. What was
+    /// delivered beyond the target lowers the aim, and what was short of it raises it.
+    #[must_use]
+    pub fn aim(&self, class: &ClassId, target: Permille) -> Ppm {
+        let found = self.surplus.binary_search_by(|s| s.class.cmp(class));
+        let surplus = found.map_or(0, |at| self.surplus[at].millis) - RESERVE;
+        let aim = i64::from(target.0) * 1_000 - surplus * AIM_PPM_PER_ANSWER / 1_000;
+        Ppm(u32::try_from(aim.clamp(0, 1_000_000)).unwrap_or(0))
+    }
+
     /// Returns the rows with what this process counted itself, to be sent to others.
     #[must_use]
     pub fn report(&self) -> Vec<Row> {
--- a/src/rating/tests.rs
+++ b/src/rating/tests.rs
@@ -120,3 +120,27 @@
     let limit = epoch_of(NOW) + 1;
     assert!(table.rows.iter().all(|row| row.newest() <= limit));
 }
+
+// Guards against classes that deliver less than their target on the whole, or far more.
+#[test]
+fn the_aim_steers_delivered_quality_to_the_target() {
+    let target = Permille(930);
+    let mut table = RatingTable::new(Incarnation(1));
+    // quickcheck's integers favour limits, so shares of them are off; this sequence fills 0 to 1 evenly.
+    let mut draw = 0_u32;
+    let mut good = 0;
+    for _ in 0..20_000 {
+        // Plans deliver 1.5 points more than they aim at, as lower bounds make them.
+        let delivered = table.aim(&class(), target).0 + 15_000;
+        draw = (draw + 618_034) % 1_000_000;
+        good += u32::from(draw < delivered);
+        let quality = Ppm(u32::from(draw < delivered) * Ppm::ONE.0);
+        table.returned(&class(), target, quality);
+    }
+
+    assert!(
+        (18_600..18_700).contains(&good),
+        "{good} of 20,000 are good"
+    );
+    assert!(table.aim(&class(), target) < Ppm(930_000));
+}
--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -1,7 +1,5 @@
 //! Tests of roll-outs.
 
-use quickcheck::{Arbitrary, Gen};
-
 use super::*;
 use crate::fixtures::check;
 
@@ -12,7 +10,7 @@
 struct Sim {
     guard: RolloutGuard,
     evidence: Evidence,
-    draws: Gen,
+    draws: u64,
     now: Millis,
     served: u32,
 }
@@ -24,14 +22,19 @@
         Self {
             guard: RolloutGuard::new(version, Permille(max_share), Permille(0), now),
             evidence: Evidence::new(Incarnation(1)),
-            draws: Gen::from_size_and_seed(10, seed),
+            draws: seed.wrapping_mul(0x5851_f42d_4c95_7f2d),
             now,
             served: 0,
         }
     }
 
     fn hits(&mut self, permille: u16) -> bool {
-        u32::arbitrary(&mut self.draws) % 1_000 < u32::from(permille)
+        // SplitMix64; quickcheck's integers favour limits, so shares of them are off.
+        self.draws = self.draws.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.draws;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (z ^ (z >> 31)) % 1_000 < u64::from(permille)
     }
 
     /// Runs one second with the new version's rates of errors and of low ratings, in thousandths.
--- a/src/route/plan/cost.rs
+++ b/src/route/plan/cost.rs
@@ -17,6 +17,9 @@
 /// What all plans of one request have in common.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Terms {
+    /// Quality that the answers of all requests aim at together.
+    pub aim: f64,
+    /// Quality that an answer without a rating must have by itself.
     pub target: f64,
     pub rated_in_time: f64,
 }
@@ -24,6 +27,7 @@
 impl Terms {
     pub(super) fn of(input: &PlanInput) -> Self {
         Self {
+            aim: input.aim.fraction(),
             target: input.quality_target.fraction(),
             rated_in_time: input.rated_in_time.fraction(),
         }
@@ -184,12 +188,12 @@
     extend(steps, terms, 0, Partial::EMPTY, &mut plans);
     plans.sort_unstable_by(order);
     let edge = upper_edge(&plans);
-    let crossing = edge.iter().position(|c| c.quality >= terms.target);
+    let crossing = edge.iter().position(|c| c.quality >= terms.aim);
     match crossing {
         Some(0) => (Mixture::single(edge[0]), Reason::CheapestAtTarget),
         Some(at) => {
             let (low, high) = (edge[at - 1], edge[at]);
-            let high_share = (terms.target - low.quality) / (high.quality - low.quality);
+            let high_share = (terms.aim - low.quality) / (high.quality - low.quality);
             let mixture = Mixture {
                 high,
                 low,
--- a/src/route/plan/mod.rs
+++ b/src/route/plan/mod.rs
@@ -42,6 +42,8 @@
     pub class: ClassId,
     /// Share of the class's answers that must be good enough.
     pub quality_target: Permille,
+    /// Quality that plans aim at, so that the class's answers meet the target on the whole.
+    pub aim: Ppm,
     /// Steps of the class's cascade, cheapest first.
     pub cascade: Vec<VersionRef>,
     /// The version that the request's session started with.
--- a/src/route/plan/tests.rs
+++ b/src/route/plan/tests.rs
@@ -69,6 +69,7 @@
             allow,
             class: "tags".into(),
             quality_target: Permille(u16::arbitrary(g) % 1_001),
+            aim: Ppm(u32::arbitrary(g) % 1_000_001),
             cascade,
             session,
             streamed: one_in(g, 4),
@@ -221,7 +222,7 @@
         let steps: Vec<_> = case.input.candidates.iter().map(priced).collect();
         let terms = Terms::of(&case.input);
         let all = enumerate(&steps, &terms);
-        let lowest = lowest_cost(&all, terms.target);
+        let lowest = lowest_cost(&all, terms.aim);
         let highest = all.iter().map(|c| c.quality).fold(0.0, f64::max);
 
         let (found, reason) = cost::cheapest(&steps, &terms);
@@ -232,7 +233,7 @@
         TestResult::from_bool(match reason {
             Reason::CheapestAtTarget => {
                 let cheapest = (cost - lowest).abs() <= 1e-6 * lowest.max(1.0);
-                cheapest && quality >= terms.target - 1e-9
+                cheapest && quality >= terms.aim - 1e-9
             }
             _ => lowest.is_infinite() && (quality - highest).abs() < 1e-9,
         })
