Measure exposure to versions that turn bad, and false stops

Change: the experiment exposure. 6 gateways with 20 requests a second and a lag of 2 s each way, 410 gateways with 1,150 and 3 s; a version turns bad at once, in the ramp or after completion, by errors or by ratings alone, while a fifth of the ratings never comes. The comparison is a roll-out with a fixed share of 10% that an operator stops after 15 minutes.

--- /dev/null
+++ b/examples/experiment/exposure.rs
@@ -0,0 +1,260 @@
+//! Requests that a version serves after it turns bad, with the guard and without one.
+//!
+//! One tick is a second. Gateways count their own requests, the holder of the lease pools what they
+//! reported a lag ago, and each gateway applies the decided share another lag later. Without the guard a
+//! roll-out has a fixed share, and an operator stops it a quarter of an hour after it turns bad.
+
+use std::collections::VecDeque;
+
+use fireflywind::ids::{Incarnation, VersionRef};
+use fireflywind::rollout::{Counts, Evidence, Observation, Phase, RolloutGuard};
+use fireflywind::units::{Millis, Permille};
+
+use crate::report::{Report, Row};
+use crate::rng::Rng;
+
+const FIXED_SHARE: f64 = 0.1;
+const OPERATOR_S: f64 = 900.0;
+const EXPOSURE_BOUND: f64 = 0.1;
+const FALSE_STOP_BOUND: f64 = 0.001;
+/// Good roll-outs over all seeds.
+const GOOD_ROLLOUTS: u32 = 3_500;
+/// Length of a good roll-out; at 50 requests a second the last step is reached after about 500 s.
+const GOOD_S: u64 = 900;
+/// Longest time for which a bad version is watched.
+const WATCH_S: usize = 7_200;
+const START_S: u64 = 1_000_000;
+
+/// Rates of errors and of low ratings.
+#[derive(Clone, Copy)]
+struct Rates {
+    errors: f64,
+    low: f64,
+}
+
+const GOOD: Rates = Rates {
+    errors: 0.01,
+    low: 0.1,
+};
+const FAILING: Rates = Rates {
+    errors: 0.2,
+    ..GOOD
+};
+const WORSE_RATED: Rates = Rates { low: 0.4, ..GOOD };
+
+/// The size of a deployment.
+#[derive(Clone, Copy)]
+struct Site {
+    gateways: usize,
+    /// Requests a second for the stable version, over all gateways.
+    rate: f64,
+    /// Seconds from a count to the holder, and from its decision to the gateways.
+    lag: usize,
+    /// When versions turn bad.
+    phases: [Moment; 3],
+}
+
+/// A time within a roll-out.
+#[derive(Clone, Copy)]
+struct Moment {
+    name: &'static str,
+    /// Seconds for which the version is good.
+    good_s: u32,
+    /// Roll-outs for each seed.
+    runs: u32,
+}
+
+const fn moment(name: &'static str, good_s: u32, runs: u32) -> Moment {
+    Moment { name, good_s, runs }
+}
+
+const SMALL: Site = Site {
+    gateways: 6,
+    rate: 20.0,
+    lag: 2,
+    phases: [
+        moment("at once", 0, 10),
+        moment("in the ramp", 3_600, 5),
+        moment("after completion", 10_800, 2),
+    ],
+};
+/// One of 13 versions takes its part of 15,000 requests a second.
+const LARGE: Site = Site {
+    gateways: 410,
+    rate: 1_150.0,
+    lag: 3,
+    phases: [
+        moment("at once", 0, 3),
+        moment("in the ramp", 60, 3),
+        moment("after completion", 300, 1),
+    ],
+};
+
+/// A roll-out on one site.
+struct World {
+    site: Site,
+    guard: RolloutGuard,
+    counted: Vec<Evidence>,
+    /// Reports on their way to the holder, one entry a second.
+    reports: VecDeque<Vec<Evidence>>,
+    /// Shares on their way to the gateways, one entry a second.
+    shares: VecDeque<Permille>,
+    rng: Rng,
+    second: u64,
+    served: u32,
+}
+
+impl World {
+    fn open(site: Site, exposure_weight: u16, seed: u64) -> Self {
+        let version = VersionRef::new("small", "v2");
+        let now = Millis::from_secs(START_S);
+        let guard = RolloutGuard::new(version, Permille::ONE, Permille(exposure_weight), now);
+        let sources = (0_u128..).take(site.gateways).map(Incarnation);
+        Self {
+            site,
+            shares: std::iter::repeat_n(guard.share(), site.lag).collect(),
+            guard,
+            counted: sources.map(Evidence::new).collect(),
+            reports: VecDeque::new(),
+            rng: Rng::new(seed),
+            second: 0,
+            served: 0,
+        }
+    }
+
+    /// Runs one second in which the new version has these rates.
+    fn tick(&mut self, new: Rates) {
+        let share = self.shares.pop_front().unwrap_or_default().fraction();
+        let mut touched = vec![false; self.counted.len()];
+        for _ in 0..arrivals(&mut self.rng, self.site.rate) {
+            let at = self.rng.below(self.counted.len());
+            let is_new = self.rng.unit() < share;
+            self.served += u32::from(is_new);
+            touched[at] = true;
+            let arm = &mut self.counted[at];
+            if is_new {
+                request(&mut self.rng, &mut arm.new, new);
+            } else {
+                request(&mut self.rng, &mut arm.stable, GOOD);
+            }
+        }
+        self.second += 1;
+        let changed = self
+            .counted
+            .iter()
+            .zip(touched)
+            .filter(|(_, touched)| *touched);
+        self.reports
+            .push_back(changed.map(|(evidence, _)| *evidence).collect());
+        if self.reports.len() > self.site.lag {
+            let now = Millis::from_secs(START_S + self.second);
+            let due = self.reports.pop_front().unwrap_or_default();
+            self.guard.update(&due, now);
+        }
+        self.shares.push_back(self.guard.share());
+    }
+
+    fn stopped(&self) -> bool {
+        matches!(self.guard.phase(), Phase::Stopped(_))
+    }
+
+    /// Runs a version that is good for some seconds and bad from then on; returns the bad requests.
+    fn bad_requests(mut self, good_s: u32, bad: Rates) -> f64 {
+        for _ in 0..good_s {
+            self.tick(GOOD);
+        }
+        self.served = 0;
+        for _ in 0..WATCH_S {
+            self.tick(bad);
+            if self.shares.iter().all(|share| share.0 == 0) {
+                break;
+            }
+        }
+        f64::from(self.served)
+    }
+}
+
+fn request(rng: &mut Rng, counts: &mut Counts, rates: Rates) {
+    if rng.unit() < rates.errors {
+        counts.observe(Observation::Failed);
+        return;
+    }
+    counts.observe(Observation::Answered);
+    // A fifth of the ratings never comes.
+    if rng.unit() < 0.8 {
+        let low = rng.unit() < rates.low;
+        counts.observe([Observation::RatedGood, Observation::RatedLow][usize::from(low)]);
+    }
+}
+
+/// Draws the number of arrivals in a second: the rate, spread evenly by a fifth to both sides.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a rate is a small positive number"
+)]
+fn arrivals(rng: &mut Rng, rate: f64) -> usize {
+    (rate * (0.8 + 0.4 * rng.unit())).round() as usize
+}
+
+/// Measures exposure after a version turns bad, and false stops.
+pub fn exposure(seeds: &[u64]) -> Report {
+    let mut report = Report::default();
+    for (site, name) in [(SMALL, "6 gateways"), (LARGE, "410 gateways")] {
+        for (bad, change) in [
+            (FAILING, "errors 1% to 20%"),
+            (WORSE_RATED, "low ratings 10% to 40%"),
+        ] {
+            for phase in &site.phases {
+                let figure = format!("{name}, {change} {}", phase.name);
+                let served = exposed(site, phase, bad, seeds);
+                let fixed = site.rate * FIXED_SHARE * OPERATOR_S;
+                let over = served.iter().map(|s| s / fixed).collect();
+                let bad_requests = format!("{figure}: bad requests");
+                report.rows.push(Row::baseline(bad_requests, served));
+                let over_fixed = format!("{figure}: over fixed share");
+                report
+                    .rows
+                    .push(Row::at_most(over_fixed, over, EXPOSURE_BOUND));
+            }
+        }
+    }
+    report.rows.push(Row::at_most(
+        format!("false stops per roll-out, {GOOD_ROLLOUTS} good ones in all"),
+        vec![false_stops(seeds)],
+        FALSE_STOP_BOUND,
+    ));
+    report
+}
+
+/// Returns the mean of bad requests over the runs of each seed.
+fn exposed(site: Site, phase: &Moment, bad: Rates, seeds: &[u64]) -> Vec<f64> {
+    let one_seed = |&seed: &u64| {
+        let worlds = (0..phase.runs).map(|n| World::open(site, 500, seed * 1_000 + u64::from(n)));
+        let served = worlds.map(|world| world.bad_requests(phase.good_s, bad));
+        served.sum::<f64>() / f64::from(phase.runs)
+    };
+    seeds.iter().map(one_seed).collect()
+}
+
+/// Returns the share of good roll-outs that are stopped, from the first step to some minutes after the
+/// last one. The exposure weight is zero, so that shares rise with the least evidence.
+fn false_stops(seeds: &[u64]) -> f64 {
+    let site = Site {
+        rate: 50.0,
+        ..SMALL
+    };
+    let per_seed = GOOD_ROLLOUTS / u32::try_from(seeds.len()).unwrap_or(1);
+    let stopped = |seed: u64, n: u32| {
+        let mut world = World::open(site, 0, seed * 1_000_000 + u64::from(n));
+        while world.second < GOOD_S && !world.stopped() {
+            world.tick(GOOD);
+        }
+        world.stopped()
+    };
+    let rollouts = seeds
+        .iter()
+        .flat_map(|&seed| (0..per_seed).map(move |n| (seed, n)));
+    let stops = rollouts.filter(|&(seed, n)| stopped(seed, n)).count();
+    f64::from(u32::try_from(stops).unwrap_or(u32::MAX)) / f64::from(GOOD_ROLLOUTS)
+}
--- a/examples/experiment/main.rs
+++ b/examples/experiment/main.rs
@@ -1,6 +1,7 @@
 //! Runs one named, seeded experiment, or `all`, and prints a table; `--json` adds one JSON object.
 
 mod cost;
+mod exposure;
 mod report;
 #[expect(dead_code, reason = "not every kind of draw is used yet")]
 mod rng;
@@ -15,7 +16,11 @@
 /// An experiment: its name and the function that runs it on the given seeds.
 type Experiment = (&'static str, fn(&[u64]) -> Report);
 
-const EXPERIMENTS: &[Experiment] = &[("cost", cost::cost), ("cost-faults", cost::cost_faults)];
+const EXPERIMENTS: &[Experiment] = &[
+    ("cost", cost::cost),
+    ("cost-faults", cost::cost_faults),
+    ("exposure", exposure::exposure),
+];
 
 fn main() -> ExitCode {
     let mut json = false;
