Limit accounts, shed at the door, budget retries, break circuits

Change: LimitTable with token buckets for requests and generated tokens and with concurrency per account and class, divided by the live gateways, and settled with the tokens really used. AdmissionQueue in front of the slots: strict priority, a wait estimated from the work ahead, and a part of the time to spare that shrinks with the priority. RetryBudget of 10%, backoff with full jitter, hedging of idempotent requests only. Circuits open at half of the last 20 results failed, with at least 5, and close after three probes one at a time. Retry-After follows from each refusal's wait.

Ruled out: floating-point buckets (a replay on another platform may differ); rounding concurrency down (with more gateways than the limit an account could not send anything).

--- /dev/null
+++ b/src/limits/circuit.rs
@@ -0,0 +1,196 @@
+//! Circuit breakers per upstream and version.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{UpstreamId, VersionRef};
+use crate::units::Millis;
+
+/// Results that a closed circuit looks back on, one bit each.
+const WINDOW: u32 = 20;
+/// Fewest results on which a circuit opens.
+const MIN_RESULTS: u32 = 5;
+/// Time for which a circuit stays open first; doubled each time a probe fails.
+const FIRST_OPEN: Millis = Millis::from_secs(1);
+const LONGEST_OPEN: Millis = Millis::from_secs(30);
+/// Probes in a row that must succeed before all requests pass.
+const PROBES: u32 = 3;
+/// Time after which a probe without a result counts as failed.
+const PROBE_TIMEOUT: Millis = Millis::from_secs(10);
+
+/// Whether a request may be sent to an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Passage {
+    /// Yes.
+    Open,
+    /// Yes, as the one request that tests whether the upstream has recovered.
+    Probe,
+    /// No; ask again after this time.
+    Blocked(Millis),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum State {
+    Closed {
+        results: u32,
+        failures: u32,
+    },
+    Open {
+        until: Millis,
+        span: Millis,
+    },
+    HalfOpen {
+        probe: Option<Millis>,
+        passed: u32,
+        span: Millis,
+    },
+}
+
+const CLOSED: State = State::Closed {
+    results: 0,
+    failures: 0,
+};
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Circuit {
+    upstream: UpstreamId,
+    version: VersionRef,
+    state: State,
+}
+
+/// Circuits of all upstreams and versions that have failed lately, sorted by both names.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Circuits {
+    circuits: Vec<Circuit>,
+}
+
+impl Circuits {
+    /// Tells whether a request may be sent, and takes note of a probe if it is one.
+    pub fn pass(&mut self, upstream: &UpstreamId, version: &VersionRef, now: Millis) -> Passage {
+        let Ok(at) = self.find(upstream, version) else {
+            return Passage::Open;
+        };
+        let state = &mut self.circuits[at].state;
+        expire(state, now);
+        match *state {
+            State::Closed { .. } => Passage::Open,
+            State::Open { until, .. } => Passage::Blocked(until.since(now)),
+            State::HalfOpen {
+                probe: Some(sent), ..
+            } => Passage::Blocked((sent + PROBE_TIMEOUT).since(now)),
+            State::HalfOpen {
+                probe: None,
+                passed,
+                span,
+            } => {
+                *state = State::HalfOpen {
+                    probe: Some(now),
+                    passed,
+                    span,
+                };
+                Passage::Probe
+            }
+        }
+    }
+
+    /// Takes note of the result of a request.
+    pub fn report(
+        &mut self,
+        upstream: &UpstreamId,
+        version: &VersionRef,
+        passage: Passage,
+        succeeded: bool,
+        now: Millis,
+    ) {
+        let found = self.find(upstream, version);
+        // Only upstreams that have failed need a circuit.
+        let at = match found {
+            Err(_) if succeeded => return,
+            Ok(at) => at,
+            Err(at) => {
+                let circuit = Circuit {
+                    upstream: upstream.clone(),
+                    version: version.clone(),
+                    state: CLOSED,
+                };
+                self.circuits.insert(at, circuit);
+                at
+            }
+        };
+        let state = &mut self.circuits[at].state;
+        expire(state, now);
+        *state = after(*state, passage, succeeded, now);
+        let healthy = matches!(*state, State::Closed { failures: 0, results } if results > 0);
+        if healthy || *state == CLOSED {
+            self.circuits.remove(at);
+        }
+    }
+
+    /// Drops the circuits of upstreams for which `keep` is false, such as those that have gone.
+    pub fn retain(&mut self, mut keep: impl FnMut(&UpstreamId) -> bool) {
+        self.circuits.retain(|circuit| keep(&circuit.upstream));
+    }
+
+    fn find(&self, upstream: &UpstreamId, version: &VersionRef) -> Result<usize, usize> {
+        self.circuits
+            .binary_search_by(|c| (&c.upstream, &c.version).cmp(&(upstream, version)))
+    }
+}
+
+/// Moves a circuit on if its time is over.
+fn expire(state: &mut State, now: Millis) {
+    match *state {
+        State::Open { until, span } if now >= until => {
+            *state = State::HalfOpen {
+                probe: None,
+                passed: 0,
+                span,
+            };
+        }
+        State::HalfOpen {
+            probe: Some(sent),
+            span,
+            ..
+        } if now >= sent + PROBE_TIMEOUT => *state = open(longer(span), now),
+        State::Closed { .. } | State::Open { .. } | State::HalfOpen { .. } => {}
+    }
+}
+
+/// Returns the state after a result.
+fn after(state: State, passage: Passage, succeeded: bool, now: Millis) -> State {
+    match (state, passage) {
+        (State::Closed { results, failures }, _) => {
+            let mask = (1 << WINDOW) - 1;
+            let failures = ((failures << 1) | u32::from(!succeeded)) & mask;
+            let results = (results + 1).min(WINDOW);
+            if results >= MIN_RESULTS && failures.count_ones() * 2 >= results {
+                open(FIRST_OPEN, now)
+            } else {
+                State::Closed { results, failures }
+            }
+        }
+        (State::HalfOpen { passed, span, .. }, Passage::Probe) => match (succeeded, passed + 1) {
+            (false, _) => open(longer(span), now),
+            (true, PROBES) => CLOSED,
+            (true, passed) => State::HalfOpen {
+                probe: None,
+                passed,
+                span,
+            },
+        },
+        // Results of requests that were sent before the circuit opened say nothing new.
+        (State::Open { .. } | State::HalfOpen { .. }, _) => state,
+    }
+}
+
+fn open(span: Millis, now: Millis) -> State {
+    State::Open {
+        until: now + span,
+        span,
+    }
+}
+
+fn longer(span: Millis) -> Millis {
+    (span + span).min(LONGEST_OPEN)
+}
--- /dev/null
+++ b/src/limits/tests.rs
@@ -0,0 +1,252 @@
+//! Tests of limits, admission, retries and circuits against naive versions.
+
+use super::bucket::{Bucket, Flow};
+use super::*;
+use crate::fixtures::check;
+use crate::ids::{AccountId, ClassId, UpstreamId, VersionRef};
+use crate::sheet::{Limit, Priority};
+use crate::units::Tokens;
+
+fn limit(requests_per_s: u32, concurrency: u32) -> Limit {
+    Limit {
+        class: ClassId::from("tags"),
+        requests_per_s,
+        tokens_per_min: Tokens(60_000),
+        concurrency,
+    }
+}
+
+// Guards against a bucket that lets through more or less than its rate, and against a wrong Retry-After.
+#[test]
+fn buckets_equal_a_naive_float_version() {
+    fn property(rate: u16, gateways: u8, steps: Vec<(u8, u8)>) -> bool {
+        let gateways = u32::from(gateways) + 1;
+        let flow = Flow::new(u64::from(rate), 1_000, gateways, 1);
+        let per_ms = f64::from(rate) / f64::from(gateways) / 1_000.0;
+        let capacity = (per_ms * 1_000.0).max(1.0);
+        let mut bucket = Bucket::full(flow, Millis(0));
+        let (mut level, mut now) = (capacity, Millis(0));
+        steps.into_iter().all(|(elapsed, amount)| {
+            now = now + Millis(u64::from(elapsed));
+            level = (level + f64::from(elapsed) * per_ms).min(capacity);
+            let missing = f64::from(amount).min(capacity) - level;
+            let wait = bucket.wait(flow, u64::from(amount), now);
+            // Rounding may decide either way at the limit itself.
+            let agrees = missing.abs() < 1e-3 || (wait.0 == 0) == (missing < 0.0);
+            let waited = bucket.clone().wait(flow, u64::from(amount), now + wait);
+            if wait.0 == 0 {
+                bucket.take(u64::from(amount));
+                level -= f64::from(amount);
+            }
+            agrees && (rate == 0 || waited.0 == 0)
+        })
+    }
+    check(61, property as fn(u16, u8, Vec<(u8, u8)>) -> bool);
+}
+
+// Guards against slots that leak, tokens that are not settled, and limits that many gateways multiply.
+#[test]
+fn limits_are_divided_and_settled() {
+    let (shop, limit) = (AccountId::from("shop"), limit(1_000, 8));
+    let mut table = LimitTable::new(4);
+    let admit = |table: &mut LimitTable, now| table.admit(&shop, &limit, Tokens(10), now);
+
+    assert_eq!(admit(&mut table, Millis(0)), Ok(()));
+    assert_eq!(admit(&mut table, Millis(0)), Ok(()));
+    let refused = admit(&mut table, Millis(0)).expect_err("8 in flight over 4 gateways are 2 here");
+    assert_eq!(refused.kind, LimitKind::Concurrency);
+    // 250 tokens a second here: 1,000 more than expected are a debt of over three seconds.
+    table.finish(&shop, &limit.class, Tokens(10), Tokens(1_010));
+    let refused = admit(&mut table, Millis(0)).expect_err("the tokens are used up");
+    assert_eq!(
+        (refused.kind, retry_after_secs(refused.retry_after)),
+        (LimitKind::Tokens, 4)
+    );
+    assert_eq!(admit(&mut table, refused.retry_after), Ok(()));
+}
+
+/// The naive queue: one list, searched from the front for the highest priority.
+#[derive(Default)]
+struct NaiveQueue {
+    waiting: Vec<Offer>,
+    in_flight: u32,
+}
+
+impl NaiveQueue {
+    fn pop(&mut self) -> Option<Offer> {
+        let highest = self.waiting.iter().map(|o| o.priority).max()?;
+        let at = self.waiting.iter().position(|o| o.priority == highest)?;
+        Some(self.waiting.remove(at))
+    }
+}
+
+// Guards against lost, reordered or late requests and against more in flight than there are slots.
+#[test]
+fn the_admission_queue_equals_a_naive_list() {
+    fn property(slots: u8, steps: Vec<(u8, u8, u16, u8)>) -> bool {
+        let slots = u32::from(slots % 4) + 1;
+        let mut queue = AdmissionQueue::new(slots);
+        let mut naive = NaiveQueue::default();
+        let mut now = Millis(0);
+        (0_u64..)
+            .zip(steps)
+            .all(|(id, (kind, service, spare, elapsed))| {
+                now = now + Millis(u64::from(elapsed));
+                if kind % 3 == 0 && naive.in_flight > 0 {
+                    let mut late = Vec::new();
+                    let next = queue.release(now, &mut late);
+                    naive.in_flight -= 1;
+                    let mut popped = naive.pop();
+                    let mut naively_late = Vec::new();
+                    while let Some(offer) = popped.filter(|o| now + o.service > o.deadline) {
+                        naively_late.push(offer);
+                        popped = naive.pop();
+                    }
+                    naive.in_flight += u32::from(popped.is_some());
+                    return next == popped && late == naively_late;
+                }
+                let service = Millis(u64::from(service) + 1);
+                let offer = Offer {
+                    id,
+                    priority: [Priority::Low, Priority::Normal, Priority::High]
+                        [usize::from(kind) % 3],
+                    deadline: now + service + Millis(u64::from(spare % 1_000)),
+                    service,
+                };
+                let ahead = naive
+                    .waiting
+                    .iter()
+                    .filter(|o| o.priority >= offer.priority);
+                let work = ahead.map(|o| o.service.0).sum::<u64>() + service.0;
+                match queue.offer(offer, now) {
+                    Admission::Run => {
+                        naive.in_flight += 1;
+                        naive.in_flight <= slots
+                    }
+                    Admission::Queued(delay) => {
+                        naive.waiting.push(offer);
+                        let in_time = now + delay + service <= offer.deadline;
+                        delay.0 == work / u64::from(slots) && in_time && naive.in_flight == slots
+                    }
+                    Admission::Shed(refused) => match refused.reason {
+                        Shed::DeadlineTooShort => spare % 1_000 == 0,
+                        Shed::QueueDelay => work / u64::from(slots) * 4 >= u64::from(spare % 1_000),
+                        Shed::QueueFull => false,
+                    },
+                }
+            })
+    }
+    check(62, property as fn(u8, Vec<(u8, u8, u16, u8)>) -> bool);
+}
+
+// Guards against retry storms: sends beyond a tenth of the requests and the saved ten.
+#[test]
+fn retries_stay_within_a_tenth_of_requests() {
+    fn property(steps: Vec<bool>) -> bool {
+        let mut budget = RetryBudget::default();
+        let (mut requests, mut sends) = (0, 0);
+        steps.into_iter().all(|is_request| {
+            if is_request {
+                budget.request();
+                requests += 1;
+            } else {
+                sends += u32::from(budget.take());
+            }
+            sends * 10 <= requests + 100
+        })
+    }
+    check(63, property as fn(Vec<bool>) -> bool);
+    for (attempt, longest) in [(1, 50), (2, 100), (5, 800), (200, 5_000)] {
+        assert_eq!(backoff(attempt, longest), Millis(longest));
+        assert_eq!(backoff(attempt, longest + 1), Millis(0));
+    }
+}
+
+// Guards against a non-idempotent request that runs twice (P7).
+#[test]
+fn only_idempotent_requests_without_an_answer_are_hedged() {
+    let input = HedgeInput {
+        idempotent: true,
+        progress: Progress::Sent,
+        alternative: true,
+        budget: true,
+        waited: Millis(500),
+        usual: Millis(500),
+    };
+    let refused = |input| matches!(hedge(&input), Hedge::Never(_));
+    let early = HedgeInput {
+        waited: Millis(200),
+        ..input
+    };
+
+    assert_eq!(hedge(&input), Hedge::Send);
+    assert_eq!(hedge(&early), Hedge::Wait(Millis(300)));
+    for progress in [Progress::Hedged, Progress::Answering] {
+        assert!(refused(HedgeInput { progress, ..input }));
+    }
+    assert!(refused(HedgeInput {
+        idempotent: false,
+        ..input
+    }));
+    assert!(refused(HedgeInput {
+        budget: false,
+        ..input
+    }));
+    assert!(refused(HedgeInput {
+        alternative: false,
+        ..input
+    }));
+}
+
+// Guards against circuits that open without cause, let several probes through, or never close.
+#[test]
+fn circuits_open_probe_one_at_a_time_and_close() {
+    fn property(steps: Vec<(u8, u16)>) -> bool {
+        let (upstream, version) = (UpstreamId::from("a"), VersionRef::new("small", "v1"));
+        let mut circuits = Circuits::default();
+        let mut now = Millis(0);
+        let mut probe: Option<Millis> = None;
+        let mut failures = 0;
+        steps.into_iter().all(|(kind, elapsed)| {
+            now = now + Millis(u64::from(elapsed % 4_000));
+            let succeeded = kind % 3 == 0;
+            match circuits.pass(&upstream, &version, now) {
+                // Leaves a probe without a result now and then.
+                Passage::Probe if kind > 200 => {
+                    let alone = probe.is_none_or(|sent| now.since(sent) >= Millis(10_000));
+                    probe = Some(now);
+                    alone
+                }
+                Passage::Blocked(wait) => {
+                    let mut later = circuits.clone();
+                    let passage = later.pass(&upstream, &version, now + wait);
+                    let opens = passage == Passage::Probe || probe.is_some();
+                    failures >= 3 && wait <= Millis(30_000) && opens
+                }
+                passage => {
+                    probe = None;
+                    failures += u32::from(!succeeded);
+                    circuits.report(&upstream, &version, passage, succeeded, now);
+                    true
+                }
+            }
+        })
+    }
+    check(64, property as fn(Vec<(u8, u16)>) -> bool);
+
+    let (upstream, version) = (UpstreamId::from("a"), VersionRef::new("small", "v1"));
+    let mut circuits = Circuits::default();
+    for _ in 0..5 {
+        circuits.report(&upstream, &version, Passage::Open, false, Millis(0));
+    }
+    let blocked = circuits.pass(&upstream, &version, Millis(0));
+    assert_eq!(blocked, Passage::Blocked(Millis(1_000)));
+    for _ in 0..3 {
+        assert_eq!(
+            circuits.pass(&upstream, &version, Millis(1_000)),
+            Passage::Probe
+        );
+        circuits.report(&upstream, &version, Passage::Probe, true, Millis(1_000));
+    }
+    assert_eq!(circuits, Circuits::default());
+}
