Measure goodput and sends at twice the capacity

Change: the experiment overload: 40 slots, service of one to three seconds, a deadline of ten, ten minutes at twice the capacity; and half of the capacity while half of all runs fail.

--- a/examples/experiment/main.rs
+++ b/examples/experiment/main.rs
@@ -2,8 +2,8 @@
 
 mod cost;
 mod exposure;
+mod overload;
 mod report;
-#[expect(dead_code, reason = "not every kind of draw is used yet")]
 mod rng;
 
 use std::process::ExitCode;
@@ -20,6 +20,7 @@
     ("cost", cost::cost),
     ("cost-faults", cost::cost_faults),
     ("exposure", exposure::exposure),
+    ("overload", overload::overload),
 ];
 
 fn main() -> ExitCode {
