--- /dev/null
+++ b/examples/experiment/cost/world.rs
@@ -0,0 +1,237 @@
+//! Requests of both deployments, the rating of each possible answer, and the oracle that knows them.
+
+use fireflywind::route::plan::DRAWS;
+use fireflywind::units::{Micros, Millis, Tokens};
+
+use crate::rng::Rng;
+
+/// Versions of every class, with the cost of a thousand tokens in micros.
+pub const VERSIONS: [(&str, u64); 3] = [
+    ("small", 100_000),
+    ("medium", 400_000),
+    ("large", 2_000_000),
+];
+pub const STEPS: usize = VERSIONS.len();
+/// Share of requests whose difficulty is the same for all versions.
+const SHARED_DIFFICULTY: f64 = 0.5;
+const REQUESTS_PER_S: u64 = 5;
+pub const RUN_S: u64 = 2 * 3_600;
+pub const START: Millis = Millis::from_secs(1_000_000_000);
+
+/// A request class: its target, tokens per answer, and the pass rate of each version.
+pub struct Class {
+    pub name: &'static str,
+    pub target: u16,
+    pub tokens: u64,
+    pub rates: [f64; STEPS],
+}
+
+impl Class {
+    /// Returns the cost of one answer of a version.
+    pub fn cost(&self, version: usize) -> u64 {
+        Micros(VERSIONS[version].1)
+            .for_tokens(Tokens(self.tokens))
+            .0
+    }
+}
+
+const fn class(name: &'static str, target: u16, tokens: u64, rates: [f64; STEPS]) -> Class {
+    Class {
+        name,
+        target,
+        tokens,
+        rates,
+    }
+}
+
+const INCI_ROTA: [Class; 4] = [
+    class("stock-check", 950, 200, [0.96, 0.98, 0.99]),
+    class("order-text", 930, 300, [0.88, 0.95, 0.98]),
+    class("restock-plan", 920, 1_500, [0.55, 0.82, 0.96]),
+    class("contract-summary", 920, 2_500, [0.30, 0.65, 0.95]),
+];
+const QUETZAL: [Class; 4] = [
+    class("tags", 930, 60, [0.95, 0.97, 0.98]),
+    class("alt-text", 930, 150, [0.85, 0.94, 0.97]),
+    class("search", 900, 100, [0.90, 0.95, 0.97]),
+    class("description", 930, 1_200, [0.35, 0.70, 0.96]),
+];
+
+/// A deployment under one mix of its classes.
+pub struct Mix {
+    pub name: &'static str,
+    pub classes: &'static [Class; 4],
+    /// Share of requests of each class.
+    pub shares: [f64; 4],
+    /// Indices of the versions that the deployment runs, cheapest first.
+    pub versions: &'static [usize],
+}
+
+pub const MIXES: [Mix; 8] = [
+    mix("Inci Rota by day", &INCI_ROTA, [0.45, 0.35, 0.15, 0.05]),
+    mix("Inci Rota by night", &INCI_ROTA, [0.20, 0.10, 0.50, 0.20]),
+    mix("Inci Rota, all classes alike", &INCI_ROTA, [0.25; 4]),
+    mix("Quetzal in class hours", &QUETZAL, [0.30, 0.20, 0.45, 0.05]),
+    mix("Quetzal during uploads", &QUETZAL, [0.50, 0.35, 0.05, 0.10]),
+    mix("Quetzal, all classes alike", &QUETZAL, [0.25; 4]),
+    without_medium(&mix(
+        "Inci Rota by day, two models",
+        &INCI_ROTA,
+        [0.45, 0.35, 0.15, 0.05],
+    )),
+    without_medium(&mix(
+        "Quetzal in class hours, two models",
+        &QUETZAL,
+        [0.30, 0.20, 0.45, 0.05],
+    )),
+];
+
+const fn mix(name: &'static str, classes: &'static [Class; 4], shares: [f64; 4]) -> Mix {
+    Mix {
+        name,
+        classes,
+        shares,
+        versions: &[0, 1, 2],
+    }
+}
+
+const fn without_medium(mix: &Mix) -> Mix {
+    Mix {
+        versions: &[0, 2],
+        ..*mix
+    }
+}
+
+/// One request with what each version's answer would be rated.
+pub struct Request {
+    pub class: usize,
+    pub at: Millis,
+    pub good: [bool; STEPS],
+    pub draws: [u64; DRAWS],
+    /// Decides whether a rating is lost while ratings go missing.
+    pub rating: [f64; STEPS],
+}
+
+pub fn requests(mix: &Mix, seed: u64, run_s: u64) -> Vec<Request> {
+    let mut rng = Rng::new(seed);
+    let one = |n: u64| {
+        let class = pick(&mix.shares, rng.unit());
+        let difficulty = rng.unit();
+        let shared = rng.unit() < SHARED_DIFFICULTY;
+        let rates = mix.classes[class].rates;
+        let good = rates.map(|rate| {
+            let own = rng.unit();
+            (if shared { difficulty } else { own }) < rate
+        });
+        Request {
+            class,
+            at: START + Millis(n * 1_000 / REQUESTS_PER_S),
+            good,
+            draws: [(); DRAWS].map(|()| rng.next_u64()),
+            rating: [(); STEPS].map(|()| rng.unit()),
+        }
+    };
+    (0..run_s * REQUESTS_PER_S).map(one).collect()
+}
+
+fn pick(shares: &[f64; 4], draw: f64) -> usize {
+    let mut sum = 0.0;
+    let found = shares.iter().position(|share| {
+        sum += share;
+        draw < sum
+    });
+    found.unwrap_or(shares.len() - 1)
+}
+
+/// Returns the lowest cost at which every class meets its target, if each rating is known beforehand.
+///
+/// A request without any good answer goes to the cheapest version. So do, as long as the target allows,
+/// the requests whose cheapest good answer costs most.
+pub fn oracle(mix: &Mix, requests: &[Request]) -> u64 {
+    let of_class = |c: usize| {
+        let requests = requests.iter().filter(|r| r.class == c);
+        oracle_of_class(mix, &mix.classes[c], requests)
+    };
+    (0..4).map(of_class).sum()
+}
+
+fn oracle_of_class<'a>(
+    mix: &Mix,
+    class: &Class,
+    requests: impl Iterator<Item = &'a Request>,
+) -> u64 {
+    let (mut total, mut served, mut hopeless) = (0, 0, 0);
+    let mut savings = Vec::new();
+    let cheapest = class.cost(mix.versions[0]);
+    for request in requests {
+        served += 1;
+        if let Some(&at) = mix.versions.iter().find(|&&at| request.good[at]) {
+            total += class.cost(at);
+            savings.push(class.cost(at) - cheapest);
+        } else {
+            total += cheapest;
+            hopeless += 1;
+        }
+    }
+    let may_fail = served * (1_000 - usize::from(class.target)) / 1_000;
+    savings.sort_unstable_by(|a, b| b.cmp(a));
+    total
+        - savings
+            .iter()
+            .take(may_fail.saturating_sub(hopeless))
+            .sum::<u64>()
+}
+
+/// Returns the lowest cost of fixed mixtures of plans that meet each class's target on these requests.
+///
+/// No policy without knowledge of the single request can cost much less: it knows all pass rates, and
+/// which versions pass the same requests, from the start.
+pub fn hindsight(mix: &Mix, requests: &[Request]) -> f64 {
+    let of_class = |c: usize| {
+        let requests: Vec<_> = requests.iter().filter(|r| r.class == c).collect();
+        let class = &mix.classes[c];
+        let masks = 1..1_u32 << mix.versions.len();
+        let plans: Vec<_> = masks
+            .map(|m| fixed_plan(mix, class, &requests, m))
+            .collect();
+        let served = ratio(u64::try_from(requests.len()).unwrap_or(0), 1);
+        cheapest_pair(&plans, served * f64::from(class.target) / 1_000.0)
+    };
+    (0..4).map(of_class).sum()
+}
+
+/// Returns the cost and the good answers of one cascade over all requests of a class.
+fn fixed_plan(mix: &Mix, class: &Class, requests: &[&Request], mask: u32) -> (f64, f64) {
+    let (mut cost, mut good) = (0, 0);
+    for request in requests {
+        let steps = (mix.versions.iter().enumerate()).filter(|(n, _)| mask & (1 << n) != 0);
+        for (_, &at) in steps {
+            cost += class.cost(at);
+            if request.good[at] {
+                good += 1;
+                break;
+            }
+        }
+    }
+    (ratio(cost, 1), ratio(good, 1))
+}
+
+fn cheapest_pair(plans: &[(f64, f64)], needed: f64) -> f64 {
+    let mut lowest = f64::INFINITY;
+    for high in plans.iter().filter(|p| p.1 >= needed) {
+        lowest = lowest.min(high.0);
+        for low in plans.iter().filter(|p| p.1 < needed) {
+            let share = (needed - low.1) / (high.1 - low.1);
+            lowest = lowest.min(share * high.0 + (1.0 - share) * low.0);
+        }
+    }
+    lowest
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts and micros are far below 2^53"
+)]
+pub fn ratio(a: u64, b: u64) -> f64 {
+    a as f64 / b.max(1) as f64
+}
--- a/examples/experiment/main.rs
+++ b/examples/experiment/main.rs
@@ -1,8 +1,9 @@
 //! Runs one named, seeded experiment, or `all`, and prints a table; `--json` adds one JSON object.
 
-#[expect(dead_code, reason = "the first experiment uses it")]
+mod cost;
+mod exposure;
+mod overload;
 mod report;
-#[expect(dead_code, reason = "the first experiment uses it")]
 mod rng;
 
 use std::process::ExitCode;
@@ -15,7 +16,12 @@
 /// An experiment: its name and the function that runs it on the given seeds.
 type Experiment = (&'static str, fn(&[u64]) -> Report);
 
-const EXPERIMENTS: &[Experiment] = &[];
+const EXPERIMENTS: &[Experiment] = &[
+    ("cost", cost::cost),
+    ("cost-faults", cost::cost_faults),
+    ("exposure", exposure::exposure),
+    ("overload", overload::overload),
+];
 
 fn main() -> ExitCode {
     let mut json = false;
