Wire limits, retry budget, circuits and roll-outs into the gateway

Cause: limits, circuits and the roll-out guard existed as state machines without a caller; a roll-out took its largest share at once.

Ruled out: stepping a roll-out on the lease alone (a holder that was stopped past its lease would write an older state).

--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -45,7 +45,14 @@
 
 fn status(shared: &Shared) -> Outgoing {
     let now = shared.clock.now();
+    let rollouts = shared.rollouts.borrow();
+    let rollouts: Vec<_> = rollouts
+        .iter()
+        .map(|(version, share, stopped)| json!({ "version": version, "share": share, "stopped": stopped }))
+        .collect();
     let value = json!({
+        "rollouts": rollouts,
+        "gateways": shared.presence.borrow().gateways.get(),
         "gateway": shared.name,
         "incarnation": shared.incarnation,
         "revision": shared.follower.revision(),
--- a/src/gateway/background.rs
+++ b/src/gateway/background.rs
@@ -5,12 +5,24 @@
 use actix_rt::time::sleep;
 
 use super::shared::Shared;
+use super::{presence, rollouts};
 use crate::ledger::write_checkpoint;
 use crate::units::Millis;
 
 /// Time between two steps of the periodic work.
 const STEP: Millis = Millis(100);
 
+/// Keeps the lease and steps roll-outs until it is aborted.
+///
+/// Runs beside the ledger, so that a slow key-value service delays neither by more than one call.
+pub(super) async fn run_duties(shared: Rc<Shared>) {
+    loop {
+        presence::step(&shared).await;
+        rollouts::step(&shared).await;
+        sleep(STEP.duration()).await;
+    }
+}
+
 /// Does the periodic work until it is aborted.
 pub(super) async fn run(shared: Rc<Shared>) {
     loop {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,7 +8,9 @@
 mod chat;
 mod links;
 mod planning;
+mod presence;
 mod quality;
+mod rollouts;
 mod serve;
 mod shared;
 #[cfg(test)]
@@ -78,6 +80,7 @@
         let background = vec![
             actix_rt::spawn(links::run(Rc::clone(&shared))),
             actix_rt::spawn(background::run(Rc::clone(&shared))),
+            actix_rt::spawn(background::run_duties(Rc::clone(&shared))),
         ];
         log::info!(
             event = "gateway_started",
@@ -121,6 +124,8 @@
                 sleep(STOP_STEP.duration()).await;
             }
         }
+        let mut presence = std::mem::take(&mut *self.shared.presence.borrow_mut());
+        presence::leave(&*self.shared.kv, &mut presence).await;
         log::info!(event = "gateway_stopped", drained = drained, ledger_stored = stored; "");
         drained && stored
     }
--- a/src/gateway/planning.rs
+++ b/src/gateway/planning.rs
@@ -59,6 +59,7 @@
     let input = PlanInput {
         allow: account.allow.clone(),
         class: class.clone(),
+        aim: shared.quality.borrow().table.aim(&class, quality_target),
         quality_target,
         cascade,
         session,
@@ -147,7 +148,7 @@
         escalated: estimate(Reach::Escalated),
         rollout: rollout.map(|rollout| RolloutInput {
             replaces: rollout.replaces.clone(),
-            share: rollout.max_share,
+            share: shared.rollouts.borrow().share(&id, rollout),
         }),
         routable: shared.links.borrow().is_routable(in_force, &id, now),
         version: id,
--- /dev/null
+++ b/src/gateway/presence.rs
@@ -0,0 +1,147 @@
+//! The gateway's lease: its entry in the list of gateways, and the duty of stepping roll-outs.
+
+use std::cell::Cell;
+
+use crate::fencing::{self, Fence, Holder};
+use crate::ids::Incarnation;
+use crate::platform::{Change, KeyValue, KvError, LeaseId, TxnOutcome};
+use crate::units::Millis;
+
+use super::shared::Shared;
+
+/// Time after which a silent gateway's lease ends.
+const TTL: Millis = Millis::from_secs(10);
+
+/// Time between two renewals; two may be lost.
+const RENEWAL: Millis = Millis::from_secs(3);
+
+/// Prefix of the entries of live gateways.
+const PREFIX: &str = "/fireflywind/gateway/";
+
+/// Duty of stepping roll-outs.
+const DUTY: &str = "rollouts";
+
+/// What the gateway holds in the key-value service.
+#[derive(Debug)]
+pub(super) struct Presence {
+    lease: Option<LeaseId>,
+    next: Millis,
+    holder: Holder,
+    /// Live gateways, this one included; the last known number during an outage.
+    pub gateways: Cell<u32>,
+}
+
+impl Default for Presence {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Presence {
+    pub const fn new() -> Self {
+        Self {
+            lease: None,
+            next: Millis(0),
+            holder: Holder::new(TTL),
+            gateways: Cell::new(1),
+        }
+    }
+
+    /// Returns the fencing token if this gateway may step roll-outs now.
+    pub fn rollout_fence(&self, now: Millis) -> Option<Fence> {
+        self.holder.fence(now)
+    }
+}
+
+/// Renews the lease if it is due; takes the duty if nobody has it.
+pub(super) async fn step(shared: &Shared) {
+    let now = shared.clock.now();
+    let lease = {
+        let mut presence = shared.presence.borrow_mut();
+        if now < presence.next {
+            return;
+        }
+        presence.next = now + RENEWAL;
+        presence.lease
+    };
+    let renewed = match lease {
+        Some(lease) => renew(shared, lease, now).await,
+        None => announce(shared, now).await,
+    };
+    if let Err(error) = renewed {
+        log::debug!(event = "lease_failed", error:% = error; "");
+        if error == KvError::LeaseGone {
+            let mut presence = shared.presence.borrow_mut();
+            presence.lease = None;
+            presence.holder.lost();
+            presence.next = now;
+        }
+    }
+}
+
+async fn renew(shared: &Shared, lease: LeaseId, asked_at: Millis) -> Result<(), KvError> {
+    shared.kv.keep_alive(lease).await?;
+    let held = {
+        let mut presence = shared.presence.borrow_mut();
+        presence.holder.renewed(asked_at);
+        presence.holder.fence(shared.clock.now()).is_some()
+    };
+    if !held {
+        claim(shared, lease, asked_at).await?;
+    }
+    count(shared).await
+}
+
+async fn announce(shared: &Shared, asked_at: Millis) -> Result<(), KvError> {
+    let lease = shared.kv.grant(TTL).await?;
+    let key = format!("{PREFIX}{}", shared.incarnation);
+    let value = shared.name.clone().into();
+    let put = Change::Put {
+        key,
+        value,
+        lease: Some(lease),
+    };
+    shared.kv.txn(Vec::new(), vec![put]).await?;
+    shared.presence.borrow_mut().lease = Some(lease);
+    claim(shared, lease, asked_at).await?;
+    count(shared).await
+}
+
+/// Claims the duty; the claim of another gateway stands until its lease ends.
+async fn claim(shared: &Shared, lease: LeaseId, asked_at: Millis) -> Result<(), KvError> {
+    let (conditions, changes) = fencing::claim(DUTY, shared.incarnation, lease);
+    let fence = match shared.kv.txn(conditions, changes).await {
+        Ok(TxnOutcome::Applied(revision)) => Some(Fence(revision)),
+        Ok(TxnOutcome::Conflict) => None,
+        Err(error) if error.may_have_applied() => claimed(shared, shared.incarnation).await?,
+        Err(error) => return Err(error),
+    };
+    if let Some(fence) = fence {
+        log::info!(event = "rollout_duty_taken", fence:% = fence; "");
+        shared.presence.borrow_mut().holder.claimed(fence, asked_at);
+    }
+    Ok(())
+}
+
+/// Reads whether a claim whose answer was lost took effect.
+async fn claimed(shared: &Shared, own: Incarnation) -> Result<Option<Fence>, KvError> {
+    let entry = shared.kv.get(&fencing::lease_key(DUTY)).await?;
+    Ok(entry.and_then(|entry| Fence::of_claim(&entry, own)))
+}
+
+async fn count(shared: &Shared) -> Result<(), KvError> {
+    let live = shared.kv.list(PREFIX).await?.len();
+    let live = u32::try_from(live).unwrap_or(u32::MAX).max(1);
+    shared.presence.borrow().gateways.set(live);
+    shared.limits.borrow_mut().set_gateways(live);
+    Ok(())
+}
+
+/// Ends the lease, so that the duty passes on at once.
+pub(super) async fn leave(kv: &dyn KeyValue, presence: &mut Presence) {
+    presence.holder.lost();
+    if let Some(lease) = presence.lease.take() {
+        // The lease ends by itself otherwise.
+        let _ = kv.revoke(lease).await;
+    }
+}
--- a/src/gateway/quality.rs
+++ b/src/gateway/quality.rs
@@ -5,10 +5,12 @@
 use actix_rt::time::timeout;
 use serde_json::Value;
 
+use super::rollouts;
 use super::shared::Shared;
 use crate::ids::{ClassId, Incarnation, VersionRef};
 use crate::rating::{Outcome, RatingTable, Reach};
 use crate::record::Rated;
+use crate::rollout::Observation;
 use crate::units::{Millis, Permille};
 use crate::upstream::Timeouts;
 use crate::upstream::rating::RatingClient;
@@ -121,14 +123,20 @@
 
 fn observe(shared: &Shared, answered: &Answered, outcome: Outcome) {
     let now = shared.clock.unix();
-    let mut quality = shared.quality.borrow_mut();
-    quality.table.observe(
-        &answered.class,
-        &answered.version,
-        answered.reach,
-        outcome,
-        now,
-    );
+    let (class, version) = (&answered.class, &answered.version);
+    shared
+        .quality
+        .borrow_mut()
+        .table
+        .observe(class, version, answered.reach, outcome, now);
+    let observation = match outcome {
+        Outcome::Pass | Outcome::LatePass => Observation::RatedGood,
+        Outcome::Fail | Outcome::LateFail => Observation::RatedLow,
+        Outcome::Missing => return,
+    };
+    if let Some(in_force) = shared.follower.in_force() {
+        rollouts::observe(shared, &in_force, version, observation);
+    }
 }
 
 /// Returns the text of a whole chat completion.
--- /dev/null
+++ b/src/gateway/rollouts.rs
@@ -0,0 +1,235 @@
+//! Roll-outs: reports this gateway's evidence, and steps them while it has the duty.
+//!
+//! Each gateway writes its own counts. The gateway with the duty pools them and replaces the state by
+//! compare-and-swap, so that a holder that was paused cannot undo a newer step. During an outage every
+//! gateway keeps the share that it saw last.
+
+use super::shared::Shared;
+use crate::follower::InForce;
+use crate::ids::{Incarnation, VersionRef};
+use crate::platform::{Change, Compare, KvError, TxnOutcome};
+use crate::rollout::{Evidence, Observation, Phase, RolloutGuard};
+use crate::sheet::{Rollout, VersionState};
+use crate::units::{Millis, Permille};
+
+/// Time between two exchanges with the key-value service.
+const EXCHANGE: Millis = Millis::from_secs(1);
+
+/// What this gateway knows of one roll-out.
+#[derive(Debug)]
+struct Known {
+    version: VersionRef,
+    evidence: Evidence,
+    /// Evidence as it was written last.
+    written: Option<Evidence>,
+    share: Permille,
+    stopped: bool,
+}
+
+/// The roll-outs that this gateway knows, sorted by version.
+#[derive(Debug, Default)]
+pub(super) struct Rollouts {
+    known: Vec<Known>,
+    next: Millis,
+}
+
+impl Rollouts {
+    fn find(&self, version: &VersionRef) -> Result<usize, usize> {
+        self.known
+            .binary_search_by(|known| known.version.cmp(version))
+    }
+
+    fn entry(&mut self, version: &VersionRef, source: Incarnation) -> &mut Known {
+        let at = self.find(version).unwrap_or_else(|at| {
+            let known = Known {
+                version: version.clone(),
+                evidence: Evidence::new(source),
+                written: None,
+                share: Permille(0),
+                stopped: false,
+            };
+            self.known.insert(at, known);
+            at
+        });
+        &mut self.known[at]
+    }
+
+    /// Returns the share of the stable version's requests that a version takes now.
+    pub fn share(&self, version: &VersionRef, rollout: &Rollout) -> Permille {
+        let share = self
+            .find(version)
+            .map_or(Permille(0), |at| self.known[at].share);
+        share.min(rollout.max_share)
+    }
+
+    /// Returns each roll-out with its share and whether it was stopped.
+    pub fn iter(&self) -> impl Iterator<Item = (&VersionRef, Permille, bool)> {
+        self.known.iter().map(|k| (&k.version, k.share, k.stopped))
+    }
+}
+
+/// Returns the versions that are being rolled out.
+fn rolled_out(in_force: &InForce) -> Vec<(VersionRef, &Rollout)> {
+    let models = in_force.sheet.models.iter();
+    let versions = models.flat_map(|model| model.versions.iter().map(move |v| (model, v)));
+    versions
+        .filter(|(_, version)| version.state == VersionState::Serving)
+        .filter_map(|(model, version)| {
+            let id = VersionRef {
+                model: model.id.clone(),
+                version: version.id.clone(),
+            };
+            Some((id, version.rollout.as_ref()?))
+        })
+        .collect()
+}
+
+/// Notes what happened to a request or rating of a version, for the roll-outs that it takes part in.
+pub(super) fn observe(
+    shared: &Shared,
+    in_force: &InForce,
+    version: &VersionRef,
+    observation: Observation,
+) {
+    for (new, rollout) in rolled_out(in_force) {
+        let is_stable = new.model == version.model && rollout.replaces == version.version;
+        if new != *version && !is_stable {
+            continue;
+        }
+        let mut rollouts = shared.rollouts.borrow_mut();
+        let evidence = &mut rollouts.entry(&new, shared.incarnation).evidence;
+        if is_stable {
+            evidence.stable.observe(observation);
+        } else {
+            evidence.new.observe(observation);
+        }
+    }
+}
+
+/// Exchanges evidence and state with the key-value service if it is due.
+pub(super) async fn step(shared: &Shared) {
+    let now = shared.clock.now();
+    let Some(in_force) = shared.follower.in_force() else {
+        return;
+    };
+    if now < shared.rollouts.borrow().next {
+        return;
+    }
+    shared.rollouts.borrow_mut().next = now + EXCHANGE;
+    for (version, rollout) in rolled_out(&in_force) {
+        if let Err(error) = exchange(shared, &in_force, &version, rollout).await {
+            log::debug!(event = "rollout_exchange_failed", version:% = version, error:% = error; "");
+            return;
+        }
+    }
+}
+
+async fn exchange(
+    shared: &Shared,
+    in_force: &InForce,
+    version: &VersionRef,
+    rollout: &Rollout,
+) -> Result<(), KvError> {
+    report(shared, version).await?;
+    let now = shared.clock.now();
+    let has_duty = shared.presence.borrow().rollout_fence(now).is_some();
+    let guard = if has_duty {
+        advance(shared, in_force, version, rollout).await?
+    } else {
+        read(shared, version).await?.map(|(guard, _)| guard)
+    };
+    if let Some(guard) = guard {
+        take(shared, &guard);
+    }
+    Ok(())
+}
+
+async fn report(shared: &Shared, version: &VersionRef) -> Result<(), KvError> {
+    let evidence = {
+        let mut rollouts = shared.rollouts.borrow_mut();
+        let known = rollouts.entry(version, shared.incarnation);
+        if known.written == Some(known.evidence) {
+            return Ok(());
+        }
+        known.evidence
+    };
+    let key = format!("{}{}", evidence_prefix(version), shared.incarnation);
+    let value = serde_json::to_vec(&evidence).unwrap_or_default();
+    shared
+        .kv
+        .txn(Vec::new(), vec![Change::put(key, value)])
+        .await?;
+    shared
+        .rollouts
+        .borrow_mut()
+        .entry(version, shared.incarnation)
+        .written = Some(evidence);
+    Ok(())
+}
+
+/// Pools the evidence of all gateways and replaces the state.
+async fn advance(
+    shared: &Shared,
+    in_force: &InForce,
+    version: &VersionRef,
+    rollout: &Rollout,
+) -> Result<Option<RolloutGuard>, KvError> {
+    let now = shared.clock.unix();
+    let held = read(shared, version).await?;
+    let (mut guard, condition) = if let Some((guard, revision)) = held {
+        (guard, Compare::ModRevision(state_key(version), revision))
+    } else {
+        let weight = in_force.sheet.policy.exposure_weight;
+        let guard = RolloutGuard::new(version.clone(), rollout.max_share, weight, now);
+        (guard, Compare::Absent(state_key(version)))
+    };
+    let entries = shared.kv.list(&evidence_prefix(version)).await?;
+    let reports: Vec<Evidence> = entries
+        .iter()
+        .filter_map(|e| serde_json::from_slice(&e.value).ok())
+        .collect();
+    guard.update(&reports, now);
+    let value = serde_json::to_vec(&guard).unwrap_or_default();
+    let change = Change::put(state_key(version), value);
+    match shared.kv.txn(vec![condition], vec![change]).await? {
+        TxnOutcome::Applied(_) => Ok(Some(guard)),
+        // Another holder was faster; its state is read with the next exchange.
+        TxnOutcome::Conflict => Ok(None),
+    }
+}
+
+async fn read(
+    shared: &Shared,
+    version: &VersionRef,
+) -> Result<Option<(RolloutGuard, u64)>, KvError> {
+    let entry = shared.kv.get(&state_key(version)).await?;
+    Ok(entry.and_then(|entry| {
+        let guard = serde_json::from_slice(&entry.value).ok()?;
+        Some((guard, entry.mod_revision))
+    }))
+}
+
+fn take(shared: &Shared, guard: &RolloutGuard) {
+    let mut rollouts = shared.rollouts.borrow_mut();
+    let known = rollouts.entry(&guard.version, shared.incarnation);
+    let (version, share) = (&guard.version, guard.share());
+    if known.share != share {
+        log::info!(event = "rollout_share", version:% = version, permille = share.0; "");
+    }
+    if let Phase::Stopped(reason) = guard.phase()
+        && !known.stopped
+    {
+        shared.metrics.event("rollouts_stopped");
+        log::warn!(event = "rollout_stopped", version:% = version, reason:% = reason; "");
+    }
+    known.share = share;
+    known.stopped = matches!(guard.phase(), Phase::Stopped(_));
+}
+
+fn state_key(version: &VersionRef) -> String {
+    format!("/fireflywind/rollout/{version}/state")
+}
+
+fn evidence_prefix(version: &VersionRef) -> String {
+    format!("/fireflywind/rollout/{version}/evidence/")
+}
--- a/src/gateway/serve/job.rs
+++ b/src/gateway/serve/job.rs
@@ -1,22 +1,27 @@
 //! One request from its arrival to its record.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
-use actix_rt::time::Instant;
+use actix_rt::time::{Instant, sleep};
 use bytes::Bytes;
 
 use super::super::attempt::{self, Ended, Failed, Whole};
+use super::super::rollouts;
 use super::super::shared::{Shared, draw};
 use super::Ask;
 use super::sinks::{Labels, Reply, Restart};
 use crate::follower::InForce;
 use crate::http::Outgoing;
-use crate::ids::{ClassId, RequestId, UpstreamId, VersionRef};
+use crate::ids::{AccountId, ClassId, RequestId, UpstreamId, VersionRef};
 use crate::ledger::Charge;
+use crate::limits::{LimitKind, Passage, backoff};
 use crate::peer::{Head, RunRequest, Target};
 use crate::record::{Asked, AttemptEnd, Event, Outcome, Record};
 use crate::refusal::{Code, Ran, Refusal};
-use crate::units::Millis;
+use crate::rollout::Observation;
+use crate::suspect::Fingerprint;
+use crate::units::{Millis, Tokens};
 
 /// Attempts of one step that were refused without a run.
 const MAX_ATTEMPTS: u16 = 8;
@@ -71,6 +76,64 @@
     may_have_run: bool,
     /// Whether an agent was lost that may hold the request's charge.
     charge_unknown: bool,
+    /// The request's part of the account's limits, given back when the request ends.
+    limited: Option<Limited>,
+}
+
+/// A request's part of its account's limits; given back when it is dropped.
+#[derive(Debug)]
+struct Limited {
+    shared: Rc<Shared>,
+    account: AccountId,
+    class: ClassId,
+    expected: Tokens,
+    used: Cell<Tokens>,
+}
+
+impl Drop for Limited {
+    fn drop(&mut self) {
+        let mut limits = self.shared.limits.borrow_mut();
+        limits.finish(&self.account, &self.class, self.expected, self.used.get());
+    }
+}
+
+/// Takes a request's part of its account's limits, if there are any for its class.
+fn admit(
+    shared: &Rc<Shared>,
+    in_force: &InForce,
+    ask: &Ask,
+    class: &ClassId,
+    expected: Tokens,
+) -> Result<Option<Limited>, Refusal> {
+    let account = in_force.sheet.account(&ask.account);
+    let limit = account.and_then(|a| a.limits.iter().find(|limit| limit.class == *class));
+    let Some(limit) = limit else {
+        return Ok(None);
+    };
+    let now = shared.clock.now();
+    let admitted = shared
+        .limits
+        .borrow_mut()
+        .admit(&ask.account, limit, expected, now);
+    if let Err(reached) = admitted {
+        let what = match reached.kind {
+            LimitKind::Requests => "requests a second",
+            LimitKind::Tokens => "tokens a minute",
+            LimitKind::Concurrency => "requests in flight",
+        };
+        let why = format!(
+            "account {} reached its limit of {what} for {class}",
+            ask.account
+        );
+        return Err(Refusal::not_run(Code::RateLimited, why).retry_after(reached.retry_after));
+    }
+    Ok(Some(Limited {
+        shared: Rc::clone(shared),
+        account: ask.account.clone(),
+        class: class.clone(),
+        expected,
+        used: Cell::new(expected),
+    }))
 }
 
 impl Job {
@@ -81,14 +144,18 @@
         ask: Ask,
         class: ClassId,
         asked: Asked,
+        expected: Tokens,
     ) -> Result<Self, Refusal> {
+        let limited = admit(shared, &in_force, &ask, &class, expected)?;
         let mut ledger = shared.ledger.borrow_mut();
         if !ledger.has_room() {
             let refusal = Refusal::not_run(Code::Overloaded, "the ledger cannot be stored");
             return Err(refusal.retry_after(FULL_RETRY));
         }
+        shared.retries.borrow_mut().request();
         Ok(Self {
             request: ledger.open_request(),
+            limited,
             shared: Rc::clone(shared),
             in_force,
             ask,
@@ -173,6 +240,10 @@
                 break;
             };
             let upstream = pick.upstream.clone();
+            let Some(passage) = self.pass(&upstream, target) else {
+                tried.push(upstream);
+                continue;
+            };
             let attempt = self.next_attempt;
             self.next_attempt += 1;
             self.events.push(Event::Picked {
@@ -181,8 +252,10 @@
                 pick,
             });
             let req = self.run_request(step, attempt, target, pinned);
+            let was_suspect = self.is_suspect();
             let ended = attempt::run(&self.shared, &upstream, &req, sink).await;
             self.note(step, attempt, &upstream, &ended);
+            self.report(&upstream, target, passage, was_suspect, &ended);
             let failed = match ended {
                 Ended::Whole(whole) => return StepEnd::Whole(whole),
                 Ended::CallerLeft => return StepEnd::CallerLeft,
@@ -211,12 +284,14 @@
                 }
                 let may_repeat = self.ask.idempotency_key.is_none()
                     && matches!(failed.refusal.code, Code::UpstreamFailed)
-                    && resends < MAX_RESENDS;
+                    && resends < MAX_RESENDS
+                    && self.shared.retries.borrow_mut().take();
                 if !may_repeat {
                     return StepEnd::Refused(failed.refusal);
                 }
                 self.shared.metrics.event("resends");
                 resends += 1;
+                sleep(backoff(resends, draw()).duration()).await;
             } else if !is_worth_another(failed.refusal.code) {
                 return StepEnd::Refused(failed.refusal);
             }
@@ -229,6 +304,61 @@
         StepEnd::Refused(last.unwrap_or_else(full))
     }
 
+    /// Asks the circuit of an upstream; `None` if it is open.
+    fn pass(&self, upstream: &UpstreamId, target: &Target) -> Option<Passage> {
+        let Target::Version(version) = target else {
+            return Some(Passage::Open);
+        };
+        let now = self.shared.clock.now();
+        match self
+            .shared
+            .circuits
+            .borrow_mut()
+            .pass(upstream, version, now)
+        {
+            Passage::Blocked(_) => None,
+            passage => Some(passage),
+        }
+    }
+
+    fn is_suspect(&self) -> bool {
+        let fingerprint = Fingerprint::of(&self.ask.account, &self.ask.body);
+        let now = self.shared.clock.unix();
+        self.shared.suspects.borrow().count(fingerprint, now) > 0
+    }
+
+    /// Tells circuit and roll-outs how an attempt ended.
+    fn report(
+        &self,
+        upstream: &UpstreamId,
+        target: &Target,
+        passage: Passage,
+        was_suspect: bool,
+        ended: &Ended,
+    ) {
+        let Target::Version(version) = target else {
+            return;
+        };
+        let (succeeded, observation) = match ended {
+            Ended::Whole(_) => (true, Some(Observation::Answered)),
+            Ended::Unreachable(_) => (false, Some(Observation::DeadVm)),
+            Ended::Refused(failed) if failed.crashed && was_suspect => {
+                (false, Some(Observation::CrashOfSuspect))
+            }
+            Ended::Refused(failed) if failed.refusal.code == Code::UpstreamFailed => {
+                (false, Some(Observation::Failed))
+            }
+            Ended::Refused(_) | Ended::SheetBehind | Ended::CallerLeft => (true, None),
+        };
+        let now = self.shared.clock.now();
+        let mut circuits = self.shared.circuits.borrow_mut();
+        circuits.report(upstream, version, passage, succeeded, now);
+        drop(circuits);
+        if let Some(observation) = observation {
+            rollouts::observe(&self.shared, &self.in_force, version, observation);
+        }
+    }
+
     fn run_request(&self, step: u16, attempt: u16, target: &Target, pinned: bool) -> RunRequest {
         let elapsed = u64::try_from(self.arrival.elapsed().as_millis()).unwrap_or(u64::MAX);
         let idempotent = self.ask.idempotency_key.is_none();
@@ -332,6 +462,10 @@
     fn answered(&mut self, whole: &Whole) -> Outcome {
         let charge = whole.charge.clone().filter(|_| !whole.replayed);
         let amount = charge.as_ref().map(|c| c.amount);
+        if let (Some(limited), Some(charge)) = (&self.limited, &charge) {
+            let (input, output) = charge.item.tokens();
+            limited.used.set(input + output);
+        }
         self.close(charge);
         Outcome::Answered {
             status: whole.status,
--- a/src/gateway/serve/mod.rs
+++ b/src/gateway/serve/mod.rs
@@ -16,12 +16,12 @@
 use crate::http::Outgoing;
 use crate::ids::{AccountId, ClassId, VersionRef};
 use crate::peer::Target;
-use crate::rating::Reach;
+use crate::rating::{Ppm, Reach};
 use crate::record::{Asked, Event, Rated, accepts, refusal_of};
 use crate::refusal::{Code, Ran, Refusal};
 use crate::route::plan::{Accept, PlanStep, plan};
 use crate::sheet::Service;
-use crate::units::Millis;
+use crate::units::{Millis, Permille, Tokens};
 
 use job::{Job, StepEnd};
 use sinks::{Buffer, Reply, Stream};
@@ -60,7 +60,8 @@
     };
     let asked = chatting.chat.asked.clone();
     let (tx, rx) = oneshot::channel();
-    let job = match Job::open(shared, in_force, ask, class, asked) {
+    let expected = chatting.chat.expected_tokens;
+    let job = match Job::open(shared, in_force, ask, class, asked, expected) {
         Ok(job) => job,
         Err(refusal) => return Outgoing::refusal(&refusal),
     };
@@ -78,7 +79,7 @@
     let class: ClassId = service.id.as_str().into();
     let asked = Asked::Service(service.id.clone());
     let (tx, rx) = oneshot::channel();
-    let job = match Job::open(shared, in_force, ask, class, asked) {
+    let job = match Job::open(shared, in_force, ask, class, asked, Tokens(0)) {
         Ok(job) => job,
         Err(refusal) => return Outgoing::refusal(&refusal),
     };
@@ -156,7 +157,8 @@
         Err(refusal) => return StepEnd::Refused(refusal),
     };
     job.set_deadline(deadline);
-    let draws = [draw(), draw(), draw()];
+    let target = input.quality_target;
+    let draws = [draw(), draw(), draw(), draw()];
     let result = plan(&input, draws);
     let event = Event::Planned {
         input: Box::new(input),
@@ -166,14 +168,23 @@
     job.events.push(event);
     match result {
         Err(error) => StepEnd::Refused(refusal_of(&error)),
-        Ok(plan) => run_steps(job, chatting, &class, &plan.steps, reply).await,
+        Ok(plan) => {
+            let quality = Quality { class, target };
+            run_steps(job, chatting, &quality, &plan.steps, reply).await
+        }
     }
 }
 
+/// Class of a request and its quality target.
+struct Quality {
+    class: ClassId,
+    target: Permille,
+}
+
 async fn run_steps(
     job: &mut Job,
     chatting: &Chatting,
-    class: &ClassId,
+    quality: &Quality,
     steps: &[PlanStep],
     reply: &Reply,
 ) -> StepEnd {
@@ -206,7 +217,7 @@
             Reach::Escalated
         };
         let answered = Answered {
-            class: class.clone(),
+            class: quality.class.clone(),
             version: step.version.clone(),
             reach,
             prompt: chat.prompt.as_str().into(),
@@ -229,6 +240,7 @@
             version: step.version.clone(),
         };
         if accepted {
+            note_returned(job, quality, &step.version, rated);
             return given;
         }
         rejected = Some(given);
@@ -238,6 +250,18 @@
     })
 }
 
+/// Counts a returned answer, so that the class meets its target on the whole.
+fn note_returned(job: &Job, of: &Quality, version: &VersionRef, rated: Rated) {
+    let now = job.shared.clock.unix();
+    let table = &mut job.shared.quality.borrow_mut().table;
+    let quality = match rated {
+        Rated::Pass => Ppm::ONE,
+        Rated::Fail => Ppm(0),
+        Rated::Missing => table.estimate(&of.class, version, Reach::First, now).lower,
+    };
+    table.returned(&of.class, of.target, quality);
+}
+
 async fn judge(job: &Job, step: &PlanStep, status: u16, answered: Answered) -> Rated {
     if status != 200 {
         return Rated::Missing;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -5,11 +5,14 @@
 use std::rc::Rc;
 
 use super::links::Links;
+use super::presence::Presence;
 use super::quality::Quality;
+use super::rollouts::Rollouts;
 use crate::clock::Clock;
 use crate::follower::Follower;
 use crate::ids::{DataCentre, Incarnation};
 use crate::ledger::GatewayLedger;
+use crate::limits::{Circuits, LimitTable, RetryBudget};
 use crate::peer::PeerKey;
 use crate::platform::KeyValue;
 use crate::record::{Record, Ring};
@@ -37,6 +40,11 @@
     pub suspects: RefCell<Suspects>,
     pub quality: RefCell<Quality>,
     pub rating: Option<SocketAddr>,
+    pub presence: RefCell<Presence>,
+    pub rollouts: RefCell<Rollouts>,
+    pub limits: RefCell<LimitTable>,
+    pub retries: RefCell<RetryBudget>,
+    pub circuits: RefCell<Circuits>,
     pub records: RefCell<Ring>,
     pub stopping: Cell<bool>,
     pub metrics: Metrics,
@@ -65,6 +73,11 @@
             suspects: RefCell::new(Suspects::new(MAX_REPORTS)),
             quality: RefCell::new(Quality::new(incarnation)),
             rating: cfg.rating,
+            presence: RefCell::default(),
+            rollouts: RefCell::default(),
+            limits: RefCell::new(LimitTable::new(1)),
+            retries: RefCell::default(),
+            circuits: RefCell::default(),
             records: RefCell::new(Ring::new(RING_BYTES)),
             stopping: Cell::new(false),
             metrics: Metrics::open(),
--- a/src/record/tests.rs
+++ b/src/record/tests.rs
@@ -36,6 +36,7 @@
         allow: versions.to_vec(),
         class: "tags".into(),
         quality_target: Permille(800),
+        aim: Ppm(800_000),
         cascade: vec![versions[1].clone(), versions[0].clone()],
         session: None,
         streamed: false,
@@ -51,7 +52,7 @@
 
 /// Returns the record of a request that one step answered.
 fn record() -> Record {
-    let draws = [1, 2, 3];
+    let draws = [1, 2, 3, 4];
     let result = plan(&input(), draws);
     let member = |n: u32| Member {
         upstream: format!("engine-{n}").into(),
