Start the retry budget empty

Change: the budget starts empty; the first retry needs ten requests before it. The test's bound is stricter: a tenth of the requests, without the ten.

Ruled out: a smaller start (any start breaks the bound on a short span).

A gateway cannot retry in its first ten requests.

--- a/src/limits/retry.rs
+++ b/src/limits/retry.rs
@@ -14,17 +14,13 @@
 const BACKOFF_CAP: Millis = Millis::from_secs(5);
 
 /// Sends beyond the first one of each request that are left.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// It starts empty, so that no span from the start has more than a tenth on top of its requests.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RetryBudget {
     saved: u32,
 }
 
-impl Default for RetryBudget {
-    fn default() -> Self {
-        Self { saved: MAX_SAVED }
-    }
-}
-
 impl RetryBudget {
     /// Counts a new request.
     pub fn request(&mut self) {
--- a/src/limits/tests.rs
+++ b/src/limits/tests.rs
@@ -139,7 +139,7 @@
     check(62, property as fn(u8, Vec<(u8, u8, u16, u8)>) -> bool);
 }
 
-// Guards against retry storms: sends beyond a tenth of the requests and the saved ten.
+// Guards against retry storms: sends beyond a tenth of the requests.
 #[test]
 fn retries_stay_within_a_tenth_of_requests() {
     fn property(steps: Vec<bool>) -> bool {
@@ -152,7 +152,7 @@
             } else {
                 sends += u32::from(budget.take());
             }
-            sends * 10 <= requests + 100
+            sends * 10 <= requests
         })
     }
     check(63, property as fn(Vec<bool>) -> bool);
