Test the promise of admission at twice the capacity

Change: a test with 20 slots and service times out of step: goodput of at least 0.95 of the capacity, and 95 in 100 requests of the top priority wait at most a fifth of a service time.

Ruled out: equal service times (all slots end in step, and the top priority waits half a service time whatever the policy).

--- a/src/limits/tests.rs
+++ b/src/limits/tests.rs
@@ -250,3 +250,53 @@
     }
     assert_eq!(circuits, Circuits::default());
 }
+
+// Guards the promise of D12 on a fixed load: at twice the capacity the slots do useful work all the time
+// and 95 in 100 requests of the top priority wait at most a fifth of their service time.
+#[test]
+fn twice_the_capacity_keeps_goodput_and_the_top_priority_fast() {
+    const SLOTS: u64 = 20;
+    const SERVICE: u64 = 1_000;
+    // Equal service times would keep all slots in step.
+    let ends_at = |start: u64, id: u64| start + SERVICE / 2 + id * 617 % (SERVICE + 1);
+    let mut queue = AdmissionQueue::new(20);
+    let mut running: Vec<(u64, Offer)> = Vec::new();
+    let (mut answered, mut top_waits) = (0, Vec::new());
+    // An arrival each 25 ms; the slots serve one each 50 ms.
+    for (id, now) in (0..).zip((0..60_000).step_by(25)) {
+        while let Some(at) = (0..running.len()).min_by_key(|&at| running[at].0)
+            && running[at].0 <= now
+        {
+            let (end, offer) = running.remove(at);
+            answered += u64::from(end <= offer.deadline.0);
+            if let Some(next) = queue.release(Millis(end), &mut Vec::new()) {
+                running.push((ends_at(end, next.id), next));
+                if next.priority == Priority::High {
+                    top_waits.push(end + 5_000 - next.deadline.0);
+                }
+            }
+        }
+        let offer = Offer {
+            id,
+            priority: [
+                Priority::High,
+                Priority::Normal,
+                Priority::Low,
+                Priority::Low,
+            ][usize::try_from(id % 4).unwrap_or(0)],
+            deadline: Millis(now + 5_000),
+            service: Millis(SERVICE),
+        };
+        if queue.offer(offer, Millis(now)) == Admission::Run {
+            running.push((ends_at(now, id), offer));
+        }
+    }
+
+    top_waits.sort_unstable();
+    let p95 = top_waits[top_waits.len() * 95 / 100];
+    assert!(
+        answered * 100 >= 95 * 60 * SLOTS,
+        "{answered} answers in time"
+    );
+    assert!(p95 <= SERVICE / 5, "the top priority waits {p95} ms");
+}
