Do not pay for a hundred-thousandth of quality

Cause: found by a test in progress: while ratings are out and no plan meets the aim, plans ran all steps for 2,473 a request, where the best version alone costs 2,000. An escalating step then gains a hundred-thousandth.

Change: if no plan meets the aim, the cheapest one within 0.001 of the highest quality is taken.

Ruled out: rounding the share of timely ratings to zero (the same happens at any small share).

Deliberate defects, each taken out again: the aim is 0.02 too low, and direct requests always use the record on harder ones; both caught by plans_meet_the_target_below_the_cost_of_the_baselines.

--- a/src/route/plan/cost.rs
+++ b/src/route/plan/cost.rs
@@ -3,6 +3,10 @@
 use super::{Accept, PlanInput, Reason};
 use crate::rating::Estimate;
 
+/// Quality that is not worth a higher cost while no plan meets the target. While ratings are out, a step
+/// that escalates nearly always gains a hundred-thousandth at the full cost of its run.
+const QUALITY_MARGIN: f64 = 0.001;
+
 /// A step with what the search needs of it.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Priced {
@@ -178,7 +182,8 @@
     }
 }
 
-/// Returns the cheapest mixture of plans that meets the target, or else the plan of highest quality.
+/// Returns the cheapest mixture of plans that meets the target, or else the cheapest plan of nearly the
+/// highest quality.
 ///
 /// Quality and cost of a mixture are the weighted means of its plans', so the cheapest one lies on the
 /// upper edge of the convex hull of all plans in the plane of cost and quality, where the edge crosses
@@ -202,7 +207,9 @@
             (mixture, Reason::CheapestAtTarget)
         }
         None => {
-            let best = edge.last().copied();
+            let highest = edge.last().map_or(0.0, |c| c.quality);
+            let best = edge.iter().find(|c| c.quality >= highest - QUALITY_MARGIN);
+            let best = best.copied();
             let best = best.unwrap_or_else(|| evaluate(steps, terms, 1));
             (Mixture::single(best), Reason::HighestQuality)
         }
--- a/src/route/plan/tests.rs
+++ b/src/route/plan/tests.rs
@@ -5,7 +5,11 @@
 use super::cost::{Choice, Priced, Terms};
 use super::*;
 use crate::fixtures::check;
+use crate::ids::Incarnation;
+use crate::rating::{Outcome, RatingTable, Reach};
+use crate::units::Millis;
 
+const NOW: Millis = Millis::from_secs(1_000_000);
 const VERSIONS: [&str; 6] = ["a/v1", "a/v2", "b/v1", "b/v2", "c/v1", "d/v1"];
 
 #[derive(Debug, Clone)]
@@ -230,12 +234,13 @@
         let of = |high: f64, low: f64| found.high_share * high + (1.0 - found.high_share) * low;
         let cost = of(found.high.cost, found.low.cost);
         let quality = of(found.high.quality, found.low.quality);
-        TestResult::from_bool(match reason {
-            Reason::CheapestAtTarget => {
-                let cheapest = (cost - lowest).abs() <= 1e-6 * lowest.max(1.0);
-                cheapest && quality >= terms.aim - 1e-9
-            }
-            _ => lowest.is_infinite() && (quality - highest).abs() < 1e-9,
+        let near = all.iter().filter(|c| c.quality >= highest - 1e-9);
+        let bound = near.map(|c| c.cost).fold(f64::INFINITY, f64::min);
+        TestResult::from_bool(if reason == Reason::CheapestAtTarget {
+            let cheapest = (cost - lowest).abs() <= 1e-6 * lowest.max(1.0);
+            cheapest && quality >= terms.aim - 1e-9
+        } else {
+            lowest.is_infinite() && quality >= highest - 0.001_001 && cost <= bound + 1e-6
         })
     }
     check(23, property as fn(Case) -> TestResult);
@@ -268,3 +273,139 @@
     input.allow.pop();
     assert_eq!(served(&input, "a/v1"), 1_000);
 }
+
+/// A class with known pass rates of three versions, served request by request.
+struct World {
+    table: RatingTable,
+    input: PlanInput,
+    draws: u64,
+}
+
+impl World {
+    const RATES: [u64; 3] = [550, 820, 960];
+
+    fn open() -> Self {
+        let mut g = Gen::from_size_and_seed(10, 25);
+        let mut input = Case::arbitrary(&mut g).input;
+        let names = ["a/v1", "b/v1", "c/v1"];
+        input.candidates = names.map(|name| candidate(&mut g, name)).to_vec();
+        for (c, cost) in input.candidates.iter_mut().zip([100, 400, 2_000]) {
+            c.state = VersionState::Serving;
+            c.routable = true;
+            c.cost_per_1k = Micros(cost);
+        }
+        input.cascade = names.map(version).to_vec();
+        input.allow.clone_from(&input.cascade);
+        input.session = None;
+        input.streamed = false;
+        input.quality_target = Permille(920);
+        input.expected_tokens = Tokens(1_000);
+        Self {
+            table: RatingTable::new(Incarnation(1)),
+            input,
+            draws: 0,
+        }
+    }
+
+    fn draw(&mut self) -> u64 {
+        // SplitMix64; quickcheck's integers favour limits.
+        self.draws = self.draws.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.draws;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    fn learn(&mut self) {
+        let class = &self.input.class;
+        for c in &mut self.input.candidates {
+            c.first = self.table.estimate(class, &c.version, Reach::First, NOW);
+            c.escalated = self
+                .table
+                .estimate(class, &c.version, Reach::Escalated, NOW);
+        }
+    }
+
+    /// Serves one request; returns its cost and whether its answer is good.
+    fn serve(&mut self, kind: Option<Baseline>, rater_is_up: bool) -> (u64, bool) {
+        let class = self.input.class.clone();
+        self.input.aim = self.table.aim(&class, self.input.quality_target);
+        self.input.rated_in_time = self.table.rated_in_time(&class);
+        let draws = [(); DRAWS].map(|()| self.draw());
+        let plan = match kind {
+            Some(kind) => baseline(kind, &self.input, draws),
+            None => plan(&self.input, draws),
+        };
+        let (mut cost, mut good, mut reach) = (0, false, Reach::First);
+        let mut quality = Ppm(0);
+        for step in plan.expect("all versions serve").steps {
+            let found = self.input.cascade.iter().position(|v| *v == step.version);
+            let at = found.expect("the step is of the cascade");
+            cost += self.input.candidates[at].cost_per_1k.0;
+            good = self.draw() % 1_000 < Self::RATES[at];
+            let outcome = match (rater_is_up, good) {
+                (true, true) => Outcome::Pass,
+                (true, false) => Outcome::Fail,
+                (false, _) => Outcome::Missing,
+            };
+            self.table
+                .observe(&class, &step.version, reach, outcome, NOW);
+            quality = match outcome {
+                Outcome::Missing => self.input.candidates[at].first.lower,
+                _ => Ppm(u32::from(good) * Ppm::ONE.0),
+            };
+            let returned = match step.accept {
+                Accept::Final => true,
+                Accept::UnlessRatedFail => outcome != Outcome::Fail,
+                Accept::IfRatedPass => outcome == Outcome::Pass,
+            };
+            if returned {
+                break;
+            }
+            if outcome == Outcome::Fail {
+                reach = Reach::Escalated;
+            }
+        }
+        self.table
+            .returned(&class, self.input.quality_target, quality);
+        (cost, good)
+    }
+
+    /// Serves 4,000 requests; the rating service is out during the given ones. Returns the cost, the good
+    /// answers, and the cost during the outage.
+    fn run(kind: Option<Baseline>, outage: &std::ops::Range<u32>) -> (u64, u64, u64) {
+        let mut world = Self::open();
+        let (mut cost, mut good, mut cost_during) = (0, 0, 0);
+        for n in 0..4_000 {
+            if n % 50 == 0 {
+                world.learn();
+            }
+            let is_out = outage.contains(&n);
+            let served = world.serve(kind, !is_out);
+            cost += served.0;
+            cost_during += u64::from(is_out) * served.0;
+            good += u64::from(served.1);
+        }
+        (cost, good, cost_during)
+    }
+}
+
+// Guards the promise of D10 on fixed draws: the target is met from a cold start, at a cost well below
+// that of the obvious versions.
+#[test]
+fn plans_meet_the_target_below_the_cost_of_the_baselines() {
+    let (cost, good, _) = World::run(None, &(0..0));
+
+    assert!(
+        good >= 3_680,
+        "{good} of 4,000 are good, 920 in 1,000 asked"
+    );
+    for kind in [
+        Baseline::AlwaysBest,
+        Baseline::CheapestFirst,
+        Baseline::PlainCascade,
+    ] {
+        let (other, ..) = World::run(Some(kind), &(0..0));
+        assert!(cost * 10 < other * 9, "{cost} against {other} of {kind:?}");
+    }
+}
