Add the demo of the whole path in one process

Cause: a newcomer needs one command that shows what the router does and fails if a property does not hold.

Change: fireflywind demo starts the stand-ins, four agents and two gateways on one arbiter, puts a sheet into force, serves a mix with cascades and streams, a session over a roll-out, an order that is sent twice, and a withdrawal; it prints outcomes, one explanation and the bill, replays every record, and exits with code 10 if a property was broken.

Ruled out: a scripted transcript (it could not fail).

--- a/src/bin/fireflywind/cli.rs
+++ b/src/bin/fireflywind/cli.rs
@@ -23,6 +23,7 @@
   explain  Tell why a request had its outcome
   replay   Compute the decisions of recorded requests again
   bill     Print what each client account owes
+  demo     Run the whole path in one process against built-in stand-ins
   drain    Let a version finish its sessions and take no new ones
 
 Options:
@@ -30,7 +31,7 @@
   -V, --version  Print the version
 
 Exit codes: 0 success, 1 differences, 2 usage, 3 invalid file, 4 conflict, 5 unknown outcome,
-6 service unavailable, 7 processes behind, 8 replay differs, 9 not found
+6 service unavailable, 7 processes behind, 8 replay differs, 9 not found, 10 demo failed
 ";
 
 const CHECK: Verb = Verb {
@@ -170,8 +171,20 @@
     files: 1..=1,
 };
 
-const VERBS: [Verb; 9] = [
-    CHECK, APPLY, SHOW, DIFF, STATUS, EXPLAIN, REPLAY, BILL, DRAIN,
+const DEMO: Verb = Verb {
+    name: "demo",
+    help: "\
+Runs the whole path in one process against built-in stand-ins and prints the outcomes, an
+explanation and the bill. Fails if a property was broken.
+
+Usage: fireflywind demo
+",
+    options: &[],
+    files: 0..=0,
+};
+
+const VERBS: [Verb; 10] = [
+    CHECK, APPLY, SHOW, DIFF, STATUS, EXPLAIN, REPLAY, BILL, DRAIN, DEMO,
 ];
 
 struct Verb {
--- a/src/bin/fireflywind/exit_codes.rs
+++ b/src/bin/fireflywind/exit_codes.rs
@@ -26,6 +26,8 @@
     ReplayDiffers = 8,
     /// No gateway has the record, or the sheet has no such version.
     NotFound = 9,
+    /// `demo` broke a property or could not run.
+    DemoFailed = 10,
 }
 
 impl From<ExitCode> for process::ExitCode {
--- a/src/bin/fireflywind/verbs.rs
+++ b/src/bin/fireflywind/verbs.rs
@@ -58,6 +58,7 @@
         ("check", [file]) => check(file, options, io),
         ("diff", [old, new]) => diff_files(old, new, options, io),
         ("replay", [file]) => records::replay(file, io),
+        ("demo", _) => demo(io),
         _ => with_platform(verb, options, io),
     };
     code(result)
@@ -82,6 +83,20 @@
     })
 }
 
+fn demo(io: &mut Io<'_>) -> Result<ExitCode, Stop> {
+    match fireflywind::demo::run() {
+        Ok(report) => {
+            write!(io.out, "{report}")?;
+            Ok(if report.is_sound() {
+                ExitCode::Success
+            } else {
+                ExitCode::DemoFailed
+            })
+        }
+        Err(error) => Ok(io.fail(ExitCode::DemoFailed, error)?),
+    }
+}
+
 /// Runs a verb on the key-value service.
 pub async fn run_on(
     verb: &str,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod agent;
 pub mod clock;
 pub mod daemon;
+pub mod demo;
 pub mod dissemination;
 pub mod fencing;
 #[cfg(test)]
