--- a/src/dissemination/mod.rs
+++ b/src/dissemination/mod.rs
@@ -7,6 +7,8 @@
 mod peers;
 mod replica;
 mod root;
+#[cfg(test)]
+mod tests;
 mod topology;
 
 use std::fmt;
