Count unrated answers with the bound that the plan used

Cause: an unrated answer of the last step was counted with its direct lower bound, which has little evidence, so an outage of the ratings pulled the aim far above the target.

Change: each step of a plan carries the lower bounds that the plan was made with; they are what RatingTable::returned takes for an unrated answer.

Deliberate defect: no margin of quality; caught by plans_meet_the_target_while_ratings_are_out; taken out again. Not caught by any test: a plan that takes all ratings for timely, and one that returns any unrated answer, since the aim makes up for both in the test's world.

--- a/examples/experiment/cost/mod.rs
+++ b/examples/experiment/cost/mod.rs
@@ -9,7 +9,7 @@
 use fireflywind::ids::{ClassId, Incarnation, VersionRef};
 use fireflywind::rating::{Outcome, Ppm, RatingTable, Reach};
 use fireflywind::route::plan::{
-    Accept, Baseline, CandidateInput, EXPLORE, Plan, PlanInput, baseline, plan,
+    Accept, Baseline, CandidateInput, EXPLORE, Plan, PlanInput, PlanStep, baseline, plan,
 };
 use fireflywind::sheet::VersionState;
 use fireflywind::units::{Micros, Millis, Permille, Tokens};
@@ -168,7 +168,7 @@
                 Accept::IfRatedPass => rated == Some(true),
             };
             if returned {
-                self.returned(request.class, at, reach, rated);
+                self.returned(request.class, &step, reach, rated);
                 break;
             }
             if rated == Some(false) {
@@ -179,14 +179,13 @@
         self.tally.good[request.class] += u64::from(good);
     }
 
-    fn returned(&mut self, class: usize, at: usize, reach: Reach, rated: Option<bool>) {
+    fn returned(&mut self, class: usize, step: &PlanStep, reach: Reach, rated: Option<bool>) {
         let input = &self.inputs[class];
-        let candidate = &input.candidates[self.mix.versions.partition_point(|v| *v < at)];
-        let estimate = match reach {
-            Reach::First => candidate.first,
-            Reach::Escalated => candidate.escalated,
+        let unrated = match reach {
+            Reach::First => step.first,
+            Reach::Escalated => step.escalated,
         };
-        let quality = rated.map_or(estimate.lower, |good| Ppm(u32::from(good) * Ppm::ONE.0));
+        let quality = rated.map_or(unrated, |good| Ppm(u32::from(good) * Ppm::ONE.0));
         self.table
             .returned(&input.class, input.quality_target, quality);
     }
--- a/src/route/plan/mod.rs
+++ b/src/route/plan/mod.rs
@@ -108,6 +108,12 @@
     pub version: VersionRef,
     /// When its answer is returned to the caller.
     pub accept: Accept,
+    /// Lower bound of the quality of its answer, for [`RatingTable::returned`] if it stays unrated.
+    ///
+    /// [`RatingTable::returned`]: crate::rating::RatingTable::returned
+    pub first: Ppm,
+    /// The same after an earlier step was rated and failed.
+    pub escalated: Ppm,
 }
 
 /// When the answer of a step is returned.
--- a/src/route/plan/steps.rs
+++ b/src/route/plan/steps.rs
@@ -62,6 +62,8 @@
         steps: vec![PlanStep {
             version: session.clone(),
             accept: Accept::Final,
+            first: candidate.first.lower,
+            escalated: candidate.escalated.lower,
         }],
         expected_cost: candidate.cost_per_1k.for_tokens(input.expected_tokens),
         expected_quality: candidate.first.lower,
@@ -146,13 +148,18 @@
     let terms = Terms::of(input);
     let last = choice.mask.ilog2() as usize;
     let chosen = (0..usable.len()).filter(|at| choice.mask & (1 << at) != 0);
-    let steps = chosen.map(|at| PlanStep {
-        version: usable[at].runs.version.clone(),
-        accept: match reason {
-            _ if at == last => Accept::Final,
-            Reason::Baseline => Accept::IfRatedPass,
-            _ => terms.accept(&usable[at].priced(input)),
-        },
+    let steps = chosen.map(|at| {
+        let priced = usable[at].priced(input);
+        PlanStep {
+            version: usable[at].runs.version.clone(),
+            accept: match reason {
+                _ if at == last => Accept::Final,
+                Reason::Baseline => Accept::IfRatedPass,
+                _ => terms.accept(&priced),
+            },
+            first: priced.first.lower,
+            escalated: priced.escalated.lower,
+        }
     });
     let verdict = |c: &CandidateInput| {
         let refused = refusal(input, c);
--- a/src/route/plan/tests.rs
+++ b/src/route/plan/tests.rs
@@ -351,7 +351,7 @@
             self.table
                 .observe(&class, &step.version, reach, outcome, NOW);
             quality = match outcome {
-                Outcome::Missing => self.input.candidates[at].first.lower,
+                Outcome::Missing => step.first,
                 _ => Ppm(u32::from(good) * Ppm::ONE.0),
             };
             let returned = match step.accept {
@@ -409,3 +409,21 @@
         assert!(cost * 10 < other * 9, "{cost} against {other} of {kind:?}");
     }
 }
+
+// Guards against plans that count on ratings while the rating service is out: unrated answers of a cheap
+// version would miss the target, and escalating all of them would cost more than the best version.
+#[test]
+fn plans_meet_the_target_while_ratings_are_out() {
+    let (_, good, during) = World::run(None, &(1_500..3_000));
+
+    assert!(
+        good >= 3_680,
+        "{good} of 4,000 are good, 920 in 1,000 asked"
+    );
+    let best = 1_500 * 2_000;
+    // Exploration and the first requests of the outage, which still wait for ratings, cost extra.
+    assert!(
+        during * 100 < best * 105,
+        "{during} against {best} of the best version"
+    );
+}
