Forget the surplus and timeliness of unused classes

Cause: RatingTable::retain dropped rows, but kept two entries for each class ever seen, so the table's size was not bounded over changes of the sheet.

Change: entries of classes without a row are dropped as well.

Ruled out: a fixed cap (the sheet's classes are few; unused ones are the only growth).

No test of its own.

Conclusion: the table is bounded by the versions and classes in use.

--- a/src/rating/mod.rs
+++ b/src/rating/mod.rs
@@ -363,6 +363,10 @@
     /// Drops the rows for which `keep` is false, such as those of withdrawn versions.
     pub fn retain(&mut self, mut keep: impl FnMut(&ClassId, &VersionRef) -> bool) {
         self.rows.retain(|row| keep(&row.class, &row.version));
+        let rows = &self.rows;
+        let in_use = |class: &ClassId| rows.iter().any(|row| row.class == *class);
+        self.timely.retain(|t| in_use(&t.class));
+        self.surplus.retain(|s| in_use(&s.class));
     }
 
     fn find(&self, class: &ClassId, version: &VersionRef, reach: Reach) -> Result<usize, usize> {
