Ignore late results of probes that were given up

Cause: a probe's result that came after its timeout was taken for the result of the next probe, so a second probe could be in flight.

Change: Passage::Probe carries the time of its send, and only the result of the present probe counts.

Ruled out: a longer timeout (a result can always be later).

Conclusion: there is one probe at a time.

--- a/src/limits/circuit.rs
+++ b/src/limits/circuit.rs
@@ -23,8 +23,8 @@
 pub enum Passage {
     /// Yes.
     Open,
-    /// Yes, as the one request that tests whether the upstream has recovered.
-    Probe,
+    /// Yes, as the one request that tests whether the upstream has recovered; with the time of its send.
+    Probe(Millis),
     /// No; ask again after this time.
     Blocked(Millis),
 }
@@ -89,7 +89,7 @@
                     passed,
                     span,
                 };
-                Passage::Probe
+                Passage::Probe(now)
             }
         }
     }
@@ -170,7 +170,14 @@
                 State::Closed { results, failures }
             }
         }
-        (State::HalfOpen { passed, span, .. }, Passage::Probe) => match (succeeded, passed + 1) {
+        (
+            State::HalfOpen {
+                probe: Some(sent),
+                passed,
+                span,
+            },
+            Passage::Probe(reported),
+        ) if sent == reported => match (succeeded, passed + 1) {
             (false, _) => open(longer(span), now),
             (true, PROBES) => CLOSED,
             (true, passed) => State::HalfOpen {
@@ -179,7 +186,8 @@
                 span,
             },
         },
-        // Results of requests that were sent before the circuit opened say nothing new.
+        // Results of requests that were sent before the circuit opened, and of probes that were given up,
+        // say nothing new.
         (State::Open { .. } | State::HalfOpen { .. }, _) => state,
     }
 }
--- a/src/limits/tests.rs
+++ b/src/limits/tests.rs
@@ -212,7 +212,7 @@
             let succeeded = kind % 3 == 0;
             match circuits.pass(&upstream, &version, now) {
                 // Leaves a probe without a result now and then.
-                Passage::Probe if kind > 200 => {
+                Passage::Probe(_) if kind > 200 => {
                     let alone = probe.is_none_or(|sent| now.since(sent) >= Millis(10_000));
                     probe = Some(now);
                     alone
@@ -220,7 +220,7 @@
                 Passage::Blocked(wait) => {
                     let mut later = circuits.clone();
                     let passage = later.pass(&upstream, &version, now + wait);
-                    let opens = passage == Passage::Probe || probe.is_some();
+                    let opens = matches!(passage, Passage::Probe(_)) || probe.is_some();
                     failures >= 3 && wait <= Millis(30_000) && opens
                 }
                 passage => {
@@ -241,12 +241,17 @@
     }
     let blocked = circuits.pass(&upstream, &version, Millis(0));
     assert_eq!(blocked, Passage::Blocked(Millis(1_000)));
+    // A probe that is given up after ten seconds opens the circuit for two; its late result is nothing.
+    let lost = circuits.pass(&upstream, &version, Millis(1_000));
+    let blocked = circuits.pass(&upstream, &version, Millis(11_000));
+    assert_eq!(blocked, Passage::Blocked(Millis(2_000)));
     for _ in 0..3 {
-        assert_eq!(
-            circuits.pass(&upstream, &version, Millis(1_000)),
-            Passage::Probe
-        );
-        circuits.report(&upstream, &version, Passage::Probe, true, Millis(1_000));
+        let probe = circuits.pass(&upstream, &version, Millis(13_000));
+        assert_eq!(probe, Passage::Probe(Millis(13_000)));
+        circuits.report(&upstream, &version, lost, true, Millis(13_000));
+        let blocked = circuits.pass(&upstream, &version, Millis(13_000));
+        assert_eq!(blocked, Passage::Blocked(Millis(10_000)));
+        circuits.report(&upstream, &version, probe, true, Millis(13_000));
     }
     assert_eq!(circuits, Circuits::default());
 }
