Keep requests away from an engine that is restarting

Cause: a new process test sent a request that crashes its engine 20 times among innocent ones. It failed: an innocent request met the engine in its restart, its connection was closed, the agent took that for another crash, and two such meetings made the innocent request a refused suspect for an hour.

Change: after a crash the agent asks the engine for its load until it answers, and refuses runs as not run meanwhile; the gateway goes to another upstream.

Ruled out: fewer crashes counted for requests that got no byte (the killing request gets none either); a fixed pause (a restart takes as long as it takes).

Before: a_killing_request_runs_on_two_upstreams_at_most failed after 60 s without an answer to an innocent request. After: it passes in 0.3 s; the killing request ran at most twice. Also new: a silent connection in mid-stream, a stopped agent, a session through another gateway; 14 process tests pass.

--- a/src/agent/engine.rs
+++ b/src/agent/engine.rs
@@ -13,10 +13,13 @@
 use crate::peer::{RunRequest, Target};
 use crate::refusal::{Code, Ran, Refusal};
 use crate::suspect::{Admit, Fingerprint, Run};
-use crate::units::Tokens;
+use crate::units::{Millis, Tokens};
 use crate::upstream::UpstreamError;
 use crate::upstream::engine::{Completion, EngineClient};
 
+/// Time between two questions to an engine that crashed.
+const PROBE_INTERVAL: Millis = Millis(200);
+
 /// Why a run gave no whole answer.
 struct Failed {
     refusal: Refusal,
@@ -74,6 +77,10 @@
         return Err(Refusal::not_run(Code::Stopping, "agent is stopping").into());
     };
     admit_suspect(shared, req, run).await?;
+    if !shared.engine_up.get() {
+        // A request that met an engine in its restart would look like one that crashed it.
+        return Err(Refusal::not_run(Code::UpstreamFailed, "engine is restarting").into());
+    }
     let Client::Engine(engine) = &shared.client else {
         return Err(Refusal::not_run(Code::NoUpstream, "upstream is no engine").into());
     };
@@ -209,6 +216,8 @@
         return;
     }
     let crash = suspects.crash(shared.clock.unix());
+    shared.engine_up.set(false);
+    actix_rt::spawn(await_engine(Rc::clone(shared)));
     shared.metrics.event("engine_crashes");
     log::warn!(
         event = "engine_crashed",
@@ -219,6 +228,18 @@
     );
 }
 
+/// Asks the engine for its load until it answers.
+async fn await_engine(shared: Rc<Shared>) {
+    let Client::Engine(engine) = &shared.client else {
+        return;
+    };
+    while engine.load().await.is_err() {
+        actix_rt::time::sleep(PROBE_INTERVAL.duration()).await;
+    }
+    shared.engine_up.set(true);
+    log::info!(event = "engine_recovered", upstream = shared.upstream.as_str(); "");
+}
+
 fn cancelled() -> Refusal {
     Refusal::after_run(Code::UpstreamFailed, Ran::Unknown, "run was cancelled").resend_safe()
 }
--- a/src/agent/shared.rs
+++ b/src/agent/shared.rs
@@ -61,6 +61,8 @@
     /// Keyed calls whose outcome is not stored yet.
     pub outcome_writes: Cell<u32>,
     pub leaving: Cell<bool>,
+    /// Whether the engine answers; unset between a crash and the engine's next answer.
+    pub engine_up: Cell<bool>,
     pub metrics: Metrics,
 }
 
@@ -102,6 +104,7 @@
             calls: Cell::new(0),
             outcome_writes: Cell::new(0),
             leaving: Cell::new(false),
+            engine_up: Cell::new(true),
             metrics: Metrics::open(),
         })
     }
--- a/tests/processes/faults.rs
+++ b/tests/processes/faults.rs
@@ -3,6 +3,7 @@
 use serde_json::json;
 
 use crate::fixture::{Site, new_key, prompt, text, wait_for};
+use crate::proxy::Proxy;
 
 fn site(test: &str) -> Site {
     let mut site = Site::start(test);
@@ -201,3 +202,129 @@
         text(&output)
     );
 }
+
+// Guards against an answer that stops for ever, or loses or repeats bytes, when its connection goes silent.
+#[test]
+fn a_connection_that_goes_silent_in_mid_stream_is_replaced() {
+    let mut site = Site::start("silent");
+    site.add_engine("engine-a", "dc-a", &["small/v1", "large/v1"]);
+    let proxy = Proxy::start(site.upstreams[0].agent.addr);
+    site.upstreams[0].reached_at = Some(proxy.addr);
+    site.add_service("orders-a", "dc-a", "orders");
+    site.add_gateway("gateway-a", "dc-a");
+    site.apply(&site.sheet());
+    site.wait_ready(0, 2);
+    let text = "silent [[tokens=60]] [[delay=50]]";
+    let mut body = prompt("large/v1", text);
+    body["stream"] = json!(true);
+    let before = (proxy.forwarded(), proxy.connections());
+
+    let answer = std::thread::scope(|scope| {
+        let site = &site;
+        let stream = scope.spawn(move || site.chat(0, &body, &[]));
+        wait_for("bytes of the stream", || {
+            proxy.forwarded() > before.0 + 4_000
+        });
+        proxy.silence();
+        stream.join().expect("no panic").expect("an answer")
+    });
+
+    assert_eq!((answer.status, answer.whole), (200, true));
+    let events = String::from_utf8_lossy(&answer.body).into_owned();
+    let expected = fireflywind::standin::engine::answer_text("large/v1", text, 60);
+    assert_eq!(stream_text(&events), expected);
+    assert!(proxy.connections() > before.1, "no new connection was made");
+}
+
+/// Joins the text of a streamed chat completion.
+fn stream_text(events: &str) -> String {
+    let data = events
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "));
+    let events = data.filter_map(|data| serde_json::from_str::<serde_json::Value>(data).ok());
+    let deltas = events.filter_map(|event| {
+        event["choices"][0]["delta"]["content"]
+            .as_str()
+            .map(str::to_owned)
+    });
+    deltas.collect()
+}
+
+// Guards against a request that takes down one upstream after the other as its caller sends it again.
+#[test]
+fn a_killing_request_runs_on_two_upstreams_at_most() {
+    let mut site = Site::start("crash");
+    for name in ["engine-a", "engine-b", "engine-c", "engine-d"] {
+        site.add_engine(name, "dc-a", &["small/v1", "large/v1"]);
+    }
+    site.add_service("orders-a", "dc-a", "orders");
+    site.add_gateway("gateway-a", "dc-a");
+    site.add_gateway("gateway-b", "dc-a");
+    site.apply(&site.sheet());
+    site.wait_ready(0, 5);
+    site.wait_ready(1, 5);
+    let killer = "bring it down [[crash=3]]";
+
+    let mut last = None;
+    for n in 0..20 {
+        last = site.chat(n % 2, &prompt("large/v1", killer), &[]);
+        let innocent = prompt("large/v1", &format!("innocent {n}"));
+        wait_for("answer to an innocent request", || {
+            site.chat(n % 2, &innocent, &[])
+                .is_some_and(|a| a.status == 200)
+        });
+    }
+
+    let runs = site.engine_runs(killer);
+    assert!(runs <= 2, "the request ran {runs} times");
+    let last = last.expect("an answer");
+    assert_eq!(
+        (last.status, last.code().as_str()),
+        (422, "request_crashes_upstream")
+    );
+}
+
+// Guards against a gateway that waits for a stopped agent, and against one that never uses it again.
+#[test]
+fn a_stopped_agent_is_passed_by_and_used_again_later() {
+    let site = site("stopped");
+    let answered = |text: &str| {
+        let answer = site.chat(0, &prompt("large/v1", text), &[]);
+        answer.is_some_and(|a| a.status == 200)
+    };
+    site.upstreams[0].agent.signal("STOP");
+
+    wait_for("answer while an agent is stopped", || answered("stopped"));
+    site.upstreams[0].agent.signal("CONT");
+    site.wait_ready(0, 3);
+
+    assert!(answered("goes on"));
+}
+
+// Guards against a session that changes its version in another gateway, after its own is gone.
+#[test]
+fn a_session_stays_on_its_version() {
+    let mut site = site("session");
+    let first = site
+        .chat(0, &prompt("large/v1", "start"), &[])
+        .expect("an answer");
+    let token = first
+        .header("fireflywind-session")
+        .expect("a session")
+        .to_owned();
+    site.gateways[0].kill();
+
+    let headers = [("fireflywind-session", token.as_str())];
+    for n in 0..10 {
+        let answer = site.chat(1, &prompt("tags", &format!("go on {n}")), &headers);
+        let answer = answer.expect("an answer");
+        assert_eq!(
+            answer.header("fireflywind-version"),
+            Some("large/v1"),
+            "{answer:?}"
+        );
+    }
+    let forged = format!("{}x", &token[..token.len() - 1]);
+    let answer = site.chat(1, &prompt("tags", "x"), &[("fireflywind-session", &forged)]);
+    assert_eq!(answer.expect("an answer").code(), "bad_session");
+}
--- a/tests/processes/fixture.rs
+++ b/tests/processes/fixture.rs
@@ -241,6 +241,8 @@
     pub process: Process,
     pub agent: Process,
     data_centre: String,
+    /// Address that the sheet names in place of the agent's own.
+    pub reached_at: Option<SocketAddr>,
     serves: Value,
     kind: &'static str,
 }
@@ -291,6 +293,7 @@
             name,
             process,
             agent,
+            reached_at: None,
             data_centre,
             serves,
             kind,
@@ -354,7 +357,7 @@
             .iter()
             .map(|u| {
                 json!({
-                    "id": u.name, "agent": u.agent.addr, "data_centre": u.data_centre,
+                    "id": u.name, "agent": u.reached_at.unwrap_or(u.agent.addr), "data_centre": u.data_centre,
                     "serves": u.serves,
                 })
             })
@@ -449,6 +452,16 @@
         )
     }
 
+    /// Returns how often an engine ran a prompt.
+    pub fn engine_runs(&self, prompt: &str) -> usize {
+        let digest = sha256(prompt);
+        let engines = self.upstreams.iter().filter(|u| u.kind == "engine");
+        let runs = engines.filter_map(|u| http(u.process.addr, "GET", "/runs", &[], ""));
+        let runs: Vec<_> = runs.map(|runs| runs.json()).collect();
+        let runs = runs.iter().filter_map(Value::as_array).flatten();
+        runs.filter(|run| run["prompt"] == digest.as_str()).count()
+    }
+
     /// Returns the runs of a plain service.
     pub fn service_runs(&self, name: &str) -> Value {
         let upstream = self
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -2,4 +2,5 @@
 
 mod faults;
 mod fixture;
+mod proxy;
 mod whole_path;
