Heed the VM list, order engines under the duty, pool ratings

Cause: three gaps against the design. No process gave orders to engines, so the fencing of the agents had no caller. Each gateway learned pass rates alone.

Change: gateways read the list every 2 s; a VM that the list calls leaving gets no new work, unless the list may still mean the VM it replaced (60 s). The gateway with the duty tells each engine which versions to load, with its fencing token. Pass rates are pooled every 30 s; their counts only grow and merge by maximum. Wanted upstreams are chosen anew each second, so lost ones are replaced. Failed requests say that a resend is safe.

Tests: an_upstream_that_the_list_calls_leaving_gets_no_new_work and a_replacement_is_used_while_the_list_still_speaks_of_the_old_vm failed before the change.

Ruled out: treating the list as stronger than any life sign (a stale entry would keep a VM's replacement out).

--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -9,6 +9,7 @@
 
 use super::shared::{Client, Shared};
 use crate::fencing::{EngineOrders, Fence, OrderEffect, OrderEnd, SETTLE, Verdict, fence_key};
+use crate::gateway::DUTY;
 use crate::upstream::UpstreamError;
 
 /// Status with which an engine refuses an order of an old fencing token.
@@ -22,11 +23,6 @@
     last: u64,
 }
 
-/// Returns the duty under which orders to an upstream are given.
-pub(super) fn duty(upstream: &str) -> String {
-    format!("engine/{upstream}")
-}
-
 /// Starts to take orders, if the upstream is an engine.
 pub(super) fn start(shared: &Rc<Shared>) {
     if !matches!(shared.client, Client::Engine(_)) {
@@ -124,7 +120,7 @@
 }
 
 async fn read_highest(shared: Rc<Shared>) {
-    let key = fence_key(&duty(shared.upstream.as_str()));
+    let key = fence_key(DUTY);
     let read = shared.kv.get(&key).await;
     let highest = read.map(|entry| Fence::highest(entry.as_ref()));
     let now = shared.clock.now();
--- a/src/bin/fireflywind-standin/cli.rs
+++ b/src/bin/fireflywind-standin/cli.rs
@@ -7,7 +7,7 @@
 use serde::de::DeserializeOwned;
 
 const USAGE: &str = "\
-usage: fireflywind-standin kv [--listen IP:PORT]
+usage: fireflywind-standin kv|vms [--listen IP:PORT]
        fireflywind-standin engine [--listen IP:PORT] [--behaviour JSON] [--checks-fencing] [--slots N]
        fireflywind-standin service|rating [--listen IP:PORT] [--behaviour JSON]";
 
@@ -16,6 +16,8 @@
 pub enum Kind {
     /// The key-value service.
     Kv,
+    /// The list of VMs.
+    Vms,
     /// A model engine.
     Engine(engine::Options, engine::Behaviour),
     /// A plain service.
@@ -55,6 +57,7 @@
     }
     let kind = match name.as_deref() {
         Some("kv") => Kind::Kv,
+        Some("vms") => Kind::Vms,
         Some("engine") => Kind::Engine(options, json(&behaviour)?),
         Some("service") => Kind::Service(json(&behaviour)?),
         Some("rating") => Kind::Rating(json(&behaviour)?),
--- a/src/bin/fireflywind-standin/main.rs
+++ b/src/bin/fireflywind-standin/main.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 
 use fireflywind::platform::memory::MemoryKv;
-use fireflywind::standin::{Running, engine, kv, rating, service};
+use fireflywind::standin::{Running, engine, kv, rating, service, vms};
 
 use cli::{Command, Kind};
 
@@ -39,6 +39,7 @@
     let addr = command.listen;
     match command.kind {
         Kind::Kv => kv::bind(addr, MemoryKv::open()),
+        Kind::Vms => vms::bind(addr),
         Kind::Engine(options, behaviour) => engine::bind(addr, options, behaviour),
         Kind::Service(behaviour) => service::bind(addr, behaviour),
         Kind::Rating(behaviour) => rating::bind(addr, behaviour),
--- a/src/demo/site.rs
+++ b/src/demo/site.rs
@@ -374,6 +374,7 @@
             secret: settings::Secret::from("session key of the demo, 32 bytes"),
         }],
         rating: Some(rating),
+        vm_list: None,
         max_body_bytes: settings::defaults::MAX_BODY_BYTES,
         max_header_bytes: settings::defaults::MAX_HEADER_BYTES,
         log_level: settings::defaults::LOG_LEVEL,
--- a/src/gateway/background.rs
+++ b/src/gateway/background.rs
@@ -5,20 +5,22 @@
 use actix_rt::time::sleep;
 
 use super::shared::Shared;
-use super::{presence, rollouts};
+use super::{engines, pooling, presence, rollouts};
 use crate::ledger::write_checkpoint;
 use crate::units::Millis;
 
 /// Time between two steps of the periodic work.
 const STEP: Millis = Millis(100);
 
-/// Keeps the lease and steps roll-outs until it is aborted.
+/// Keeps the lease, steps roll-outs, orders engines and pools ratings until it is aborted.
 ///
 /// Runs beside the ledger, so that a slow key-value service delays neither by more than one call.
 pub(super) async fn run_duties(shared: Rc<Shared>) {
     loop {
         presence::step(&shared).await;
         rollouts::step(&shared).await;
+        engines::step(&shared).await;
+        pooling::step(&shared).await;
         sleep(STEP.duration()).await;
     }
 }
--- /dev/null
+++ b/src/gateway/engines.rs
@@ -0,0 +1,104 @@
+//! Orders to engines: tells each engine which versions to load, while this gateway has the duty.
+
+use std::rc::Rc;
+
+use serde_json::{Value, json};
+
+use super::shared::Shared;
+use crate::ids::{Incarnation, UpstreamId, VersionRef};
+use crate::peer::Link;
+use crate::sheet::UpstreamKind;
+use crate::units::Millis;
+
+/// Time between two orders; the weight store that engines load from is rate-limited.
+const PACE: Millis = Millis(200);
+
+/// Time for an engine to take an order.
+const ORDER_TIMEOUT: Millis = Millis::from_secs(15);
+
+/// What an engine was told last.
+#[derive(Debug, PartialEq, Eq)]
+struct Told {
+    upstream: UpstreamId,
+    agent: Incarnation,
+    versions: Vec<VersionRef>,
+}
+
+/// The engines and what this gateway has told them, sorted by upstream.
+#[derive(Debug, Default)]
+pub(super) struct Engines {
+    told: Vec<Told>,
+    next: Millis,
+}
+
+impl Engines {
+    fn note(&mut self, told: Told) {
+        match self
+            .told
+            .binary_search_by(|t| t.upstream.cmp(&told.upstream))
+        {
+            Ok(at) => self.told[at] = told,
+            Err(at) => self.told.insert(at, told),
+        }
+    }
+}
+
+/// Gives the next order that is due, if this gateway has the duty.
+pub(super) async fn step(shared: &Shared) {
+    let now = shared.clock.now();
+    if now < shared.engines.borrow().next {
+        return;
+    }
+    if shared.presence.borrow().fence(now).is_none() {
+        // The next holder tells every engine anew.
+        shared.engines.borrow_mut().told.clear();
+        return;
+    }
+    let Some((told, link)) = next_order(shared) else {
+        return;
+    };
+    shared.engines.borrow_mut().next = now + PACE;
+    let order = json!({ "load": told.versions });
+    // The lease may have ended while the order was prepared.
+    let Some(fence) = shared.presence.borrow().fence(shared.clock.now()) else {
+        return;
+    };
+    let reply = link
+        .order(fence.0, order.to_string().as_bytes(), ORDER_TIMEOUT)
+        .await;
+    let verdict = reply
+        .ok()
+        .and_then(|reply| serde_json::from_slice::<Value>(&reply).ok());
+    let verdict = verdict
+        .as_ref()
+        .and_then(|v| v["verdict"].as_str())
+        .unwrap_or("unknown");
+    let upstream = told.upstream.as_str();
+    log::info!(event = "engine_order", upstream, fence = fence.0, verdict; "");
+    if verdict == "done" {
+        shared.engines.borrow_mut().note(told);
+    }
+}
+
+/// Finds a linked engine that was not told what the sheet in force says.
+fn next_order(shared: &Shared) -> Option<(Told, Rc<Link>)> {
+    let in_force = shared.follower.in_force()?;
+    let links = shared.links.borrow();
+    let engines = shared.engines.borrow();
+    let now = shared.clock.now();
+    in_force.sheet.upstreams.iter().find_map(|upstream| {
+        let UpstreamKind::Engine { versions, .. } = &upstream.serves else {
+            return None;
+        };
+        let agent = links.incarnation(&upstream.id, now)?;
+        let told = Told {
+            upstream: upstream.id.clone(),
+            agent,
+            versions: versions.clone(),
+        };
+        if engines.told.contains(&told) {
+            return None;
+        }
+        Some((told, links.link(&upstream.id)?))
+    })
+}
--- a/src/gateway/links.rs
+++ b/src/gateway/links.rs
@@ -6,16 +6,23 @@
 
 use super::shared::Shared;
 use crate::follower::InForce;
-use crate::ids::{ServiceId, UpstreamId, VersionRef};
+use crate::ids::{Incarnation, ServiceId, UpstreamId, VersionRef};
 use crate::membership::{
-    Attempt, CONNECT_TIMEOUT, Effect, Evidence, Members, SILENCE, SUBSET_SIZE,
+    Attempt, CONNECT_TIMEOUT, Effect, Evidence, Listed, Members, SILENCE, SUBSET_SIZE,
 };
 use crate::peer::{Link, Status, Target};
+use crate::platform::vms::{self, VmState};
 use crate::route::pick::{Member, Pool};
 use crate::sheet::UpstreamKind;
 use crate::suspect;
 use crate::units::Millis;
 
+/// Time between two choices of the wanted upstreams.
+const WANT_INTERVAL: Millis = Millis::from_secs(1);
+
+/// Time between two looks at the VM list.
+const LIST_INTERVAL: Millis = Millis::from_secs(2);
+
 /// Time between two steps of the membership.
 const STEP: Millis = Millis(100);
 
@@ -41,8 +48,10 @@
     entries: Vec<Entry>,
     /// Requests of this gateway in flight, sorted by upstream.
     own: Vec<(UpstreamId, u32)>,
-    /// Revision for which the wanted upstreams were chosen.
-    revision: u64,
+    /// Time at which the wanted upstreams are chosen anew.
+    next_want: Millis,
+    /// Time of the next look at the VM list.
+    next_list: Millis,
 }
 
 impl Links {
@@ -71,6 +80,11 @@
         self.find(upstream).map(|entry| Rc::clone(&entry.link))
     }
 
+    /// Returns the incarnation of a linked agent that may receive work now.
+    pub fn incarnation(&self, upstream: &UpstreamId, now: Millis) -> Option<Incarnation> {
+        self.members.usable(upstream, now)
+    }
+
     /// Returns all links.
     pub fn all(&self) -> Vec<(UpstreamId, Rc<Link>)> {
         self.entries
@@ -179,6 +193,7 @@
 pub(super) async fn run(shared: Rc<Shared>) {
     loop {
         want(&shared);
+        look_at_list(&shared);
         let now = shared.clock.now();
         let effects = shared.links.borrow_mut().members.step(now);
         for effect in effects {
@@ -202,17 +217,17 @@
     }
 }
 
-/// Chooses the upstreams to be connected to when the sheet has changed.
+/// Chooses the upstreams to be connected to; those that are lost are replaced by others.
 fn want(shared: &Shared) {
     let Some(in_force) = shared.follower.in_force() else {
         return;
     };
     let mut links = shared.links.borrow_mut();
-    if links.revision == in_force.revision {
+    let now = shared.clock.now();
+    if now < links.next_want {
         return;
     }
-    links.revision = in_force.revision;
-    let now = shared.clock.now();
+    links.next_want = now + WANT_INTERVAL;
     let sheet = &in_force.sheet;
     let mut wanted: Vec<UpstreamId> = Vec::new();
     for group in groups(&in_force) {
@@ -233,6 +248,37 @@
     shared.follower.set_peers(&names);
 }
 
+/// Asks for the VM list if it is due.
+fn look_at_list(shared: &Rc<Shared>) {
+    let Some(addr) = shared.vm_list else {
+        return;
+    };
+    let now = shared.clock.now();
+    if now < shared.links.borrow().next_list {
+        return;
+    }
+    shared.links.borrow_mut().next_list = now + LIST_INTERVAL;
+    let shared = Rc::clone(shared);
+    actix_rt::spawn(async move {
+        match vms::fetch(addr).await {
+            Ok(list) => {
+                let listed = list.vms.iter().map(|vm| {
+                    let listed = match vm.state {
+                        VmState::Live => Listed::Live,
+                        VmState::Leaving => Listed::Leaving,
+                    };
+                    (UpstreamId::from(vm.name.as_str()), listed)
+                });
+                let listed: Vec<_> = listed.collect();
+                let now = shared.clock.now();
+                shared.links.borrow_mut().members.list(&listed, now);
+            }
+            // The list is an aid only; direct evidence goes before it.
+            Err(error) => log::debug!(event = "vm_list_failed", error:% = error; ""),
+        }
+    });
+}
+
 /// Groups upstreams by what they serve: one group for each version and each service.
 fn groups(in_force: &InForce) -> Vec<Vec<(UpstreamId, crate::ids::DataCentre)>> {
     let sheet = &in_force.sheet;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,8 +6,10 @@
 mod attempt;
 mod background;
 mod chat;
+mod engines;
 mod links;
 mod planning;
+mod pooling;
 mod presence;
 mod quality;
 mod rollouts;
@@ -30,6 +32,7 @@
 use crate::settings;
 use crate::units::Millis;
 
+pub(crate) use presence::DUTY;
 use shared::Shared;
 
 /// Time between two looks at whether the ledger is stored.
--- /dev/null
+++ b/src/gateway/pooling.rs
@@ -0,0 +1,55 @@
+//! Pools pass rates over gateways through the key-value service.
+//!
+//! Counts only grow and merge by their maximum, so a report that is old, repeated or missing does no harm.
+
+use super::shared::Shared;
+use crate::platform::{Change, KvError};
+use crate::rating::Row;
+use crate::units::Millis;
+
+/// Time between two exchanges; an estimate that is this old still has most of its evidence.
+const EXCHANGE: Millis = Millis::from_secs(30);
+
+/// Prefix of the reports; the gateway's incarnation follows.
+const PREFIX: &str = "/fireflywind/ratings/";
+
+/// Exchanges pass rates if it is due.
+pub(super) async fn step(shared: &Shared) {
+    let now = shared.clock.now();
+    if now < shared.quality.borrow().next_exchange {
+        return;
+    }
+    shared.quality.borrow_mut().next_exchange = now + EXCHANGE;
+    if let Err(error) = exchange(shared).await {
+        log::debug!(event = "rating_exchange_failed", error:% = error; "");
+    }
+}
+
+async fn exchange(shared: &Shared) -> Result<(), KvError> {
+    let lease = shared.presence.borrow().lease();
+    let report = shared.quality.borrow().table.report();
+    // Without a lease the report would outlive its gateway for ever.
+    if let Some(lease) = lease
+        && !report.is_empty()
+    {
+        let key = format!("{PREFIX}{}", shared.incarnation);
+        let value = serde_json::to_vec(&report).unwrap_or_default().into();
+        let put = Change::Put {
+            key,
+            value,
+            lease: Some(lease),
+        };
+        shared.kv.txn(Vec::new(), vec![put]).await?;
+    }
+    let now = shared.clock.unix();
+    for entry in shared.kv.list(PREFIX).await? {
+        match serde_json::from_slice::<Vec<Row>>(&entry.value) {
+            Ok(rows) => shared.quality.borrow_mut().table.merge(&rows, now),
+            Err(error) => {
+                let key = entry.key.as_str();
+                log::warn!(event = "rating_report_malformed", key, error:% = error; "");
+            }
+        }
+    }
+    Ok(())
+}
--- a/src/gateway/presence.rs
+++ b/src/gateway/presence.rs
@@ -1,4 +1,4 @@
-//! The gateway's lease: its entry in the list of gateways, and the duty of stepping roll-outs.
+//! The gateway's lease: its entry in the list of gateways, and the duty that one gateway has at a time.
 
 use std::cell::Cell;
 
@@ -18,8 +18,8 @@
 /// Prefix of the entries of live gateways.
 const PREFIX: &str = "/fireflywind/gateway/";
 
-/// Duty of stepping roll-outs.
-const DUTY: &str = "rollouts";
+/// Duty of stepping roll-outs and of giving orders to engines.
+pub(crate) const DUTY: &str = "fleet";
 
 /// What the gateway holds in the key-value service.
 #[derive(Debug)]
@@ -47,8 +47,13 @@
         }
     }
 
-    /// Returns the fencing token if this gateway may step roll-outs now.
-    pub fn rollout_fence(&self, now: Millis) -> Option<Fence> {
+    /// Returns the lease, if the gateway has one.
+    pub const fn lease(&self) -> Option<LeaseId> {
+        self.lease
+    }
+
+    /// Returns the fencing token if this gateway has the duty now.
+    pub fn fence(&self, now: Millis) -> Option<Fence> {
         self.holder.fence(now)
     }
 }
@@ -117,7 +122,7 @@
         Err(error) => return Err(error),
     };
     if let Some(fence) = fence {
-        log::info!(event = "rollout_duty_taken", fence:% = fence; "");
+        log::info!(event = "duty_taken", fence:% = fence; "");
         shared.presence.borrow_mut().holder.claimed(fence, asked_at);
     }
     Ok(())
--- a/src/gateway/quality.rs
+++ b/src/gateway/quality.rs
@@ -32,6 +32,8 @@
 pub(super) struct Quality {
     pub table: RatingTable,
     under_way: u32,
+    /// Time of the next exchange with other gateways.
+    pub next_exchange: Millis,
 }
 
 impl Quality {
@@ -39,6 +41,7 @@
         Self {
             table: RatingTable::new(source),
             under_way: 0,
+            next_exchange: Millis(0),
         }
     }
 }
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -132,7 +132,7 @@
 ) -> Result<(), KvError> {
     report(shared, version).await?;
     let now = shared.clock.now();
-    let has_duty = shared.presence.borrow().rollout_fence(now).is_some();
+    let has_duty = shared.presence.borrow().fence(now).is_some();
     let guard = if has_duty {
         advance(shared, in_force, version, rollout).await?
     } else {
--- a/src/gateway/serve/job.rs
+++ b/src/gateway/serve/job.rs
@@ -456,6 +456,9 @@
         if refusal.ran == Ran::NotRun && self.may_have_run {
             refusal.ran = Ran::Unknown;
         }
+        // Every request is idempotent or carries a key, under which it runs once at most.
+        refusal.resend_safe |=
+            matches!(refusal.code, Code::UpstreamFailed | Code::DeadlineExceeded);
         refusal
     }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use super::engines::Engines;
 use super::links::Links;
 use super::presence::Presence;
 use super::quality::Quality;
@@ -42,6 +43,8 @@
     pub rating: Option<SocketAddr>,
     pub presence: RefCell<Presence>,
     pub rollouts: RefCell<Rollouts>,
+    pub engines: RefCell<Engines>,
+    pub vm_list: Option<SocketAddr>,
     pub limits: RefCell<LimitTable>,
     pub retries: RefCell<RetryBudget>,
     pub circuits: RefCell<Circuits>,
@@ -75,6 +78,8 @@
             rating: cfg.rating,
             presence: RefCell::default(),
             rollouts: RefCell::default(),
+            engines: RefCell::default(),
+            vm_list: cfg.vm_list,
             limits: RefCell::new(LimitTable::new(1)),
             retries: RefCell::default(),
             circuits: RefCell::default(),
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,7 +1,8 @@
 //! Which upstreams are live, leaving or gone, and which of them a gateway talks to.
 //!
 //! Direct evidence (a connection, a reply, a notice, a refusal, silence) takes precedence over the
-//! platform's VM list, which lags. The list only decides where there is no fresh direct evidence.
+//! platform's VM list, which lags. Where there is fresh direct evidence of life, the list only decides that a
+//! VM is leaving, which the agent beside it may not know.
 
 mod subset;
 #[cfg(test)]
@@ -30,6 +31,8 @@
 ///
 /// The last attempt before it answered may take the timeout, and the wait after it is at most this long.
 pub const USABLE_WITHIN: Millis = Millis(CONNECT_TIMEOUT.0 + RETRY_MAX_UNLISTED.0);
+/// Longest time for which the VM list may still speak of the VM that an upstream was replaced for.
+pub const LIST_LAG: Millis = Millis::from_secs(60);
 /// Incarnations of an upstream that are remembered as having left.
 const MAX_DEPARTED: usize = 8;
 
@@ -101,11 +104,15 @@
     id: UpstreamId,
     wanted: bool,
     listed: Option<Listed>,
+    /// Time since which the list calls the VM leaving; meaningful while it does.
+    leaving_since: Millis,
     link: Link,
     attempt: Attempt,
     failures: u32,
     refused: bool,
     process: Option<Incarnation>,
+    /// Time at which the present process was reached first.
+    process_since: Millis,
     heard: Option<Millis>,
     /// Incarnations that gave notice; they never become live again.
     departed: Vec<Incarnation>,
@@ -153,6 +160,9 @@
         for member in &mut self.members {
             let entry = list.iter().find(|(id, _)| *id == member.id);
             let listed = entry.map_or(Listed::Absent, |(_, listed)| *listed);
+            if listed == Listed::Leaving && member.listed != Some(Listed::Leaving) {
+                member.leaving_since = now;
+            }
             let appeared = listed == Listed::Live && member.listed != Some(Listed::Live);
             member.listed = Some(listed);
             if let (true, Link::Down { retry_at }) = (appeared, &mut member.link) {
@@ -239,11 +249,13 @@
             id,
             wanted: true,
             listed: None,
+            leaving_since: now,
             link: Link::Down { retry_at: now },
             attempt: Attempt(0),
             failures: 0,
             refused: false,
             process: None,
+            process_since: now,
             heard: None,
             departed: Vec::new(),
         }
@@ -257,6 +269,16 @@
         self.process.is_some_and(|p| self.departed.contains(&p))
     }
 
+    /// Tells whether the list speaks of the present process.
+    ///
+    /// A process that was reached while the list already said leaving may be the replacement of the VM that
+    /// the list means, for as long as the list can lag.
+    fn is_listed_leaving(&self, now: Millis) -> bool {
+        let may_mean_predecessor =
+            self.leaving_since < self.process_since && now.since(self.process_since) < LIST_LAG;
+        self.listed == Some(Listed::Leaving) && !may_mean_predecessor
+    }
+
     fn silence(&self, now: Millis) -> Millis {
         self.heard.map_or(Millis(u64::MAX), |at| now.since(at))
     }
@@ -267,7 +289,7 @@
         let was_heard = self.heard.is_some();
         match self.listed {
             _ if self.refused => State::Gone,
-            _ if is_fresh && self.has_left() => State::Leaving,
+            _ if is_fresh && (self.has_left() || self.is_listed_leaving(now)) => State::Leaving,
             _ if is_fresh => State::Live,
             _ if was_heard && silence >= GONE_SILENCE => State::Gone,
             Some(Listed::Absent) if silence >= SILENCE => State::Gone,
@@ -281,6 +303,9 @@
         match evidence {
             Evidence::Connected(attempt, process) if self.is_current(attempt) => {
                 self.link = Link::Up { next_ping: now };
+                if self.process != Some(process) {
+                    self.process_since = now;
+                }
                 self.process = Some(process);
                 self.heard = Some(now);
                 self.refused = false;
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -18,6 +18,11 @@
     attempt: Attempt,
     /// Delivered evidence: the last sign of life of each incarnation, and whether it gave notice.
     signs: Vec<(Incarnation, Millis, bool)>,
+    /// Processes that have been usable. One that only answered a connection attempt that had been given up
+    /// is not known yet.
+    used: Vec<Incarnation>,
+    /// Processes that had been usable when the list began to call the VM leaving, while it does.
+    taken_away: Option<Vec<Incarnation>>,
 }
 
 #[derive(Debug)]
@@ -43,6 +48,8 @@
                 leaving: false,
                 attempt: Attempt(0),
                 signs: Vec::new(),
+                used: Vec::new(),
+                taken_away: None,
             })
             .collect();
         let wanted: Vec<_> = truths.iter().map(|t| t.id.clone()).collect();
@@ -117,7 +124,7 @@
                 let list: Vec<_> = (0..3)
                     .map(|n| (self.truths[n].id.clone(), said(usize::from(arg) >> (2 * n))))
                     .collect();
-                self.members.list(&list, self.now);
+                self.list(&list);
             }
             9 => {
                 let wanted = self.truths.iter().enumerate().filter(|(n, _)| *n != at);
@@ -129,6 +136,17 @@
         self.verify();
     }
 
+    fn list(&mut self, list: &[(UpstreamId, Listed)]) {
+        for (truth, (_, listed)) in self.truths.iter_mut().zip(list) {
+            truth.taken_away = match (*listed, truth.taken_away.take()) {
+                (Listed::Leaving, Some(earlier)) => Some(earlier),
+                (Listed::Leaving, None) => Some(truth.used.clone()),
+                _ => None,
+            };
+        }
+        self.members.list(list, self.now);
+    }
+
     fn tick(&mut self) {
         self.now = self.now + TICK;
         for effect in self.members.step(self.now) {
@@ -161,8 +179,8 @@
         self.verify();
     }
 
-    fn verify(&self) {
-        for truth in &self.truths {
+    fn verify(&mut self) {
+        for truth in &mut self.truths {
             // Holds without a step, too.
             let after = self.members.usable(&truth.id, self.now + SILENCE);
             assert_eq!(after, None, "{} is usable after silence", truth.id);
@@ -172,12 +190,35 @@
             let sign = truth.signs.iter().find(|(process, ..)| *process == usable);
             let (_, seen, left) = sign.expect("a usable upstream gave a sign of life");
             assert!(!left, "{} gets work after its notice", truth.id);
+            let taken_away = truth
+                .taken_away
+                .as_ref()
+                .is_some_and(|away| away.contains(&usable));
+            assert!(
+                !taken_away,
+                "{} gets work while the list calls it leaving",
+                truth.id
+            );
+            if !truth.used.contains(&usable) {
+                truth.used.push(usable);
+            }
             assert!(self.now.since(*seen) < SILENCE, "{} is silent", truth.id);
         }
     }
 
-    /// Ends all faults but the state of the processes and the VM list.
+    /// Ends all faults but the state of the processes; the VM list catches up.
     fn settle(&mut self) {
+        let said = |truth: &Truth| match (truth.running, truth.leaving) {
+            (false, _) => Listed::Absent,
+            (true, true) => Listed::Leaving,
+            (true, false) => Listed::Live,
+        };
+        let list: Vec<_> = self
+            .truths
+            .iter()
+            .map(|t| (t.id.clone(), said(t)))
+            .collect();
+        self.list(&list);
         self.lossy = false;
         self.late.clear();
         let wanted: Vec<_> = self.truths.iter().map(|t| t.id.clone()).collect();
@@ -195,8 +236,8 @@
     }
 }
 
-// Guards against work for an upstream that left or fell silent, and against one that is never used again,
-// whatever the VM list says and however late evidence arrives.
+// Guards against work for an upstream that left, fell silent or is taken away, and against one that is never
+// used again once the VM list has caught up, however late evidence arrives.
 #[test]
 fn work_follows_direct_evidence() {
     fn property(ops: Vec<Op>, more: Vec<Op>) -> bool {
@@ -279,3 +320,52 @@
     assert_eq!(second.len(), 6);
     assert_eq!(second[..3], first);
 }
+
+/// Returns the members of one connected and responsive upstream, and a function that hears from it.
+fn connected() -> (Members, UpstreamId) {
+    let id: UpstreamId = "u0".into();
+    let mut members = Members::new();
+    members.want(std::slice::from_ref(&id), Millis(0));
+    members.step(Millis(0));
+    members.observe(
+        &id,
+        Evidence::Connected(Attempt(1), Incarnation(1)),
+        Millis(0),
+    );
+    (members, id)
+}
+
+// Guards against work for an upstream whose VM the platform takes away while its agent knows nothing of it.
+#[test]
+fn an_upstream_that_the_list_calls_leaving_gets_no_new_work() {
+    let (mut members, id) = connected();
+    let now = Millis(2_000);
+    members.observe(&id, Evidence::Heard(Incarnation(1)), now);
+    assert_eq!(members.usable(&id, now), Some(Incarnation(1)));
+
+    members.list(&[(id.clone(), Listed::Leaving)], now);
+
+    assert_eq!(members.usable(&id, now), None);
+    assert_eq!(members.state(&id, now), State::Leaving);
+}
+
+// Guards against a list that lags and keeps a VM's replacement of the same name out for ever.
+#[test]
+fn a_replacement_is_used_while_the_list_still_speaks_of_the_old_vm() {
+    let (mut members, id) = connected();
+    members.list(&[(id.clone(), Listed::Leaving)], Millis(1_000));
+    members.observe(&id, Evidence::Closed(Attempt(1)), Millis(2_000));
+    members.step(Millis(4_000));
+    members.observe(
+        &id,
+        Evidence::Connected(Attempt(2), Incarnation(2)),
+        Millis(4_100),
+    );
+
+    assert_eq!(members.usable(&id, Millis(4_200)), Some(Incarnation(2)));
+
+    // A list that goes on for longer than it can lag speaks of the replacement.
+    let late = Millis(4_100) + LIST_LAG;
+    members.observe(&id, Evidence::Heard(Incarnation(2)), late);
+    assert_eq!(members.usable(&id, late), None);
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,6 +5,7 @@
 pub mod memory;
 #[cfg(test)]
 mod tests;
+pub mod vms;
 pub mod wire;
 
 use std::fmt;
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -30,6 +30,7 @@
     Field::optional("peer_key_file", Shape::Text),
     Field::required("session_keys", Shape::List(&SESSION_KEY)),
     Field::optional("rating", Shape::Address),
+    Field::optional("vm_list", Shape::Address),
     Field::optional("max_body_bytes", BODY_BYTES),
     Field::optional("max_header_bytes", HEADER_BYTES),
     Field::optional("log_level", LOG_LEVEL),
@@ -60,6 +61,8 @@
     pub session_keys: Vec<SessionKey>,
     /// Address of the rating service; without one, no answer is rated.
     pub rating: Option<SocketAddr>,
+    /// Address of the platform's list of VMs; without one, only direct evidence counts.
+    pub vm_list: Option<SocketAddr>,
     /// Largest body of a request, in bytes.
     pub max_body_bytes: u64,
     /// Largest head of a request, in bytes.
@@ -91,6 +94,7 @@
     peer_key_file: Option<PathBuf>,
     session_keys: Vec<SessionKey>,
     rating: Option<SocketAddr>,
+    vm_list: Option<SocketAddr>,
     max_body_bytes: Option<u64>,
     max_header_bytes: Option<u64>,
     log_level: Option<String>,
@@ -118,6 +122,7 @@
             kv: file.kv,
             session_keys: file.session_keys,
             rating: file.rating,
+            vm_list: file.vm_list,
             max_body_bytes: file.max_body_bytes.unwrap_or(defaults::MAX_BODY_BYTES),
             max_header_bytes: file.max_header_bytes.unwrap_or(defaults::MAX_HEADER_BYTES),
             log_level: super::log_level(file.log_level.as_deref()),
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -7,6 +7,7 @@
 pub mod service;
 #[cfg(test)]
 mod tests;
+pub mod vms;
 
 pub use server::Running;
 
--- a/tests/processes/faults.rs
+++ b/tests/processes/faults.rs
@@ -114,12 +114,13 @@
     site.gateways.remove(1);
     site.add_gateway("gateway-c", "dc-a");
     site.restart_agent("engine-a");
+    site.restart_agent("engine-b");
 
     assert_eq!(direct.ran(), "not_run", "{direct:?}");
     assert_eq!(pinned.code(), "session_version_withdrawn");
     assert_eq!(other.header("fireflywind-version"), Some("large/v1"));
-    // The agent that started during the outage learns the sheet from the gateway.
-    wait_for("an answer by the new agent", || {
+    // The agents that started during the outage learn the sheet from the gateway.
+    wait_for("an answer by a new agent", || {
         let answer = site
             .chat(0, &prompt("small/v1", "z"), &[])
             .expect("an answer");
@@ -328,3 +329,88 @@
     let answer = site.chat(1, &prompt("tags", "x"), &[("fireflywind-session", &forged)]);
     assert_eq!(answer.expect("an answer").code(), "bad_session");
 }
+
+// Guards against new work for an upstream whose VM the platform takes away.
+#[test]
+fn an_upstream_that_the_vm_list_calls_leaving_gets_no_new_work() {
+    let site = site("vm-list");
+    let vm = |name: &str, state: &str| json!({ "name": name, "state": state });
+    let list = json!({ "vms": [
+        vm("engine-a", "leaving"), vm("engine-b", "live"), vm("orders-a", "live"),
+    ] });
+    let put = crate::fixture::http(site.vms.addr, "PUT", "/vms", &[], &list.to_string());
+    assert_eq!(put.map(|a| a.status), Some(200));
+    wait_for("two usable upstreams at both gateways", || {
+        (0..2).all(|gateway| site.status(gateway)["usable_upstreams"] == json!(2))
+    });
+    let before = site.runs_at("engine-a");
+
+    for n in 0..10 {
+        let answer = site.chat(n % 2, &prompt("large/v1", &format!("request {n}")), &[]);
+        assert_eq!(answer.expect("an answer").status, 200);
+    }
+
+    assert_eq!(site.runs_at("engine-a"), before);
+    assert!(site.runs_at("engine-b") >= 10);
+}
+
+// Guards against an order of a gateway that was stopped past its lease and still believes that it has the duty.
+#[test]
+fn no_old_order_takes_effect_after_a_newer_holder() {
+    let site = site("fencing");
+    let fences = |name: &str| -> Vec<u64> {
+        let orders = site.engine_orders(name);
+        orders
+            .iter()
+            .filter_map(|order| order["fence"].as_u64())
+            .collect()
+    };
+    // The stand-in of this test ignores fencing tokens, so the order of its list is the order of effect.
+    wait_for("first order at both engines", || {
+        !site.engine_orders("engine-a").is_empty() && !site.engine_orders("engine-b").is_empty()
+    });
+    let holder = site
+        .gateways
+        .iter()
+        .position(|g| g.log().contains("event=duty_taken"));
+    let holder = holder.expect("a gateway has the duty");
+    site.gateways[holder].signal("STOP");
+    let other = 1 - holder;
+    wait_for("duty at the other gateway", || {
+        site.gateways[other].log().contains("event=duty_taken")
+    });
+    let mut sheet = site.sheet();
+    sheet["upstreams"][0]["serves"]["engine"]["versions"] = json!(["large/v1"]);
+    let path = std::env::temp_dir().join(format!("fireflywind-{}.json", new_key()));
+    std::fs::write(&path, sheet.to_string()).expect("the file can be written");
+    let applied = site.operate(&["apply", &path.to_string_lossy()]);
+    std::fs::remove_file(&path).expect("the file exists");
+    assert!(applied.status.success(), "{}", text(&applied));
+    let loads = |name: &str, versions: &serde_json::Value| {
+        site.engine_orders(name)
+            .iter()
+            .any(|o| o["order"]["load"] == *versions)
+    };
+    wait_for("order of the new holder", || {
+        loads("engine-a", &json!(["large/v1"]))
+    });
+
+    site.gateways[holder].signal("CONT");
+    site.wait_ready(holder, 3);
+    wait_for("sheet at the old holder", || {
+        site.status(holder)["revision"] == json!(2)
+    });
+
+    for name in ["engine-a", "engine-b"] {
+        let fences = fences(name);
+        assert!(
+            fences.is_sorted(),
+            "{name} took orders with the tokens {fences:?}"
+        );
+    }
+    let last = site
+        .engine_orders("engine-a")
+        .pop()
+        .expect("it took orders");
+    assert_eq!(last["order"]["load"], json!(["large/v1"]));
+}
--- a/tests/processes/fixture.rs
+++ b/tests/processes/fixture.rs
@@ -27,6 +27,9 @@
 /// API key of the account `shop`.
 pub const SHOP_KEY: &str = "key-shop";
 
+/// API key of the account `school`, which may use `small/v1` only.
+pub const SCHOOL_KEY: &str = "key-school";
+
 /// A running program; it is killed when the handle is dropped.
 #[derive(Debug)]
 pub struct Process {
@@ -230,6 +233,7 @@
     dir: PathBuf,
     pub kv: Process,
     pub rating: Process,
+    pub vms: Process,
     pub upstreams: Vec<Upstream>,
     pub gateways: Vec<Process>,
 }
@@ -260,6 +264,7 @@
             dir,
             kv: standin("kv", &[]),
             rating: standin("rating", &[]),
+            vms: standin("vms", &[]),
             upstreams: Vec::new(),
             gateways: Vec::new(),
         }
@@ -336,7 +341,7 @@
         let settings = json!({
             "name": name, "data_centre": data_centre, "listen": "127.0.0.1:0",
             "admin_listen": "127.0.0.1:0", "kv": [self.kv.addr], "peer_key": PEER_KEY,
-            "rating": self.rating.addr, "stop_deadline": "20s",
+            "rating": self.rating.addr, "vm_list": self.vms.addr, "stop_deadline": "20s",
             "session_keys": [{ "id": "k1", "secret": "session-key-of-the-process-tests-01" }],
         });
         let path = self.write(&format!("{name}.json"), &settings);
@@ -367,6 +372,8 @@
             "accounts": [{
                 "id": "shop", "key_hashes": [sha256(SHOP_KEY)],
                 "allow": ["small/v1", "large/v1"], "services": ["orders"],
+            }, {
+                "id": "school", "key_hashes": [sha256(SCHOOL_KEY)], "allow": ["small/v1"],
             }],
             "models": [
                 { "id": "small", "versions": [version("v1", "0.1", "0.2")] },
@@ -462,6 +469,42 @@
         runs.filter(|run| run["prompt"] == digest.as_str()).count()
     }
 
+    /// Returns the number of runs of one engine.
+    pub fn runs_at(&self, name: &str) -> usize {
+        let upstream = self
+            .upstreams
+            .iter()
+            .find(|u| u.name == name)
+            .expect("it exists");
+        let runs = http(upstream.process.addr, "GET", "/runs", &[], "");
+        runs.expect("the stand-in answers")
+            .json()
+            .as_array()
+            .map_or(0, Vec::len)
+    }
+
+    /// Returns the orders that an engine took, with their fencing tokens.
+    pub fn engine_orders(&self, name: &str) -> Vec<Value> {
+        let upstream = self
+            .upstreams
+            .iter()
+            .find(|u| u.name == name)
+            .expect("it exists");
+        let orders = http(upstream.process.addr, "GET", "/orders", &[], "");
+        let orders = orders.expect("the stand-in answers").json();
+        orders.as_array().cloned().unwrap_or_default()
+    }
+
+    /// Returns a value of a gateway's status.
+    pub fn status(&self, gateway: usize) -> Value {
+        let admin = self.gateways[gateway]
+            .admin
+            .expect("a gateway has an admin listener");
+        http(admin, "GET", "/status", &[], "")
+            .map(|s| s.json())
+            .unwrap_or_default()
+    }
+
     /// Returns the runs of a plain service.
     pub fn service_runs(&self, name: &str) -> Value {
         let upstream = self
--- a/tests/processes/whole_path.rs
+++ b/tests/processes/whole_path.rs
@@ -105,7 +105,48 @@
     assert_eq!(total(&bill), 1, "{bill}");
 }
 
-// Guards against access to what the account may not use.
+// Guards against a request that runs on a version or service which its account may not use.
+#[test]
+fn an_account_reaches_only_what_it_may_use() {
+    let site = site("allowed");
+    let addr = site.gateways[0].addr;
+    let bearer = format!("Bearer {}", fixture::SCHOOL_KEY);
+    let post = |path: &str, body: &str| {
+        let key = new_key();
+        let headers = [
+            ("authorization", bearer.as_str()),
+            ("content-type", "application/json"),
+            ("idempotency-key", key.as_str()),
+        ];
+        fixture::http(addr, "POST", path, &headers, body).expect("an answer")
+    };
+
+    let named = post("/v1/chat/completions", &prompt("large/v1", "x").to_string());
+    let order = post("/orders", "{}");
+    for n in 0..20 {
+        let by_class = post(
+            "/v1/chat/completions",
+            &prompt("tags", &format!("{n}")).to_string(),
+        );
+        assert_eq!(
+            by_class.header("fireflywind-version"),
+            Some("small/v1"),
+            "{by_class:?}"
+        );
+    }
+
+    for refused in [named, order] {
+        assert_eq!(
+            (refused.status, refused.ran().as_str()),
+            (403, "not_run"),
+            "{refused:?}"
+        );
+    }
+    assert_eq!(site.engine_runs("x"), 0);
+    assert_eq!(site.service_runs("orders-a"), json!([]));
+}
+
+// Guards against access without a known key, and against models that do not exist.
 #[test]
 fn strangers_and_unknown_models_are_refused() {
     let site = site("refusals");
