Measure the wait under rules that choose an upstream

Cause: the choice of an upstream had no figure.

Change: experiment latency, an event queue model: 8 slots per engine, prompt and heavy-tailed answer times, slowdown of a full batch, 0.25 ms within and 1.5 ms between data centres, a load report every 500 ms that arrives 500 ms late, 90% load. All rules see the same draws. The oracle knows every queue, also what is on its way to it.

Ruled out: reports that are exactly 500 ms old (agents report at intervals, so a report is between 500 and 1,000 ms old when it is used).

--- /dev/null
+++ b/examples/experiment/latency.rs
@@ -0,0 +1,170 @@
+//! Wait for a free slot under several rules that choose the upstream, against one that knows every queue.
+
+mod model;
+
+use fireflywind::route::pick::Member;
+
+use self::model::{Outcome, Policy, SLOTS, Site, View, as_f64, draw_requests, engine_of};
+use crate::report::{Report, Row};
+
+/// Largest 95th percentile of the wait, over that of the chooser that knows every queue.
+const WAIT_BOUND: f64 = 1.3;
+
+/// The sites that are measured.
+const SITES: [(&str, Site); 3] = [
+    (
+        "6/12",
+        Site {
+            gateways: 6,
+            upstreams: 12,
+            requests: 60_000,
+        },
+    ),
+    (
+        "6/20",
+        Site {
+            gateways: 6,
+            upstreams: 20,
+            requests: 60_000,
+        },
+    ),
+    // The requests are those of 15 s at target size; queues settle within a few service times of 2 s.
+    (
+        "410/1800",
+        Site {
+            gateways: 410,
+            upstreams: 1_800,
+            requests: 120_000,
+        },
+    ),
+];
+
+/// A figure of one run with its name.
+type Figure = (&'static str, fn(&Outcome) -> f64);
+
+/// A policy, and whether the bound applies to it.
+struct Rule {
+    name: &'static str,
+    policy: Policy,
+    is_bound: bool,
+}
+
+const RULES: [Rule; 3] = [
+    Rule {
+        name: "random",
+        policy: random,
+        is_bound: false,
+    },
+    Rule {
+        name: "least reported",
+        policy: least_reported,
+        is_bound: false,
+    },
+    Rule {
+        name: "pool",
+        policy: pool,
+        is_bound: true,
+    },
+];
+
+/// Runs all rules on all sites.
+pub fn run(seeds: &[u64]) -> Report {
+    let mut report = Report::default();
+    for (name, site) in SITES {
+        measure(name, site, seeds, &mut report);
+    }
+    report
+}
+
+fn measure(site_name: &str, site: Site, seeds: &[u64], report: &mut Report) {
+    let draws: Vec<_> = seeds
+        .iter()
+        .map(|seed| draw_requests(site, *seed))
+        .collect();
+    let run = |policy: Policy| -> Vec<Outcome> {
+        draws
+            .iter()
+            .map(|requests| model::run(site, requests, policy))
+            .collect()
+    };
+    let oracle = run(oracle);
+    push_details(report, site_name, "oracle", &oracle);
+    for rule in RULES {
+        let outcomes = run(rule.policy);
+        let ratios = oracle.iter().zip(&outcomes);
+        let ratios = ratios
+            .map(|(o, x)| x.quantile(950) / o.quantile(950))
+            .collect();
+        let figure = format!("{site_name} {}: p95 wait / oracle's", rule.name);
+        report.rows.push(if rule.is_bound {
+            Row::at_most(figure, ratios, WAIT_BOUND)
+        } else {
+            Row::baseline(figure, ratios)
+        });
+        push_details(report, site_name, rule.name, &outcomes);
+    }
+}
+
+fn push_details(report: &mut Report, site: &str, rule: &str, outcomes: &[Outcome]) {
+    let figures: [Figure; 6] = [
+        ("p95 wait, ms", |o| o.quantile(950)),
+        ("mean wait, ms", Outcome::mean),
+        ("share to another data centre", |o| {
+            o.per_request(as_f64(o.remote))
+        }),
+        ("messages per request", |o| {
+            o.per_request(as_f64(usize::try_from(o.messages).unwrap_or(0)))
+        }),
+        ("share with a cached prefix", |o| {
+            o.per_request(as_f64(o.cached))
+        }),
+        ("most sent to one upstream in 500 ms", |o| f64::from(o.herd)),
+    ];
+    for (name, figure) in figures {
+        let values = outcomes.iter().map(figure).collect();
+        report
+            .rows
+            .push(Row::baseline(format!("{site} {rule}: {name}"), values));
+    }
+}
+
+/// Knows every queue, also what is on its way: a free slot nearby, else any, else the shortest queue.
+fn oracle(view: &View<'_>) -> usize {
+    let count = view.engines.len();
+    let start = index(view.draws[0], count);
+    let best = (0..count).map(|n| (start + n) % count).min_by_key(|n| {
+        let engine = &view.engines[*n];
+        let is_remote = engine.data_centre != view.gateway.data_centre;
+        let is_full = engine.assigned >= SLOTS;
+        let queue = if is_full { engine.assigned } else { 0 };
+        (queue, is_remote, engine.assigned)
+    });
+    best.unwrap_or(0)
+}
+
+fn random(view: &View<'_>) -> usize {
+    let members = view.gateway.pool.members();
+    engine_at(&members[index(view.draws[0], members.len())])
+}
+
+fn least_reported(view: &View<'_>) -> usize {
+    let member = view.gateway.pool.pick_by_scan(&[]);
+    engine_at(member.expect("a pool has members"))
+}
+
+fn pool(view: &View<'_>) -> usize {
+    let pick = view
+        .gateway
+        .pool
+        .pick(view.draws, Some(view.req.prefix), &[]);
+    engine_of(&pick.expect("a pool has members").upstream)
+}
+
+fn engine_at(member: &Member) -> usize {
+    engine_of(&member.upstream)
+}
+
+fn index(draw: u64, len: usize) -> usize {
+    let len = u64::try_from(len).unwrap_or(u64::MAX);
+    usize::try_from(draw % len).unwrap_or(0)
+}
--- /dev/null
+++ b/examples/experiment/latency/model.rs
@@ -0,0 +1,453 @@
+//! A queue model of gateways, agents and engines, driven by an event queue.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+use fireflywind::ids::{DataCentre, UpstreamId};
+use fireflywind::membership::{SUBSET_SIZE, subset};
+use fireflywind::route::pick::{Member, Pool};
+
+use crate::rng::Rng;
+
+/// Data centres of a site.
+const DATA_CENTRES: usize = 3;
+
+/// Requests that one engine runs at one time.
+pub const SLOTS: u32 = 8;
+
+/// One-way delay within a data centre, in microseconds.
+const LOCAL_DELAY: u64 = 250;
+
+/// One-way delay between data centres, in microseconds.
+const REMOTE_DELAY: u64 = 1_500;
+
+/// Time between two load reports of one agent, and the delay of each, in microseconds.
+const REPORT_INTERVAL: u64 = 500_000;
+
+/// Share of the slots that the arrivals keep busy.
+const LOAD: f64 = 0.9;
+
+/// Slowdown of an engine with all slots busy.
+const BATCH_SLOWDOWN: f64 = 0.25;
+
+/// Prefixes that an engine keeps cached.
+const CACHED_PREFIXES: usize = 16;
+
+/// Part of the prompt's time that is left when its prefix is cached.
+const CACHED_SHARE: f64 = 0.3;
+
+/// Share of the requests, from the start, that is not measured.
+const WARM_UP: f64 = 0.1;
+
+/// The size of a site.
+#[derive(Debug, Clone, Copy)]
+pub struct Site {
+    pub gateways: usize,
+    pub upstreams: usize,
+    pub requests: usize,
+}
+
+/// One request with all of its draws.
+#[derive(Debug, Clone)]
+pub struct Request {
+    pub at: u64,
+    pub gateway: usize,
+    pub prompt_us: f64,
+    pub generate_us: f64,
+    pub prefix: u64,
+    pub seed: u64,
+}
+
+/// Draws the requests of a run; every policy gets the same ones.
+pub fn draw_requests(site: Site, seed: u64) -> Vec<Request> {
+    let mut rng = Rng::new(seed);
+    let mut requests: Vec<_> = (0..site.requests)
+        .map(|_| draw_request(site, &mut rng))
+        .collect();
+    let slowdown = 1.0 + BATCH_SLOWDOWN * LOAD;
+    let work: f64 = requests.iter().map(|r| r.prompt_us + r.generate_us).sum();
+    let mean = work * slowdown / as_f64(site.requests);
+    let gap = mean / (LOAD * as_f64(site.upstreams) * f64::from(SLOTS));
+    let mut at = 0.0;
+    for req in &mut requests {
+        at += rng.exponential(gap);
+        req.at = as_u64(at);
+    }
+    requests
+}
+
+fn draw_request(site: Site, rng: &mut Rng) -> Request {
+    let prompt_tokens = 50.0 + rng.exponential(400.0);
+    // A bounded Pareto distribution: most answers are short, one in a hundred is over 500 tokens.
+    let generated_tokens = (30.0 / (1.0 - rng.unit()).powf(1.0 / 1.6)).min(3_000.0);
+    let popular = rng.unit() * rng.unit() * 200.0;
+    Request {
+        at: 0,
+        gateway: rng.below(site.gateways),
+        prompt_us: prompt_tokens * 300.0,
+        generate_us: generated_tokens * 15_000.0,
+        prefix: Rng::new(as_u64(popular)).next_u64(),
+        seed: rng.next_u64(),
+    }
+}
+
+/// A rule that chooses an engine.
+pub type Policy = fn(&View<'_>) -> usize;
+
+/// What a policy sees; only the oracle may look at `engines`.
+#[derive(Debug)]
+pub struct View<'a> {
+    pub req: &'a Request,
+    pub gateway: &'a Gateway,
+    pub engines: &'a [Engine],
+    pub draws: [u64; 2],
+}
+
+/// A gateway with its view of the upstreams.
+#[derive(Debug)]
+pub struct Gateway {
+    pub data_centre: usize,
+    pub pool: Pool,
+}
+
+/// An engine with its agent.
+#[derive(Debug)]
+pub struct Engine {
+    pub data_centre: usize,
+    /// Requests that were sent and have not ended.
+    pub assigned: u32,
+    running: u32,
+    waiting: VecDeque<usize>,
+    from_gateway: Vec<u32>,
+    connected: Vec<usize>,
+    cached: VecDeque<u64>,
+    window: u64,
+    sent_in_window: u32,
+}
+
+/// What a run measured.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    /// Waits from the arrival at the gateway to the start on a slot, in milliseconds, sorted.
+    pub waits: Vec<f64>,
+    /// Requests that ran in another data centre than their gateway's.
+    pub remote: usize,
+    /// Messages from gateways to agents and back, without the answer's content.
+    pub messages: u64,
+    /// Requests whose prefix was cached where they ran.
+    pub cached: usize,
+    /// Most requests that were sent to one upstream within one report interval.
+    pub herd: u32,
+}
+
+impl Outcome {
+    /// Returns a quantile of the waits.
+    pub fn quantile(&self, permille: usize) -> f64 {
+        let at = self.waits.len() * permille / 1_000;
+        self.waits.get(at).copied().unwrap_or(0.0)
+    }
+
+    /// Returns the mean wait.
+    pub fn mean(&self) -> f64 {
+        self.waits.iter().sum::<f64>() / as_f64(self.waits.len())
+    }
+
+    /// Returns a count per measured request.
+    pub fn per_request(&self, count: f64) -> f64 {
+        count / as_f64(self.waits.len())
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(usize),
+    Reach(usize, usize),
+    Finish(usize, usize),
+    Answered(usize, usize),
+    Snapshot(usize),
+    Report(usize, Vec<u32>),
+}
+
+struct World<'a> {
+    policy: Policy,
+    requests: &'a [Request],
+    measured_from: usize,
+    now: u64,
+    seq: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    engines: Vec<Engine>,
+    gateways: Vec<Gateway>,
+    names: Vec<UpstreamId>,
+    open: usize,
+    outcome: Outcome,
+}
+
+/// Runs all requests under one policy.
+pub fn run(site: Site, requests: &[Request], policy: Policy) -> Outcome {
+    let mut world = World::new(site, requests, policy);
+    while let Some(Reverse((now, _, event))) = world.events.pop() {
+        world.now = now;
+        world.handle(event);
+    }
+    world.outcome.waits.sort_by(f64::total_cmp);
+    world.outcome
+}
+
+impl<'a> World<'a> {
+    fn new(site: Site, requests: &'a [Request], policy: Policy) -> Self {
+        let names: Vec<UpstreamId> = (0..site.upstreams).map(|n| n.to_string().into()).collect();
+        let mut world = Self {
+            policy,
+            requests,
+            measured_from: as_usize(as_f64(requests.len()) * WARM_UP),
+            now: 0,
+            seq: 0,
+            events: BinaryHeap::new(),
+            engines: (0..site.upstreams)
+                .map(|n| Engine::new(n, site.gateways))
+                .collect(),
+            gateways: Vec::new(),
+            names,
+            open: requests.len(),
+            outcome: Outcome::default(),
+        };
+        world.connect(site);
+        for engine in 0..site.upstreams {
+            // Agents do not report at the same moment.
+            let phase = REPORT_INTERVAL * engine as u64 / site.upstreams as u64;
+            world.schedule(phase, Event::Snapshot(engine));
+        }
+        for (n, req) in requests.iter().enumerate() {
+            world.schedule(req.at, Event::Arrive(n));
+        }
+        world
+    }
+
+    fn connect(&mut self, site: Site) {
+        let upstreams: Vec<_> = self
+            .names
+            .iter()
+            .enumerate()
+            .map(|(n, id)| (id.clone(), data_centre_name(n % DATA_CENTRES)))
+            .collect();
+        for gateway in 0..site.gateways {
+            let data_centre = gateway % DATA_CENTRES;
+            let own = data_centre_name(data_centre);
+            let name = format!("gateway-{gateway}");
+            let chosen = subset(&name, &own, &upstreams, SUBSET_SIZE);
+            let (mut local, mut remote) = (Vec::new(), Vec::new());
+            for id in chosen {
+                let engine = engine_of(&id);
+                self.engines[engine].connected.push(gateway);
+                let is_local = engine % DATA_CENTRES == data_centre;
+                let members = if is_local { &mut local } else { &mut remote };
+                members.push(Member {
+                    upstream: id,
+                    slots: SLOTS,
+                    own: 0,
+                    others: 0,
+                });
+            }
+            self.gateways.push(Gateway {
+                data_centre,
+                pool: Pool::new(local, remote),
+            });
+        }
+    }
+
+    fn schedule(&mut self, after: u64, event: Event) {
+        self.seq += 1;
+        self.events
+            .push(Reverse((self.now + after, self.seq, event)));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(req) => self.dispatch(req),
+            Event::Reach(req, engine) => self.reach(req, engine),
+            Event::Finish(req, engine) => self.finish(req, engine),
+            Event::Answered(req, engine) => self.answered(req, engine),
+            Event::Snapshot(engine) => self.snapshot(engine),
+            Event::Report(engine, others) => self.report(engine, &others),
+        }
+    }
+
+    fn dispatch(&mut self, req: usize) {
+        let request = &self.requests[req];
+        let mut rng = Rng::new(request.seed);
+        let engine = (self.policy)(&View {
+            req: request,
+            gateway: &self.gateways[request.gateway],
+            engines: &self.engines,
+            draws: [rng.next_u64(), rng.next_u64()],
+        });
+        self.send(req, engine);
+    }
+
+    fn send(&mut self, req: usize, engine: usize) {
+        let gateway = self.requests[req].gateway;
+        let window = self.now / REPORT_INTERVAL;
+        let at = &mut self.engines[engine];
+        at.assigned += 1;
+        if at.window != window {
+            at.window = window;
+            at.sent_in_window = 0;
+        }
+        at.sent_in_window += 1;
+        self.outcome.herd = self.outcome.herd.max(at.sent_in_window);
+        if let Some(member) = self.member(gateway, engine) {
+            member.own += 1;
+        }
+        self.count_message(req);
+        let delay = self.delay(gateway, engine);
+        self.schedule(delay, Event::Reach(req, engine));
+    }
+
+    fn reach(&mut self, req: usize, engine: usize) {
+        let at = &mut self.engines[engine];
+        at.from_gateway[self.requests[req].gateway] += 1;
+        if at.running < SLOTS {
+            self.start(req, engine);
+        } else {
+            at.waiting.push_back(req);
+        }
+    }
+
+    fn start(&mut self, req: usize, engine: usize) {
+        let request = &self.requests[req];
+        let at = &mut self.engines[engine];
+        at.running += 1;
+        let is_cached = at.touch(request.prefix);
+        let prompt = if is_cached { CACHED_SHARE } else { 1.0 } * request.prompt_us;
+        let busy = f64::from(at.running) / f64::from(SLOTS);
+        let time = (prompt + request.generate_us) * (1.0 + BATCH_SLOWDOWN * busy);
+        let is_remote = at.data_centre != self.gateways[request.gateway].data_centre;
+        if req >= self.measured_from {
+            let wait = as_f64(usize::try_from(self.now - request.at).unwrap_or(usize::MAX));
+            self.outcome.waits.push(wait / 1_000.0);
+            self.outcome.remote += usize::from(is_remote);
+            self.outcome.cached += usize::from(is_cached);
+        }
+        self.schedule(as_u64(time), Event::Finish(req, engine));
+    }
+
+    fn finish(&mut self, req: usize, engine: usize) {
+        let gateway = self.requests[req].gateway;
+        let at = &mut self.engines[engine];
+        at.assigned -= 1;
+        at.running -= 1;
+        at.from_gateway[gateway] -= 1;
+        if let Some(next) = at.waiting.pop_front() {
+            self.start(next, engine);
+        }
+        self.count_message(req);
+        let delay = self.delay(gateway, engine);
+        self.schedule(delay, Event::Answered(req, engine));
+    }
+
+    fn answered(&mut self, req: usize, engine: usize) {
+        let gateway = self.requests[req].gateway;
+        self.open -= 1;
+        if let Some(member) = self.member(gateway, engine) {
+            member.own -= 1;
+        }
+    }
+
+    fn snapshot(&mut self, engine: usize) {
+        if self.open == 0 {
+            return;
+        }
+        let at = &self.engines[engine];
+        let others = at.connected.iter().map(|g| at.others(*g)).collect();
+        self.schedule(REPORT_INTERVAL, Event::Report(engine, others));
+        self.schedule(REPORT_INTERVAL, Event::Snapshot(engine));
+    }
+
+    fn report(&mut self, engine: usize, others: &[u32]) {
+        for (n, others) in others.iter().enumerate() {
+            let gateway = self.engines[engine].connected[n];
+            if let Some(member) = self.member(gateway, engine) {
+                member.others = *others;
+            }
+        }
+    }
+
+    fn member(&mut self, gateway: usize, engine: usize) -> Option<&mut Member> {
+        self.gateways[gateway].pool.member_mut(&self.names[engine])
+    }
+
+    fn delay(&self, gateway: usize, engine: usize) -> u64 {
+        if self.gateways[gateway].data_centre == self.engines[engine].data_centre {
+            LOCAL_DELAY
+        } else {
+            REMOTE_DELAY
+        }
+    }
+
+    fn count_message(&mut self, req: usize) {
+        self.outcome.messages += u64::from(req >= self.measured_from);
+    }
+}
+
+impl Engine {
+    fn new(n: usize, gateways: usize) -> Self {
+        Self {
+            data_centre: n % DATA_CENTRES,
+            assigned: 0,
+            running: 0,
+            waiting: VecDeque::new(),
+            from_gateway: vec![0; gateways],
+            connected: Vec::new(),
+            cached: VecDeque::new(),
+            window: 0,
+            sent_in_window: 0,
+        }
+    }
+
+    /// Returns the requests of all gateways but one.
+    fn others(&self, gateway: usize) -> u32 {
+        let waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
+        self.running + waiting - self.from_gateway[gateway]
+    }
+
+    /// Puts a prefix into the cache and tells whether it was there.
+    fn touch(&mut self, prefix: u64) -> bool {
+        let position = self.cached.iter().position(|p| *p == prefix);
+        position.map(|at| self.cached.remove(at));
+        self.cached.push_back(prefix);
+        if self.cached.len() > CACHED_PREFIXES {
+            self.cached.pop_front();
+        }
+        position.is_some()
+    }
+}
+
+/// Returns the engine's number from its name.
+pub fn engine_of(id: &UpstreamId) -> usize {
+    id.as_str().parse().unwrap_or(0)
+}
+
+fn data_centre_name(n: usize) -> DataCentre {
+    format!("dc-{n}").into()
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts and times stay under 2^53"
+)]
+pub fn as_f64(n: usize) -> f64 {
+    n as f64
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "times are positive and under 2^53"
+)]
+fn as_u64(x: f64) -> u64 {
+    x as u64
+}
+
+fn as_usize(x: f64) -> usize {
+    usize::try_from(as_u64(x)).unwrap_or(usize::MAX)
+}
