Probe for a free slot before a request waits

Cause: reports are 500 to 1,000 ms old, so a chosen upstream is often full.

Change: an agent without a free slot refuses with its present load, and pick tries other sampled members, at most 8; then the request waits at the shortest queue of those that refused. Loads that come with answers and refusals count as soon as they arrive; an older report does not replace a newer count. The pick records whether the request may wait. Members are found by binary search instead of a scan. The first rule stays in the experiment as "two samples"; its figures are those of Pool::pick before.

Ruled out: late binding, where each probed agent keeps a reservation and the first free slot is claimed.

Defects put in: pick probes once more than PROBES (caught by a_request_probes_a_bounded_number_and_then_waits_at_the_shortest_queue); an older count replaces a newer one (caught by an_older_count_does_not_replace_a_newer_one).

--- a/examples/experiment/latency.rs
+++ b/examples/experiment/latency.rs
@@ -1,10 +1,13 @@
 //! Wait for a free slot under several rules that choose the upstream, against one that knows every queue.
 
+mod draws;
+mod former;
 mod model;
 
 use fireflywind::route::pick::Member;
 
-use self::model::{Outcome, Policy, SLOTS, Site, View, as_f64, draw_requests, engine_of};
+use self::draws::{Site, as_f64, draw_requests};
+use self::model::{Outcome, Rule, SLOTS, Step, View, engine_of};
 use crate::report::{Report, Row};
 
 /// Largest 95th percentile of the wait, over that of the chooser that knows every queue.
@@ -42,31 +45,40 @@
 /// A figure of one run with its name.
 type Figure = (&'static str, fn(&Outcome) -> f64);
 
-/// A policy, and whether the bound applies to it.
-struct Rule {
-    name: &'static str,
-    policy: Policy,
-    is_bound: bool,
-}
+/// The chooser that the others are compared with.
+const ORACLE: Rule = Rule {
+    name: "oracle",
+    policy: oracle,
+    takes_replies: false,
+};
 
-const RULES: [Rule; 3] = [
+/// Rules that are shown for comparison.
+const BASELINES: [Rule; 3] = [
     Rule {
         name: "random",
         policy: random,
-        is_bound: false,
+        takes_replies: false,
     },
     Rule {
         name: "least reported",
         policy: least_reported,
-        is_bound: false,
+        takes_replies: false,
     },
+    // The first version of `Pool::pick`.
     Rule {
-        name: "pool",
-        policy: pool,
-        is_bound: true,
+        name: "two samples",
+        policy: former::two_samples,
+        takes_replies: false,
     },
 ];
 
+/// The rule that the bound applies to.
+const POOL: Rule = Rule {
+    name: "pool",
+    policy: pool,
+    takes_replies: true,
+};
+
 /// Runs all rules on all sites.
 pub fn run(seeds: &[u64]) -> Report {
     let mut report = Report::default();
@@ -81,32 +93,37 @@
         .iter()
         .map(|seed| draw_requests(site, *seed))
         .collect();
-    let run = |policy: Policy| -> Vec<Outcome> {
+    let run = |rule: Rule| -> Vec<Outcome> {
         draws
             .iter()
-            .map(|requests| model::run(site, requests, policy))
+            .map(|requests| model::run(site, requests, rule))
             .collect()
     };
-    let oracle = run(oracle);
-    push_details(report, site_name, "oracle", &oracle);
-    for rule in RULES {
-        let outcomes = run(rule.policy);
-        let ratios = oracle.iter().zip(&outcomes);
-        let ratios = ratios
-            .map(|(o, x)| x.quantile(950) / o.quantile(950))
-            .collect();
+    let oracle = run(ORACLE);
+    push_details(report, site_name, ORACLE.name, &oracle);
+    for rule in BASELINES {
+        let outcomes = run(rule);
         let figure = format!("{site_name} {}: p95 wait / oracle's", rule.name);
-        report.rows.push(if rule.is_bound {
-            Row::at_most(figure, ratios, WAIT_BOUND)
-        } else {
-            Row::baseline(figure, ratios)
-        });
+        let ratios = ratios(&outcomes, &oracle);
+        report.rows.push(Row::baseline(figure, ratios));
         push_details(report, site_name, rule.name, &outcomes);
     }
+    let outcomes = run(POOL);
+    let figure = format!("{site_name} {}: p95 wait / oracle's", POOL.name);
+    let ratios = ratios(&outcomes, &oracle);
+    report.rows.push(Row::at_most(figure, ratios, WAIT_BOUND));
+    push_details(report, site_name, POOL.name, &outcomes);
+}
+
+fn ratios(outcomes: &[Outcome], oracle: &[Outcome]) -> Vec<f64> {
+    let pairs = outcomes.iter().zip(oracle);
+    pairs
+        .map(|(x, o)| x.quantile(950) / o.quantile(950))
+        .collect()
 }
 
 fn push_details(report: &mut Report, site: &str, rule: &str, outcomes: &[Outcome]) {
-    let figures: [Figure; 6] = [
+    let figures: [Figure; 7] = [
         ("p95 wait, ms", |o| o.quantile(950)),
         ("mean wait, ms", Outcome::mean),
         ("share to another data centre", |o| {
@@ -118,7 +135,10 @@
         ("share with a cached prefix", |o| {
             o.per_request(as_f64(o.cached))
         }),
-        ("most sent to one upstream in 500 ms", |o| f64::from(o.herd)),
+        ("most sent to one upstream in 500 ms", |o| f64::from(o.sent)),
+        ("most taken by one upstream in 500 ms", |o| {
+            f64::from(o.taken)
+        }),
     ];
     for (name, figure) in figures {
         let values = outcomes.iter().map(figure).collect();
@@ -129,7 +149,7 @@
 }
 
 /// Knows every queue, also what is on its way: a free slot nearby, else any, else the shortest queue.
-fn oracle(view: &View<'_>) -> usize {
+fn oracle(view: &View<'_>) -> Step {
     let count = view.engines.len();
     let start = index(view.draws[0], count);
     let best = (0..count).map(|n| (start + n) % count).min_by_key(|n| {
@@ -139,25 +159,29 @@
         let queue = if is_full { engine.assigned } else { 0 };
         (queue, is_remote, engine.assigned)
     });
-    best.unwrap_or(0)
+    Step::Queue(best.unwrap_or(0))
 }
 
-fn random(view: &View<'_>) -> usize {
+fn random(view: &View<'_>) -> Step {
     let members = view.gateway.pool.members();
-    engine_at(&members[index(view.draws[0], members.len())])
+    Step::Queue(engine_at(&members[index(view.draws[0], members.len())]))
 }
 
-fn least_reported(view: &View<'_>) -> usize {
+fn least_reported(view: &View<'_>) -> Step {
     let member = view.gateway.pool.pick_by_scan(&[]);
-    engine_at(member.expect("a pool has members"))
+    Step::Queue(engine_at(member.expect("a pool has members")))
 }
 
-fn pool(view: &View<'_>) -> usize {
-    let pick = view
-        .gateway
-        .pool
-        .pick(view.draws, Some(view.req.prefix), &[]);
-    engine_of(&pick.expect("a pool has members").upstream)
+fn pool(view: &View<'_>) -> Step {
+    let pool = &view.gateway.pool;
+    let pick = pool.pick(view.draws, Some(view.req.prefix), view.tried);
+    let pick = pick.expect("a pool has members");
+    let engine = engine_of(&pick.upstream);
+    if pick.wait {
+        Step::Queue(engine)
+    } else {
+        Step::Try(engine)
+    }
 }
 
 fn engine_at(member: &Member) -> usize {
--- /dev/null
+++ b/examples/experiment/latency/draws.rs
@@ -0,0 +1,80 @@
+//! Sites and the requests that are drawn for them.
+
+use super::model::{BATCH_SLOWDOWN, SLOTS};
+use crate::rng::Rng;
+
+/// Share of the slots that the arrivals keep busy.
+const LOAD: f64 = 0.9;
+
+/// The size of a site.
+#[derive(Debug, Clone, Copy)]
+pub struct Site {
+    pub gateways: usize,
+    pub upstreams: usize,
+    pub requests: usize,
+}
+
+/// One request with all of its draws.
+#[derive(Debug, Clone)]
+pub struct Request {
+    pub at: u64,
+    pub gateway: usize,
+    pub prompt_us: f64,
+    pub generate_us: f64,
+    pub prefix: u64,
+    pub seed: u64,
+}
+
+/// Draws the requests of a run; every policy gets the same ones.
+pub fn draw_requests(site: Site, seed: u64) -> Vec<Request> {
+    let mut rng = Rng::new(seed);
+    let mut requests: Vec<_> = (0..site.requests)
+        .map(|_| draw_request(site, &mut rng))
+        .collect();
+    let slowdown = 1.0 + BATCH_SLOWDOWN * LOAD;
+    let work: f64 = requests.iter().map(|r| r.prompt_us + r.generate_us).sum();
+    let mean = work * slowdown / as_f64(site.requests);
+    let gap = mean / (LOAD * as_f64(site.upstreams) * f64::from(SLOTS));
+    let mut at = 0.0;
+    for req in &mut requests {
+        at += rng.exponential(gap);
+        req.at = as_u64(at);
+    }
+    requests
+}
+
+fn draw_request(site: Site, rng: &mut Rng) -> Request {
+    let prompt_tokens = 50.0 + rng.exponential(400.0);
+    // A bounded Pareto distribution: most answers are short, one in a hundred is over 500 tokens.
+    let generated_tokens = (30.0 / (1.0 - rng.unit()).powf(1.0 / 1.6)).min(3_000.0);
+    let popular = rng.unit() * rng.unit() * 200.0;
+    Request {
+        at: 0,
+        gateway: rng.below(site.gateways),
+        prompt_us: prompt_tokens * 300.0,
+        generate_us: generated_tokens * 15_000.0,
+        prefix: Rng::new(as_u64(popular)).next_u64(),
+        seed: rng.next_u64(),
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts and times stay under 2^53"
+)]
+pub fn as_f64(n: usize) -> f64 {
+    n as f64
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "times are positive and under 2^53"
+)]
+pub fn as_u64(x: f64) -> u64 {
+    x as u64
+}
+
+pub fn as_usize(x: f64) -> usize {
+    usize::try_from(as_u64(x)).unwrap_or(usize::MAX)
+}
--- a/examples/experiment/latency/model.rs
+++ b/examples/experiment/latency/model.rs
@@ -5,8 +5,10 @@
 
 use fireflywind::ids::{DataCentre, UpstreamId};
 use fireflywind::membership::{SUBSET_SIZE, subset};
-use fireflywind::route::pick::{Member, Pool};
+use fireflywind::route::pick::{Member, Pool, Tried};
+use fireflywind::units::Millis;
 
+use super::draws::{Request, Site, as_f64, as_u64, as_usize};
 use crate::rng::Rng;
 
 /// Data centres of a site.
@@ -24,11 +26,8 @@
 /// Time between two load reports of one agent, and the delay of each, in microseconds.
 const REPORT_INTERVAL: u64 = 500_000;
 
-/// Share of the slots that the arrivals keep busy.
-const LOAD: f64 = 0.9;
-
 /// Slowdown of an engine with all slots busy.
-const BATCH_SLOWDOWN: f64 = 0.25;
+pub const BATCH_SLOWDOWN: f64 = 0.25;
 
 /// Prefixes that an engine keeps cached.
 const CACHED_PREFIXES: usize = 16;
@@ -39,61 +38,27 @@
 /// Share of the requests, from the start, that is not measured.
 const WARM_UP: f64 = 0.1;
 
-/// The size of a site.
-#[derive(Debug, Clone, Copy)]
-pub struct Site {
-    pub gateways: usize,
-    pub upstreams: usize,
-    pub requests: usize,
-}
-
-/// One request with all of its draws.
-#[derive(Debug, Clone)]
-pub struct Request {
-    pub at: u64,
-    pub gateway: usize,
-    pub prompt_us: f64,
-    pub generate_us: f64,
-    pub prefix: u64,
-    pub seed: u64,
+/// What a gateway does with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// The agent runs the request or queues it.
+    Queue(usize),
+    /// The agent runs the request, or refuses it if no slot is free.
+    Try(usize),
 }
 
-/// Draws the requests of a run; every policy gets the same ones.
-pub fn draw_requests(site: Site, seed: u64) -> Vec<Request> {
-    let mut rng = Rng::new(seed);
-    let mut requests: Vec<_> = (0..site.requests)
-        .map(|_| draw_request(site, &mut rng))
-        .collect();
-    let slowdown = 1.0 + BATCH_SLOWDOWN * LOAD;
-    let work: f64 = requests.iter().map(|r| r.prompt_us + r.generate_us).sum();
-    let mean = work * slowdown / as_f64(site.requests);
-    let gap = mean / (LOAD * as_f64(site.upstreams) * f64::from(SLOTS));
-    let mut at = 0.0;
-    for req in &mut requests {
-        at += rng.exponential(gap);
-        req.at = as_u64(at);
-    }
-    requests
-}
+/// A rule that chooses the next step of a request.
+pub type Policy = fn(&View<'_>) -> Step;
 
-fn draw_request(site: Site, rng: &mut Rng) -> Request {
-    let prompt_tokens = 50.0 + rng.exponential(400.0);
-    // A bounded Pareto distribution: most answers are short, one in a hundred is over 500 tokens.
-    let generated_tokens = (30.0 / (1.0 - rng.unit()).powf(1.0 / 1.6)).min(3_000.0);
-    let popular = rng.unit() * rng.unit() * 200.0;
-    Request {
-        at: 0,
-        gateway: rng.below(site.gateways),
-        prompt_us: prompt_tokens * 300.0,
-        generate_us: generated_tokens * 15_000.0,
-        prefix: Rng::new(as_u64(popular)).next_u64(),
-        seed: rng.next_u64(),
-    }
+/// A policy with its name and what it may use.
+#[derive(Debug, Clone, Copy)]
+pub struct Rule {
+    pub name: &'static str,
+    pub policy: Policy,
+    /// Whether gateways take the loads that come with answers and refusals.
+    pub takes_replies: bool,
 }
 
-/// A rule that chooses an engine.
-pub type Policy = fn(&View<'_>) -> usize;
-
 /// What a policy sees; only the oracle may look at `engines`.
 #[derive(Debug)]
 pub struct View<'a> {
@@ -101,6 +66,8 @@
     pub gateway: &'a Gateway,
     pub engines: &'a [Engine],
     pub draws: [u64; 2],
+    /// Upstreams that refused the request.
+    pub tried: &'a Tried,
 }
 
 /// A gateway with its view of the upstreams.
@@ -121,8 +88,28 @@
     from_gateway: Vec<u32>,
     connected: Vec<usize>,
     cached: VecDeque<u64>,
-    window: u64,
-    sent_in_window: u32,
+    sent: Window,
+    taken: Window,
+}
+
+/// A counter of the current report interval.
+#[derive(Debug, Default)]
+struct Window {
+    number: u64,
+    count: u32,
+}
+
+impl Window {
+    /// Counts one more and returns the count.
+    const fn count(&mut self, now: u64) -> u32 {
+        let number = now / REPORT_INTERVAL;
+        if self.number != number {
+            self.number = number;
+            self.count = 0;
+        }
+        self.count += 1;
+        self.count
+    }
 }
 
 /// What a run measured.
@@ -136,8 +123,10 @@
     pub messages: u64,
     /// Requests whose prefix was cached where they ran.
     pub cached: usize,
-    /// Most requests that were sent to one upstream within one report interval.
-    pub herd: u32,
+    /// Most requests that were sent to one upstream within one report interval, with refused ones.
+    pub sent: u32,
+    /// Most requests that started or joined the queue at one upstream within one report interval.
+    pub taken: u32,
 }
 
 impl Outcome {
@@ -158,18 +147,25 @@
     }
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Mode {
+    Queue,
+    Try,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive(usize),
-    Reach(usize, usize),
+    Reach(usize, usize, Mode),
+    Refused(usize, usize, u32),
     Finish(usize, usize),
-    Answered(usize, usize),
+    Answered(usize, usize, u32),
     Snapshot(usize),
     Report(usize, Vec<u32>),
 }
 
 struct World<'a> {
-    policy: Policy,
+    rule: Rule,
     requests: &'a [Request],
     measured_from: usize,
     now: u64,
@@ -178,13 +174,14 @@
     engines: Vec<Engine>,
     gateways: Vec<Gateway>,
     names: Vec<UpstreamId>,
+    tried: Vec<Tried>,
     open: usize,
     outcome: Outcome,
 }
 
 /// Runs all requests under one policy.
-pub fn run(site: Site, requests: &[Request], policy: Policy) -> Outcome {
-    let mut world = World::new(site, requests, policy);
+pub fn run(site: Site, requests: &[Request], rule: Rule) -> Outcome {
+    let mut world = World::new(site, requests, rule);
     while let Some(Reverse((now, _, event))) = world.events.pop() {
         world.now = now;
         world.handle(event);
@@ -194,10 +191,10 @@
 }
 
 impl<'a> World<'a> {
-    fn new(site: Site, requests: &'a [Request], policy: Policy) -> Self {
+    fn new(site: Site, requests: &'a [Request], rule: Rule) -> Self {
         let names: Vec<UpstreamId> = (0..site.upstreams).map(|n| n.to_string().into()).collect();
         let mut world = Self {
-            policy,
+            rule,
             requests,
             measured_from: as_usize(as_f64(requests.len()) * WARM_UP),
             now: 0,
@@ -208,6 +205,7 @@
                 .collect(),
             gateways: Vec::new(),
             names,
+            tried: vec![Tried::default(); requests.len()],
             open: requests.len(),
             outcome: Outcome::default(),
         };
@@ -246,6 +244,7 @@
                     slots: SLOTS,
                     own: 0,
                     others: 0,
+                    refused: false,
                 });
             }
             self.gateways.push(Gateway {
@@ -264,9 +263,10 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive(req) => self.dispatch(req),
-            Event::Reach(req, engine) => self.reach(req, engine),
+            Event::Reach(req, engine, mode) => self.reach(req, engine, mode),
+            Event::Refused(req, engine, others) => self.refused(req, engine, others),
             Event::Finish(req, engine) => self.finish(req, engine),
-            Event::Answered(req, engine) => self.answered(req, engine),
+            Event::Answered(req, engine, others) => self.answered(req, engine, others),
             Event::Snapshot(engine) => self.snapshot(engine),
             Event::Report(engine, others) => self.report(engine, &others),
         }
@@ -274,49 +274,79 @@
 
     fn dispatch(&mut self, req: usize) {
         let request = &self.requests[req];
-        let mut rng = Rng::new(request.seed);
-        let engine = (self.policy)(&View {
+        let tried = &self.tried[req];
+        let mut rng = Rng::new(request.seed.wrapping_add(tried.full.len() as u64));
+        let step = (self.rule.policy)(&View {
             req: request,
             gateway: &self.gateways[request.gateway],
             engines: &self.engines,
             draws: [rng.next_u64(), rng.next_u64()],
+            tried,
         });
-        self.send(req, engine);
+        match step {
+            Step::Queue(engine) => self.send(req, engine, Mode::Queue),
+            Step::Try(engine) => self.send(req, engine, Mode::Try),
+        }
     }
 
-    fn send(&mut self, req: usize, engine: usize) {
+    fn send(&mut self, req: usize, engine: usize, mode: Mode) {
         let gateway = self.requests[req].gateway;
-        let window = self.now / REPORT_INTERVAL;
         let at = &mut self.engines[engine];
         at.assigned += 1;
-        if at.window != window {
-            at.window = window;
-            at.sent_in_window = 0;
-        }
-        at.sent_in_window += 1;
-        self.outcome.herd = self.outcome.herd.max(at.sent_in_window);
+        self.outcome.sent = self.outcome.sent.max(at.sent.count(self.now));
         if let Some(member) = self.member(gateway, engine) {
             member.own += 1;
         }
         self.count_message(req);
         let delay = self.delay(gateway, engine);
-        self.schedule(delay, Event::Reach(req, engine));
+        self.schedule(delay, Event::Reach(req, engine, mode));
     }
 
-    fn reach(&mut self, req: usize, engine: usize) {
+    fn reach(&mut self, req: usize, engine: usize, mode: Mode) {
+        let gateway = self.requests[req].gateway;
         let at = &mut self.engines[engine];
-        at.from_gateway[self.requests[req].gateway] += 1;
+        if at.running < SLOTS || mode == Mode::Queue {
+            self.outcome.taken = self.outcome.taken.max(at.taken.count(self.now));
+        }
         if at.running < SLOTS {
+            at.running += 1;
+            at.from_gateway[gateway] += 1;
             self.start(req, engine);
-        } else {
+        } else if mode == Mode::Queue {
+            at.from_gateway[gateway] += 1;
             at.waiting.push_back(req);
+        } else {
+            at.assigned -= 1;
+            let others = at.others(gateway);
+            self.reply(req, engine, Event::Refused(req, engine, others));
         }
     }
 
+    fn reply(&mut self, req: usize, engine: usize, event: Event) {
+        self.count_message(req);
+        let delay = self.delay(self.requests[req].gateway, engine);
+        self.schedule(delay, event);
+    }
+
+    fn refused(&mut self, req: usize, engine: usize, others: u32) {
+        self.take_load(req, engine, others);
+        self.tried[req].full.push(self.names[engine].clone());
+        self.dispatch(req);
+    }
+
+    /// Gives a freed slot to the next in the queue.
+    fn free(&mut self, engine: usize) {
+        let at = &mut self.engines[engine];
+        match at.waiting.pop_front() {
+            Some(req) => self.start(req, engine),
+            None => at.running -= 1,
+        }
+    }
+
+    /// Starts a request on a slot that is taken already.
     fn start(&mut self, req: usize, engine: usize) {
         let request = &self.requests[req];
         let at = &mut self.engines[engine];
-        at.running += 1;
         let is_cached = at.touch(request.prefix);
         let prompt = if is_cached { CACHED_SHARE } else { 1.0 } * request.prompt_us;
         let busy = f64::from(at.running) / f64::from(SLOTS);
@@ -335,22 +365,28 @@
         let gateway = self.requests[req].gateway;
         let at = &mut self.engines[engine];
         at.assigned -= 1;
-        at.running -= 1;
         at.from_gateway[gateway] -= 1;
-        if let Some(next) = at.waiting.pop_front() {
-            self.start(next, engine);
-        }
-        self.count_message(req);
-        let delay = self.delay(gateway, engine);
-        self.schedule(delay, Event::Answered(req, engine));
+        self.free(engine);
+        let others = self.engines[engine].others(gateway);
+        self.reply(req, engine, Event::Answered(req, engine, others));
     }
 
-    fn answered(&mut self, req: usize, engine: usize) {
-        let gateway = self.requests[req].gateway;
+    fn answered(&mut self, req: usize, engine: usize, others: u32) {
         self.open -= 1;
+        self.take_load(req, engine, others);
+    }
+
+    /// Ends an attempt at the gateway and takes the load that came with its reply.
+    fn take_load(&mut self, req: usize, engine: usize, others: u32) {
+        let gateway = self.requests[req].gateway;
         if let Some(member) = self.member(gateway, engine) {
             member.own -= 1;
         }
+        if self.rule.takes_replies {
+            let now = Millis(self.now / 1_000);
+            let pool = &mut self.gateways[gateway].pool;
+            pool.observe(&self.names[engine], others, now);
+        }
     }
 
     fn snapshot(&mut self, engine: usize) {
@@ -366,9 +402,9 @@
     fn report(&mut self, engine: usize, others: &[u32]) {
         for (n, others) in others.iter().enumerate() {
             let gateway = self.engines[engine].connected[n];
-            if let Some(member) = self.member(gateway, engine) {
-                member.others = *others;
-            }
+            let counted = Millis((self.now - REPORT_INTERVAL) / 1_000);
+            let pool = &mut self.gateways[gateway].pool;
+            pool.observe(&self.names[engine], *others, counted);
         }
     }
 
@@ -399,8 +435,8 @@
             from_gateway: vec![0; gateways],
             connected: Vec::new(),
             cached: VecDeque::new(),
-            window: 0,
-            sent_in_window: 0,
+            sent: Window::default(),
+            taken: Window::default(),
         }
     }
 
@@ -430,24 +466,3 @@
 fn data_centre_name(n: usize) -> DataCentre {
     format!("dc-{n}").into()
 }
-
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "counts and times stay under 2^53"
-)]
-pub fn as_f64(n: usize) -> f64 {
-    n as f64
-}
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "times are positive and under 2^53"
-)]
-fn as_u64(x: f64) -> u64 {
-    x as u64
-}
-
-fn as_usize(x: f64) -> usize {
-    usize::try_from(as_u64(x)).unwrap_or(usize::MAX)
-}
--- a/src/route/pick/mod.rs
+++ b/src/route/pick/mod.rs
@@ -2,19 +2,28 @@
 //!
 //! Load reports lag, so the least reported upstream would be flooded by every gateway that saw the same
 //! report. The choice is therefore among a few sampled members, by reported load and own work in flight.
+//!
+//! An agent without a free slot refuses a request with its present load, and the gateway tries the next
+//! upstream. After [`PROBES`] refusals the request waits where the queue is shortest.
+
+use std::ops::Range;
 
 use serde::{Deserialize, Serialize};
 
 use crate::ids::UpstreamId;
+use crate::units::Millis;
 
 #[cfg(test)]
 mod tests;
 
+/// Refusals for lack of a free slot after which a request waits in a queue; each costs a round trip.
+pub const PROBES: usize = 8;
+
 /// Members that are sampled in the own data centre.
-const LOCAL_SAMPLES: usize = 2;
+const LOCAL_SAMPLES: u32 = 2;
 
 /// Members that are sampled in other data centres if all local samples are full.
-const REMOTE_SAMPLES: usize = 2;
+const REMOTE_SAMPLES: u32 = 2;
 
 /// Extra load, in permille of the slots, that prefix affinity may cost; a cached prefix saves less.
 const AFFINITY_MARGIN: u64 = 250;
@@ -33,6 +42,9 @@
     pub own: u32,
     /// Requests of other gateways there, from the last report.
     pub others: u32,
+    /// Whether it refused this request because no slot was free.
+    #[serde(default)]
+    pub refused: bool,
 }
 
 impl Member {
@@ -48,9 +60,28 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Pool {
     members: Vec<Member>,
+    /// Time at which each agent counted its load.
+    counted: Vec<Millis>,
+    /// Indexes into `members`, sorted by name.
+    by_name: Vec<usize>,
     local: usize,
 }
 
+/// Upstreams that earlier attempts of a request were sent to.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tried {
+    /// Those that refused it because no slot was free; the request may wait there.
+    pub full: Vec<UpstreamId>,
+    /// Those that must not receive it again.
+    pub failed: Vec<UpstreamId>,
+}
+
+impl Tried {
+    fn contains(&self, upstream: &UpstreamId) -> bool {
+        self.full.contains(upstream) || self.failed.contains(upstream)
+    }
+}
+
 /// Why a member was chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -73,6 +104,9 @@
     pub upstream: UpstreamId,
     /// Why it was chosen.
     pub why: Why,
+    /// Whether the request may wait in the agent's queue; otherwise it is refused if no slot is free.
+    #[serde(default)]
+    pub wait: bool,
 }
 
 impl Pool {
@@ -82,7 +116,11 @@
         let count = local.len();
         let mut members = local;
         members.extend(remote);
+        let mut by_name: Vec<_> = (0..members.len()).collect();
+        by_name.sort_by(|a, b| members[*a].upstream.cmp(&members[*b].upstream));
         Self {
+            counted: vec![Millis(0); members.len()],
+            by_name,
             members,
             local: count,
         }
@@ -102,25 +140,58 @@
 
     /// Returns a member for an update of its load.
     pub fn member_mut(&mut self, upstream: &UpstreamId) -> Option<&mut Member> {
-        self.members.iter_mut().find(|m| m.upstream == *upstream)
+        let at = self.position(upstream)?;
+        self.members.get_mut(at)
+    }
+
+    /// Takes the number of other gateways' requests that an agent counted at `counted`.
+    ///
+    /// An older count than the known one is ignored: a report may arrive after a reply that was counted
+    /// later.
+    pub fn observe(&mut self, upstream: &UpstreamId, others: u32, counted: Millis) {
+        let Some(at) = self.position(upstream) else {
+            return;
+        };
+        if counted >= self.counted[at] {
+            self.counted[at] = counted;
+            self.members[at].others = others;
+        }
     }
 
-    /// Chooses a member that `tried` does not name; `None` if there is none.
+    /// Chooses an upstream for the next attempt of a request; `None` if there is none.
     ///
-    /// Takes constant time in the size of the pool, but for the names in `tried`.
+    /// The draws must be new ones for each attempt. Takes constant time in the size of the pool.
     #[must_use]
-    pub fn pick(&self, draws: [u64; 2], prefix: Option<u64>, tried: &[UpstreamId]) -> Option<Pick> {
-        let (local, remote) = self.members.split_at(self.local);
-        let mut sampled = Vec::with_capacity(LOCAL_SAMPLES + REMOTE_SAMPLES + 1);
-        let affine = prefix.and_then(|hash| affine_member(self.near(), hash, tried));
+    pub fn pick(&self, draws: [u64; 2], prefix: Option<u64>, tried: &Tried) -> Option<Pick> {
+        let probe = (tried.full.len() < PROBES)
+            .then(|| self.probe(draws, prefix, tried))
+            .flatten();
+        probe.or_else(|| self.shortest_queue(tried))
+    }
+
+    fn probe(&self, draws: [u64; 2], prefix: Option<u64>, tried: &Tried) -> Option<Pick> {
+        let mut sampled = Vec::new();
+        let affine = prefix.and_then(|hash| self.affine_member(hash, tried));
         sampled.extend(affine);
-        sample(local, draws[0], LOCAL_SAMPLES, tried, &mut sampled);
-        if sampled.iter().all(|m| m.load() >= FULL) {
-            sample(remote, draws[1], REMOTE_SAMPLES, tried, &mut sampled);
+        self.sample(0..self.local, draws[0], LOCAL_SAMPLES, tried, &mut sampled);
+        if sampled.iter().all(|at| self.members[*at].load() >= FULL) {
+            let remote = self.local..self.members.len();
+            self.sample(remote, draws[1], REMOTE_SAMPLES, tried, &mut sampled);
         }
-        let affine = affine.map(|_| 0);
-        let sampled: Vec<_> = sampled.into_iter().cloned().collect();
-        choose(sampled, affine)
+        let sampled = sampled.iter().map(|at| self.members[*at].clone()).collect();
+        choose(sampled, affine.map(|_| 0))
+    }
+
+    /// Chooses among the members that refused the request.
+    fn shortest_queue(&self, tried: &Tried) -> Option<Pick> {
+        let known = tried.full.iter().filter(|u| !tried.failed.contains(u));
+        let sampled = known
+            .filter_map(|upstream| self.position(upstream))
+            .map(|at| Member {
+                refused: true,
+                ..self.members[at].clone()
+            });
+        choose(sampled.collect(), None)
     }
 
     /// Chooses by a scan of all members; the baseline of the experiments.
@@ -132,12 +203,44 @@
             .min_by_key(|m| m.load())
     }
 
-    /// Returns the members of the own data centre, or all if it has none.
-    fn near(&self) -> &[Member] {
-        if self.local == 0 {
-            &self.members
+    fn position(&self, upstream: &UpstreamId) -> Option<usize> {
+        let found = self
+            .by_name
+            .binary_search_by(|at| self.members[*at].upstream.cmp(upstream));
+        found.ok().map(|at| self.by_name[at])
+    }
+
+    /// Finds the member that owns a prefix: the same one at every gateway of a data centre.
+    fn affine_member(&self, hash: u64, tried: &Tried) -> Option<usize> {
+        let near = if self.local == 0 {
+            self.members.len()
         } else {
-            &self.members[..self.local]
+            self.local
+        };
+        let at = (near > 0).then(|| index(hash, near))?;
+        (!tried.contains(&self.members[at].upstream)).then_some(at)
+    }
+
+    /// Adds up to `count` untried members that stand at or after drawn places.
+    fn sample(
+        &self,
+        range: Range<usize>,
+        draw: u64,
+        count: u32,
+        tried: &Tried,
+        sampled: &mut Vec<usize>,
+    ) {
+        if range.is_empty() {
+            return;
+        }
+        for n in 0..count {
+            // Other bits of the draw give other places, so that neighbours are not always compared.
+            let bits = draw.rotate_right(n * u64::BITS / count);
+            let start = range.start + index(bits, range.len());
+            let untried = (start..range.end)
+                .chain(range.start..start)
+                .find(|at| !sampled.contains(at) && !tried.contains(&self.members[*at].upstream));
+            sampled.extend(untried);
         }
     }
 }
@@ -154,53 +257,16 @@
         _ => (best, Why::LowestLoad),
     };
     let upstream = chosen.upstream.clone();
+    let wait = chosen.refused;
     Some(Pick {
         sampled,
         affine,
         upstream,
         why,
+        wait,
     })
 }
 
-/// Adds up to `count` members that stand at or after a drawn place.
-fn sample<'a>(
-    members: &'a [Member],
-    draw: u64,
-    count: usize,
-    tried: &[UpstreamId],
-    sampled: &mut Vec<&'a Member>,
-) {
-    if members.is_empty() {
-        return;
-    }
-    let wanted = sampled.len() + count;
-    // Two halves of the draw give two places, so that neighbours are not always compared.
-    for half in [draw & 0xffff_ffff, draw >> 32] {
-        let start = index(half, members.len());
-        let untried = members[start..]
-            .iter()
-            .chain(&members[..start])
-            .find(|m| !tried.contains(&m.upstream) && !contains(sampled, m));
-        sampled.extend(untried);
-        if sampled.len() == wanted {
-            return;
-        }
-    }
-}
-
-fn contains(sampled: &[&Member], member: &Member) -> bool {
-    sampled.iter().any(|m| m.upstream == member.upstream)
-}
-
-/// Finds the member that owns a prefix: the same one at every gateway of a data centre.
-fn affine_member<'a>(members: &'a [Member], hash: u64, tried: &[UpstreamId]) -> Option<&'a Member> {
-    if members.is_empty() {
-        return None;
-    }
-    let member = members.get(index(hash, members.len()))?;
-    (!tried.contains(&member.upstream)).then_some(member)
-}
-
 /// Maps a hash or draw to an index below `len`, which is not zero.
 fn index(hash: u64, len: usize) -> usize {
     let len = u64::try_from(len).unwrap_or(u64::MAX);
--- a/src/route/pick/tests.rs
+++ b/src/route/pick/tests.rs
@@ -14,6 +14,7 @@
         slots: 8,
         own: own.into(),
         others: others.into(),
+        refused: false,
     }
 }
 
@@ -32,13 +33,17 @@
 fn a_pick_is_an_untried_member() {
     fn property(loads: Vec<(u8, u8)>, local: usize, tried: Vec<usize>, draws: (u64, u64)) -> bool {
         let pool = pool(&loads, local % (loads.len() + 1));
-        let tried: Vec<_> = tried.iter().map(|n| member(n % 8, 0, 0).upstream).collect();
-        let left = pool.pick_by_scan(&tried).is_some();
+        let failed: Vec<_> = tried.iter().map(|n| member(n % 8, 0, 0).upstream).collect();
+        let left = pool.pick_by_scan(&failed).is_some();
+        let tried = Tried {
+            full: Vec::new(),
+            failed,
+        };
 
         match pool.pick([draws.0, draws.1], Some(draws.0), &tried) {
             Some(pick) => {
                 let known = pool.members().iter().any(|m| m.upstream == pick.upstream);
-                known && !tried.contains(&pick.upstream)
+                known && !tried.failed.contains(&pick.upstream)
             }
             None => !left,
         }
@@ -54,7 +59,7 @@
 fn a_pick_repeats_from_its_record() {
     fn property(loads: Vec<(u8, u8)>, draws: (u64, u64)) -> bool {
         let pool = pool(&loads, loads.len());
-        let Some(pick) = pool.pick([draws.0, draws.1], Some(draws.1), &[]) else {
+        let Some(pick) = pool.pick([draws.0, draws.1], Some(draws.1), &Tried::default()) else {
             return loads.is_empty();
         };
         let text = serde_json::to_string(&pick).expect("a pick serialises");
@@ -71,7 +76,7 @@
 
     for draw in 0..100 {
         let pick = pool
-            .pick([draw, draw], None, &[])
+            .pick([draw, draw], None, &Tried::default())
             .expect("the pool has members");
         assert!(["engine-000", "engine-001"].contains(&pick.upstream.as_str()));
     }
@@ -82,7 +87,50 @@
 fn a_full_data_centre_spills_over() {
     let pool = pool(&[(8, 0), (0, 8), (0, 0), (0, 0)], 2);
 
-    let pick = pool.pick([1, 2], None, &[]).expect("the pool has members");
+    let pick = pool
+        .pick([1, 2], None, &Tried::default())
+        .expect("the pool has members");
 
     assert!(["engine-002", "engine-003"].contains(&pick.upstream.as_str()));
 }
+
+// Guards against a request that is refused everywhere and never waits, or waits before its last probe.
+#[test]
+fn a_request_probes_a_bounded_number_and_then_waits_at_the_shortest_queue() {
+    fn property(loads: Vec<(u8, u8)>, draws: Vec<(u64, u64)>) -> bool {
+        let pool = pool(&loads, loads.len() / 2);
+        let mut tried = Tried::default();
+        for n in 0..=PROBES.min(loads.len()) {
+            let (first, second) = draws.get(n).copied().unwrap_or_default();
+            let Some(pick) = pool.pick([first, second], Some(first), &tried) else {
+                return loads.is_empty();
+            };
+            if pick.wait {
+                let full = pool.members().iter();
+                let full = full.filter(|m| tried.full.contains(&m.upstream));
+                let chosen = full.clone().find(|m| m.upstream == pick.upstream);
+                let shortest = full.map(Member::load).min();
+                let is_last = n == PROBES.min(loads.len());
+                return is_last && chosen.map(Member::load) == shortest;
+            }
+            if tried.full.contains(&pick.upstream) {
+                return false;
+            }
+            tried.full.push(pick.upstream);
+        }
+        false
+    }
+    check(3, property as fn(Vec<(u8, u8)>, Vec<(u64, u64)>) -> bool);
+}
+
+// Guards against a late report that replaces a newer count.
+#[test]
+fn an_older_count_does_not_replace_a_newer_one() {
+    let mut pool = pool(&[(0, 0), (0, 0)], 2);
+    let upstream = member(1, 0, 0).upstream;
+
+    pool.observe(&upstream, 7, Millis(900));
+    pool.observe(&upstream, 2, Millis(500));
+
+    assert_eq!(pool.members()[1].others, 7);
+}
