Always sample the upstreams that replied last

Cause: the members that a gateway knows best, because an answer or a refusal just came from there, were sampled only by chance.

Change: the last 8 members that replied are compared with the drawn ones, those of other data centres still only when the own ones are full.

--- a/examples/experiment/latency/model.rs
+++ b/examples/experiment/latency/model.rs
@@ -5,7 +5,7 @@
 
 use fireflywind::ids::{DataCentre, UpstreamId};
 use fireflywind::membership::{SUBSET_SIZE, subset};
-use fireflywind::route::pick::{Member, Pool, Tried};
+use fireflywind::route::pick::{Member, Pool, Source, Tried};
 use fireflywind::units::Millis;
 
 use super::draws::{Request, Site, as_f64, as_u64, as_usize};
@@ -385,7 +385,7 @@
         if self.rule.takes_replies {
             let now = Millis(self.now / 1_000);
             let pool = &mut self.gateways[gateway].pool;
-            pool.observe(&self.names[engine], others, now);
+            pool.observe(&self.names[engine], others, now, Source::Reply);
         }
     }
 
@@ -404,7 +404,7 @@
             let gateway = self.engines[engine].connected[n];
             let counted = Millis((self.now - REPORT_INTERVAL) / 1_000);
             let pool = &mut self.gateways[gateway].pool;
-            pool.observe(&self.names[engine], *others, counted);
+            pool.observe(&self.names[engine], *others, counted, Source::Report);
         }
     }
 
--- a/src/route/pick/mod.rs
+++ b/src/route/pick/mod.rs
@@ -25,6 +25,9 @@
 /// Members that are sampled in other data centres if all local samples are full.
 const REMOTE_SAMPLES: u32 = 2;
 
+/// Members whose load came with a reply last, and which are always sampled.
+const RECENT: usize = 8;
+
 /// Extra load, in permille of the slots, that prefix affinity may cost; a cached prefix saves less.
 const AFFINITY_MARGIN: u64 = 250;
 
@@ -64,9 +67,20 @@
     counted: Vec<Millis>,
     /// Indexes into `members`, sorted by name.
     by_name: Vec<usize>,
+    /// Indexes of the members that replied last, the latest first.
+    recent: Vec<usize>,
     local: usize,
 }
 
+/// How an agent's load arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// In the regular exchange of state.
+    Report,
+    /// With an answer or a refusal.
+    Reply,
+}
+
 /// Upstreams that earlier attempts of a request were sent to.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tried {
@@ -121,6 +135,7 @@
         Self {
             counted: vec![Millis(0); members.len()],
             by_name,
+            recent: Vec::new(),
             members,
             local: count,
         }
@@ -148,7 +163,7 @@
     ///
     /// An older count than the known one is ignored: a report may arrive after a reply that was counted
     /// later.
-    pub fn observe(&mut self, upstream: &UpstreamId, others: u32, counted: Millis) {
+    pub fn observe(&mut self, upstream: &UpstreamId, others: u32, counted: Millis, source: Source) {
         let Some(at) = self.position(upstream) else {
             return;
         };
@@ -156,6 +171,11 @@
             self.counted[at] = counted;
             self.members[at].others = others;
         }
+        if source == Source::Reply {
+            self.recent.retain(|known| *known != at);
+            self.recent.insert(0, at);
+            self.recent.truncate(RECENT);
+        }
     }
 
     /// Chooses an upstream for the next attempt of a request; `None` if there is none.
@@ -173,9 +193,11 @@
         let mut sampled = Vec::new();
         let affine = prefix.and_then(|hash| self.affine_member(hash, tried));
         sampled.extend(affine);
+        self.sample_recent(&(0..self.local), tried, &mut sampled);
         self.sample(0..self.local, draws[0], LOCAL_SAMPLES, tried, &mut sampled);
         if sampled.iter().all(|at| self.members[*at].load() >= FULL) {
             let remote = self.local..self.members.len();
+            self.sample_recent(&remote, tried, &mut sampled);
             self.sample(remote, draws[1], REMOTE_SAMPLES, tried, &mut sampled);
         }
         let sampled = sampled.iter().map(|at| self.members[*at].clone()).collect();
@@ -221,6 +243,16 @@
         (!tried.contains(&self.members[at].upstream)).then_some(at)
     }
 
+    /// Adds the untried members that replied last.
+    fn sample_recent(&self, range: &Range<usize>, tried: &Tried, sampled: &mut Vec<usize>) {
+        for at in &self.recent {
+            let is_new = range.contains(at) && !sampled.contains(at);
+            if is_new && !tried.contains(&self.members[*at].upstream) {
+                sampled.push(*at);
+            }
+        }
+    }
+
     /// Adds up to `count` untried members that stand at or after drawn places.
     fn sample(
         &self,
--- a/src/route/pick/tests.rs
+++ b/src/route/pick/tests.rs
@@ -129,8 +129,21 @@
     let mut pool = pool(&[(0, 0), (0, 0)], 2);
     let upstream = member(1, 0, 0).upstream;
 
-    pool.observe(&upstream, 7, Millis(900));
-    pool.observe(&upstream, 2, Millis(500));
+    pool.observe(&upstream, 7, Millis(900), Source::Reply);
+    pool.observe(&upstream, 2, Millis(500), Source::Report);
 
     assert_eq!(pool.members()[1].others, 7);
 }
+
+// Guards against a free slot that a reply told of and that a gateway does not use.
+#[test]
+fn an_upstream_that_just_replied_with_free_slots_is_picked() {
+    let mut pool = pool(&[(0, 6); 24], 24);
+    let upstream = member(13, 0, 0).upstream;
+    pool.observe(&upstream, 5, Millis(900), Source::Reply);
+
+    for draw in 0..100 {
+        let pick = pool.pick([draw, draw], None, &Tried::default());
+        assert_eq!(pick.map(|p| p.upstream), Some(upstream.clone()));
+    }
+}
