Weigh a reported load by its age

Cause: an old low load looks better than a fresh one although other gateways have filled it since.

Change: the compared load is drawn from the known one to the usual one of 95%, half of the way at an age of 200 ms. The sampled members of a pick carry the age, so that replay repeats the choice.

--- a/examples/experiment/latency.rs
+++ b/examples/experiment/latency.rs
@@ -174,7 +174,7 @@
 
 fn pool(view: &View<'_>) -> Step {
     let pool = &view.gateway.pool;
-    let pick = pool.pick(view.draws, Some(view.req.prefix), view.tried);
+    let pick = pool.pick(view.now, view.draws, Some(view.req.prefix), view.tried);
     let pick = pick.expect("a pool has members");
     let engine = engine_of(&pick.upstream);
     if pick.wait {
--- a/examples/experiment/latency/model.rs
+++ b/examples/experiment/latency/model.rs
@@ -66,6 +66,7 @@
     pub gateway: &'a Gateway,
     pub engines: &'a [Engine],
     pub draws: [u64; 2],
+    pub now: Millis,
     /// Upstreams that refused the request.
     pub tried: &'a Tried,
 }
@@ -244,6 +245,7 @@
                     slots: SLOTS,
                     own: 0,
                     others: 0,
+                    age: Millis(0),
                     refused: false,
                 });
             }
@@ -281,6 +283,7 @@
             gateway: &self.gateways[request.gateway],
             engines: &self.engines,
             draws: [rng.next_u64(), rng.next_u64()],
+            now: Millis(self.now / 1_000),
             tried,
         });
         match step {
--- a/src/route/pick/mod.rs
+++ b/src/route/pick/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Load reports lag, so the least reported upstream would be flooded by every gateway that saw the same
 //! report. The choice is therefore among a few sampled members, by reported load and own work in flight.
+//! A load counts less the older it is.
 //!
 //! An agent without a free slot refuses a request with its present load, and the gateway tries the next
 //! upstream. After [`PROBES`] refusals the request waits where the queue is shortest.
@@ -31,6 +32,14 @@
 /// Extra load, in permille of the slots, that prefix affinity may cost; a cached prefix saves less.
 const AFFINITY_MARGIN: u64 = 250;
 
+/// Load that is expected of a member without a report, in permille: the load that sites are sized for.
+const USUAL_LOAD: u64 = 950;
+
+/// Age at which a load counts half and [`USUAL_LOAD`] the other half.
+///
+/// Low loads are filled and high ones are avoided within a few hundred milliseconds.
+const HALF_AGE: Millis = Millis(200);
+
 /// Load of a member at which all of its slots are taken, in permille.
 const FULL: u64 = 1_000;
 
@@ -45,6 +54,9 @@
     pub own: u32,
     /// Requests of other gateways there, from the last report.
     pub others: u32,
+    /// Age of `others` when the member was sampled; zero in a pool.
+    #[serde(default)]
+    pub age: Millis,
     /// Whether it refused this request because no slot was free.
     #[serde(default)]
     pub refused: bool,
@@ -57,6 +69,16 @@
         let requests = u64::from(self.own) + u64::from(self.others);
         requests * FULL / u64::from(self.slots.max(1))
     }
+
+    /// Returns the load that is expected now, in permille: the older the load, the less it counts.
+    #[must_use]
+    pub fn expected(&self) -> u64 {
+        let age = u128::from(self.age.0);
+        let half_age = u128::from(HALF_AGE.0);
+        let known = u128::from(self.load()) * half_age;
+        let usual = u128::from(USUAL_LOAD) * age;
+        u64::try_from((known + usual) / (half_age + age)).unwrap_or(u64::MAX)
+    }
 }
 
 /// The upstreams of one version that may receive new work, those of the own data centre first.
@@ -182,14 +204,26 @@
     ///
     /// The draws must be new ones for each attempt. Takes constant time in the size of the pool.
     #[must_use]
-    pub fn pick(&self, draws: [u64; 2], prefix: Option<u64>, tried: &Tried) -> Option<Pick> {
+    pub fn pick(
+        &self,
+        now: Millis,
+        draws: [u64; 2],
+        prefix: Option<u64>,
+        tried: &Tried,
+    ) -> Option<Pick> {
         let probe = (tried.full.len() < PROBES)
-            .then(|| self.probe(draws, prefix, tried))
+            .then(|| self.probe(now, draws, prefix, tried))
             .flatten();
-        probe.or_else(|| self.shortest_queue(tried))
+        probe.or_else(|| self.shortest_queue(now, tried))
     }
 
-    fn probe(&self, draws: [u64; 2], prefix: Option<u64>, tried: &Tried) -> Option<Pick> {
+    fn probe(
+        &self,
+        now: Millis,
+        draws: [u64; 2],
+        prefix: Option<u64>,
+        tried: &Tried,
+    ) -> Option<Pick> {
         let mut sampled = Vec::new();
         let affine = prefix.and_then(|hash| self.affine_member(hash, tried));
         sampled.extend(affine);
@@ -200,18 +234,18 @@
             self.sample_recent(&remote, tried, &mut sampled);
             self.sample(remote, draws[1], REMOTE_SAMPLES, tried, &mut sampled);
         }
-        let sampled = sampled.iter().map(|at| self.members[*at].clone()).collect();
+        let sampled = sampled.iter().map(|at| self.aged(*at, now)).collect();
         choose(sampled, affine.map(|_| 0))
     }
 
     /// Chooses among the members that refused the request.
-    fn shortest_queue(&self, tried: &Tried) -> Option<Pick> {
+    fn shortest_queue(&self, now: Millis, tried: &Tried) -> Option<Pick> {
         let known = tried.full.iter().filter(|u| !tried.failed.contains(u));
         let sampled = known
             .filter_map(|upstream| self.position(upstream))
             .map(|at| Member {
                 refused: true,
-                ..self.members[at].clone()
+                ..self.aged(at, now)
             });
         choose(sampled.collect(), None)
     }
@@ -225,6 +259,14 @@
             .min_by_key(|m| m.load())
     }
 
+    fn aged(&self, at: usize, now: Millis) -> Member {
+        let age = now.since(self.counted[at]);
+        Member {
+            age,
+            ..self.members[at].clone()
+        }
+    }
+
     fn position(&self, upstream: &UpstreamId) -> Option<usize> {
         let found = self
             .by_name
@@ -280,10 +322,12 @@
 /// Repeats the choice among sampled members.
 #[must_use]
 pub fn choose(sampled: Vec<Member>, affine: Option<usize>) -> Option<Pick> {
-    let best = sampled.iter().min_by_key(|m| m.load())?;
+    let best = sampled.iter().min_by_key(|m| m.expected())?;
     let preferred = affine.and_then(|at| sampled.get(at));
     let (chosen, why) = match preferred {
-        Some(member) if member.load() <= best.load() + AFFINITY_MARGIN && member.load() < FULL => {
+        Some(member)
+            if member.expected() <= best.expected() + AFFINITY_MARGIN && member.load() < FULL =>
+        {
             (member, Why::PrefixAffinity)
         }
         _ => (best, Why::LowestLoad),
--- a/src/route/pick/tests.rs
+++ b/src/route/pick/tests.rs
@@ -8,12 +8,16 @@
 use super::*;
 use crate::fixtures::check;
 
+/// Time of all picks; the loads of a new pool count as of time zero.
+const NOW: Millis = Millis(1_000);
+
 fn member(n: usize, own: u8, others: u8) -> Member {
     Member {
         upstream: format!("engine-{n:03}").into(),
         slots: 8,
         own: own.into(),
         others: others.into(),
+        age: Millis(0),
         refused: false,
     }
 }
@@ -40,7 +44,7 @@
             failed,
         };
 
-        match pool.pick([draws.0, draws.1], Some(draws.0), &tried) {
+        match pool.pick(NOW, [draws.0, draws.1], Some(draws.0), &tried) {
             Some(pick) => {
                 let known = pool.members().iter().any(|m| m.upstream == pick.upstream);
                 known && !tried.failed.contains(&pick.upstream)
@@ -59,7 +63,8 @@
 fn a_pick_repeats_from_its_record() {
     fn property(loads: Vec<(u8, u8)>, draws: (u64, u64)) -> bool {
         let pool = pool(&loads, loads.len());
-        let Some(pick) = pool.pick([draws.0, draws.1], Some(draws.1), &Tried::default()) else {
+        let Some(pick) = pool.pick(NOW, [draws.0, draws.1], Some(draws.1), &Tried::default())
+        else {
             return loads.is_empty();
         };
         let text = serde_json::to_string(&pick).expect("a pick serialises");
@@ -76,7 +81,7 @@
 
     for draw in 0..100 {
         let pick = pool
-            .pick([draw, draw], None, &Tried::default())
+            .pick(NOW, [draw, draw], None, &Tried::default())
             .expect("the pool has members");
         assert!(["engine-000", "engine-001"].contains(&pick.upstream.as_str()));
     }
@@ -88,7 +93,7 @@
     let pool = pool(&[(8, 0), (0, 8), (0, 0), (0, 0)], 2);
 
     let pick = pool
-        .pick([1, 2], None, &Tried::default())
+        .pick(NOW, [1, 2], None, &Tried::default())
         .expect("the pool has members");
 
     assert!(["engine-002", "engine-003"].contains(&pick.upstream.as_str()));
@@ -102,7 +107,7 @@
         let mut tried = Tried::default();
         for n in 0..=PROBES.min(loads.len()) {
             let (first, second) = draws.get(n).copied().unwrap_or_default();
-            let Some(pick) = pool.pick([first, second], Some(first), &tried) else {
+            let Some(pick) = pool.pick(NOW, [first, second], Some(first), &tried) else {
                 return loads.is_empty();
             };
             if pick.wait {
@@ -143,7 +148,24 @@
     pool.observe(&upstream, 5, Millis(900), Source::Reply);
 
     for draw in 0..100 {
-        let pick = pool.pick([draw, draw], None, &Tried::default());
+        let pick = pool.pick(NOW, [draw, draw], None, &Tried::default());
         assert_eq!(pick.map(|p| p.upstream), Some(upstream.clone()));
     }
 }
+
+// Guards against an old low count that beats a fresh one.
+#[test]
+fn the_older_a_load_the_nearer_it_is_to_the_usual_one() {
+    fn property(load: (u8, u8), age: u32) -> bool {
+        let at = |age| Member {
+            age: Millis(age),
+            ..member(0, load.0, load.1)
+        };
+        let distance = |m: Member| m.expected().abs_diff(USUAL_LOAD);
+        let age = u64::from(age);
+        at(0).expected() == at(0).load()
+            && distance(at(age + 100)) <= distance(at(age))
+            && distance(at(u64::MAX)) <= 1
+    }
+    check(4, property as fn((u8, u8), u32) -> bool);
+}
