--- a/examples/experiment/main.rs
+++ b/examples/experiment/main.rs
@@ -2,6 +2,7 @@
 
 mod cost;
 mod exposure;
+mod latency;
 mod overload;
 mod report;
 mod rng;
@@ -20,6 +21,7 @@
     ("cost", cost::cost),
     ("cost-faults", cost::cost_faults),
     ("exposure", exposure::exposure),
+    ("latency", latency::run),
     ("overload", overload::overload),
 ];
 
--- a/src/route/pick/tests.rs
+++ b/src/route/pick/tests.rs
@@ -8,12 +8,17 @@
 use super::*;
 use crate::fixtures::check;
 
+/// Time of all picks; the loads of a new pool count as of time zero.
+const NOW: Millis = Millis(1_000);
+
 fn member(n: usize, own: u8, others: u8) -> Member {
     Member {
         upstream: format!("engine-{n:03}").into(),
         slots: 8,
         own: own.into(),
         others: others.into(),
+        age: Millis(0),
+        refused: false,
     }
 }
 
@@ -32,13 +37,17 @@
 fn a_pick_is_an_untried_member() {
     fn property(loads: Vec<(u8, u8)>, local: usize, tried: Vec<usize>, draws: (u64, u64)) -> bool {
         let pool = pool(&loads, local % (loads.len() + 1));
-        let tried: Vec<_> = tried.iter().map(|n| member(n % 8, 0, 0).upstream).collect();
-        let left = pool.pick_by_scan(&tried).is_some();
+        let failed: Vec<_> = tried.iter().map(|n| member(n % 8, 0, 0).upstream).collect();
+        let left = pool.pick_by_scan(&failed).is_some();
+        let tried = Tried {
+            full: Vec::new(),
+            failed,
+        };
 
-        match pool.pick([draws.0, draws.1], Some(draws.0), &tried) {
+        match pool.pick(NOW, [draws.0, draws.1], Some(draws.0), &tried) {
             Some(pick) => {
                 let known = pool.members().iter().any(|m| m.upstream == pick.upstream);
-                known && !tried.contains(&pick.upstream)
+                known && !tried.failed.contains(&pick.upstream)
             }
             None => !left,
         }
@@ -54,7 +63,8 @@
 fn a_pick_repeats_from_its_record() {
     fn property(loads: Vec<(u8, u8)>, draws: (u64, u64)) -> bool {
         let pool = pool(&loads, loads.len());
-        let Some(pick) = pool.pick([draws.0, draws.1], Some(draws.1), &[]) else {
+        let Some(pick) = pool.pick(NOW, [draws.0, draws.1], Some(draws.1), &Tried::default())
+        else {
             return loads.is_empty();
         };
         let text = serde_json::to_string(&pick).expect("a pick serialises");
@@ -71,7 +81,7 @@
 
     for draw in 0..100 {
         let pick = pool
-            .pick([draw, draw], None, &[])
+            .pick(NOW, [draw, draw], None, &Tried::default())
             .expect("the pool has members");
         assert!(["engine-000", "engine-001"].contains(&pick.upstream.as_str()));
     }
@@ -82,7 +92,80 @@
 fn a_full_data_centre_spills_over() {
     let pool = pool(&[(8, 0), (0, 8), (0, 0), (0, 0)], 2);
 
-    let pick = pool.pick([1, 2], None, &[]).expect("the pool has members");
+    let pick = pool
+        .pick(NOW, [1, 2], None, &Tried::default())
+        .expect("the pool has members");
 
     assert!(["engine-002", "engine-003"].contains(&pick.upstream.as_str()));
 }
+
+// Guards against a request that is refused everywhere and never waits, or waits before its last probe.
+#[test]
+fn a_request_probes_a_bounded_number_and_then_waits_at_the_shortest_queue() {
+    fn property(loads: Vec<(u8, u8)>, draws: Vec<(u64, u64)>) -> bool {
+        let pool = pool(&loads, loads.len() / 2);
+        let mut tried = Tried::default();
+        for n in 0..=PROBES.min(loads.len()) {
+            let (first, second) = draws.get(n).copied().unwrap_or_default();
+            let Some(pick) = pool.pick(NOW, [first, second], Some(first), &tried) else {
+                return loads.is_empty();
+            };
+            if pick.wait {
+                let full = pool.members().iter();
+                let full = full.filter(|m| tried.full.contains(&m.upstream));
+                let chosen = full.clone().find(|m| m.upstream == pick.upstream);
+                let shortest = full.map(Member::load).min();
+                let is_last = n == PROBES.min(loads.len());
+                return is_last && chosen.map(Member::load) == shortest;
+            }
+            if tried.full.contains(&pick.upstream) {
+                return false;
+            }
+            tried.full.push(pick.upstream);
+        }
+        false
+    }
+    check(3, property as fn(Vec<(u8, u8)>, Vec<(u64, u64)>) -> bool);
+}
+
+// Guards against a late report that replaces a newer count.
+#[test]
+fn an_older_count_does_not_replace_a_newer_one() {
+    let mut pool = pool(&[(0, 0), (0, 0)], 2);
+    let upstream = member(1, 0, 0).upstream;
+
+    pool.observe(&upstream, 7, Millis(900), Source::Reply);
+    pool.observe(&upstream, 2, Millis(500), Source::Report);
+
+    assert_eq!(pool.members()[1].others, 7);
+}
+
+// Guards against a free slot that a reply told of and that a gateway does not use.
+#[test]
+fn an_upstream_that_just_replied_with_free_slots_is_picked() {
+    let mut pool = pool(&[(0, 6); 24], 24);
+    let upstream = member(13, 0, 0).upstream;
+    pool.observe(&upstream, 5, Millis(900), Source::Reply);
+
+    for draw in 0..100 {
+        let pick = pool.pick(NOW, [draw, draw], None, &Tried::default());
+        assert_eq!(pick.map(|p| p.upstream), Some(upstream.clone()));
+    }
+}
+
+// Guards against an old low count that beats a fresh one.
+#[test]
+fn the_older_a_load_the_nearer_it_is_to_the_usual_one() {
+    fn property(load: (u8, u8), age: u32) -> bool {
+        let at = |age| Member {
+            age: Millis(age),
+            ..member(0, load.0, load.1)
+        };
+        let distance = |m: Member| m.expected().abs_diff(USUAL_LOAD);
+        let age = u64::from(age);
+        at(0).expected() == at(0).load()
+            && distance(at(age + 100)) <= distance(at(age))
+            && distance(at(u64::MAX)) <= 1
+    }
+    check(4, property as fn((u8, u8), u32) -> bool);
+}
