--- a/src/agent/admission.rs
+++ b/src/agent/admission.rs
@@ -1,5 +1,6 @@
 //! Admission of a request against the sheet in force; pure.
 
+use crate::idempotency::IdempotencyKey;
 use crate::ids::UpstreamId;
 use crate::peer::{RunRequest, Target};
 use crate::refusal::{Code, Refusal};
@@ -12,11 +13,7 @@
 ///
 /// # Errors
 /// The [`Refusal`] of a request that must not run here.
-pub(super) fn admit(
-    sheet: &Sheet,
-    upstream: &UpstreamId,
-    req: &RunRequest,
-) -> Result<u32, Refusal> {
+pub fn admit(sheet: &Sheet, upstream: &UpstreamId, req: &RunRequest) -> Result<u32, Refusal> {
     let refuse = |code, why: String| Err(Refusal::not_run(code, why));
     let Some(account) = sheet.account(&req.account) else {
         return refuse(
@@ -74,3 +71,19 @@
         }
     }
 }
+
+/// Returns the idempotency key under which a request has to run; `None` if it may run more than once.
+///
+/// # Errors
+/// The [`Refusal`] of a call that needs a key and has none, or a malformed one.
+pub fn key(req: &RunRequest, is_engine: bool) -> Result<Option<IdempotencyKey>, Refusal> {
+    if req.idempotent || is_engine {
+        return Ok(None);
+    }
+    let Some(key) = &req.idempotency_key else {
+        let why = "this call must not be repeated, so it needs an Idempotency-Key";
+        return Err(Refusal::not_run(Code::BadKey, why));
+    };
+    let bad = |error| Refusal::not_run(Code::BadKey, format!("Idempotency-Key: {error}"));
+    key.parse().map(Some).map_err(bad)
+}
--- a/src/agent/answers.rs
+++ b/src/agent/answers.rs
@@ -16,7 +16,7 @@
 
 /// One answer and the run that produces it.
 #[derive(Debug)]
-pub(super) struct Answer {
+pub struct Answer {
     clock: Clock,
     kept: RefCell<KeptAnswer>,
     attempt: u32,
@@ -32,6 +32,7 @@
 
 impl Answer {
     /// Opens the answer of an attempt, of which at most `max_bytes` wait for the gateway.
+    #[must_use]
     pub fn open(req: &RunRequest, clock: Clock, max_bytes: usize) -> Rc<Self> {
         let attempt = req.attempt_number();
         let source = Source {
@@ -75,6 +76,7 @@
     }
 
     /// Appends a whole body at once; `false` if it is over the bound of the answer.
+    #[must_use]
     pub fn append_whole(&self, body: &[u8]) -> bool {
         self.kept.borrow_mut().append(body) == body.len()
     }
@@ -186,17 +188,24 @@
 
 /// The answers of one agent, sorted by number.
 #[derive(Debug, Default)]
-pub(super) struct Answers {
+pub struct Answers {
     entries: Vec<Entry>,
     last: u64,
 }
 
 impl Answers {
     /// Returns the number of answers that are kept.
+    #[must_use]
     pub const fn len(&self) -> usize {
         self.entries.len()
     }
 
+    /// Tells whether no answer is kept.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Keeps an answer and returns its number.
     pub fn add(&mut self, answer: Rc<Answer>, run: Option<JoinHandle<()>>) -> u64 {
         self.last += 1;
@@ -209,6 +218,7 @@
     }
 
     /// Finds an answer.
+    #[must_use]
     pub fn get(&self, number: u64) -> Option<Rc<Answer>> {
         let at = self
             .entries
--- a/src/agent/calls.rs
+++ b/src/agent/calls.rs
@@ -9,7 +9,6 @@
 use super::{admission, engine, keyed, orders, service};
 use crate::dissemination::Admission;
 use crate::follower::InForce;
-use crate::idempotency::IdempotencyKey;
 use crate::ledger::Flushed;
 use crate::peer::{Head, PeerCalls, ReadBody, ReadReply, RunReply, RunRequest, Status};
 use crate::platform::LocalFuture;
@@ -68,7 +67,8 @@
 
     fn spawn(&self, req: RunRequest, in_force: Rc<InForce>, slots: Slots) -> RunReply {
         let shared = Rc::clone(&self.0);
-        let key = match keyed_by(&req, &shared) {
+        let is_engine = matches!(shared.client, Client::Engine(_));
+        let key = match admission::key(&req, is_engine) {
             Ok(key) => key,
             Err(refusal) => return RunReply::Refused(refusal),
         };
@@ -100,19 +100,6 @@
     }
 }
 
-/// Returns the idempotency key under which a request has to run; `None` if it may run more than once.
-fn keyed_by(req: &RunRequest, shared: &Shared) -> Result<Option<IdempotencyKey>, Refusal> {
-    if req.idempotent || matches!(shared.client, Client::Engine(_)) {
-        return Ok(None);
-    }
-    let Some(key) = &req.idempotency_key else {
-        let why = "this call must not be repeated, so it needs an Idempotency-Key";
-        return Err(Refusal::not_run(Code::BadKey, why));
-    };
-    let bad = |error| Refusal::not_run(Code::BadKey, format!("Idempotency-Key: {error}"));
-    key.parse().map(Some).map_err(bad)
-}
-
 /// Counts a request as running until it is dropped.
 struct Running(Rc<Shared>);
 
--- a/src/agent/engine.rs
+++ b/src/agent/engine.rs
@@ -6,8 +6,8 @@
 use serde_json::{Map, Value};
 
 use super::answers::Answer;
-use super::price;
 use super::shared::{Client, Shared, Slots};
+use super::{price, refusals};
 use crate::follower::InForce;
 use crate::ledger::Charge;
 use crate::peer::{RunRequest, Target};
@@ -176,28 +176,13 @@
 }
 
 fn failure(shared: &Rc<Shared>, run: Run, error: &UpstreamError) -> Failed {
-    let why = error.to_string();
-    match error {
-        UpstreamError::NotSent(_) => Refusal::not_run(Code::UpstreamFailed, why).into(),
-        UpstreamError::Crashed(_) => {
-            note_crash(shared, run);
-            let refusal = Refusal::after_run(Code::UpstreamFailed, Ran::Unknown, why);
-            Failed {
-                refusal: refusal.resend_safe(),
-                crashed: true,
-            }
-        }
-        UpstreamError::Status { status, .. } if (400..500).contains(status) => {
-            let why = format!("engine refused the request with status {status}");
-            Refusal::after_run(Code::BadRequest, Ran::Ran, why)
-                .resend_safe()
-                .into()
-        }
-        UpstreamError::Status { .. } | UpstreamError::Silent(_) | UpstreamError::Invalid(_) => {
-            Refusal::after_run(Code::UpstreamFailed, Ran::Unknown, why)
-                .resend_safe()
-                .into()
-        }
+    let crashed = matches!(error, UpstreamError::Crashed(_));
+    if crashed {
+        note_crash(shared, run);
+    }
+    Failed {
+        refusal: refusals::engine(error),
+        crashed,
     }
 }
 
--- a/src/agent/keyed.rs
+++ b/src/agent/keyed.rs
@@ -6,22 +6,19 @@
 use bytes::Bytes;
 
 use super::answers::Answer;
+use super::refusals;
 use super::service::{self, Whole};
 use super::shared::{Shared, Slots, draw};
 use crate::follower::InForce;
 use crate::idempotency::{
-    Attempt, Call, CallDigest, Effect, IdempotencyKey, KeptBody, KeyAge, KeyedAnswer, KeyedCall,
-    Outcome, RecordWrite, RunEnd, Step,
+    Attempt, Call, CallDigest, Effect, IdempotencyKey, KeptBody, KeyedAnswer, KeyedCall, Outcome,
+    RecordWrite, RunEnd, Step,
 };
 use crate::peer::RunRequest;
 use crate::platform::{Change, KvError, TxnOutcome};
 use crate::refusal::{Code, Ran, Refusal};
-use crate::units::Millis;
 use crate::upstream::UpstreamError;
 
-/// Time after which a caller may ask again whether an outcome has become known.
-const ASK_AGAIN: Millis = Millis::from_secs(5);
-
 /// Runs a keyed call to its end, also if nobody reads its answer any more.
 pub(super) async fn run(
     shared: Rc<Shared>,
@@ -156,7 +153,7 @@
             KeyedAnswer::Fresh(outcome) => (outcome, false),
             KeyedAnswer::Replayed(outcome) => (outcome, true),
             refused => {
-                self.answer.fail(refusal(&refused), false);
+                self.answer.fail(refusals::keyed(&refused), false);
                 return;
             }
         };
@@ -186,39 +183,3 @@
         self.answer.complete(charge.as_ref(), replayed);
     }
 }
-
-fn refusal(answer: &KeyedAnswer) -> Refusal {
-    let unknown = |code, why: &str| Refusal::after_run(code, Ran::Unknown, why);
-    match answer {
-        KeyedAnswer::Unknown => {
-            let why = "an earlier attempt with this key may have run; it never runs again";
-            unknown(Code::OutcomeUnknown, why)
-                .resend_safe()
-                .retry_after(ASK_AGAIN)
-        }
-        KeyedAnswer::KeyReused => Refusal::not_run(
-            Code::KeyReused,
-            "the idempotency key belongs to another request",
-        ),
-        KeyedAnswer::KeyRefused(KeyAge::Expired) => unknown(
-            Code::BadKey,
-            "the idempotency key has expired and never runs again",
-        ),
-        KeyedAnswer::KeyRefused(KeyAge::InFuture) => unknown(
-            Code::BadKey,
-            "the idempotency key's time is too far in the future",
-        ),
-        KeyedAnswer::StoreOut => {
-            let why = "the record of the idempotency key cannot be read; resend with the same key";
-            unknown(Code::KeyStoreDown, why)
-                .resend_safe()
-                .retry_after(ASK_AGAIN)
-        }
-        KeyedAnswer::NotRun => {
-            Refusal::not_run(Code::UpstreamFailed, "the call was not sent to the service")
-        }
-        KeyedAnswer::Fresh(_) | KeyedAnswer::Replayed(_) => {
-            unknown(Code::OutcomeUnknown, "the call ran")
-        }
-    }
-}
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -4,14 +4,15 @@
 //! keeps answers until the gateway has them, gives orders to the engine as its single writer, and holds
 //! copies of charges.
 
-mod admission;
-mod answers;
+pub mod admission;
+pub mod answers;
 mod background;
 mod calls;
 mod engine;
 mod keyed;
 mod orders;
-mod price;
+pub mod price;
+pub mod refusals;
 mod service;
 mod shared;
 #[cfg(test)]
@@ -30,7 +31,7 @@
 use crate::settings;
 use crate::units::Millis;
 
-pub(crate) use price::covers;
+pub use price::covers;
 use shared::Shared;
 
 /// Time between two looks at what a planned stop still waits for.
--- a/src/agent/price.rs
+++ b/src/agent/price.rs
@@ -7,12 +7,8 @@
 use crate::units::{Micros, Tokens};
 
 /// Returns the charge of generated tokens under the sheet that admitted the request.
-pub(super) fn tokens(
-    sheet: &Sheet,
-    req: &RunRequest,
-    input: Tokens,
-    output: Tokens,
-) -> Option<Charge> {
+#[must_use]
+pub fn tokens(sheet: &Sheet, req: &RunRequest, input: Tokens, output: Tokens) -> Option<Charge> {
     let Target::Version(version) = &req.target else {
         return None;
     };
@@ -26,7 +22,8 @@
 }
 
 /// Returns the charge of a call of a plain service; `None` if the call is free.
-pub(super) fn call(sheet: &Sheet, req: &RunRequest, service: &ServiceId) -> Option<Charge> {
+#[must_use]
+pub fn call(sheet: &Sheet, req: &RunRequest, service: &ServiceId) -> Option<Charge> {
     let path = req.path.split('?').next().unwrap_or_default();
     let prices = &sheet.service(service)?.prices;
     let matching = prices
@@ -37,7 +34,8 @@
 }
 
 /// Tells whether a prefix covers a path by whole segments.
-pub(crate) fn covers(prefix: &str, path: &str) -> bool {
+#[must_use]
+pub fn covers(prefix: &str, path: &str) -> bool {
     let prefix = prefix.trim_end_matches('/');
     path.strip_prefix(prefix)
         .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
--- /dev/null
+++ b/src/agent/refusals.rs
@@ -0,0 +1,77 @@
+//! What callers are told of runs without a whole answer; pure.
+
+use crate::idempotency::{KeyAge, KeyedAnswer};
+use crate::refusal::{Code, Ran, Refusal};
+use crate::units::Millis;
+use crate::upstream::UpstreamError;
+
+/// Time after which a caller may ask again whether an outcome has become known.
+const ASK_AGAIN: Millis = Millis::from_secs(5);
+
+/// Returns what a caller is told of a failed run at an engine.
+#[must_use]
+pub fn engine(error: &UpstreamError) -> Refusal {
+    let why = error.to_string();
+    match error {
+        UpstreamError::NotSent(_) => Refusal::not_run(Code::UpstreamFailed, why),
+        UpstreamError::Status { status, .. } if (400..500).contains(status) => {
+            let why = format!("engine refused the request with status {status}");
+            Refusal::after_run(Code::BadRequest, Ran::Ran, why).resend_safe()
+        }
+        UpstreamError::Crashed(_)
+        | UpstreamError::Status { .. }
+        | UpstreamError::Silent(_)
+        | UpstreamError::Invalid(_) => {
+            Refusal::after_run(Code::UpstreamFailed, Ran::Unknown, why).resend_safe()
+        }
+    }
+}
+
+/// Returns what a caller is told of a failed call of a plain service.
+#[must_use]
+pub fn service(error: &UpstreamError) -> Refusal {
+    let why = error.to_string();
+    if error.not_sent() {
+        Refusal::not_run(Code::UpstreamFailed, why)
+    } else {
+        Refusal::after_run(Code::UpstreamFailed, Ran::Unknown, why)
+    }
+}
+
+/// Returns what a caller is told when a keyed call gave no outcome.
+#[must_use]
+pub fn keyed(answer: &KeyedAnswer) -> Refusal {
+    let unknown = |code, why: &str| Refusal::after_run(code, Ran::Unknown, why);
+    match answer {
+        KeyedAnswer::Unknown => {
+            let why = "an earlier attempt with this key may have run; it never runs again";
+            unknown(Code::OutcomeUnknown, why)
+                .resend_safe()
+                .retry_after(ASK_AGAIN)
+        }
+        KeyedAnswer::KeyReused => Refusal::not_run(
+            Code::KeyReused,
+            "the idempotency key belongs to another request",
+        ),
+        KeyedAnswer::KeyRefused(KeyAge::Expired) => unknown(
+            Code::BadKey,
+            "the idempotency key has expired and never runs again",
+        ),
+        KeyedAnswer::KeyRefused(KeyAge::InFuture) => unknown(
+            Code::BadKey,
+            "the idempotency key's time is too far in the future",
+        ),
+        KeyedAnswer::StoreOut => {
+            let why = "the record of the idempotency key cannot be read; resend with the same key";
+            unknown(Code::KeyStoreDown, why)
+                .resend_safe()
+                .retry_after(ASK_AGAIN)
+        }
+        KeyedAnswer::NotRun => {
+            Refusal::not_run(Code::UpstreamFailed, "the call was not sent to the service")
+        }
+        KeyedAnswer::Fresh(_) | KeyedAnswer::Replayed(_) => {
+            unknown(Code::OutcomeUnknown, "the call ran")
+        }
+    }
+}
--- a/src/agent/service.rs
+++ b/src/agent/service.rs
@@ -7,8 +7,8 @@
 use bytes::{Bytes, BytesMut};
 
 use super::answers::Answer;
-use super::price;
 use super::shared::{Client, Shared, Slots};
+use super::{price, refusals};
 use crate::follower::InForce;
 use crate::ledger::Charge;
 use crate::peer::{RunRequest, Target};
@@ -59,14 +59,14 @@
     };
     let mut response = send(shared, req)
         .await
-        .map_err(|error| refusal(&error).resend_safe())?;
+        .map_err(|error| refusals::service(&error).resend_safe())?;
     let status = response.status.as_u16();
     answer.set_head(status, &content_type(&response));
     loop {
         match response.body.next().await {
             Ok(Some(bytes)) => answer.append(bytes).await,
             Ok(None) => break,
-            Err(error) => return Err(refusal(&error).resend_safe()),
+            Err(error) => return Err(refusals::service(&error).resend_safe()),
         }
     }
     let charge = charge(shared, in_force, req, status);
@@ -157,12 +157,3 @@
         .unwrap_or_default()
         .to_owned()
 }
-
-fn refusal(error: &UpstreamError) -> Refusal {
-    let why = error.to_string();
-    if error.not_sent() {
-        Refusal::not_run(Code::UpstreamFailed, why)
-    } else {
-        Refusal::after_run(Code::UpstreamFailed, Ran::Unknown, why)
-    }
-}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 
 use super::links::{self, InFlight};
+use super::rules;
 use super::shared::Shared;
 use crate::ids::UpstreamId;
 use crate::ledger::Charge;
@@ -274,11 +275,7 @@
 
 fn incomplete(assembly: &mut Assembly, reason: IncompleteReason) -> Ended {
     assembly.give_up(reason);
-    let code = match reason {
-        IncompleteReason::Deadline => Code::DeadlineExceeded,
-        _ => Code::UpstreamFailed,
-    };
-    let refusal = Refusal::after_run(code, Ran::Unknown, reason.to_string());
+    let refusal = rules::incomplete(reason);
     Ended::Refused(Failed {
         refusal,
         crashed: false,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,10 +7,11 @@
 mod background;
 mod chat;
 mod links;
-mod planning;
+pub mod planning;
 mod presence;
 mod quality;
 mod rollouts;
+pub mod rules;
 mod serve;
 mod shared;
 #[cfg(test)]
--- a/src/gateway/planning.rs
+++ b/src/gateway/planning.rs
@@ -1,16 +1,16 @@
-//! Collects what a plan depends on.
+//! Collects what a plan depends on; pure but for [`collect`].
 
 use super::chat::Chat;
 use super::shared::Shared;
 use crate::follower::InForce;
 use crate::ids::{ClassId, VersionRef};
-use crate::rating::{Ppm, Reach};
+use crate::rating::{Estimate, Ppm, Reach};
 use crate::record::Asked;
 use crate::refusal::{Code, Refusal};
 use crate::route::PlanInput;
 use crate::route::plan::{CandidateInput, EXPLORE, RolloutInput};
-use crate::sheet::{Account, Sheet, Version, VersionState};
-use crate::units::{Millis, Permille};
+use crate::sheet::{Account, Rollout, Sheet, Version, VersionState};
+use crate::units::{Millis, Permille, Tokens};
 
 /// Class name of requests that ask for one version.
 const DIRECT: &str = "direct";
@@ -20,12 +20,43 @@
 
 /// Class, deadline and plan input of a request.
 #[derive(Debug)]
-pub(super) struct Planning {
+pub struct Planning {
+    /// Class of the request.
     pub class: ClassId,
+    /// Time from arrival to the end of the answer.
     pub deadline: Millis,
+    /// What the plan depends on.
     pub input: PlanInput,
 }
 
+/// What a plan depends on of a request.
+#[derive(Debug)]
+pub struct Wanted<'a> {
+    /// What the caller asked for.
+    pub asked: &'a Asked,
+    /// Version of the caller's session.
+    pub session: Option<VersionRef>,
+    /// Whether the answer is a stream.
+    pub streamed: bool,
+    /// Tokens that the request is expected to use.
+    pub expected_tokens: Tokens,
+}
+
+/// What a gateway knows of classes and versions, apart from the sheet.
+#[expect(missing_debug_implementations, reason = "closures have no debug form")]
+pub struct Known<'a> {
+    /// Quality to aim at for a class with this target.
+    pub aim: &'a dyn Fn(&ClassId, Permille) -> Ppm,
+    /// Share of ratings that come in time.
+    pub rated_in_time: &'a dyn Fn(&ClassId) -> Ppm,
+    /// Estimated pass rate.
+    pub estimate: &'a dyn Fn(&ClassId, &VersionRef, Reach) -> Estimate,
+    /// Current share of a version that is being rolled out.
+    pub share: &'a dyn Fn(&VersionRef, &Rollout) -> Permille,
+    /// Whether some upstream may receive work for a version now.
+    pub routable: &'a dyn Fn(&VersionRef) -> bool,
+}
+
 /// Collects what the plan of a request depends on.
 ///
 /// # Errors
@@ -37,8 +68,39 @@
     chat: &Chat,
     session: Option<VersionRef>,
 ) -> Result<Planning, Refusal> {
-    let sheet = &in_force.sheet;
-    let (class, quality_target, deadline, cascade) = match &chat.asked {
+    let (unix, now) = (shared.clock.unix(), shared.clock.now());
+    let quality = shared.quality.borrow();
+    let wanted = Wanted {
+        asked: &chat.asked,
+        session,
+        streamed: chat.streamed,
+        expected_tokens: chat.expected_tokens,
+    };
+    let known = Known {
+        aim: &|class, target| quality.table.aim(class, target),
+        // Without a rating service no rating will come in time.
+        rated_in_time: &|class| match shared.rating {
+            Some(_) => quality.table.rated_in_time(class),
+            None => Ppm(0),
+        },
+        estimate: &|class, version, reach| quality.table.estimate(class, version, reach, unix),
+        share: &|version, rollout| shared.rollouts.borrow().share(version, rollout),
+        routable: &|version| shared.links.borrow().is_routable(in_force, version, now),
+    };
+    input(&in_force.sheet, account, &wanted, &known)
+}
+
+/// Makes the plan input of a request from the sheet and what the gateway knows.
+///
+/// # Errors
+/// A refusal if the account may not use the version that the request names.
+pub fn input(
+    sheet: &Sheet,
+    account: &Account,
+    wanted: &Wanted<'_>,
+    known: &Known<'_>,
+) -> Result<Planning, Refusal> {
+    let (class, quality_target, deadline, cascade) = match wanted.asked {
         Asked::Class(id) => of_class(sheet, id)?,
         Asked::Version(version) => {
             let cascade = vec![version.clone()];
@@ -49,23 +111,23 @@
             return Err(Refusal::not_run(Code::BadRequest, why));
         }
     };
-    if let Asked::Version(version) = &chat.asked
+    if let Asked::Version(version) = wanted.asked
         && account.allow.binary_search(version).is_err()
     {
         let why = format!("account {} may not use {version}", account.id);
         return Err(Refusal::not_run(Code::Forbidden, why));
     }
-    let candidates = candidates(shared, in_force, &class, &cascade, session.as_ref());
+    let candidates = candidates(sheet, &class, &cascade, wanted.session.as_ref(), known);
     let input = PlanInput {
         allow: account.allow.clone(),
         class: class.clone(),
-        aim: shared.quality.borrow().table.aim(&class, quality_target),
+        aim: (known.aim)(&class, quality_target),
         quality_target,
         cascade,
-        session,
-        streamed: chat.streamed,
-        expected_tokens: chat.expected_tokens,
-        rated_in_time: rated_in_time(shared, &class),
+        session: wanted.session.clone(),
+        streamed: wanted.streamed,
+        expected_tokens: wanted.expected_tokens,
+        rated_in_time: (known.rated_in_time)(&class),
         explore: EXPLORE,
         candidates,
     };
@@ -90,24 +152,16 @@
     ))
 }
 
-/// Without a rating service no rating will come in time.
-fn rated_in_time(shared: &Shared, class: &ClassId) -> Ppm {
-    match shared.rating {
-        Some(_) => shared.quality.borrow().table.rated_in_time(class),
-        None => Ppm(0),
-    }
-}
-
 /// Returns the versions that a plan can choose from or has to explain, sorted.
 fn candidates(
-    shared: &Shared,
-    in_force: &InForce,
+    sheet: &Sheet,
     class: &ClassId,
     cascade: &[VersionRef],
     session: Option<&VersionRef>,
+    known: &Known<'_>,
 ) -> Vec<CandidateInput> {
     let mut found = Vec::new();
-    for model in &in_force.sheet.models {
+    for model in &sheet.models {
         for version in &model.versions {
             let id = VersionRef {
                 model: model.id.clone(),
@@ -120,7 +174,7 @@
             let matters =
                 cascade.contains(&id) || session == Some(&id) || cascade.iter().any(replaces);
             if matters {
-                found.push(candidate(shared, in_force, class, id, version));
+                found.push(candidate(class, id, version, known));
             }
         }
     }
@@ -128,15 +182,12 @@
 }
 
 fn candidate(
-    shared: &Shared,
-    in_force: &InForce,
     class: &ClassId,
     id: VersionRef,
     version: &Version,
+    known: &Known<'_>,
 ) -> CandidateInput {
-    let (unix, now) = (shared.clock.unix(), shared.clock.now());
-    let quality = shared.quality.borrow();
-    let estimate = |reach| quality.table.estimate(class, &id, reach, unix);
+    let estimate = |reach| (known.estimate)(class, &id, reach);
     let rollout = version
         .rollout
         .as_ref()
@@ -148,9 +199,9 @@
         escalated: estimate(Reach::Escalated),
         rollout: rollout.map(|rollout| RolloutInput {
             replaces: rollout.replaces.clone(),
-            share: shared.rollouts.borrow().share(&id, rollout),
+            share: (known.share)(&id, rollout),
         }),
-        routable: shared.links.borrow().is_routable(in_force, &id, now),
+        routable: (known.routable)(&id),
         version: id,
     }
 }
--- /dev/null
+++ b/src/gateway/rules.rs
@@ -0,0 +1,66 @@
+//! Rules for further attempts and for what a caller is told; pure.
+
+use crate::refusal::{Code, Ran, Refusal};
+use crate::stream::IncompleteReason;
+use crate::units::Millis;
+
+/// Attempts of one step that were refused without a run.
+pub const MAX_ATTEMPTS: u16 = 8;
+
+/// Attempts of one step after one that may have run.
+const MAX_RESENDS: u32 = 2;
+
+/// Tells whether a request may be sent again after an attempt that may have run.
+#[must_use]
+pub const fn may_resend(code: Code, is_keyed: bool, resends: u32) -> bool {
+    !is_keyed && matches!(code, Code::UpstreamFailed) && resends < MAX_RESENDS
+}
+
+/// Tells whether another upstream may take what one refused without a run.
+#[must_use]
+pub const fn is_worth_another(code: Code) -> bool {
+    matches!(
+        code,
+        Code::Overloaded | Code::Stopping | Code::NoUpstream | Code::UpstreamFailed | Code::NoSheet
+    )
+}
+
+/// Tells whether an agent may hold a charge of a failed attempt.
+///
+/// A crashed or failed run is not charged; an agent that was lost may hold a charge.
+#[must_use]
+pub fn may_hold_charge(refusal: &Refusal, crashed: bool) -> bool {
+    refusal.ran != Ran::NotRun && !crashed
+}
+
+/// A refusal of the last attempt must not hide an earlier one that may have run.
+#[must_use]
+pub fn truthful(mut refusal: Refusal, may_have_run: bool) -> Refusal {
+    if refusal.ran == Ran::NotRun && may_have_run {
+        refusal.ran = Ran::Unknown;
+    }
+    refusal
+}
+
+/// Returns the refusal of a request whose answer cannot be completed.
+#[must_use]
+pub fn incomplete(reason: IncompleteReason) -> Refusal {
+    let code = match reason {
+        IncompleteReason::Deadline => Code::DeadlineExceeded,
+        _ => Code::UpstreamFailed,
+    };
+    Refusal::after_run(code, Ran::Unknown, reason.to_string())
+}
+
+/// Returns the refusal of a request that cannot be planned again because an attempt may have run.
+#[must_use]
+pub fn changed_meanwhile() -> Refusal {
+    let why = "the sheet changed after an attempt that may have run";
+    Refusal::after_run(Code::UpstreamFailed, Ran::Unknown, why)
+}
+
+/// Returns the refusal of a request under which the sheet changed too often.
+#[must_use]
+pub fn sheet_changes() -> Refusal {
+    Refusal::not_run(Code::NoUpstream, "the sheet changed during each try").retry_after(Millis(500))
+}
--- a/src/gateway/serve/job.rs
+++ b/src/gateway/serve/job.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 
 use super::super::attempt::{self, Ended, Failed, Whole};
-use super::super::rollouts;
 use super::super::shared::{Shared, draw};
+use super::super::{rollouts, rules};
 use super::Ask;
 use super::sinks::{Labels, Reply, Restart};
 use crate::follower::InForce;
@@ -23,12 +23,6 @@
 use crate::suspect::Fingerprint;
 use crate::units::{Millis, Tokens};
 
-/// Attempts of one step that were refused without a run.
-const MAX_ATTEMPTS: u16 = 8;
-
-/// Attempts of one step after one that may have run.
-const MAX_RESENDS: u32 = 2;
-
 /// How long a session lasts.
 const SESSION_LIFETIME: Millis = Millis::from_secs(86_400);
 
@@ -230,7 +224,7 @@
         let mut resends = 0;
         let mut last = None;
         self.next_attempt = 0;
-        while self.next_attempt < MAX_ATTEMPTS {
+        while self.next_attempt < rules::MAX_ATTEMPTS {
             let pool = self
                 .shared
                 .links
@@ -260,7 +254,7 @@
                 Ended::Whole(whole) => return StepEnd::Whole(whole),
                 Ended::CallerLeft => return StepEnd::CallerLeft,
                 Ended::SheetBehind if self.may_have_run => {
-                    return StepEnd::Refused(changed_meanwhile());
+                    return StepEnd::Refused(rules::changed_meanwhile());
                 }
                 Ended::SheetBehind => return StepEnd::SheetBehind,
                 Ended::Unreachable(why) => {
@@ -282,9 +276,8 @@
                         refusal: failed.refusal,
                     };
                 }
-                let may_repeat = self.ask.idempotency_key.is_none()
-                    && matches!(failed.refusal.code, Code::UpstreamFailed)
-                    && resends < MAX_RESENDS
+                let is_keyed = self.ask.idempotency_key.is_some();
+                let may_repeat = rules::may_resend(failed.refusal.code, is_keyed, resends)
                     && self.shared.retries.borrow_mut().take();
                 if !may_repeat {
                     return StepEnd::Refused(failed.refusal);
@@ -292,7 +285,7 @@
                 self.shared.metrics.event("resends");
                 resends += 1;
                 sleep(backoff(resends, draw()).duration()).await;
-            } else if !is_worth_another(failed.refusal.code) {
+            } else if !rules::is_worth_another(failed.refusal.code) {
                 return StepEnd::Refused(failed.refusal);
             }
             last = Some(failed.refusal);
@@ -402,8 +395,7 @@
             Ended::Refused(failed) => {
                 let ran = failed.refusal.ran != Ran::NotRun;
                 self.may_have_run |= ran;
-                // A crashed or failed run is not charged; an agent that was lost may hold a charge.
-                self.charge_unknown |= ran && !failed.crashed;
+                self.charge_unknown |= rules::may_hold_charge(&failed.refusal, failed.crashed);
                 AttemptEnd::Refused(failed.refusal.clone())
             }
             Ended::CallerLeft => {
@@ -435,7 +427,7 @@
                 self.answered(&whole)
             }
             StepEnd::Refused(refusal) => {
-                let refusal = self.truthful(refusal);
+                let refusal = rules::truthful(refusal, self.may_have_run);
                 let outgoing = Outgoing::refusal(&refusal);
                 reply.give(self.labels(None).put(outgoing));
                 self.close_without_charge();
@@ -445,20 +437,12 @@
                 self.close_without_charge();
                 Outcome::Incomplete { bytes, refusal }
             }
-            StepEnd::SheetBehind => Outcome::Refused(super::sheet_changes()),
+            StepEnd::SheetBehind => Outcome::Refused(rules::sheet_changes()),
             StepEnd::CallerLeft => Outcome::CallerLeft,
         };
         self.record(outcome);
     }
 
-    /// A refusal of the last attempt must not hide an earlier one that may have run.
-    fn truthful(&self, mut refusal: Refusal) -> Refusal {
-        if refusal.ran == Ran::NotRun && self.may_have_run {
-            refusal.ran = Ran::Unknown;
-        }
-        refusal
-    }
-
     fn answered(&mut self, whole: &Whole) -> Outcome {
         let charge = whole.charge.clone().filter(|_| !whole.replayed);
         let amount = charge.as_ref().map(|c| c.amount);
@@ -509,16 +493,3 @@
         self.shared.keep(&record);
     }
 }
-
-fn changed_meanwhile() -> Refusal {
-    let why = "the sheet changed after an attempt that may have run";
-    Refusal::after_run(Code::UpstreamFailed, Ran::Unknown, why)
-}
-
-/// Tells whether another upstream may take what one refused without a run.
-const fn is_worth_another(code: Code) -> bool {
-    matches!(
-        code,
-        Code::Overloaded | Code::Stopping | Code::NoUpstream | Code::UpstreamFailed | Code::NoSheet
-    )
-}
--- a/src/gateway/serve/mod.rs
+++ b/src/gateway/serve/mod.rs
@@ -11,6 +11,7 @@
 use super::chat::Chat;
 use super::planning::{self, Planning};
 use super::quality::{self, Answered};
+use super::rules;
 use super::shared::{Shared, draw};
 use crate::follower::InForce;
 use crate::http::Outgoing;
@@ -21,7 +22,7 @@
 use crate::refusal::{Code, Ran, Refusal};
 use crate::route::plan::{Accept, PlanStep, plan};
 use crate::sheet::Service;
-use crate::units::{Millis, Permille, Tokens};
+use crate::units::{Permille, Tokens};
 
 use job::{Job, StepEnd};
 use sinks::{Buffer, Reply, Stream};
@@ -111,16 +112,12 @@
         last = Some(ended);
         break;
     }
-    let ended = last.unwrap_or_else(|| StepEnd::Refused(sheet_changes()));
+    let ended = last.unwrap_or_else(|| StepEnd::Refused(rules::sheet_changes()));
     job.finish(ended, &reply);
 }
 
-fn sheet_changes() -> Refusal {
-    Refusal::not_run(Code::NoUpstream, "the sheet changed during each try").retry_after(Millis(500))
-}
-
 async fn run_chat(mut job: Job, chatting: Chatting, reply: Reply) {
-    let mut ended = StepEnd::Refused(sheet_changes());
+    let mut ended = StepEnd::Refused(rules::sheet_changes());
     for _ in 0..MAX_PLANS {
         match chat_once(&mut job, &chatting, &reply).await {
             StepEnd::SheetBehind => {
