Fuzz the whole system over an in-memory network

Every property was tested in its own module; no test joined gateways, agents, the key-value service and callers, where P1 to P10 are promised.

tests/whole_system runs two gateways and five agents on the paused clock of one runtime. The library's state machines and rules decide; followers, operator applies, checkpoints, orphans and the in-memory service are the real ones. The test replaces the connections, the engines and the services, and follows the glue of src/gateway and src/agent. WHOLE_SYSTEM_TESTS sets the sequences, 2,000 by default, on fixed seeds.

Two named cases fail: a gateway that starts in an outage converges late, and an idle agent stops before gateways heard of it.

Ruled out: duplicates of run messages, which a connection never delivers twice and which would make a refusal of the second delivery untrue.

--- /dev/null
+++ b/tests/whole_system/attempts.rs
@@ -0,0 +1,256 @@
+//! One attempt at an agent; the glue follows `src/gateway/attempt.rs`.
+
+use std::rc::Rc;
+
+use fireflywind::gateway::rules;
+use fireflywind::ids::UpstreamId;
+use fireflywind::ledger::Charge;
+use fireflywind::peer::{LinkError, ReadBody, ReadReply, RunReply, RunRequest};
+use fireflywind::refusal::{Code, Ran, Refusal};
+use fireflywind::stream::{
+    Assembly, End, EndStatus, Fed, IncompleteReason, Part, READ_TIMEOUT, Reply, Source,
+};
+use fireflywind::units::Millis;
+
+use super::callers::Transcript;
+use super::gateway::slot_of;
+use super::jobs::Job;
+use super::network::{Conn, Delivery, connect};
+
+/// Time for an agent to accept or refuse an attempt.
+const RUN_TIMEOUT: Millis = Millis::from_secs(3);
+
+/// Most bytes in one read; small, so that answers take several reads.
+const READ_BYTES: u32 = 48;
+
+/// New connections that are tried for an answer whose connection went silent.
+const RECONNECTS: u32 = 3;
+
+pub enum Ended {
+    Whole(Whole),
+    SheetBehind,
+    Failed { refusal: Refusal, crashed: bool },
+}
+
+impl From<Refusal> for Ended {
+    fn from(refusal: Refusal) -> Self {
+        let crashed = false;
+        Self::Failed { refusal, crashed }
+    }
+}
+
+pub struct Whole {
+    pub charge: Option<Charge>,
+    pub replayed: bool,
+}
+
+/// Where the bytes of an answer go.
+pub enum Sink {
+    Stream { to: Rc<Transcript>, head: bool },
+    Buffer(Vec<u8>),
+}
+
+impl Sink {
+    fn head(&mut self) {
+        if let Self::Stream { head, .. } = self {
+            *head = true;
+        }
+    }
+
+    fn bytes(&mut self, bytes: &[u8]) {
+        match self {
+            Self::Stream { to, .. } => to.bytes.borrow_mut().extend_from_slice(bytes),
+            Self::Buffer(buf) => buf.extend_from_slice(bytes),
+        }
+    }
+
+    /// Drops what has arrived; `false` if the caller has the status line already.
+    pub fn restart(&mut self) -> bool {
+        match self {
+            Self::Stream { head, .. } => !*head,
+            Self::Buffer(buf) => {
+                buf.clear();
+                true
+            }
+        }
+    }
+}
+
+impl Job {
+    pub async fn attempt(&self, upstream: &UpstreamId, req: &RunRequest, sink: &mut Sink) -> Ended {
+        let Some(conn) = self.gateway.conn(upstream) else {
+            return Refusal::not_run(Code::NoUpstream, "no connection to the agent").into();
+        };
+        let end = self.gateway.proc.env.now() + req.deadline;
+        match self.start(upstream, &conn, req).await {
+            Ok(answer) => self.read(upstream, conn, req, answer, end, sink).await,
+            Err(ended) => ended,
+        }
+    }
+
+    async fn ask_to_run(&self, conn: &Rc<Conn>, req: &RunRequest) -> Result<RunReply, LinkError> {
+        let own = self.gateway.follower().revision();
+        self.gateway.proc.env.oracle.sent(req, own);
+        let req = req.clone();
+        let call = conn.call(Delivery::Once, RUN_TIMEOUT, move |agent| {
+            let req = req.clone();
+            async move { agent.run(req) }
+        });
+        call.await
+    }
+
+    /// Asks the agent to run the attempt; brings an agent with an older sheet up to date first.
+    async fn start(
+        &self,
+        upstream: &UpstreamId,
+        conn: &Rc<Conn>,
+        req: &RunRequest,
+    ) -> Result<u64, Ended> {
+        let gateway = &self.gateway;
+        let mut reply = self.ask_to_run(conn, req).await;
+        if let Ok(RunReply::Older(_)) = reply {
+            gateway.follower().announce_to(upstream.as_str());
+            gateway.exchange(upstream, conn).await;
+            reply = self.ask_to_run(conn, req).await;
+        }
+        match reply {
+            Ok(RunReply::Accepted(answer)) => Ok(answer),
+            Ok(RunReply::Refused(refusal)) => Err(refusal.into()),
+            Ok(RunReply::Older(_)) => {
+                Err(Refusal::not_run(Code::NoUpstream, "agent did not take up the sheet").into())
+            }
+            Ok(RunReply::Newer(_)) => {
+                gateway.follower().pull_from(upstream.as_str());
+                gateway.exchange(upstream, conn).await;
+                Err(Ended::SheetBehind)
+            }
+            Err(error) => {
+                gateway.note_lost(upstream);
+                Err(match error {
+                    LinkError::Unreachable(why) => Refusal::not_run(Code::NoUpstream, why),
+                    error => Refusal::after_run(
+                        Code::UpstreamFailed,
+                        Ran::Unknown,
+                        format!("agent {upstream} was lost: {error}"),
+                    ),
+                }
+                .into())
+            }
+        }
+    }
+
+    /// Reads the answer of an accepted attempt.
+    async fn read(
+        &self,
+        upstream: &UpstreamId,
+        mut conn: Rc<Conn>,
+        req: &RunRequest,
+        answer: u64,
+        end: Millis,
+        sink: &mut Sink,
+    ) -> Ended {
+        let request = req.request;
+        let source = |attempt| Source { request, attempt };
+        let mut assembly = Assembly::open(source(req.attempt_number()));
+        let mut head_given = false;
+        loop {
+            if self.gateway.proc.env.now() >= end {
+                Self::acknowledge(&conn, answer);
+                return incomplete(&mut assembly, IncompleteReason::Deadline);
+            }
+            let read = self.next(upstream, &mut conn, answer, assembly.offset());
+            let Some(reply) = read.await else {
+                return incomplete(&mut assembly, IncompleteReason::AgentLost);
+            };
+            if let ReadBody::Failed(failure) = reply.body {
+                Self::acknowledge(&conn, answer);
+                if failure.crashed {
+                    self.gateway.spread_suspects(upstream, &conn).await;
+                }
+                let (refusal, crashed) = (failure.refusal, failure.crashed);
+                return Ended::Failed { refusal, crashed };
+            }
+            if !head_given && reply.head.status != 0 {
+                head_given = true;
+                sink.head();
+            }
+            let (charge, replayed) = settled(&reply.body);
+            let Some(part) = part(reply.body) else {
+                return incomplete(&mut assembly, IncompleteReason::AgentLost);
+            };
+            let source = source(reply.attempt);
+            match assembly.feed(Reply { source, part }) {
+                Fed::Waiting | Fed::Dropped | Fed::ReadAgain(_) => {}
+                Fed::Bytes(bytes) => sink.bytes(&bytes),
+                Fed::Whole => {
+                    Self::acknowledge(&conn, answer);
+                    return Ended::Whole(Whole { charge, replayed });
+                }
+                Fed::Incomplete(reason) => return incomplete(&mut assembly, reason),
+            }
+        }
+    }
+
+    /// Reads once; replaces a connection that went silent or broke and reads again from the offset.
+    async fn next(
+        &self,
+        upstream: &UpstreamId,
+        conn: &mut Rc<Conn>,
+        answer: u64,
+        offset: u64,
+    ) -> Option<ReadReply> {
+        for _ in 0..=RECONNECTS {
+            let read = conn.call(Delivery::Repeated, READ_TIMEOUT, move |agent| async move {
+                agent.read(answer, offset, READ_BYTES).await
+            });
+            if let Ok(reply) = read.await {
+                return Some(reply);
+            }
+            let proc = &self.gateway.proc;
+            let Ok(new) = connect(proc, slot_of(upstream), READ_TIMEOUT).await else {
+                self.gateway.note_lost(upstream);
+                return None;
+            };
+            *conn = new;
+        }
+        None
+    }
+
+    fn acknowledge(conn: &Rc<Conn>, answer: u64) {
+        let conn = Rc::clone(conn);
+        tokio::task::spawn_local(async move {
+            let told = conn.call(Delivery::Repeated, READ_TIMEOUT, move |agent| async move {
+                agent.acknowledge(answer);
+            });
+            // Without the acknowledgement the agent keeps the answer until its time is over.
+            let _ = told.await;
+        });
+    }
+}
+
+fn incomplete(assembly: &mut Assembly, reason: IncompleteReason) -> Ended {
+    assembly.give_up(reason);
+    rules::incomplete(reason).into()
+}
+
+fn settled(body: &ReadBody) -> (Option<Charge>, bool) {
+    match body {
+        ReadBody::End {
+            charge, replayed, ..
+        } => (serde_json::from_slice(charge).ok(), *replayed),
+        _ => (None, false),
+    }
+}
+
+fn part(body: ReadBody) -> Option<Part> {
+    Some(match body {
+        ReadBody::Pending => Part::Pending,
+        ReadBody::Chunk { offset, bytes } => Part::Chunk { offset, bytes },
+        ReadBody::End { length, digest, .. } => Part::End(End {
+            status: EndStatus::Complete,
+            length,
+            digest,
+        }),
+        ReadBody::Failed(_) | ReadBody::Gone => return None,
+    })
+}
--- /dev/null
+++ b/tests/whole_system/jobs.rs
@@ -0,0 +1,372 @@
+//! One request at a gateway; the glue follows `src/gateway/serve` and `src/gateway/attempt.rs`.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use fireflywind::follower::InForce;
+use fireflywind::gateway::planning::{self, Known, Wanted};
+use fireflywind::gateway::rules;
+use fireflywind::ids::{AccountId, ClassId, RequestId, UpstreamId, VersionRef};
+use fireflywind::ledger::Charge;
+use fireflywind::limits::backoff;
+use fireflywind::peer::{RunRequest, Target};
+use fireflywind::rating::Ppm;
+use fireflywind::record::{Asked, Rated, accepts, refusal_of};
+use fireflywind::refusal::{Code, Ran, Refusal};
+use fireflywind::route::plan::{PlanStep, plan};
+use fireflywind::units::{Millis, Tokens};
+
+use super::attempts::{Ended, Sink, Whole};
+use super::callers::{Heard, Transcript};
+use super::gateway::Gateway;
+
+/// Plans that are made for one request if the sheet changes under it.
+const MAX_PLANS: u32 = 3;
+
+/// How long a session lasts.
+const SESSION_LIFETIME: Millis = Millis::from_secs(86_400);
+
+/// What a caller sends.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    pub account: AccountId,
+    pub asked: Asked,
+    pub streamed: bool,
+    pub body: Bytes,
+    pub key: Option<String>,
+    pub session: Option<String>,
+}
+
+enum StepEnd {
+    Whole(Whole),
+    Refused(Refusal),
+    CutOff,
+    SheetBehind,
+}
+
+pub struct Job {
+    pub gateway: Rc<Gateway>,
+    in_force: Rc<InForce>,
+    ask: Ask,
+    class: ClassId,
+    session: Option<VersionRef>,
+    request: RequestId,
+    arrival: Millis,
+    deadline: Millis,
+    next_attempt: u16,
+    may_have_run: bool,
+    charge_unknown: bool,
+    to: Rc<Transcript>,
+}
+
+impl Gateway {
+    /// Takes a caller's request.
+    pub fn serve(self: &Rc<Self>, ask: Ask, to: &Rc<Transcript>) {
+        if self.stopping.get() {
+            return to.end(Heard::NotTaken);
+        }
+        match self.open(ask, to) {
+            Err(refusal) => to.end(Heard::Refused(refusal)),
+            Ok(job) => {
+                self.serving.set(self.serving.get() + 1);
+                self.proc.spawn(async move {
+                    let gateway = Rc::clone(&job.gateway);
+                    job.run().await;
+                    gateway.serving.set(gateway.serving.get() - 1);
+                });
+            }
+        }
+    }
+
+    fn open(self: &Rc<Self>, ask: Ask, to: &Rc<Transcript>) -> Result<Job, Refusal> {
+        let follower = self.follower();
+        let in_force = follower.in_force().filter(|_| follower.may_serve());
+        let in_force =
+            in_force.ok_or_else(|| Refusal::not_run(Code::NoSheet, "no sheet is in force"))?;
+        let account = in_force.sheet.account(&ask.account);
+        let account = account.ok_or_else(|| Refusal::not_run(Code::Unauthorized, "account"))?;
+        let unix = self.proc.env.clock.unix();
+        let session = match &ask.session {
+            None => None,
+            Some(token) => {
+                let pinned = self.sessions.verify(token, &ask.account, unix);
+                let pinned = pinned
+                    .map_err(|error| Refusal::not_run(Code::BadSession, error.to_string()))?;
+                Some(pinned.version)
+            }
+        };
+        if let Asked::Service(id) = &ask.asked
+            && account.services.binary_search(id).is_err()
+        {
+            return Err(Refusal::not_run(Code::Forbidden, "service"));
+        }
+        let class = match &ask.asked {
+            Asked::Class(class) => class.clone(),
+            Asked::Version(_) => "direct".into(),
+            Asked::Service(id) => id.as_str().into(),
+        };
+        let mut ledger = self.ledger.borrow_mut();
+        if !ledger.has_room() {
+            return Err(Refusal::not_run(Code::Overloaded, "ledger is full"));
+        }
+        self.retries.borrow_mut().request();
+        let request = ledger.open_request();
+        to.request.set(Some(request));
+        Ok(Job {
+            gateway: Rc::clone(self),
+            in_force,
+            ask,
+            class,
+            session,
+            request,
+            arrival: self.proc.env.now(),
+            deadline: Millis(0),
+            next_attempt: 0,
+            may_have_run: false,
+            charge_unknown: false,
+            to: Rc::clone(to),
+        })
+    }
+}
+
+impl Job {
+    async fn run(mut self) {
+        let mut ended = StepEnd::Refused(rules::sheet_changes());
+        for _ in 0..MAX_PLANS {
+            let once = match self.ask.asked.clone() {
+                Asked::Service(id) => self.service_once(Target::Service(id)).await,
+                Asked::Class(_) | Asked::Version(_) => self.chat_once().await,
+            };
+            if !matches!(once, StepEnd::SheetBehind) {
+                ended = once;
+                break;
+            }
+            if let Err(refusal) = self.renew() {
+                ended = StepEnd::Refused(refusal);
+                break;
+            }
+        }
+        self.finish(ended);
+    }
+
+    /// Takes the sheet that came into force since the last plan.
+    fn renew(&mut self) -> Result<(), Refusal> {
+        let follower = self.gateway.follower();
+        let in_force = follower.in_force().filter(|_| follower.may_serve());
+        self.in_force =
+            in_force.ok_or_else(|| Refusal::not_run(Code::NoSheet, "no sheet is in force"))?;
+        let account = self.in_force.sheet.account(&self.ask.account);
+        let lost = match &self.ask.asked {
+            Asked::Service(id) => account.is_none_or(|a| a.services.binary_search(id).is_err()),
+            Asked::Class(_) | Asked::Version(_) => false,
+        };
+        if lost {
+            return Err(Refusal::not_run(Code::Forbidden, "service"));
+        }
+        Ok(())
+    }
+
+    async fn service_once(&mut self, target: Target) -> StepEnd {
+        self.deadline = Millis::from_secs(10);
+        let to = Rc::clone(&self.to);
+        let mut sink = Sink::Stream { to, head: false };
+        self.step(0, &target, &mut sink).await
+    }
+
+    async fn chat_once(&mut self) -> StepEnd {
+        let env = Rc::clone(&self.gateway.proc.env);
+        let planned = {
+            let sheet = &self.in_force.sheet;
+            let Some(account) = sheet.account(&self.ask.account) else {
+                return StepEnd::Refused(Refusal::not_run(Code::Unauthorized, "account"));
+            };
+            let wanted = Wanted {
+                asked: &self.ask.asked,
+                session: self.session.clone(),
+                streamed: self.ask.streamed,
+                expected_tokens: Tokens(64),
+            };
+            let (table, unix) = (self.gateway.table.borrow(), env.clock.unix());
+            let known = Known {
+                aim: &|class, target| table.aim(class, target),
+                rated_in_time: &|_| Ppm(0),
+                estimate: &|class, version, reach| table.estimate(class, version, reach, unix),
+                share: &|_, rollout| rollout.max_share,
+                routable: &|version| self.gateway.is_routable(&self.in_force, version),
+            };
+            planning::input(sheet, account, &wanted, &known)
+        };
+        let planning = match planned {
+            Ok(planning) => planning,
+            Err(refusal) => return StepEnd::Refused(refusal),
+        };
+        self.deadline = planning.deadline;
+        let draws = [(); 4].map(|()| env.rng.draw());
+        match plan(&planning.input, draws) {
+            Err(error) => StepEnd::Refused(refusal_of(&error)),
+            Ok(plan) => self.run_steps(&plan.steps).await,
+        }
+    }
+
+    async fn run_steps(&mut self, steps: &[PlanStep]) -> StepEnd {
+        let mut rejected = None;
+        for (number, step) in (0..).zip(steps) {
+            let target = Target::Version(step.version.clone());
+            if self.ask.streamed && steps.len() == 1 {
+                let to = Rc::clone(&self.to);
+                let mut sink = Sink::Stream { to, head: false };
+                self.label(&step.version);
+                return self.step(number, &target, &mut sink).await;
+            }
+            let mut sink = Sink::Buffer(Vec::new());
+            let whole = match (self.step(number, &target, &mut sink).await, rejected.take()) {
+                (StepEnd::Whole(whole), _) => whole,
+                (StepEnd::Refused(_), Some((whole, body, version))) => {
+                    return self.give(whole, body, &version);
+                }
+                (ended, _) => return ended,
+            };
+            let Sink::Buffer(body) = sink else {
+                unreachable!("the sink is a buffer");
+            };
+            if accepts(step.accept, Rated::Missing) {
+                return self.give(whole, body, &step.version);
+            }
+            rejected = Some((whole, body, step.version.clone()));
+        }
+        match rejected {
+            Some((whole, body, version)) => self.give(whole, body, &version),
+            None => StepEnd::Refused(Refusal::not_run(Code::NoUpstream, "no step")),
+        }
+    }
+
+    fn give(&self, whole: Whole, body: Vec<u8>, version: &VersionRef) -> StepEnd {
+        *self.to.bytes.borrow_mut() = body;
+        self.label(version);
+        StepEnd::Whole(whole)
+    }
+
+    /// Gives the caller the token of its session.
+    fn label(&self, version: &VersionRef) {
+        let now = self.gateway.proc.env.clock.unix();
+        let sessions = &self.gateway.sessions;
+        let token = sessions.sign(&self.ask.account, version, now, SESSION_LIFETIME);
+        *self.to.token.borrow_mut() = Some((token, version.clone()));
+    }
+
+    /// Runs one step: attempts at one upstream after another until one gives the whole answer.
+    async fn step(&mut self, step: u16, target: &Target, sink: &mut Sink) -> StepEnd {
+        let (gateway, env) = (Rc::clone(&self.gateway), Rc::clone(&self.gateway.proc.env));
+        let mut tried: Vec<UpstreamId> = Vec::new();
+        let mut resends = 0;
+        let mut last = None;
+        self.next_attempt = 0;
+        while self.next_attempt < rules::MAX_ATTEMPTS {
+            let pool = gateway.pool(&self.in_force, target);
+            let draws = [env.rng.draw(), env.rng.draw()];
+            let Some(pick) = pool.pick(draws, None, &tried) else {
+                break;
+            };
+            let upstream = pick.upstream;
+            let attempt = self.next_attempt;
+            self.next_attempt += 1;
+            let req = self.run_request(step, attempt, target);
+            gateway.count(&upstream, |n| n + 1);
+            let ended = self.attempt(&upstream, &req, sink).await;
+            gateway.count(&upstream, |n| n.saturating_sub(1));
+            let (refusal, crashed) = match ended {
+                Ended::Whole(whole) => {
+                    self.may_have_run = true;
+                    return StepEnd::Whole(whole);
+                }
+                Ended::SheetBehind if self.may_have_run => {
+                    return StepEnd::Refused(rules::changed_meanwhile());
+                }
+                Ended::SheetBehind => return StepEnd::SheetBehind,
+                Ended::Failed { refusal, crashed } => (refusal, crashed),
+            };
+            self.may_have_run |= refusal.ran != Ran::NotRun;
+            self.charge_unknown |= rules::may_hold_charge(&refusal, crashed);
+            tried.push(upstream);
+            if refusal.ran != Ran::NotRun {
+                if !sink.restart() {
+                    return StepEnd::CutOff;
+                }
+                let may_repeat = rules::may_resend(refusal.code, self.ask.key.is_some(), resends)
+                    && gateway.retries.borrow_mut().take();
+                if !may_repeat {
+                    return StepEnd::Refused(refusal);
+                }
+                resends += 1;
+                gateway.proc.sleep(backoff(resends, env.rng.draw())).await;
+            } else if !rules::is_worth_another(refusal.code) {
+                return StepEnd::Refused(refusal);
+            }
+            last = Some(refusal);
+        }
+        let full = || Refusal::not_run(Code::NoUpstream, "no upstream can take the request");
+        StepEnd::Refused(last.unwrap_or_else(full))
+    }
+
+    fn run_request(&self, step: u16, attempt: u16, target: &Target) -> RunRequest {
+        let elapsed = self.gateway.proc.env.now().since(self.arrival);
+        let is_service = matches!(target, Target::Service(_));
+        RunRequest {
+            request: self.request,
+            step,
+            attempt,
+            account: self.ask.account.clone(),
+            class: self.class.clone(),
+            target: target.clone(),
+            pinned: self.session.is_some(),
+            method: "POST".to_owned(),
+            path: if is_service {
+                "/orders"
+            } else {
+                "/v1/chat/completions"
+            }
+            .to_owned(),
+            content_type: "application/json".to_owned(),
+            body: self.ask.body.clone(),
+            idempotency_key: self.ask.key.clone(),
+            idempotent: self.ask.key.is_none(),
+            streamed: false,
+            deadline: self.deadline.since(elapsed),
+            revision: self.in_force.revision,
+            freshness: self.gateway.follower().freshness().unwrap_or_default(),
+        }
+    }
+
+    fn finish(self, ended: StepEnd) {
+        match ended {
+            StepEnd::Whole(whole) => {
+                self.close(whole.charge.filter(|_| !whole.replayed));
+                self.to.end(Heard::Whole);
+            }
+            StepEnd::Refused(refusal) => {
+                let refusal = rules::truthful(refusal, self.may_have_run);
+                self.close_without_charge();
+                self.to.end(Heard::Refused(refusal));
+            }
+            StepEnd::CutOff => {
+                self.close_without_charge();
+                self.to.end(Heard::CutOff);
+            }
+            // The loop over plans replaces this end by a refusal.
+            StepEnd::SheetBehind => self.to.end(Heard::Refused(rules::sheet_changes())),
+        }
+    }
+
+    fn close_without_charge(&self) {
+        if !self.charge_unknown {
+            self.close(None);
+        }
+    }
+
+    fn close(&self, charge: Option<Charge>) {
+        let env = &self.gateway.proc.env;
+        env.oracle.closed(self.request, charge.as_ref());
+        let closed = self.gateway.ledger.borrow_mut().close(self.request, charge);
+        closed.expect("a request is closed once");
+    }
+}
--- /dev/null
+++ b/tests/whole_system/main.rs
@@ -0,0 +1,166 @@
+//! Fuzzes the whole system: gateways, agents, the key-value service and callers over a faulty network.
+//!
+//! The state machines and rules are the library's; only the I/O around them is replaced. `WHOLE_SYSTEM_TESTS`
+//! sets the number of sequences.
+
+mod agent;
+mod attempts;
+mod callers;
+mod gateway;
+mod jobs;
+mod network;
+mod ops;
+mod oracle;
+mod runs;
+mod store;
+mod world;
+
+use actix_rt::time::sleep;
+use fireflywind::units::Millis;
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult, Testable};
+use tokio::task::LocalSet;
+
+use ops::{Calm, Keys, Op};
+use world::World;
+
+/// Sequences of all tests together, if the environment does not set them.
+const SEQUENCES: u64 = 2_000;
+
+/// Tests that share the sequences; they run side by side.
+const TESTS: u64 = 5;
+
+/// Most steps of a sequence.
+const STEPS: usize = 40;
+
+/// Time after which a process that was killed or stopped is started again.
+const DOWN: Millis = Millis::from_secs(4);
+
+/// Seed of one sequence; it does not shrink, as every draw would change.
+#[derive(Debug, Clone, Copy)]
+struct Seed(u64);
+
+impl Arbitrary for Seed {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self(u64::arbitrary(g))
+    }
+}
+
+/// Runs one sequence and returns what it violated.
+fn violations(seed: Seed, ops: &[Op]) -> Vec<String> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("the runtime starts");
+    LocalSet::new().block_on(&runtime, async {
+        let world = World::start(seed.0).await;
+        let keys = Keys::default();
+        let mut down: Vec<(Millis, Op)> = Vec::new();
+        for op in ops {
+            world.perform(*op, &keys).await;
+            sleep(Millis(1 + world.env.rng.below(60)).duration()).await;
+            let now = world.env.now();
+            down.push((now + DOWN, *op));
+            for (_, op) in down.extract_if(.., |(at, _)| *at <= now) {
+                world.restart(op);
+            }
+            world.observe();
+        }
+        world.settle().await;
+        let violations = world.env.oracle.violations();
+        world.end();
+        violations
+    })
+}
+
+fn verdict(seed: Seed, ops: &[Op]) -> TestResult {
+    let violations = violations(seed, ops);
+    if violations.is_empty() {
+        return TestResult::passed();
+    }
+    TestResult::error(violations.join("\n"))
+}
+
+fn check<P: Testable>(seed: u64, property: P) {
+    let set = std::env::var("WHOLE_SYSTEM_TESTS").ok();
+    let sequences = set.and_then(|n| n.parse().ok()).unwrap_or(SEQUENCES);
+    let tests = u64::div_ceil(sequences, TESTS);
+    let source = Gen::from_size_and_seed(STEPS, seed);
+    QuickCheck::new()
+        .rng(source)
+        .tests(tests)
+        .quickcheck(property);
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "quickcheck passes owned values"
+)]
+fn with_faults(seed: Seed, ops: Vec<Op>) -> TestResult {
+    verdict(seed, &ops)
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "quickcheck passes owned values"
+)]
+fn without_faults(seed: Seed, ops: Vec<Calm>) -> TestResult {
+    let ops: Vec<_> = ops.iter().map(|calm| calm.0).collect();
+    verdict(seed, &ops)
+}
+
+// These four guard against a violation of P1 to P10 that only a combination of calls and faults shows.
+#[test]
+fn properties_hold_under_faults_1() {
+    check(1, with_faults as fn(Seed, Vec<Op>) -> TestResult);
+}
+
+#[test]
+fn properties_hold_under_faults_2() {
+    check(2, with_faults as fn(Seed, Vec<Op>) -> TestResult);
+}
+
+#[test]
+fn properties_hold_under_faults_3() {
+    check(3, with_faults as fn(Seed, Vec<Op>) -> TestResult);
+}
+
+#[test]
+fn properties_hold_under_faults_4() {
+    check(4, with_faults as fn(Seed, Vec<Op>) -> TestResult);
+}
+
+// Guards against a planned stop that cuts off a request although nothing else goes wrong.
+#[test]
+fn planned_stops_cut_off_no_request() {
+    check(5, without_faults as fn(Seed, Vec<Calm>) -> TestResult);
+}
+
+/// Checks one sequence that once failed.
+fn check_sequence(seed: u64, ops: &[Op]) {
+    let violations = violations(Seed(seed), ops);
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
+// Guards against a planned stop of an idle agent that ends before gateways heard of it: a request that is
+// on its way then breaks with the connection, and nobody can tell whether it ran.
+#[test]
+fn an_idle_agent_stops_after_gateways_heard_of_it() {
+    let gateway = 0;
+    let order = Op::Order {
+        gateway,
+        key: 0,
+        body: false,
+        twice: false,
+    };
+    check_sequence(1, &[Op::StopAgent(3), order]);
+}
+
+// Guards against a gateway that starts in an outage and reads the sheet only long after the outage.
+#[test]
+fn a_gateway_that_starts_in_an_outage_converges_after_it() {
+    let waits = [1_100, 1_100, 1_100, 3_000].map(Op::Wait);
+    let mut ops = vec![Op::KillGateway(0), waits[0], waits[1], waits[2]];
+    ops.extend([Op::Outage(true), waits[3], Op::Wait(25_000), waits[0]]);
+    check_sequence(1, &ops);
+}
--- /dev/null
+++ b/tests/whole_system/ops.rs
@@ -0,0 +1,470 @@
+//! Calls and faults that a sequence is drawn from.
+
+use std::cell::RefCell;
+use std::rc::{Rc, Weak};
+
+use actix_rt::time::sleep;
+use fireflywind::ids::VersionRef;
+use fireflywind::record::Asked;
+use fireflywind::sheet::{Sheet, VersionState};
+use fireflywind::units::Millis;
+use quickcheck::{Arbitrary, Gen};
+
+use super::callers::Transcript;
+use super::jobs::Ask;
+use super::runs::CRASH;
+use super::store::Fate;
+use super::world::{AGENTS, GATEWAY_DC, World};
+
+/// One call or fault.
+#[derive(Debug, Clone, Copy)]
+pub enum Op {
+    Chat {
+        gateway: u8,
+        kind: u8,
+        streamed: bool,
+        session: bool,
+    },
+    /// A request that crashes the engine that runs it.
+    Crash {
+        gateway: u8,
+        body: u8,
+    },
+    /// A keyed order, alone or twice at the same time; an earlier key is used again.
+    Order {
+        gateway: u8,
+        key: u8,
+        body: bool,
+        twice: bool,
+    },
+    /// An order whose key has expired or is from the future.
+    BadKey {
+        gateway: u8,
+        future: bool,
+    },
+    Apply {
+        change: u8,
+        twice: bool,
+    },
+    RepeatApply,
+    EngineOrder {
+        gateway: u8,
+    },
+    Wait(u16),
+    StopGateway(u8),
+    StopAgent(u8),
+    Leave(u8),
+    Network {
+        loss: u8,
+        delay: u16,
+        repeats: u8,
+    },
+    Silence(u8),
+    KillGateway(u8),
+    KillAgent(u8),
+    Freeze {
+        process: u8,
+        time: u16,
+    },
+    Outage(bool),
+    Write(u8),
+    Cut {
+        centre: u8,
+        cut: bool,
+    },
+    BreakCall(u8),
+}
+
+impl Op {
+    /// Draws a call of a caller or an operator, or the passing of time.
+    fn call(g: &mut Gen) -> Self {
+        let gateway = u8::arbitrary(g);
+        match u8::arbitrary(g) % 12 {
+            0..3 => Self::Chat {
+                gateway,
+                kind: u8::arbitrary(g),
+                streamed: bool::arbitrary(g),
+                session: bool::arbitrary(g),
+            },
+            3..6 => Self::Order {
+                gateway,
+                key: u8::arbitrary(g) % 4,
+                body: u8::arbitrary(g).is_multiple_of(8),
+                twice: bool::arbitrary(g),
+            },
+            6..9 => Self::Wait(u16::arbitrary(g) % 1_500),
+            9 => Self::Apply {
+                change: u8::arbitrary(g),
+                twice: u8::arbitrary(g).is_multiple_of(4),
+            },
+            10 => match u8::arbitrary(g) % 5 {
+                0 => Self::RepeatApply,
+                1 | 2 => Self::EngineOrder { gateway },
+                3 => Self::Wait(4_000),
+                _ => Self::BadKey {
+                    gateway,
+                    future: bool::arbitrary(g),
+                },
+            },
+            _ => match u8::arbitrary(g) % 3 {
+                0 => Self::StopGateway(gateway),
+                1 => Self::StopAgent(gateway),
+                _ => Self::Leave(gateway),
+            },
+        }
+    }
+
+    fn fault(g: &mut Gen) -> Self {
+        let pick = u8::arbitrary(g);
+        match u8::arbitrary(g) % 14 {
+            0 | 1 => Self::Network {
+                loss: u8::arbitrary(g) % 3 * 10,
+                delay: u16::arbitrary(g) % 3 * 400,
+                repeats: u8::arbitrary(g) % 3 * 20,
+            },
+            2 => Self::Silence(pick),
+            3 => Self::KillGateway(pick),
+            4 | 5 => Self::KillAgent(pick),
+            6 => Self::Freeze {
+                process: pick,
+                time: u16::arbitrary(g) % 15_000,
+            },
+            7 => Self::Outage(bool::arbitrary(g)),
+            8 | 9 => Self::Write(pick),
+            10 => Self::Cut {
+                centre: pick,
+                cut: bool::arbitrary(g),
+            },
+            11 => Self::BreakCall(pick),
+            12 => Self::Crash {
+                gateway: pick,
+                body: u8::arbitrary(g) % 2,
+            },
+            // Longer than the staleness bound.
+            _ => Self::Wait(25_000),
+        }
+    }
+}
+
+impl Arbitrary for Op {
+    fn arbitrary(g: &mut Gen) -> Self {
+        if u8::arbitrary(g).is_multiple_of(4) {
+            Self::fault(g)
+        } else {
+            Self::call(g)
+        }
+    }
+}
+
+/// A call without any fault.
+#[derive(Debug, Clone, Copy)]
+pub struct Calm(pub Op);
+
+impl Arbitrary for Calm {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self(Op::call(g))
+    }
+}
+
+fn at(pick: u8, len: usize) -> usize {
+    usize::from(pick) % len
+}
+
+/// Keys that callers have used.
+#[derive(Debug, Default)]
+pub struct Keys(RefCell<Vec<String>>);
+
+impl World {
+    pub async fn perform(&self, op: Op, keys: &Keys) {
+        let env = &self.env;
+        self.note_fault(op);
+        match op {
+            Op::Chat {
+                gateway,
+                kind,
+                streamed,
+                session,
+            } => {
+                self.chat(at(gateway, GATEWAY_DC.len()), kind, streamed, session);
+            }
+            Op::Crash { gateway, body } => {
+                let asked = Asked::Class("tags".into());
+                let body = format!("{CRASH}{body}");
+                self.send(
+                    at(gateway, GATEWAY_DC.len()),
+                    ask("shop", asked, body),
+                    None,
+                );
+            }
+            Op::Order {
+                gateway,
+                key,
+                body,
+                twice,
+            } => {
+                let key = self.key(key, keys);
+                let gateway = at(gateway, GATEWAY_DC.len());
+                self.order(gateway, key.clone(), body);
+                if twice {
+                    self.order((gateway + 1) % GATEWAY_DC.len(), key, body);
+                }
+            }
+            Op::BadKey { gateway, future } => {
+                let now = env.clock.unix();
+                let day = Millis::from_secs(90_000);
+                let time = if future { now + day } else { now.since(day) };
+                self.order(
+                    at(gateway, GATEWAY_DC.len()),
+                    new_key(time, env.rng.draw()),
+                    false,
+                );
+            }
+            Op::Apply { change, twice } => {
+                let Some((base, sheet)) = env.oracle.newest() else {
+                    return;
+                };
+                for shift in 0..=u8::from(twice) {
+                    self.apply(
+                        changed(sheet.clone(), change.wrapping_add(shift)),
+                        Some(base),
+                    );
+                }
+            }
+            Op::RepeatApply => {
+                let last = self.last_apply.borrow().clone();
+                if let Some((sheet, base, id)) = last {
+                    self.run_apply(sheet, base, id);
+                }
+            }
+            Op::EngineOrder { gateway } => {
+                if let Some(gateway) = self.gateway(at(gateway, GATEWAY_DC.len())) {
+                    gateway.proc.spawn(Rc::clone(&gateway).order());
+                }
+            }
+            Op::Wait(time) => sleep(Millis(time.into()).duration()).await,
+            Op::StopGateway(pick) => {
+                if let Some(gateway) = self.gateway(at(pick, GATEWAY_DC.len())) {
+                    gateway
+                        .proc
+                        .spawn(Rc::clone(&gateway).stop(Millis::from_secs(30)));
+                }
+            }
+            Op::StopAgent(pick) => {
+                if let Some(agent) = self.agent(at(pick, AGENTS.len())) {
+                    agent
+                        .proc
+                        .spawn(Rc::clone(&agent).stop(Millis::from_secs(30)));
+                }
+            }
+            Op::Leave(pick) => {
+                if let Some(agent) = self.agent(at(pick, AGENTS.len())) {
+                    agent.leave();
+                }
+            }
+            fault => self.inject(fault),
+        }
+    }
+
+    fn note_fault(&self, op: Op) {
+        let calm = matches!(
+            op,
+            Op::Chat { .. }
+                | Op::Order { .. }
+                | Op::BadKey { .. }
+                | Op::Apply { .. }
+                | Op::RepeatApply
+                | Op::EngineOrder { .. }
+                | Op::Wait(0..=4_000)
+                | Op::StopGateway(_)
+                | Op::StopAgent(_)
+                | Op::Leave(_)
+        );
+        if !calm {
+            self.env.oracle.disturbed();
+        }
+    }
+
+    fn inject(&self, op: Op) {
+        let env = &self.env;
+        match op {
+            Op::Network {
+                loss,
+                delay,
+                repeats,
+            } => {
+                env.faults.loss.set(loss.into());
+                env.faults.delay.set(delay.into());
+                env.faults.repeats.set(repeats.into());
+            }
+            Op::Silence(pick) => {
+                let conns: Vec<_> = env
+                    .conns
+                    .borrow()
+                    .iter()
+                    .filter_map(Weak::upgrade)
+                    .collect();
+                if !conns.is_empty() {
+                    conns[usize::from(pick) % conns.len()].silent.set(true);
+                }
+            }
+            Op::KillGateway(gateway) => {
+                if let Some(gateway) = self.gateway(at(gateway, GATEWAY_DC.len())) {
+                    gateway.proc.kill();
+                    gateway.end_follower();
+                }
+            }
+            Op::KillAgent(agent) => {
+                if let Some(agent) = self.agent(at(agent, AGENTS.len())) {
+                    agent.proc.kill();
+                    agent.end_follower();
+                }
+            }
+            Op::Freeze { process, time } => {
+                let until = env.now() + Millis(time.into());
+                let process = at(process, AGENTS.len() + GATEWAY_DC.len());
+                if process < AGENTS.len() {
+                    self.agent(process).inspect(|a| a.proc.freeze(until));
+                } else {
+                    self.gateway(process - AGENTS.len())
+                        .inspect(|g| g.proc.freeze(until));
+                }
+            }
+            Op::Outage(out) => env.store_faults.out.set(out),
+            Op::Write(kind) => {
+                let fate = match kind % 3 {
+                    0 => Fate::AnswerLost,
+                    1 => Fate::Lost,
+                    _ => Fate::Late(Millis(u64::from(kind) * 20)),
+                };
+                env.store_faults.fates.borrow_mut().push_back(fate);
+            }
+            Op::Cut { centre, cut } => env.faults.cut.borrow_mut()[at(centre, 3)] = cut,
+            Op::BreakCall(pick) => env.upstreams[3 + at(pick, 2)].breaks_next.set(true),
+            _ => {}
+        }
+        env.changed.notify_waiters();
+    }
+
+    /// Starts again what has been down for long enough.
+    pub fn restart(&self, op: Op) {
+        match op {
+            Op::KillGateway(gateway) | Op::StopGateway(gateway) => {
+                self.start_gateway(at(gateway, GATEWAY_DC.len()));
+            }
+            Op::KillAgent(agent) | Op::StopAgent(agent) => {
+                self.start_agent(at(agent, AGENTS.len()));
+            }
+            _ => {}
+        }
+    }
+
+    fn send(&self, gateway: usize, ask: Ask, pinned: Option<VersionRef>) {
+        let Some(gateway) = self.gateway(gateway) else {
+            return;
+        };
+        let transcript = Transcript::open(ask.clone(), pinned, &gateway.proc);
+        self.env.oracle.listen(Rc::clone(&transcript));
+        gateway.serve(ask, &transcript);
+    }
+
+    fn chat(&self, gateway: usize, kind: u8, streamed: bool, session: bool) {
+        let account = if kind & 1 == 0 { "shop" } else { "school" };
+        let asked = match kind >> 1 & 3 {
+            0 => Asked::Class("tags".into()),
+            1 => Asked::Class("summary".into()),
+            2 => Asked::Version(VersionRef::new("small", "v1")),
+            _ => Asked::Version(VersionRef::new("large", "v1")),
+        };
+        let body = format!("chat {kind}");
+        let mut ask = ask(account, asked, body);
+        ask.streamed = streamed;
+        let token = self
+            .env
+            .oracle
+            .token(usize::from(kind >> 4))
+            .filter(|_| session);
+        let pinned = token.map(|(account, token, version)| {
+            ask.account = account;
+            ask.session = Some(token);
+            // A session names no version itself.
+            ask.asked = Asked::Class("tags".into());
+            version
+        });
+        self.send(gateway, ask, pinned);
+    }
+
+    /// Returns one of the latest keys, or a new one.
+    fn key(&self, pick: u8, keys: &Keys) -> String {
+        let mut keys = keys.0.borrow_mut();
+        if pick > 0
+            && let Some(key) = keys.iter().rev().nth(usize::from(pick - 1))
+        {
+            return key.clone();
+        }
+        let key = new_key(self.env.clock.unix(), self.env.rng.draw());
+        keys.push(key.clone());
+        key
+    }
+
+    fn order(&self, gateway: usize, key: String, other_body: bool) {
+        let body = if other_body {
+            "two pallets"
+        } else {
+            "one pallet"
+        };
+        let mut ask = ask("shop", Asked::Service("orders".into()), body.to_owned());
+        ask.key = Some(key);
+        self.send(gateway, ask, None);
+    }
+}
+
+fn ask(account: &str, asked: Asked, body: String) -> Ask {
+    Ask {
+        account: account.into(),
+        asked,
+        streamed: false,
+        body: body.into(),
+        key: None,
+        session: None,
+    }
+}
+
+fn new_key(time: Millis, draw: u64) -> String {
+    let random = u128::from(draw) & ((1 << 62) - 1);
+    let bits = u128::from(time.0) << 80 | 0x7 << 76 | 0b10 << 62 | random;
+    uuid::Uuid::from_u128(bits).hyphenated().to_string()
+}
+
+/// Returns the sheet with one change of an operator.
+fn changed(mut sheet: Sheet, change: u8) -> Sheet {
+    let model = usize::from(change & 1);
+    let versions = sheet.models[model].versions.len();
+    let version = &mut sheet.models[model].versions[usize::from(change >> 1 & 1) % versions];
+    match change >> 2 & 7 {
+        0 | 1 => version.state = VersionState::Withdrawn,
+        2 => version.state = VersionState::Draining,
+        3..=5 => version.state = VersionState::Serving,
+        6 => {
+            let allow = &mut sheet
+                .accounts
+                .iter_mut()
+                .find(|a| a.id.as_str() == "school");
+            if let Some(account) = allow {
+                let large = VersionRef::new("large", "v1");
+                match account.allow.binary_search(&large) {
+                    Ok(at) => drop(account.allow.remove(at)),
+                    Err(at) => account.allow.insert(at, large),
+                }
+            }
+        }
+        _ => {
+            let small = sheet.models.iter_mut().find(|m| m.id.as_str() == "small");
+            let v2 = small.and_then(|m| m.versions.iter_mut().find(|v| v.id.as_str() == "v2"));
+            if let Some(rollout) = v2.and_then(|v| v.rollout.as_mut()) {
+                rollout.max_share.0 = (rollout.max_share.0 + 250) % 1_001;
+            }
+        }
+    }
+    sheet.sort();
+    sheet
+}
