Read the root again within 2 s after an outage

Cause: a reader waited up to 10 s between failed reads of the root.

Change: the longest wait of a reader is 2 s. Without a relay tree, 2,210 processes then make 1,105 reads a second during an outage, of the service's 2,000; with it, only the readers of each data centre wait this way.

Ruled out: waking readers by peers' status, as a gateway without a sheet knows no agent.

Found by the whole-system fuzz. Before: its named case and 4 of 4 properties under faults failed ("gateway-0 is at 0, not at 1", also "engine-c is at 1, not at 2" after a cut).

--- a/src/dissemination/replica.rs
+++ b/src/dissemination/replica.rs
@@ -13,8 +13,10 @@
 pub const ASK_RETRY: Millis = Millis(400);
 /// Wait of a reader after its first failed read of the root.
 pub const READ_BACK_OFF_MIN: Millis = Millis(500);
-/// Longest wait of a reader between reads of the root.
-pub const READ_BACK_OFF_MAX: Millis = Millis::from_secs(10);
+/// Longest wait of a reader between reads of the root; after an outage, a sheet is in effect within 3 s.
+///
+/// 2,210 processes without a relay tree make 1,105 of the service's 2,000 reads a second with it.
+pub const READ_BACK_OFF_MAX: Millis = Millis::from_secs(2);
 /// Age of the confirmation at which a process that is no reader reads the root itself.
 pub const FALLBACK_AFTER: Millis = Millis::from_secs(10);
 /// Longest wait between such reads; 2,210 processes then make 37 of the service's 2,000 reads a second.
