Keep a leaving agent until gateways have heard of it

Cause: an agent without work ended as soon as it was asked to stop. A gateway learns of the stop by its heartbeat each second; a keyed call that it sent before was cut off by the closed connection and answered as unknown, although nothing else had gone wrong.

Change: a leaving agent stays for two heartbeats, 2 s, and refuses new work with not_run, which the gateway sends elsewhere. When the deadline comes first, the stop reports whether everything was finished.

Ruled out: a notice from the agent over each link, as calls go from gateways to agents only; taking a closed connection for not_run, which would be untrue for a call that had arrived.

Found by the whole-system fuzz, shrunk to an agent's stop and one order.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -26,6 +26,7 @@
 use actix_rt::time::{Instant, sleep};
 
 use crate::http;
+use crate::membership::PING_INTERVAL;
 use crate::peer::{PeerKey, Server};
 use crate::platform::KeyValue;
 use crate::settings;
@@ -34,6 +35,12 @@
 pub use price::covers;
 use shared::Shared;
 
+/// Time for which a leaving agent stays even if it is idle: two heartbeats of each gateway.
+///
+/// A request that a gateway sends before it hears of the stop is then refused and goes elsewhere. If the
+/// connection closed under it, nobody could tell whether it ran.
+pub const LEAVING_NOTICE: Millis = Millis(2 * PING_INTERVAL.0);
+
 /// Time between two looks at what a planned stop still waits for.
 const STOP_STEP: Millis = Millis(50);
 
@@ -100,25 +107,27 @@
     pub async fn stop(self, deadline: Millis) -> bool {
         self.shared.leaving.set(true);
         self.shared.held.borrow_mut().stop();
+        let noticed = Instant::now() + LEAVING_NOTICE.duration();
         let end = Instant::now() + deadline.duration();
         loop {
             let answers = self.shared.answers.borrow().len();
             let copies = self.shared.held.borrow().len();
             let writes = self.shared.outcome_writes.get();
-            if answers == 0 && copies == 0 && writes == 0 {
+            let finished = answers == 0 && copies == 0 && writes == 0;
+            if finished && Instant::now() >= noticed {
                 log::info!(event = "agent_stopped", finished = true; "");
                 return true;
             }
             if Instant::now() >= end {
                 log::warn!(
                     event = "agent_stopped",
-                    finished = false,
+                    finished = finished,
                     answers = answers,
                     charge_copies = copies,
                     outcome_writes = writes;
                     ""
                 );
-                return false;
+                return finished;
             }
             sleep(STOP_STEP.duration()).await;
         }
--- a/tests/whole_system/agent.rs
+++ b/tests/whole_system/agent.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use fireflywind::agent::admission;
 use fireflywind::agent::answers::{Answer, Answers};
+use fireflywind::agent::{LEAVING_NOTICE, admission};
 use fireflywind::dissemination::Admission;
 use fireflywind::fencing::{EngineOrders, Fence, OrderEffect, OrderEnd, SETTLE, fence_key};
 use fireflywind::follower::{Follower, InForce};
@@ -171,11 +171,13 @@
     pub async fn stop(self: Rc<Self>, deadline: Millis) {
         self.leave();
         self.held.borrow_mut().stop();
+        let noticed = self.now() + LEAVING_NOTICE;
         let end = self.now() + deadline;
         loop {
             let finished = self.answers.borrow().is_empty()
                 && self.held.borrow().is_empty()
                 && self.outcome_writes.get() == 0;
+            let finished = finished && self.now() >= noticed;
             if finished {
                 self.proc.env.oracle.stored(self.inc);
             }
