--- a/src/gateway/links.rs
+++ b/src/gateway/links.rs
@@ -123,6 +123,8 @@
                 slots,
                 own,
                 others: entry.others,
+                age: Millis(0),
+                refused: false,
             };
             if upstream.data_centre == shared.data_centre {
                 local.push(member);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,11 +8,12 @@
 mod chat;
 mod engines;
 mod links;
-mod planning;
+pub mod planning;
 mod pooling;
 mod presence;
 mod quality;
 mod rollouts;
+pub mod rules;
 mod serve;
 mod shared;
 #[cfg(test)]
--- a/src/record/tests.rs
+++ b/src/record/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::ids::Incarnation;
 use crate::rating::{Estimate, Ppm};
-use crate::route::pick::{Member, Pool};
+use crate::route::pick::{Member, Pool, Tried};
 use crate::route::plan::{CandidateInput, plan};
 use crate::sheet::VersionState;
 use crate::units::{Permille, Tokens};
@@ -59,9 +59,13 @@
         slots: 4,
         own: n,
         others: 0,
+        age: Millis(0),
+        refused: false,
     };
     let pool = Pool::new(vec![member(0), member(1), member(2)], Vec::new());
-    let pick = pool.pick([5, 6], None, &[]).expect("the pool has members");
+    let pick = pool
+        .pick(Millis(0), [5, 6], None, &Tried::default())
+        .expect("the pool has members");
     let upstream = pick.upstream.clone();
     let end = AttemptEnd::Whole {
         status: 200,
