Measure the cost of the path through gateway and agent

Child processes were chosen over threads because /proc then gives the time of one daemon and nothing of the load generator.

--- a/examples/experiment/main.rs
+++ b/examples/experiment/main.rs
@@ -2,9 +2,12 @@
 
 mod cost;
 mod exposure;
+mod load;
 mod overload;
+mod relay;
 mod report;
 mod rng;
+mod site;
 
 use std::process::ExitCode;
 
@@ -21,6 +24,7 @@
     ("cost-faults", cost::cost_faults),
     ("exposure", exposure::exposure),
     ("overload", overload::overload),
+    ("relay", relay::relay),
 ];
 
 fn main() -> ExitCode {
--- /dev/null
+++ b/examples/experiment/site.rs
@@ -0,0 +1,272 @@
+//! Starts the built programs as child processes and reads their processor time and memory.
+//!
+//! Child processes keep the daemons' processor time apart from that of the load generator. The programs
+//! have to be built before, with the same profile: `cargo build --release --bins`.
+
+use std::fmt::Write as _;
+use std::fs;
+use std::io::{BufRead as _, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use fireflywind::upstream::Timeouts;
+use fireflywind::upstream::exchange::{Request, send};
+use serde_json::{Value, json};
+
+/// Key that the processes of a run share.
+const PEER_KEY: &str = "peer-key-of-the-relay-experiment-0123456789";
+
+/// API key of the account `shop`.
+pub const API_KEY: &str = "key-shop";
+
+/// Time for the site to start or to take up a sheet.
+const DEADLINE: Duration = Duration::from_secs(30);
+
+/// Versions of the sheet, as many as at the target size.
+const VERSIONS: u32 = 13;
+
+/// Steps of the cascade, all served by each engine.
+const STEPS: [&str; 3] = ["m00/v1", "m01/v1", "m02/v1"];
+
+/// Requests at one time at each engine and in each upstream's entry.
+const SLOTS: u32 = 4_000;
+
+/// A child process; it is killed when the handle is dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    /// Address for callers or gateways.
+    pub addr: SocketAddr,
+    /// Address of the admin listener, if the program has one.
+    pub admin: Option<SocketAddr>,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    fn start(program: &str, args: &[&str]) -> Self {
+        let mut child = Command::new(path_of(program))
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap_or_else(|error| panic!("{program}: {error}; run cargo build --release --bins"));
+        let stdout = child.stdout.take().expect("standard output is piped");
+        let mut line = String::new();
+        BufReader::new(stdout)
+            .read_line(&mut line)
+            .expect("the program prints a line");
+        let field = |name: &str| {
+            let found = line
+                .split_whitespace()
+                .find_map(|pair| pair.strip_prefix(name));
+            found.map(|addr| addr.parse().expect("it is an address"))
+        };
+        Self {
+            addr: field("addr=").expect("the program listens"),
+            admin: field("admin="),
+            child,
+        }
+    }
+
+    /// Returns the processor time of all threads so far, in seconds.
+    pub fn processor_time(&self) -> f64 {
+        let tasks = fs::read_dir(format!("/proc/{}/task", self.child.id()));
+        let nanoseconds: u64 = tasks
+            .expect("the process runs")
+            .filter_map(|task| fs::read_to_string(task.ok()?.path().join("schedstat")).ok())
+            .filter_map(|text| text.split(' ').next()?.parse::<u64>().ok())
+            .sum();
+        Duration::from_nanos(nanoseconds).as_secs_f64()
+    }
+
+    /// Returns the resident memory in megabytes.
+    pub fn resident(&self) -> f64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(path).expect("the process runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u32>().ok());
+        f64::from(kilobytes.unwrap_or(0)) / 1_000.0
+    }
+}
+
+fn path_of(program: &str) -> PathBuf {
+    let own = std::env::current_exe().expect("the path of the experiment is known");
+    // The experiment is in the folder `examples` beside the programs.
+    let folder = own.parent().and_then(|dir| dir.parent());
+    folder.expect("the experiment is in a folder").join(program)
+}
+
+/// A gateway, agents with their engines, and a key-value stand-in.
+#[derive(Debug)]
+pub struct Site {
+    dir: PathBuf,
+    kv: Process,
+    pub engines: Vec<Process>,
+    pub agents: Vec<Process>,
+    pub gateway: Process,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        // A folder that stays has no other effect.
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Site {
+    /// Starts a site of one gateway and some agents, with an engine each.
+    pub fn start(agents: usize, token_delay_ms: u64) -> Self {
+        let dir = std::env::temp_dir().join(format!("fireflywind-relay-{}", std::process::id()));
+        fs::create_dir_all(&dir).expect("the folder can be made");
+        let kv = Process::start("fireflywind-standin", &["kv"]);
+        let write = |name: &str, value: &Value| {
+            let path = dir.join(name);
+            fs::write(&path, value.to_string()).expect("the file can be written");
+            path.to_string_lossy().into_owned()
+        };
+        let (slots, behaviour) = (
+            SLOTS.to_string(),
+            json!({ "delay": format!("{token_delay_ms}ms") }),
+        );
+        let behaviour = behaviour.to_string();
+        let engine = ["engine", "--slots", &slots, "--behaviour", &behaviour];
+        let engines: Vec<_> = (0..agents)
+            .map(|_| Process::start("fireflywind-standin", &engine))
+            .collect();
+        let agents = engines.iter().enumerate().map(|(at, engine)| {
+            let settings = json!({
+                "upstream": format!("engine-{at}"), "data_centre": "dc-a", "listen": "127.0.0.1:0",
+                "admin_listen": "127.0.0.1:0", "kv": [kv.addr], "peer_key": PEER_KEY,
+                "upstream_addr": engine.addr, "kind": "engine",
+            });
+            let path = write(&format!("agent-{at}.json"), &settings);
+            Process::start("fireflywind-agent", &[&path])
+        });
+        let agents: Vec<_> = agents.collect();
+        let settings = json!({
+            "name": "gateway-a", "data_centre": "dc-a", "listen": "127.0.0.1:0",
+            "admin_listen": "127.0.0.1:0", "kv": [kv.addr], "peer_key": PEER_KEY,
+            "session_keys": [{ "id": "k1", "secret": "session-key-of-the-relay-experiment" }],
+        });
+        let gateway = Process::start("fireflywind-gateway", &[&write("gateway.json", &settings)]);
+        Self {
+            dir,
+            kv,
+            engines,
+            agents,
+            gateway,
+        }
+    }
+
+    /// Puts a sheet into force with `idle` more upstreams that serve another version and do not answer.
+    pub fn apply(&self, idle: usize) {
+        let path = self.write("sheet.json", &self.sheet(idle));
+        let gateways: Vec<_> = self.gateway.admin.into_iter().collect();
+        let settings = json!({ "kv": [self.kv.addr], "gateways": gateways });
+        let settings = self.write("operator.json", &settings);
+        let output = Command::new(path_of("fireflywind"))
+            .args(["apply", &path, "--wait", "--settings", &settings])
+            .output()
+            .expect("the program starts");
+        assert!(
+            output.status.success(),
+            "apply: {}",
+            String::from_utf8_lossy(&output.stderr)
+        );
+        self.wait_ready();
+    }
+
+    fn write(&self, name: &str, value: &Value) -> String {
+        let path = self.dir.join(name);
+        fs::write(&path, value.to_string()).expect("the file can be written");
+        path.to_string_lossy().into_owned()
+    }
+
+    fn wait_ready(&self) {
+        let admin = self.gateway.admin.expect("a gateway has an admin listener");
+        let end = Instant::now() + DEADLINE;
+        loop {
+            let status = get(admin, "/status");
+            if status["usable_upstreams"].as_u64() >= Some(self.agents.len() as u64) {
+                return;
+            }
+            assert!(Instant::now() < end, "the gateway is not ready: {status}");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    fn sheet(&self, idle: usize) -> Value {
+        let upstream = |id: String, agent: SocketAddr, versions: &[&str]| {
+            json!({
+                "id": id, "agent": agent, "data_centre": "dc-a",
+                "serves": { "engine": { "versions": versions, "slots": SLOTS } },
+            })
+        };
+        let live = self.agents.iter().enumerate();
+        let live = live.map(|(at, agent)| upstream(format!("engine-{at}"), agent.addr, &STEPS));
+        let idle = (0..idle).map(|at| upstream(format!("idle-{at:04}"), nobody(at), &["m03/v1"]));
+        let upstreams: Vec<_> = live.chain(idle).collect();
+        let models: Vec<_> = (0..VERSIONS)
+            .map(|at| {
+                let version = json!({
+                    "id": "v1", "state": "serving", "cost_per_1k": "0.1", "price_per_1k": "0.2",
+                });
+                json!({ "id": format!("m{at:02}"), "versions": [version] })
+            })
+            .collect();
+        json!({
+            "accounts": [{
+                "id": "shop", "key_hashes": [sha256(API_KEY)], "allow": STEPS,
+            }],
+            "models": models,
+            "cascades": [{ "id": "small-first", "steps": STEPS }],
+            "classes": [{
+                "id": "tags", "quality_target": 500, "cascade": "small-first", "deadline": "60s",
+            }],
+            "upstreams": upstreams,
+        })
+    }
+}
+
+/// Returns one of the loopback addresses on which nothing listens, so that connections are refused at once.
+fn nobody(at: usize) -> SocketAddr {
+    let [low, high, ..] = at.to_le_bytes();
+    SocketAddr::from(([127, 1, high, low], 9))
+}
+
+fn get(addr: SocketAddr, path: &str) -> Value {
+    let request = Request {
+        method: "GET".parse().expect("it is a method"),
+        target: path.to_owned(),
+        headers: Vec::new(),
+        body: bytes::Bytes::new(),
+    };
+    actix_rt::System::new().block_on(async {
+        let Ok(response) = send(addr, Timeouts::default(), &request).await else {
+            return Value::Null;
+        };
+        let body = response.body.collect(1 << 20).await.unwrap_or_default();
+        serde_json::from_slice(&body).unwrap_or_default()
+    })
+}
+
+fn sha256(text: &str) -> String {
+    use sha2::Digest as _;
+
+    let digest = sha2::Sha256::digest(text);
+    digest.iter().fold(String::new(), |mut text, byte| {
+        // Writing to a string cannot fail.
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
