--- a/examples/experiment/main.rs
+++ b/examples/experiment/main.rs
@@ -3,9 +3,12 @@
 mod cost;
 mod exposure;
 mod latency;
+mod load;
 mod overload;
+mod relay;
 mod report;
 mod rng;
+mod site;
 
 use std::process::ExitCode;
 
@@ -23,6 +26,7 @@
     ("exposure", exposure::exposure),
     ("latency", latency::run),
     ("overload", overload::overload),
+    ("relay", relay::relay),
 ];
 
 fn main() -> ExitCode {
