--- a/examples/experiment/main.rs
+++ b/examples/experiment/main.rs
@@ -9,6 +9,7 @@
 mod report;
 mod rng;
 mod site;
+mod spread;
 
 use std::process::ExitCode;
 
@@ -27,6 +28,7 @@
     ("latency", latency::run),
     ("overload", overload::overload),
     ("relay", relay::relay),
+    ("spread", spread::run),
 ];
 
 fn main() -> ExitCode {
