--- a/src/agent/answers.rs
+++ b/src/agent/answers.rs
@@ -123,7 +123,7 @@
         }
     }
 
-    /// Reads from an offset; waits for a while if there is nothing.
+    /// Reads from an offset; waits for a while if there is nothing. The caller adds the agent's load.
     pub async fn read(&self, offset: u64, max: u32) -> ReadReply {
         let max = usize::try_from(max).unwrap_or(usize::MAX);
         let wait = async {
@@ -144,6 +144,7 @@
         ReadReply {
             head: self.head.borrow().clone(),
             attempt: self.attempt,
+            running: 0,
             body,
         }
     }
--- a/src/agent/calls.rs
+++ b/src/agent/calls.rs
@@ -56,6 +56,9 @@
         };
         let count =
             admission::admit(&in_force.sheet, &shared.upstream, req).map_err(RunReply::Refused)?;
+        if !req.wait && shared.running.get() >= count {
+            return Err(RunReply::Busy(shared.running.get()));
+        }
         let running = usize::try_from(shared.running.get()).unwrap_or(usize::MAX);
         if !shared.has_queue_room(count) || !shared.held.borrow().has_room(running) {
             shared.metrics.event("full");
@@ -124,14 +127,17 @@
     fn read(&self, answer: u64, offset: u64, max: u32) -> LocalFuture<'_, ReadReply> {
         Box::pin(async move {
             let found = self.0.answers.borrow().get(answer);
-            match found {
+            let mut reply = match found {
                 Some(answer) => answer.read(offset, max).await,
                 None => ReadReply {
                     head: Head::default(),
                     attempt: 0,
+                    running: 0,
                     body: ReadBody::Gone,
                 },
-            }
+            };
+            reply.running = self.0.running.get();
+            reply
         })
     }
 
@@ -169,10 +175,8 @@
             name: shared.upstream.as_str().to_owned(),
             incarnation: shared.incarnation,
             revision: shared.follower.revision(),
-            freshness: shared.follower.freshness().unwrap_or_default(),
             leaving: shared.leaving.get(),
             running: shared.running.get(),
-            slots: shared.slots.borrow().count,
             flushed: Bytes::new(),
             suspects: suspect::encode(&recent).into(),
         }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,6 +12,7 @@
 use crate::ledger::Charge;
 use crate::peer::{Failure, Head, Link, LinkError, ReadBody, ReadReply, RunReply, RunRequest};
 use crate::refusal::{Code, Ran, Refusal};
+use crate::route::pick::Source as LoadSource;
 use crate::stream::{
     Assembly, End, EndStatus, Fed, IncompleteReason, Part, READ_TIMEOUT, Reply, Source,
 };
@@ -41,6 +42,8 @@
     Whole(Whole),
     /// The agent holds a newer sheet, so the decision has to be made again; nothing ran.
     SheetBehind,
+    /// The agent has no free slot and the attempt may not wait; nothing ran.
+    Busy,
     /// The agent could not be reached before anything was sent.
     Unreachable(String),
     /// The agent refused it, or it failed.
@@ -124,6 +127,10 @@
     match reply {
         Ok(RunReply::Accepted(answer)) => Ok(answer),
         Ok(RunReply::Refused(refusal)) => Err(refusal.into()),
+        Ok(RunReply::Busy(running)) => {
+            observe_load(shared, upstream, running);
+            Err(Ended::Busy)
+        }
         Ok(RunReply::Older(_)) => {
             let why = "agent did not take up the sheet in force";
             Err(Refusal::not_run(Code::NoUpstream, why).into())
@@ -147,6 +154,13 @@
     }
 }
 
+/// Takes the load that came with a reply.
+fn observe_load(shared: &Shared, upstream: &UpstreamId, running: u32) {
+    let now = shared.clock.now();
+    let mut links = shared.links.borrow_mut();
+    links.observe_load(upstream, running, now, LoadSource::Reply);
+}
+
 /// Reads the answer of one accepted attempt.
 struct Pull<'a> {
     shared: &'a Rc<Shared>,
@@ -181,7 +195,7 @@
                 head_given = true;
                 sink.head(&reply.head);
             }
-            let status = reply.head.status;
+            let (status, running) = (reply.head.status, reply.running);
             let (charge, replayed) = settled(&reply.body);
             let Some(part) = part(reply.body) else {
                 return incomplete(&mut assembly, IncompleteReason::AgentLost);
@@ -199,6 +213,7 @@
                     }
                 }
                 Fed::Whole => {
+                    observe_load(self.shared, self.upstream, running);
                     self.acknowledge();
                     let bytes = assembly.offset();
                     return Ended::Whole(Whole {
--- a/src/gateway/links.rs
+++ b/src/gateway/links.rs
@@ -12,7 +12,7 @@
 };
 use crate::peer::{Link, Status, Target};
 use crate::platform::vms::{self, VmState};
-use crate::route::pick::{Member, Pool};
+use crate::route::pick::{Member, Pick, Pool, Source, Tried};
 use crate::sheet::UpstreamKind;
 use crate::suspect;
 use crate::units::Millis;
@@ -34,10 +34,10 @@
     upstream: UpstreamId,
     attempt: Attempt,
     link: Rc<Link>,
-    /// Requests that other gateways have there, from the last report.
+    /// Requests that other gateways have there, as the agent counted them last.
     others: u32,
-    /// Slots from the last report.
-    slots: u32,
+    /// Time at which the agent counted.
+    counted: Millis,
 }
 
 /// Links to agents and the work of this gateway there.
@@ -48,6 +48,10 @@
     entries: Vec<Entry>,
     /// Requests of this gateway in flight, sorted by upstream.
     own: Vec<(UpstreamId, u32)>,
+    /// Pools of the targets, built for a sheet revision and a set of usable upstreams.
+    pools: Vec<(Target, Pool)>,
+    pools_of: Option<u64>,
+    pooled: Vec<UpstreamId>,
     /// Time at which the wanted upstreams are chosen anew.
     next_want: Millis,
     /// Time of the next look at the VM list.
@@ -69,9 +73,19 @@
     }
 
     fn count(&mut self, upstream: &UpstreamId, change: impl Fn(u32) -> u32) {
-        match self.own.binary_search_by(|(id, _)| id.cmp(upstream)) {
-            Ok(at) => self.own[at].1 = change(self.own[at].1),
-            Err(at) => self.own.insert(at, (upstream.clone(), change(0))),
+        let at = match self.own.binary_search_by(|(id, _)| id.cmp(upstream)) {
+            Ok(at) => at,
+            Err(at) => {
+                self.own.insert(at, (upstream.clone(), 0));
+                at
+            }
+        };
+        let own = change(self.own[at].1);
+        self.own[at].1 = own;
+        for (_, pool) in &mut self.pools {
+            if let Some(member) = pool.member_mut(upstream) {
+                member.own = own;
+            }
         }
     }
 
@@ -93,46 +107,88 @@
             .collect()
     }
 
-    /// Returns the pool of upstreams that may receive work for a target now.
-    pub fn pool(&self, in_force: &InForce, target: &Target, shared: &Shared) -> Pool {
+    /// Chooses an upstream for the next attempt of a request to a target.
+    pub fn pick(
+        &mut self,
+        in_force: &InForce,
+        target: &Target,
+        shared: &Shared,
+        draws: [u64; 2],
+        prefix: Option<u64>,
+        tried: &mut Tried,
+    ) -> Option<Pick> {
+        let now = shared.clock.now();
+        if self.pools_of != Some(in_force.revision) {
+            self.build_pools(in_force, shared);
+        }
+        let (_, pool) = self.pools.iter().find(|(known, _)| known == target)?;
+        loop {
+            let pick = pool.pick(now, draws, prefix, tried)?;
+            if self.members.usable(&pick.upstream, now).is_some() {
+                return Some(pick);
+            }
+            // It was lost since the pools were built.
+            tried.failed.push(pick.upstream);
+        }
+    }
+
+    /// Builds the pools of all targets from the upstreams that are usable now.
+    fn build_pools(&mut self, in_force: &InForce, shared: &Shared) {
         let now = shared.clock.now();
-        let (mut local, mut remote) = (Vec::new(), Vec::new());
+        self.pools_of = Some(in_force.revision);
+        self.pooled = self.members.all_usable(now).into_iter().cloned().collect();
+        let mut groups: Vec<(Target, Vec<Member>, Vec<Member>)> = Vec::new();
         for upstream in &in_force.sheet.upstreams {
-            let slots = match (&upstream.serves, target) {
-                (UpstreamKind::Engine { versions, slots }, Target::Version(version))
-                    if versions.contains(version) =>
-                {
-                    *slots
-                }
-                (UpstreamKind::Service { service, slots }, Target::Service(id))
-                    if service == id =>
-                {
-                    *slots
-                }
-                _ => continue,
-            };
-            let Some(entry) = self.find(&upstream.id) else {
-                continue;
-            };
-            if self.members.usable(&upstream.id, now).is_none() {
+            if self.pooled.binary_search(&upstream.id).is_err() {
                 continue;
             }
-            let own = self.own(&upstream.id);
+            let (targets, slots) = served(&upstream.serves);
             let member = Member {
                 upstream: upstream.id.clone(),
                 slots,
-                own,
-                others: entry.others,
+                own: self.own(&upstream.id),
+                others: 0,
                 age: Millis(0),
                 refused: false,
             };
-            if upstream.data_centre == shared.data_centre {
-                local.push(member);
-            } else {
-                remote.push(member);
+            for target in targets {
+                let at = groups.iter().position(|(known, ..)| *known == target);
+                let at = at.unwrap_or_else(|| {
+                    groups.push((target, Vec::new(), Vec::new()));
+                    groups.len() - 1
+                });
+                let (_, local, remote) = &mut groups[at];
+                let is_local = upstream.data_centre == shared.data_centre;
+                if is_local { local } else { remote }.push(member.clone());
+            }
+        }
+        let pools = groups
+            .into_iter()
+            .map(|(target, l, r)| (target, Pool::new(l, r)));
+        self.pools = pools.collect();
+        for entry in &self.entries {
+            for (_, pool) in &mut self.pools {
+                pool.observe(&entry.upstream, entry.others, entry.counted, Source::Report);
             }
         }
-        Pool::new(local, remote)
+    }
+
+    /// Takes the load that an agent counted, with this gateway's requests in it.
+    pub fn observe_load(
+        &mut self,
+        upstream: &UpstreamId,
+        running: u32,
+        counted: Millis,
+        source: Source,
+    ) {
+        let others = running.saturating_sub(self.own(upstream));
+        if let Ok(at) = self.entries.binary_search_by(|e| e.upstream.cmp(upstream)) {
+            self.entries[at].others = others;
+            self.entries[at].counted = counted;
+        }
+        for (_, pool) in &mut self.pools {
+            pool.observe(upstream, others, counted, source);
+        }
     }
 
     /// Tells whether some upstream may receive work for a version now.
@@ -198,6 +254,7 @@
         look_at_list(&shared);
         let now = shared.clock.now();
         let effects = shared.links.borrow_mut().members.step(now);
+        refresh_pools(&shared);
         for effect in effects {
             match effect {
                 Effect::Connect(upstream, attempt) => {
@@ -250,6 +307,32 @@
     shared.follower.set_peers(&names);
 }
 
+/// Builds the pools anew if another set of upstreams is usable.
+fn refresh_pools(shared: &Shared) {
+    let Some(in_force) = shared.follower.in_force() else {
+        return;
+    };
+    let now = shared.clock.now();
+    let mut links = shared.links.borrow_mut();
+    let is_current = links.members.all_usable(now).into_iter().eq(&links.pooled);
+    if !is_current {
+        links.build_pools(&in_force, shared);
+    }
+}
+
+/// Returns what an upstream serves and its slots.
+fn served(serves: &UpstreamKind) -> (Vec<Target>, u32) {
+    match serves {
+        UpstreamKind::Engine { versions, slots } => (
+            versions.iter().cloned().map(Target::Version).collect(),
+            *slots,
+        ),
+        UpstreamKind::Service { service, slots } => {
+            (vec![Target::Service(service.clone())], *slots)
+        }
+    }
+}
+
 /// Asks for the VM list if it is due.
 fn look_at_list(shared: &Rc<Shared>) {
     let Some(addr) = shared.vm_list else {
@@ -359,7 +442,7 @@
         attempt,
         link,
         others: agent.running,
-        slots: agent.slots,
+        counted: shared.clock.now(),
     };
     let mut links = shared.links.borrow_mut();
     match links
@@ -412,11 +495,7 @@
             .members
             .observe(upstream, Evidence::Leaving(agent.incarnation), now);
     }
-    let own = links.own(upstream);
-    if let Ok(at) = links.entries.binary_search_by(|e| e.upstream.cmp(upstream)) {
-        links.entries[at].others = agent.running.saturating_sub(own);
-        links.entries[at].slots = agent.slots;
-    }
+    links.observe_load(upstream, agent.running, now, Source::Report);
     drop(links);
     if let Some(reports) = suspect::decode(&agent.suspects) {
         let now = shared.clock.unix();
@@ -437,10 +516,8 @@
         name: shared.name.clone(),
         incarnation: shared.incarnation,
         revision: shared.follower.revision(),
-        freshness: shared.follower.freshness().unwrap_or_default(),
         leaving: shared.stopping.get(),
         running: 0,
-        slots: 0,
         flushed: flushed.unwrap_or_default().into(),
         suspects: suspect::encode(&recent.collect::<Vec<_>>()).into(),
     }
--- a/src/gateway/rules.rs
+++ b/src/gateway/rules.rs
@@ -4,8 +4,8 @@
 use crate::stream::IncompleteReason;
 use crate::units::Millis;
 
-/// Attempts of one step that were refused without a run.
-pub const MAX_ATTEMPTS: u16 = 8;
+/// Attempts of one step: probes for a free slot, and as many more that were refused without a run.
+pub const MAX_ATTEMPTS: u16 = 16;
 
 /// Attempts of one step after one that may have run.
 const MAX_RESENDS: u32 = 2;
--- a/src/gateway/serve/job.rs
+++ b/src/gateway/serve/job.rs
@@ -20,7 +20,7 @@
 use crate::record::{Asked, AttemptEnd, Event, Outcome, Record};
 use crate::refusal::{Code, Ran, Refusal};
 use crate::rollout::Observation;
-use crate::route::pick::Tried;
+use crate::route::pick::{Pick, Tried};
 use crate::suspect::Fingerprint;
 use crate::units::{Millis, Tokens};
 
@@ -226,13 +226,7 @@
         let mut last = None;
         self.next_attempt = 0;
         while self.next_attempt < rules::MAX_ATTEMPTS {
-            let pool = self
-                .shared
-                .links
-                .borrow()
-                .pool(&self.in_force, target, &self.shared);
-            let now = self.shared.clock.now();
-            let Some(pick) = pool.pick(now, [draw(), draw()], prefix, &tried) else {
+            let Some(pick) = self.pick(target, prefix, &mut tried) else {
                 break;
             };
             let upstream = pick.upstream.clone();
@@ -242,12 +236,13 @@
             };
             let attempt = self.next_attempt;
             self.next_attempt += 1;
+            let wait = pick.wait;
             self.events.push(Event::Picked {
                 step,
                 attempt,
                 pick,
             });
-            let req = self.run_request(step, attempt, target, pinned);
+            let req = self.run_request((step, attempt), target, pinned, wait);
             let was_suspect = self.is_suspect();
             let ended = attempt::run(&self.shared, &upstream, &req, sink).await;
             self.note(step, attempt, &upstream, &ended);
@@ -259,6 +254,11 @@
                     return StepEnd::Refused(rules::changed_meanwhile());
                 }
                 Ended::SheetBehind => return StepEnd::SheetBehind,
+                Ended::Busy => {
+                    tried.full.push(upstream);
+                    last = Some(busy());
+                    continue;
+                }
                 Ended::Unreachable(why) => {
                     let refusal = Refusal::not_run(Code::NoUpstream, why);
                     Failed {
@@ -299,6 +299,12 @@
         StepEnd::Refused(last.unwrap_or_else(full))
     }
 
+    fn pick(&self, target: &Target, prefix: Option<u64>, tried: &mut Tried) -> Option<Pick> {
+        let mut links = self.shared.links.borrow_mut();
+        let draws = [draw(), draw()];
+        links.pick(&self.in_force, target, &self.shared, draws, prefix, tried)
+    }
+
     /// Asks the circuit of an upstream; `None` if it is open.
     fn pass(&self, upstream: &UpstreamId, target: &Target) -> Option<Passage> {
         let Target::Version(version) = target else {
@@ -343,7 +349,9 @@
             Ended::Refused(failed) if failed.refusal.code == Code::UpstreamFailed => {
                 (false, Some(Observation::Failed))
             }
-            Ended::Refused(_) | Ended::SheetBehind | Ended::CallerLeft => (true, None),
+            Ended::Refused(_) | Ended::Busy | Ended::SheetBehind | Ended::CallerLeft => {
+                (true, None)
+            }
         };
         let now = self.shared.clock.now();
         let mut circuits = self.shared.circuits.borrow_mut();
@@ -354,7 +362,13 @@
         }
     }
 
-    fn run_request(&self, step: u16, attempt: u16, target: &Target, pinned: bool) -> RunRequest {
+    fn run_request(
+        &self,
+        (step, attempt): (u16, u16),
+        target: &Target,
+        pinned: bool,
+        wait: bool,
+    ) -> RunRequest {
         let elapsed = u64::try_from(self.arrival.elapsed().as_millis()).unwrap_or(u64::MAX);
         let idempotent = self.ask.idempotency_key.is_none();
         RunRequest {
@@ -371,10 +385,9 @@
             body: self.ask.body.clone(),
             idempotency_key: self.ask.idempotency_key.clone(),
             idempotent,
-            streamed: false,
+            wait,
             deadline: self.deadline.since(Millis(elapsed)),
             revision: self.in_force.revision,
-            freshness: self.shared.follower.freshness().unwrap_or_default(),
         }
     }
 
@@ -391,6 +404,7 @@
                 let why = "agent holds a newer sheet";
                 AttemptEnd::Refused(Refusal::not_run(Code::NoSheet, why))
             }
+            Ended::Busy => AttemptEnd::Refused(busy()),
             Ended::Unreachable(why) => {
                 AttemptEnd::Refused(Refusal::not_run(Code::NoUpstream, why.clone()))
             }
@@ -495,3 +509,9 @@
         self.shared.keep(&record);
     }
 }
+
+/// Returns the refusal of an agent without a free slot.
+fn busy() -> Refusal {
+    Refusal::not_run(Code::Overloaded, "every slot of the upstream is taken")
+        .retry_after(FULL_RETRY)
+}
--- a/src/peer/codec.rs
+++ b/src/peer/codec.rs
@@ -81,10 +81,9 @@
     to.set_body(&req.body);
     to.set_idempotency_key(req.idempotency_key.as_deref().unwrap_or_default());
     to.set_idempotent(req.idempotent);
-    to.set_streamed(req.streamed);
+    to.set_wait(req.wait);
     to.set_deadline_ms(req.deadline.0);
     to.set_revision(req.revision);
-    to.set_freshness_ms(req.freshness.0);
 }
 
 pub(super) fn get_run_request(from: wire::run_request::Reader<'_>) -> Result<RunRequest> {
@@ -113,10 +112,9 @@
         body: Bytes::copy_from_slice(from.get_body()?),
         idempotency_key: (!key.is_empty()).then_some(key),
         idempotent: from.get_idempotent(),
-        streamed: from.get_streamed(),
+        wait: from.get_wait(),
         deadline: Millis(from.get_deadline_ms()),
         revision: from.get_revision(),
-        freshness: Millis(from.get_freshness_ms()),
     })
 }
 
@@ -126,6 +124,7 @@
         RunReply::Refused(refusal) => put_refusal(to.init_refused(), refusal),
         RunReply::Older(revision) => to.set_older(*revision),
         RunReply::Newer(revision) => to.set_newer(*revision),
+        RunReply::Busy(running) => to.set_busy(*running),
     }
 }
 
@@ -136,6 +135,7 @@
         Which::Refused(refusal) => RunReply::Refused(get_refusal(refusal?)?),
         Which::Older(revision) => RunReply::Older(revision),
         Which::Newer(revision) => RunReply::Newer(revision),
+        Which::Busy(running) => RunReply::Busy(running),
     })
 }
 
@@ -144,6 +144,7 @@
     head.set_status(reply.head.status);
     head.set_content_type(&reply.head.content_type);
     to.set_attempt(reply.attempt);
+    to.set_running(reply.running);
     match &reply.body {
         ReadBody::Pending => to.set_pending(()),
         ReadBody::Chunk { offset, bytes } => {
@@ -214,6 +215,7 @@
     };
     Ok(ReadReply {
         head,
+        running: from.get_running(),
         attempt: from.get_attempt(),
         body,
     })
@@ -223,10 +225,8 @@
     to.set_name(&status.name);
     to.set_incarnation(&status.incarnation.0.to_be_bytes());
     to.set_revision(status.revision);
-    to.set_freshness_ms(status.freshness.0);
     to.set_leaving(status.leaving);
     to.set_running(status.running);
-    to.set_slots(status.slots);
     to.set_flushed(&status.flushed);
     to.set_suspects(&status.suspects);
 }
@@ -236,10 +236,8 @@
         name: text(from.get_name()?)?,
         incarnation: incarnation(from.get_incarnation()?)?,
         revision: from.get_revision(),
-        freshness: Millis(from.get_freshness_ms()),
         leaving: from.get_leaving(),
         running: from.get_running(),
-        slots: from.get_slots(),
         flushed: Bytes::copy_from_slice(from.get_flushed()?),
         suspects: Bytes::copy_from_slice(from.get_suspects()?),
     })
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -44,14 +44,12 @@
     pub idempotency_key: Option<String>,
     /// Whether the request may run more than once.
     pub idempotent: bool,
-    /// Whether the answer is a stream.
-    pub streamed: bool,
+    /// Whether the request may wait for a slot; otherwise it is refused as busy if none is free.
+    pub wait: bool,
     /// Time left until the caller gives up.
     pub deadline: Millis,
     /// Sheet revision under which the gateway decided.
     pub revision: u64,
-    /// Time since the gateway's sheet was last confirmed.
-    pub freshness: Millis,
 }
 
 impl RunRequest {
@@ -73,6 +71,8 @@
     Older(u64),
     /// The agent holds a newer sheet, of this revision; nothing ran.
     Newer(u64),
+    /// No slot is free and the request may not wait; nothing ran. So many requests run or wait.
+    Busy(u32),
 }
 
 /// Status line of an answer; `status` is 0 until the upstream answered.
@@ -131,6 +131,8 @@
     pub head: Head,
     /// The attempt's number among all attempts of the request; see [`RunRequest::attempt_number`].
     pub attempt: u32,
+    /// Requests that run or wait at the agent.
+    pub running: u32,
     /// The bytes or the end.
     pub body: ReadBody,
 }
@@ -144,14 +146,10 @@
     pub incarnation: Incarnation,
     /// Revision of its sheet; 0 without one.
     pub revision: u64,
-    /// Time since its sheet was last confirmed.
-    pub freshness: Millis,
     /// Whether it is stopping.
     pub leaving: bool,
-    /// Requests that run.
+    /// Requests that run or wait.
     pub running: u32,
-    /// Requests that can run at one time.
-    pub slots: u32,
     /// Ledger ids that the gateway has flushed, as JSON.
     pub flushed: Bytes,
     /// Crash reports, as JSON.
--- a/src/peer/peer_capnp.rs
+++ b/src/peer/peer_capnp.rs
@@ -711,70 +711,81 @@
             !self.reader.get_pointer_field(3).is_null()
         }
         #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(4),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+        #[inline]
         pub fn get_pinned(self) -> bool {
             self.reader.get_bool_field(96)
         }
         #[inline]
         pub fn get_method(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(4),
+                &self.reader.get_pointer_field(5),
                 ::core::option::Option::None,
             )
         }
         #[inline]
         pub fn has_method(&self) -> bool {
-            !self.reader.get_pointer_field(4).is_null()
+            !self.reader.get_pointer_field(5).is_null()
         }
         #[inline]
         pub fn get_path(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(5),
+                &self.reader.get_pointer_field(6),
                 ::core::option::Option::None,
             )
         }
         #[inline]
         pub fn has_path(&self) -> bool {
-            !self.reader.get_pointer_field(5).is_null()
+            !self.reader.get_pointer_field(6).is_null()
         }
         #[inline]
         pub fn get_content_type(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(6),
+                &self.reader.get_pointer_field(7),
                 ::core::option::Option::None,
             )
         }
         #[inline]
         pub fn has_content_type(&self) -> bool {
-            !self.reader.get_pointer_field(6).is_null()
+            !self.reader.get_pointer_field(7).is_null()
         }
         #[inline]
         pub fn get_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(7),
+                &self.reader.get_pointer_field(8),
                 ::core::option::Option::None,
             )
         }
         #[inline]
         pub fn has_body(&self) -> bool {
-            !self.reader.get_pointer_field(7).is_null()
+            !self.reader.get_pointer_field(8).is_null()
         }
         #[inline]
         pub fn get_idempotency_key(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(8),
+                &self.reader.get_pointer_field(9),
                 ::core::option::Option::None,
             )
         }
         #[inline]
         pub fn has_idempotency_key(&self) -> bool {
-            !self.reader.get_pointer_field(8).is_null()
+            !self.reader.get_pointer_field(9).is_null()
         }
         #[inline]
         pub fn get_idempotent(self) -> bool {
             self.reader.get_bool_field(97)
         }
         #[inline]
-        pub fn get_streamed(self) -> bool {
+        pub fn get_wait(self) -> bool {
             self.reader.get_bool_field(98)
         }
         #[inline]
@@ -785,21 +796,6 @@
         pub fn get_revision(self) -> u64 {
             self.reader.get_data_field::<u64>(3)
         }
-        #[inline]
-        pub fn get_freshness_ms(self) -> u64 {
-            self.reader.get_data_field::<u64>(4)
-        }
-        #[inline]
-        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(9),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_service(&self) -> bool {
-            !self.reader.get_pointer_field(9).is_null()
-        }
     }
 
     pub struct Builder<'a> {
@@ -808,7 +804,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 5,
+                data: 4,
                 pointers: 10,
             };
     }
@@ -1016,6 +1012,33 @@
             !self.builder.is_pointer_field_null(3)
         }
         #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(4),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_service(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(4),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(4).init_text(size)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+        #[inline]
         pub fn get_pinned(self) -> bool {
             self.builder.get_bool_field(96)
         }
@@ -1026,7 +1049,7 @@
         #[inline]
         pub fn get_method(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(4),
+                self.builder.get_pointer_field(5),
                 ::core::option::Option::None,
             )
         }
@@ -1036,7 +1059,7 @@
             value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
         ) {
             ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(4),
+                self.builder.reborrow().get_pointer_field(5),
                 value,
                 false,
             )
@@ -1044,23 +1067,23 @@
         }
         #[inline]
         pub fn init_method(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(4).init_text(size)
+            self.builder.get_pointer_field(5).init_text(size)
         }
         #[inline]
         pub fn has_method(&self) -> bool {
-            !self.builder.is_pointer_field_null(4)
+            !self.builder.is_pointer_field_null(5)
         }
         #[inline]
         pub fn get_path(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(5),
+                self.builder.get_pointer_field(6),
                 ::core::option::Option::None,
             )
         }
         #[inline]
         pub fn set_path(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>) {
             ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(5),
+                self.builder.reborrow().get_pointer_field(6),
                 value,
                 false,
             )
@@ -1068,16 +1091,16 @@
         }
         #[inline]
         pub fn init_path(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(5).init_text(size)
+            self.builder.get_pointer_field(6).init_text(size)
         }
         #[inline]
         pub fn has_path(&self) -> bool {
-            !self.builder.is_pointer_field_null(5)
+            !self.builder.is_pointer_field_null(6)
         }
         #[inline]
         pub fn get_content_type(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(6),
+                self.builder.get_pointer_field(7),
                 ::core::option::Option::None,
             )
         }
@@ -1087,7 +1110,7 @@
             value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
         ) {
             ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(6),
+                self.builder.reborrow().get_pointer_field(7),
                 value,
                 false,
             )
@@ -1095,35 +1118,35 @@
         }
         #[inline]
         pub fn init_content_type(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(6).init_text(size)
+            self.builder.get_pointer_field(7).init_text(size)
         }
         #[inline]
         pub fn has_content_type(&self) -> bool {
-            !self.builder.is_pointer_field_null(6)
+            !self.builder.is_pointer_field_null(7)
         }
         #[inline]
         pub fn get_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(7),
+                self.builder.get_pointer_field(8),
                 ::core::option::Option::None,
             )
         }
         #[inline]
         pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>) {
-            self.builder.reborrow().get_pointer_field(7).set_data(value);
+            self.builder.reborrow().get_pointer_field(8).set_data(value);
         }
         #[inline]
         pub fn init_body(self, size: u32) -> ::capnp::data::Builder<'a> {
-            self.builder.get_pointer_field(7).init_data(size)
+            self.builder.get_pointer_field(8).init_data(size)
         }
         #[inline]
         pub fn has_body(&self) -> bool {
-            !self.builder.is_pointer_field_null(7)
+            !self.builder.is_pointer_field_null(8)
         }
         #[inline]
         pub fn get_idempotency_key(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(8),
+                self.builder.get_pointer_field(9),
                 ::core::option::Option::None,
             )
         }
@@ -1133,7 +1156,7 @@
             value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
         ) {
             ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(8),
+                self.builder.reborrow().get_pointer_field(9),
                 value,
                 false,
             )
@@ -1141,11 +1164,11 @@
         }
         #[inline]
         pub fn init_idempotency_key(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(8).init_text(size)
+            self.builder.get_pointer_field(9).init_text(size)
         }
         #[inline]
         pub fn has_idempotency_key(&self) -> bool {
-            !self.builder.is_pointer_field_null(8)
+            !self.builder.is_pointer_field_null(9)
         }
         #[inline]
         pub fn get_idempotent(self) -> bool {
@@ -1156,11 +1179,11 @@
             self.builder.set_bool_field(97, value);
         }
         #[inline]
-        pub fn get_streamed(self) -> bool {
+        pub fn get_wait(self) -> bool {
             self.builder.get_bool_field(98)
         }
         #[inline]
-        pub fn set_streamed(&mut self, value: bool) {
+        pub fn set_wait(&mut self, value: bool) {
             self.builder.set_bool_field(98, value);
         }
         #[inline]
@@ -1179,41 +1202,6 @@
         pub fn set_revision(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(3, value);
         }
-        #[inline]
-        pub fn get_freshness_ms(self) -> u64 {
-            self.builder.get_data_field::<u64>(4)
-        }
-        #[inline]
-        pub fn set_freshness_ms(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(4, value);
-        }
-        #[inline]
-        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(9),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn set_service(
-            &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-        ) {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(9),
-                value,
-                false,
-            )
-            .unwrap()
-        }
-        #[inline]
-        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(9).init_text(size)
-        }
-        #[inline]
-        pub fn has_service(&self) -> bool {
-            !self.builder.is_pointer_field_null(9)
-        }
     }
 
     pub struct Pipeline {
@@ -1228,157 +1216,150 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 309] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 292] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(45, 119, 89, 253, 10, 241, 173, 166),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(49, 78, 169, 183, 245, 194, 198, 209),
             ::capnp::word(10, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 47, 4, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 247, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 82, 117, 110, 82, 101),
             ::capnp::word(113, 117, 101, 115, 116, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 96, 0, 0, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 96, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(21, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(13, 0, 0, 0, 97, 0, 0, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(14, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 97, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(15, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(49, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(17, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(17, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 2, 0, 0, 98, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(18, 0, 0, 0, 9, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 2, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(103, 97, 116, 101, 119, 97, 121, 0),
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1435,6 +1416,14 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 105, 110, 110, 101, 100, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1494,8 +1483,7 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 116, 114, 101, 97, 109, 101, 100),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 105, 116, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1521,23 +1509,6 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(102, 114, 101, 115, 104, 110, 101, 115),
-            ::capnp::word(115, 77, 115, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1548,18 +1519,17 @@
                 4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                7 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                8 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                11 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                12 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                13 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                11 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                12 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                13 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 14 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                15 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 16 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 17 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                18 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1578,13 +1548,11 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[
-            0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18,
-        ];
+        pub(crate) static NONUNION_MEMBERS: &[u16] =
+            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[
-            4, 3, 11, 5, 10, 15, 17, 0, 12, 13, 8, 9, 7, 16, 1, 18, 2, 14, 6,
-        ];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] =
+            &[4, 3, 12, 5, 11, 16, 0, 13, 14, 9, 10, 8, 17, 1, 7, 2, 6, 15];
         pub(crate) const TYPE_ID: u64 = 0xa6ad_f10a_fd59_772d;
     }
 }
@@ -1872,7 +1840,7 @@
 }
 
 pub mod run_reply {
-    pub use self::Which::{Accepted, Newer, Older, Refused};
+    pub use self::Which::{Accepted, Busy, Newer, Older, Refused};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -2007,6 +1975,7 @@
                 )),
                 2 => ::core::result::Result::Ok(Older(self.reader.get_data_field::<u64>(1))),
                 3 => ::core::result::Result::Ok(Newer(self.reader.get_data_field::<u64>(1))),
+                4 => ::core::result::Result::Ok(Busy(self.reader.get_data_field::<u32>(2))),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -2160,6 +2129,11 @@
             self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
+        pub fn set_busy(&mut self, value: u32) {
+            self.builder.set_data_field::<u16>(0, 4);
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => ::core::result::Result::Ok(Accepted(
@@ -2176,6 +2150,7 @@
                 )),
                 2 => ::core::result::Result::Ok(Older(self.builder.get_data_field::<u64>(1))),
                 3 => ::core::result::Result::Ok(Newer(self.builder.get_data_field::<u64>(1))),
+                4 => ::core::result::Result::Ok(Busy(self.builder.get_data_field::<u32>(2))),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -2193,52 +2168,59 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(155, 47, 171, 5, 246, 78, 162, 209),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(49, 78, 169, 183, 245, 194, 198, 209),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 4, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 5, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 82, 117, 110, 82, 101),
             ::capnp::word(112, 108, 121, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 251, 255, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 99, 99, 101, 112, 116, 101, 100),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -2272,6 +2254,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 117, 115, 121, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2279,6 +2269,7 @@
                 1 => <crate::peer::peer_capnp::refusal::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2298,8 +2289,8 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 2, 1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 4, 3, 2, 1];
         pub(crate) const TYPE_ID: u64 = 0xd1a2_4ef6_05ab_2f9b;
     }
     pub enum Which<A0, A1> {
@@ -2307,6 +2298,7 @@
         Refused(A1),
         Older(u64),
         Newer(u64),
+        Busy(u32),
     }
     pub type WhichReader<'a> = Which<
         ::capnp::Result<crate::peer::peer_capnp::accepted::Reader<'a>>,
@@ -3893,6 +3885,10 @@
             self.reader.get_data_field::<u32>(1)
         }
         #[inline]
+        pub fn get_running(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => ::core::result::Result::Ok(Pending(())),
@@ -3926,7 +3922,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 1,
+                data: 2,
                 pointers: 2,
             };
     }
@@ -4124,6 +4120,14 @@
             self.builder.set_data_field::<u32>(1, value);
         }
         #[inline]
+        pub fn get_running(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_running(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => ::core::result::Result::Ok(Pending(())),
@@ -4167,73 +4171,80 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 122] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 137] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(159, 45, 89, 208, 13, 73, 183, 231),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(49, 78, 169, 183, 245, 194, 198, 209),
             ::capnp::word(2, 0, 7, 0, 0, 0, 5, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 82, 101, 97, 100, 82),
             ::capnp::word(101, 112, 108, 121, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 254, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 253, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 252, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 101, 97, 100, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(153, 160, 221, 216, 253, 197, 124, 132),
@@ -4290,6 +4301,14 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 117, 110, 110, 105, 110, 103, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4300,6 +4319,7 @@
                 4 => <crate::peer::peer_capnp::failure::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <() as ::capnp::introspect::Introspect>::introspect(),
                 6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4318,9 +4338,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 6];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 6, 7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[1, 2, 3, 4, 5];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[6, 2, 3, 4, 5, 0, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[6, 2, 3, 4, 5, 0, 1, 7];
         pub(crate) const TYPE_ID: u64 = 0xe7b7_490d_d059_2d9f;
     }
     pub enum Which<A0, A1, A2> {
@@ -4472,20 +4492,12 @@
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_freshness_ms(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
-        }
-        #[inline]
         pub fn get_leaving(self) -> bool {
-            self.reader.get_bool_field(128)
+            self.reader.get_bool_field(64)
         }
         #[inline]
         pub fn get_running(self) -> u32 {
-            self.reader.get_data_field::<u32>(5)
-        }
-        #[inline]
-        pub fn get_slots(self) -> u32 {
-            self.reader.get_data_field::<u32>(6)
+            self.reader.get_data_field::<u32>(3)
         }
         #[inline]
         pub fn get_flushed(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
@@ -4517,7 +4529,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 4,
+                data: 2,
                 pointers: 4,
             };
     }
@@ -4652,36 +4664,20 @@
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_freshness_ms(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn set_freshness_ms(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(1, value);
-        }
-        #[inline]
         pub fn get_leaving(self) -> bool {
-            self.builder.get_bool_field(128)
+            self.builder.get_bool_field(64)
         }
         #[inline]
         pub fn set_leaving(&mut self, value: bool) {
-            self.builder.set_bool_field(128, value);
+            self.builder.set_bool_field(64, value);
         }
         #[inline]
         pub fn get_running(self) -> u32 {
-            self.builder.get_data_field::<u32>(5)
+            self.builder.get_data_field::<u32>(3)
         }
         #[inline]
         pub fn set_running(&mut self, value: u32) {
-            self.builder.set_data_field::<u32>(5, value);
-        }
-        #[inline]
-        pub fn get_slots(self) -> u32 {
-            self.builder.get_data_field::<u32>(6)
-        }
-        #[inline]
-        pub fn set_slots(&mut self, value: u32) {
-            self.builder.set_data_field::<u32>(6, value);
+            self.builder.set_data_field::<u32>(3, value);
         }
         #[inline]
         pub fn get_flushed(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
@@ -4735,87 +4731,73 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 156] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 125] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(32, 122, 163, 182, 96, 7, 76, 137),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(49, 78, 169, 183, 245, 194, 198, 209),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 83, 116, 97, 116, 117),
             ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4842,15 +4824,6 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(102, 114, 101, 115, 104, 110, 101, 115),
-            ::capnp::word(115, 77, 115, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4867,14 +4840,6 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 108, 111, 116, 115, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 117, 115, 104, 101, 100, 0),
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4898,12 +4863,10 @@
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                7 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                8 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4922,9 +4885,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[7, 3, 1, 4, 0, 2, 5, 6, 8];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 1, 3, 0, 2, 4, 6];
         pub(crate) const TYPE_ID: u64 = 0x894c_0760_b6a3_7a20;
     }
 }
--- a/src/peer/schema/peer.capnp
+++ b/src/peer/schema/peer.capnp
@@ -28,18 +28,18 @@
   account @4 :Text;
   class @5 :Text;
   version @6 :Text;
-  pinned @7 :Bool;
-  method @8 :Text;
-  path @9 :Text;
-  contentType @10 :Text;
-  body @11 :Data;
-  idempotencyKey @12 :Text;
-  idempotent @13 :Bool;
-  streamed @14 :Bool;
-  deadlineMs @15 :UInt64;
-  revision @16 :UInt64;
-  freshnessMs @17 :UInt64;
-  service @18 :Text;
+  service @7 :Text;
+  pinned @8 :Bool;
+  method @9 :Text;
+  path @10 :Text;
+  contentType @11 :Text;
+  body @12 :Data;
+  idempotencyKey @13 :Text;
+  idempotent @14 :Bool;
+  wait @15 :Bool;
+  # Whether the request may wait for a slot; otherwise it is refused as busy if none is free.
+  deadlineMs @16 :UInt64;
+  revision @17 :UInt64;
 }
 
 struct Accepted {
@@ -54,6 +54,8 @@
     # The agent holds an older sheet; its revision.
     newer @3 :UInt64;
     # The agent holds a newer sheet; its revision.
+    busy @4 :UInt32;
+    # No slot is free; the requests that run or wait.
   }
 }
 
@@ -90,18 +92,18 @@
     gone @5 :Void;
   }
   attempt @6 :UInt32;
+  running @7 :UInt32;
+  # Requests that run or wait at the agent.
 }
 
 struct Status {
   name @0 :Text;
   incarnation @1 :Data;
   revision @2 :UInt64;
-  freshnessMs @3 :UInt64;
-  leaving @4 :Bool;
-  running @5 :UInt32;
-  slots @6 :UInt32;
-  flushed @7 :Data;
-  suspects @8 :Data;
+  leaving @3 :Bool;
+  running @4 :UInt32;
+  flushed @5 :Data;
+  suspects @6 :Data;
 }
 
 interface Peer {
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -61,6 +61,7 @@
             ReadReply {
                 head,
                 attempt: 9,
+                running: 3,
                 body,
             }
         })
@@ -111,10 +112,9 @@
         body: body.into(),
         idempotency_key: Some("k".to_owned()),
         idempotent: true,
-        streamed: true,
+        wait: true,
         deadline: Millis(30_000),
         revision: 3,
-        freshness: Millis(12),
     }
 }
 
@@ -169,6 +169,7 @@
             RunReply::Refused(refusal()),
             RunReply::Older(4),
             RunReply::Newer(6),
+            RunReply::Busy(9),
         ] {
             *calls.reply.borrow_mut() = Some(reply.clone());
             assert_eq!(link.run(&request(vec![], 1), DEADLINE).await, Ok(reply));
--- a/tests/whole_system/agent.rs
+++ b/tests/whole_system/agent.rs
@@ -264,6 +264,7 @@
             None => ReadReply {
                 head: Head::default(),
                 attempt: 0,
+                running: 0,
                 body: ReadBody::Gone,
             },
         }
@@ -287,10 +288,8 @@
             name: self.id.as_str().to_owned(),
             incarnation: self.inc,
             revision: follower.revision(),
-            freshness: follower.freshness().unwrap_or_default(),
             leaving: self.leaving.get(),
             running: self.running.get(),
-            slots: self.slots.borrow().0,
             flushed: Bytes::new(),
             suspects: suspect::encode(suspects.suspects().reports()).into(),
         }
--- a/tests/whole_system/attempts.rs
+++ b/tests/whole_system/attempts.rs
@@ -116,6 +116,8 @@
         match reply {
             Ok(RunReply::Accepted(answer)) => Ok(answer),
             Ok(RunReply::Refused(refusal)) => Err(refusal.into()),
+            // The attempts of this test may always wait.
+            Ok(RunReply::Busy(_)) => Err(Refusal::not_run(Code::Overloaded, "busy").into()),
             Ok(RunReply::Older(_)) => {
                 Err(Refusal::not_run(Code::NoUpstream, "agent did not take up the sheet").into())
             }
--- a/tests/whole_system/gateway.rs
+++ b/tests/whole_system/gateway.rs
@@ -350,10 +350,8 @@
             name: self.name.clone(),
             incarnation: self.inc,
             revision: follower.revision(),
-            freshness: follower.freshness().unwrap_or_default(),
             leaving: self.stopping.get(),
             running: 0,
-            slots: 0,
             flushed: flushed.into(),
             suspects: suspect::encode(self.suspects.borrow().reports()).into(),
         };
--- a/tests/whole_system/jobs.rs
+++ b/tests/whole_system/jobs.rs
@@ -331,10 +331,9 @@
             body: self.ask.body.clone(),
             idempotency_key: self.ask.key.clone(),
             idempotent: self.ask.key.is_none(),
-            streamed: false,
+            wait: true,
             deadline: self.deadline.since(elapsed),
             revision: self.in_force.revision,
-            freshness: self.gateway.follower().freshness().unwrap_or_default(),
         }
     }
 
