Watch a completed roll-out against its own usual rate too

The stops come after completion, when the stable version has no requests and its smoothed rate stays where the incident had brought it.

Change: at a share of 100% the bound is at least the upper bound of the new version's own smoothed rate: it has passed all steps by then.

An incident that starts after completion stops every roll-out, before and after: nothing is left to compare with; a largest share under 100% keeps a control. Deliberate defect: the own rate is left out; caught by an_incident_that_outlasts_the_ramp_does_not_stop; taken out again.

--- a/src/rollout/detector.rs
+++ b/src/rollout/detector.rs
@@ -97,6 +97,8 @@
     batches: u32,
     long: Window,
     short: Window,
+    /// The new version's own usual rate, for the time when it has replaced the stable one.
+    own: Window,
     /// Natural logarithm of `R` for each excess, in millionths; `None` before the first batch.
     log_sums: [Option<i64>; EXCESSES.len()],
 }
@@ -107,25 +109,27 @@
             batches: 0,
             long: Window { total: 0, bad: 0 },
             short: Window { total: 0, bad: 0 },
+            own: Window { total: 0, bad: 0 },
             log_sums: [None; EXCESSES.len()],
         }
     }
 
-    /// Takes in a batch of both versions.
-    pub(super) fn update(&mut self, new: Tally, stable: Tally) {
+    /// Takes in a batch of both versions; `has_control` says whether the stable version gets requests.
+    pub(super) fn update(&mut self, new: Tally, stable: Tally, has_control: bool) {
         self.long.add(stable, LONG_WINDOW);
         self.short.add(stable, SHORT_WINDOW);
         if new.total == 0 {
             return;
         }
         self.batches = self.batches.saturating_add(1);
-        let bound = self.bound();
+        let bound = self.bound(has_control);
         let log_weight = log_weight(self.batches);
         for (sum, excess) in self.log_sums.iter_mut().zip(EXCESSES) {
             let earlier = sum.map_or(f64::NEG_INFINITY, float);
             let ratio = log_ratio(new, bound, bound + excess * (1.0 - bound));
             *sum = Some(fixed(log_add(earlier, log_weight) + ratio));
         }
+        self.own.add(new, LONG_WINDOW);
     }
 
     /// Returns the logarithm of the mean sum over the excesses: the evidence against the new version.
@@ -137,8 +141,14 @@
 
     /// Returns the rate that the new version may have: the stable version's usual one with a margin, or
     /// its present one while an incident hits both.
-    fn bound(&self) -> f64 {
-        let bound = self.long.upper().max(self.short.mean());
+    ///
+    /// Without requests of the stable version its rates get out of date. The new version has passed all
+    /// steps by then, so its own usual rate counts too.
+    fn bound(&self, has_control: bool) -> f64 {
+        let mut bound = self.long.upper().max(self.short.mean());
+        if !has_control {
+            bound = bound.max(self.own.upper());
+        }
         bound.clamp(RATE_RANGE.0, RATE_RANGE.1)
     }
 }
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -293,8 +293,10 @@
         self.step_new.add(new);
         self.step_stable.add(stable);
         self.total_stable.add(stable);
-        self.errors.update(new.runs, stable.runs);
-        self.ratings.update(new.ratings, stable.ratings);
+        let has_control = self.share() < Permille::ONE;
+        self.errors.update(new.runs, stable.runs, has_control);
+        self.ratings
+            .update(new.ratings, stable.ratings, has_control);
         self.decide(now);
         &self.phase
     }
--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -13,6 +13,8 @@
     draws: u64,
     now: Millis,
     served: u32,
+    /// The stable version's rates of errors and of low ratings, in thousandths.
+    stable: (u16, u16),
 }
 
 impl Sim {
@@ -25,6 +27,7 @@
             draws: seed.wrapping_mul(0x5851_f42d_4c95_7f2d),
             now,
             served: 0,
+            stable: (10, 100),
         }
     }
 
@@ -42,7 +45,7 @@
         let share = self.guard.share().0;
         for _ in 0..RATE {
             let is_new = self.hits(share);
-            let (errors, low) = if is_new { (errors, low) } else { (10, 100) };
+            let (errors, low) = if is_new { (errors, low) } else { self.stable };
             let failed = self.hits(errors);
             let rated_low = self.hits(low);
             let arm = if is_new {
@@ -169,6 +172,25 @@
     assert_eq!(sim.guard.phase(), &Phase::Complete);
 }
 
+// Guards against a stop after the last step for an incident that hit both versions during the ramp.
+#[test]
+fn an_incident_that_outlasts_the_ramp_does_not_stop() {
+    let mut sim = Sim::open(54, 1_000);
+    for _ in 0..110 {
+        sim.second(10, 100);
+    }
+    sim.stable = (100, 250);
+    for _ in 0..900 {
+        sim.second(100, 250);
+    }
+    assert_eq!(sim.guard.phase(), &Phase::Complete);
+
+    for _ in 0..20 {
+        sim.second(400, 250);
+    }
+    assert_eq!(sim.guard.share(), Permille(0));
+}
+
 // Guards against an operator's hold or stop that the evidence overrides.
 #[test]
 fn operators_hold_go_on_and_stop() {
