--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -176,7 +176,7 @@
 #[test]
 fn an_incident_that_outlasts_the_ramp_does_not_stop() {
     let mut sim = Sim::open(54, 1_000);
-    for _ in 0..30 {
+    for _ in 0..110 {
         sim.second(10, 100);
     }
     sim.stable = (100, 250);
