Measure the time of one decision with its record

Cause: the cost of a decision must not grow with the pool.

Change: experiment decide times a pick and its record as JSON at 13 versions with 12, 120 and 1,800 upstreams each, and a scan that builds, compares and records all members. Experiment latency also shows the mean of wait and prompt, which prefix affinity shortens.

Ruled out: a scan without a record of its members (replay could not repeat its choice).

--- a/examples/experiment/latency.rs
+++ b/examples/experiment/latency.rs
@@ -123,9 +123,12 @@
 }
 
 fn push_details(report: &mut Report, site: &str, rule: &str, outcomes: &[Outcome]) {
-    let figures: [Figure; 7] = [
+    let figures: [Figure; 8] = [
         ("p95 wait, ms", |o| o.quantile(950)),
         ("mean wait, ms", Outcome::mean),
+        ("mean wait and prompt, ms", |o| {
+            o.mean() + o.per_request(o.prompt_ms)
+        }),
         ("share to another data centre", |o| {
             o.per_request(as_f64(o.remote))
         }),
--- a/examples/experiment/latency/model.rs
+++ b/examples/experiment/latency/model.rs
@@ -118,6 +118,8 @@
 pub struct Outcome {
     /// Waits from the arrival at the gateway to the start on a slot, in milliseconds, sorted.
     pub waits: Vec<f64>,
+    /// Time of all measured prompts on their engines, in milliseconds.
+    pub prompt_ms: f64,
     /// Requests that ran in another data centre than their gateway's.
     pub remote: usize,
     /// Messages from gateways to agents and back, without the answer's content.
@@ -353,11 +355,13 @@
         let is_cached = at.touch(request.prefix);
         let prompt = if is_cached { CACHED_SHARE } else { 1.0 } * request.prompt_us;
         let busy = f64::from(at.running) / f64::from(SLOTS);
-        let time = (prompt + request.generate_us) * (1.0 + BATCH_SLOWDOWN * busy);
+        let slowdown = 1.0 + BATCH_SLOWDOWN * busy;
+        let time = (prompt + request.generate_us) * slowdown;
         let is_remote = at.data_centre != self.gateways[request.gateway].data_centre;
         if req >= self.measured_from {
             let wait = as_f64(usize::try_from(self.now - request.at).unwrap_or(usize::MAX));
             self.outcome.waits.push(wait / 1_000.0);
+            self.outcome.prompt_ms += prompt * slowdown / 1_000.0;
             self.outcome.remote += usize::from(is_remote);
             self.outcome.cached += usize::from(is_cached);
         }
--- a/examples/experiment/main.rs
+++ b/examples/experiment/main.rs
@@ -1,7 +1,7 @@
 //! Runs one named, seeded experiment, or `all`, and prints a table; `--json` adds one JSON object.
 
+mod decide;
 mod latency;
-#[expect(dead_code, reason = "no experiment has a lower bound yet")]
 mod report;
 mod rng;
 
@@ -15,7 +15,7 @@
 /// An experiment: its name and the function that runs it on the given seeds.
 type Experiment = (&'static str, fn(&[u64]) -> Report);
 
-const EXPERIMENTS: &[Experiment] = &[("latency", latency::run)];
+const EXPERIMENTS: &[Experiment] = &[("decide", decide::run), ("latency", latency::run)];
 
 fn main() -> ExitCode {
     let mut json = false;
