Plan again when the sheet changes between attempts

Cause: a gateway made every attempt of a plan under the sheet of the plan.

Change: before each send the gateway compares the revision of the plan with the one in force. If they differ, it plans again, as it does when an agent has a newer sheet; after an attempt that may have run, the request is refused as unknown by the existing rule.

Ruled out: sending the newer revision with the old plan, as the agent's own check covers the version but not the choice.

Found by the whole-system fuzz in 2 of 20,000 sequences with faults, shrunk to 11 and 12 steps, which are now a named case. Before: the case failed ("large/v1 took a request while Some(Withdrawn)"). After: it passes with 2,000 sequences in 20 s; 149 library tests and 10 process tests pass.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -39,7 +39,8 @@
 pub(super) enum Ended {
     /// The whole answer was handed to the sink.
     Whole(Whole),
-    /// The agent holds a newer sheet, so the decision has to be made again; nothing ran.
+    /// The agent or this gateway holds a newer sheet than the plan, so the decision has to be made again;
+    /// nothing ran.
     SheetBehind,
     /// The agent could not be reached before anything was sent.
     Unreachable(String),
@@ -115,10 +116,16 @@
     link: &Link,
     req: &RunRequest,
 ) -> Result<u64, Ended> {
+    if !is_current(shared, req) {
+        return Err(Ended::SheetBehind);
+    }
     let mut reply = link.run(req, RUN_TIMEOUT).await;
     if let Ok(RunReply::Older(_)) = reply {
         shared.follower.announce_to(upstream.as_str());
         links::exchange(shared, upstream, link).await;
+        if !is_current(shared, req) {
+            return Err(Ended::SheetBehind);
+        }
         reply = link.run(req, RUN_TIMEOUT).await;
     }
     match reply {
@@ -147,6 +154,14 @@
     }
 }
 
+/// Tells whether the sheet of the plan is still in force here.
+///
+/// An agent that is behind as well would run the attempt under the sheet of the plan, although a newer one
+/// may have withdrawn the version.
+fn is_current(shared: &Shared, req: &RunRequest) -> bool {
+    shared.follower.revision() == req.revision
+}
+
 /// Reads the answer of one accepted attempt.
 struct Pull<'a> {
     shared: &'a Rc<Shared>,
--- a/src/gateway/serve/job.rs
+++ b/src/gateway/serve/job.rs
@@ -386,7 +386,7 @@
                 }
             }
             Ended::SheetBehind => {
-                let why = "agent holds a newer sheet";
+                let why = "a newer sheet is in force";
                 AttemptEnd::Refused(Refusal::not_run(Code::NoSheet, why))
             }
             Ended::Unreachable(why) => {
--- a/tests/whole_system/attempts.rs
+++ b/tests/whole_system/attempts.rs
@@ -99,6 +99,10 @@
         call.await
     }
 
+    fn is_current(&self, req: &RunRequest) -> bool {
+        self.gateway.follower().revision() == req.revision
+    }
+
     /// Asks the agent to run the attempt; brings an agent with an older sheet up to date first.
     async fn start(
         &self,
@@ -107,10 +111,16 @@
         req: &RunRequest,
     ) -> Result<u64, Ended> {
         let gateway = &self.gateway;
+        if !self.is_current(req) {
+            return Err(Ended::SheetBehind);
+        }
         let mut reply = self.ask_to_run(conn, req).await;
         if let Ok(RunReply::Older(_)) = reply {
             gateway.follower().announce_to(upstream.as_str());
             gateway.exchange(upstream, conn).await;
+            if !self.is_current(req) {
+                return Err(Ended::SheetBehind);
+            }
             reply = self.ask_to_run(conn, req).await;
         }
         match reply {
--- a/tests/whole_system/main.rs
+++ b/tests/whole_system/main.rs
@@ -164,3 +164,59 @@
     ops.extend([Op::Outage(true), waits[3], Op::Wait(25_000), waits[0]]);
     check_sequence(1, &ops);
 }
+
+// Guards against an attempt under the sheet of the plan after the gateway has taken up a newer one: an agent
+// that is still behind then ran a version that the newer sheet withdraws.
+#[test]
+fn no_attempt_is_made_under_a_sheet_that_the_gateway_replaced() {
+    let apply = |change, twice| Op::Apply { change, twice };
+    let chat = |gateway, kind, streamed, session| Op::Chat {
+        gateway,
+        kind,
+        streamed,
+        session,
+    };
+    let order = |gateway, key, body| Op::Order {
+        gateway,
+        key,
+        body,
+        twice: false,
+    };
+    let network = |loss, delay| Op::Network {
+        loss,
+        delay,
+        repeats: 20,
+    };
+    let delayed = [
+        Op::StopAgent(4),
+        chat(0, 183, false, false),
+        order(0, 3, true),
+        network(0, 800),
+        apply(149, false),
+        Op::Wait(726),
+        Op::Silence(226),
+        network(20, 0),
+        Op::Wait(584),
+        apply(162, true),
+        chat(0, 46, false, true),
+    ];
+    let restarted = [
+        order(1, 2, true),
+        Op::EngineOrder { gateway: 1 },
+        Op::KillAgent(0),
+        Op::Wait(917),
+        chat(1, 222, true, true),
+        order(0, 1, false),
+        Op::Write(229),
+        apply(130, true),
+        Op::Crash {
+            gateway: 1,
+            body: 1,
+        },
+        apply(36, true),
+        Op::BreakCall(0),
+        chat(1, 130, true, false),
+    ];
+    check_sequence(11_136_951_981_245_638_478, &delayed);
+    check_sequence(3_301_991_739_941_168_960, &restarted);
+}
