Document what stops a roll-out without a control

Cause: the guard's documentation gave the old weights and did not say that an incident after completion at 100% stops the roll-out.

Change: documentation only.

Ruled out: holding back a control share beyond the sheet's largest share (the operator decides it).

Conclusion: the documentation matches the code.

--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -216,8 +216,12 @@
 /// depends on how bad it is and not on the number of gateways, since counts are pooled. Until every
 /// gateway applies the stop, requests go on for the lag `L` from a request to the decision and back. With
 /// `G` gateways that each send `r` requests a second to the stable version and a share `s`, the version
-/// sees at most `N + G * r * s * L` bad requests. `N` is about the stop threshold plus twice the logarithm
-/// of the batch number, divided by the mean log-likelihood ratio of a bad request.
+/// sees at most `N + G * r * s * L` bad requests. `N` is about the stop threshold plus 1.1 times the
+/// logarithm of the batch number, divided by the mean log-likelihood ratio of a bad request.
+///
+/// A share of 100% leaves no requests of the stable version to compare with. An incident that hits all
+/// versions then looks like a version that turned bad, and stops the roll-out; a lower largest share keeps
+/// a control.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutGuard {
     /// The version that is rolled out.
