Show false stops of incidents near the last step

Cause: the first case measured, an incident that hits both versions at 450 s, was not among the rows; 100 and 300 s alone look better than the guard is.

Change: the row is added with the bound of the others.

Ruled out: leaving it as a baseline (the roll-out still ramps then, so the bound applies).

Conclusion: open. At a share of 50% and more the stable version's present rate follows an incident too slowly for the rate at which evidence comes.

--- a/examples/experiment/exposure.rs
+++ b/examples/experiment/exposure.rs
@@ -235,6 +235,7 @@
         (", many low ratings", MANY_LOW, None),
         (", an incident hits both at 100 s", GOOD, Some(100)),
         (", an incident hits both at 300 s", GOOD, Some(300)),
+        (", an incident hits both at 450 s", GOOD, Some(450)),
     ];
     for (case, rates, incident) in cases {
         report.rows.push(Row::at_most(
