Serve requests that wait by priority, shed at the door

Cause: the agent's queue was first come, first served with a fixed length; priorities and deadlines of the sheet had no effect there.

Change: the agent's slots use the admission queue: priorities first, a request that would wait longer than its deadline and priority allow is refused at once with Retry-After, and one that can no longer meet its deadline is refused as not run. A slot is passed on when it is dropped, also by a request that goes away just as it is called. Unrated answers count with the bound that their plan used.

Ruled out: tokio's semaphore (it has no priorities).

--- a/src/agent/calls.rs
+++ b/src/agent/calls.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 
 use super::answers::Answer;
-use super::shared::{Client, Shared, Slots};
+use super::shared::{Client, Shared};
+use super::slots::Place;
 use super::{admission, engine, keyed, orders, service};
 use crate::dissemination::Admission;
 use crate::follower::InForce;
@@ -31,11 +32,11 @@
     fn start(&self, req: RunRequest) -> RunReply {
         match self.admit(&req) {
             Err(reply) => reply,
-            Ok((in_force, slots)) => self.spawn(req, in_force, slots),
+            Ok((in_force, place)) => self.spawn(req, in_force, place),
         }
     }
 
-    fn admit(&self, req: &RunRequest) -> Result<(Rc<InForce>, Slots), RunReply> {
+    fn admit(&self, req: &RunRequest) -> Result<(Rc<InForce>, Place), RunReply> {
         let shared = &self.0;
         let refuse = |refusal| Err(RunReply::Refused(refusal));
         if shared.leaving.get() {
@@ -60,15 +61,23 @@
             return Err(RunReply::Busy(shared.running.get()));
         }
         let running = usize::try_from(shared.running.get()).unwrap_or(usize::MAX);
-        if !shared.has_queue_room(count) || !shared.held.borrow().has_room(running) {
-            shared.metrics.event("full");
-            let refusal = Refusal::not_run(Code::Overloaded, "upstream is at capacity");
+        if !shared.held.borrow().has_room(running) {
+            let refusal = Refusal::not_run(Code::Overloaded, "too many charges are not stored yet");
             return refuse(refusal.retry_after(FULL_RETRY));
         }
-        Ok((in_force, shared.slots(count)))
+        let account = in_force.sheet.account(&req.account);
+        let priority = account.map(|account| account.priority).unwrap_or_default();
+        let place = shared
+            .slots
+            .enter(count, priority, req.deadline)
+            .map_err(|refusal| {
+                shared.metrics.event("shed");
+                RunReply::Refused(refusal)
+            })?;
+        Ok((in_force, place))
     }
 
-    fn spawn(&self, req: RunRequest, in_force: Rc<InForce>, slots: Slots) -> RunReply {
+    fn spawn(&self, req: RunRequest, in_force: Rc<InForce>, place: Place) -> RunReply {
         let shared = Rc::clone(&self.0);
         let is_engine = matches!(shared.client, Client::Engine(_));
         let key = match admission::key(&req, is_engine) {
@@ -88,13 +97,13 @@
             let _running = running;
             match (&shared.client, key) {
                 (_, Some(key)) => {
-                    keyed::run(Rc::clone(&shared), to, in_force, slots, key, req).await;
+                    keyed::run(Rc::clone(&shared), to, in_force, place, key, req).await;
                 }
                 (Client::Engine(_), None) => {
-                    engine::run(Rc::clone(&shared), to, in_force, slots, req).await;
+                    engine::run(Rc::clone(&shared), to, in_force, place, req).await;
                 }
                 (Client::Service(_), None) => {
-                    service::run(Rc::clone(&shared), to, in_force, slots, req).await;
+                    service::run(Rc::clone(&shared), to, in_force, place, req).await;
                 }
             }
         });
--- a/src/agent/engine.rs
+++ b/src/agent/engine.rs
@@ -6,7 +6,8 @@
 use serde_json::{Map, Value};
 
 use super::answers::Answer;
-use super::shared::{Client, Shared, Slots};
+use super::shared::{Client, Shared};
+use super::slots::{Place, no_slot};
 use super::{price, refusals};
 use crate::follower::InForce;
 use crate::ledger::Charge;
@@ -40,7 +41,7 @@
     shared: Rc<Shared>,
     answer: Rc<Answer>,
     in_force: Rc<InForce>,
-    slots: Slots,
+    place: Place,
     req: RunRequest,
 ) {
     let run = Run {
@@ -48,7 +49,7 @@
         attempt: req.attempt_number(),
     };
     let billed = Billed::new(&shared, &in_force, &req);
-    let work = run_admitted(&shared, &answer, &billed, &slots, &req, run);
+    let work = run_admitted(&shared, &answer, &billed, place, &req, run);
     let ended = tokio::select! {
         ended = work => ended,
         () = answer.cancelled() => {
@@ -69,12 +70,12 @@
     shared: &Rc<Shared>,
     answer: &Answer,
     billed: &Billed<'_>,
-    slots: &Slots,
+    place: Place,
     req: &RunRequest,
     run: Run,
 ) -> Result<(), Failed> {
-    let Ok(_slot) = slots.semaphore.acquire().await else {
-        return Err(Refusal::not_run(Code::Stopping, "agent is stopping").into());
+    let Some(_slot) = place.slot().await else {
+        return Err(no_slot().into());
     };
     admit_suspect(shared, req, run).await?;
     if !shared.engine_up.get() {
--- a/src/agent/keyed.rs
+++ b/src/agent/keyed.rs
@@ -8,7 +8,8 @@
 use super::answers::Answer;
 use super::refusals;
 use super::service::{self, Whole};
-use super::shared::{Shared, Slots, draw};
+use super::shared::{Shared, draw};
+use super::slots::{Place, no_slot};
 use crate::follower::InForce;
 use crate::idempotency::{
     Attempt, Call, CallDigest, Effect, IdempotencyKey, KeptBody, KeyedAnswer, KeyedCall, Outcome,
@@ -24,12 +25,12 @@
     shared: Rc<Shared>,
     answer: Rc<Answer>,
     in_force: Rc<InForce>,
-    slots: Slots,
+    place: Place,
     key: IdempotencyKey,
     req: RunRequest,
 ) {
-    let Ok(_slot) = slots.semaphore.acquire().await else {
-        answer.fail(Refusal::not_run(Code::Stopping, "agent is stopping"), false);
+    let Some(_slot) = place.slot().await else {
+        answer.fail(no_slot(), false);
         return;
     };
     let call = KeyedCall {
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -15,6 +15,7 @@
 pub mod refusals;
 mod service;
 mod shared;
+mod slots;
 #[cfg(test)]
 mod tests;
 
--- a/src/agent/service.rs
+++ b/src/agent/service.rs
@@ -7,7 +7,8 @@
 use bytes::{Bytes, BytesMut};
 
 use super::answers::Answer;
-use super::shared::{Client, Shared, Slots};
+use super::shared::{Client, Shared};
+use super::slots::{Place, no_slot};
 use super::{price, refusals};
 use crate::follower::InForce;
 use crate::ledger::Charge;
@@ -27,10 +28,10 @@
     shared: Rc<Shared>,
     answer: Rc<Answer>,
     in_force: Rc<InForce>,
-    slots: Slots,
+    place: Place,
     req: RunRequest,
 ) {
-    let work = pass_through(&shared, &answer, &in_force, &slots, &req);
+    let work = pass_through(&shared, &answer, &in_force, place, &req);
     let ended = tokio::select! {
         ended = work => ended,
         () = answer.cancelled() => Err(cut_short(Code::UpstreamFailed, "call was cancelled")),
@@ -51,11 +52,11 @@
     shared: &Shared,
     answer: &Answer,
     in_force: &InForce,
-    slots: &Slots,
+    place: Place,
     req: &RunRequest,
 ) -> Result<(), Refusal> {
-    let Ok(_slot) = slots.semaphore.acquire().await else {
-        return Err(Refusal::not_run(Code::Stopping, "agent is stopping"));
+    let Some(_slot) = place.slot().await else {
+        return Err(no_slot());
     };
     let mut response = send(shared, req)
         .await
--- a/src/agent/shared.rs
+++ b/src/agent/shared.rs
@@ -3,10 +3,9 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use tokio::sync::Semaphore;
-
 use super::answers::Answers;
 use super::orders::Orders;
+use super::slots::Slots;
 use crate::clock::Clock;
 use crate::follower::Follower;
 use crate::idempotency::{KNOWN_BYTES, KnownKeys};
@@ -20,9 +19,6 @@
 use crate::upstream::engine::EngineClient;
 use crate::upstream::service::ServiceClient;
 
-/// Requests that may wait for a slot, for each slot.
-const QUEUE_PER_SLOT: u32 = 2;
-
 /// The upstream beside the agent.
 #[derive(Debug)]
 pub(super) enum Client {
@@ -30,13 +26,6 @@
     Service(ServiceClient),
 }
 
-/// Slots of the upstream as the sheet in force states them.
-#[derive(Debug, Clone)]
-pub(super) struct Slots {
-    pub count: u32,
-    pub semaphore: Rc<Semaphore>,
-}
-
 /// State of one agent.
 #[derive(Debug)]
 pub(super) struct Shared {
@@ -53,7 +42,7 @@
     /// Wakes requests that wait for another suspect to end.
     pub run_ended: tokio::sync::Notify,
     pub orders: RefCell<Option<Orders>>,
-    pub slots: RefCell<Slots>,
+    pub slots: Rc<Slots>,
     /// Requests that run or wait for a slot.
     pub running: Cell<u32>,
     /// Number of the last keyed call.
@@ -96,10 +85,7 @@
             )),
             run_ended: tokio::sync::Notify::new(),
             orders: RefCell::default(),
-            slots: RefCell::new(Slots {
-                count: 0,
-                semaphore: Rc::new(Semaphore::new(0)),
-            }),
+            slots: Slots::new(clock),
             running: Cell::new(0),
             calls: Cell::new(0),
             outcome_writes: Cell::new(0),
@@ -108,24 +94,6 @@
             metrics: Metrics::open(),
         })
     }
-
-    /// Returns the slots, adjusted to the sheet in force; requests that run keep their old slot.
-    pub fn slots(&self, count: u32) -> Slots {
-        let mut slots = self.slots.borrow_mut();
-        if slots.count != count {
-            let permits = usize::try_from(count).unwrap_or_default();
-            *slots = Slots {
-                count,
-                semaphore: Rc::new(Semaphore::new(permits)),
-            };
-        }
-        slots.clone()
-    }
-
-    /// Tells whether another request may wait for a slot.
-    pub fn has_queue_room(&self, slots: u32) -> bool {
-        self.running.get() < slots.saturating_mul(1 + QUEUE_PER_SLOT)
-    }
 }
 
 /// Draws a random number.
--- /dev/null
+++ b/src/agent/slots.rs
@@ -0,0 +1,182 @@
+//! Slots of the upstream: who runs now, who waits, and who is refused at the door.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use tokio::sync::oneshot;
+
+use crate::clock::Clock;
+use crate::limits::{Admission, AdmissionQueue, Offer, Shed};
+use crate::refusal::{Code, Refusal};
+use crate::sheet::Priority;
+use crate::units::Millis;
+
+/// Weight of the latest run in the expected time of a run: one in so many.
+const SMOOTHING: u64 = 8;
+
+/// The slots of one upstream.
+#[derive(Debug)]
+pub(super) struct Slots {
+    clock: Clock,
+    queue: RefCell<AdmissionQueue>,
+    waiting: RefCell<Vec<(u64, oneshot::Sender<()>)>>,
+    last: Cell<u64>,
+    /// Time that a run is expected to hold its slot.
+    service: Cell<Millis>,
+}
+
+/// A request's place: a slot, or a place in the queue.
+#[derive(Debug)]
+pub(super) enum Place {
+    /// The request runs now.
+    Held(Slot),
+    /// The request waits.
+    Waiting(Wait),
+}
+
+impl Place {
+    /// Waits for the slot; `None` if the deadline would be missed.
+    pub async fn slot(self) -> Option<Slot> {
+        match self {
+            Self::Held(slot) => Some(slot),
+            Self::Waiting(wait) => wait.slot().await,
+        }
+    }
+}
+
+impl Slots {
+    pub fn new(clock: Clock) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            queue: RefCell::new(AdmissionQueue::new(0)),
+            waiting: RefCell::default(),
+            last: Cell::new(0),
+            service: Cell::new(Millis(0)),
+        })
+    }
+
+    /// Asks for one of `count` slots.
+    ///
+    /// # Errors
+    /// The [`Refusal`] of a request that would wait for too long.
+    pub fn enter(
+        self: &Rc<Self>,
+        count: u32,
+        priority: Priority,
+        deadline: Millis,
+    ) -> Result<Place, Refusal> {
+        let now = self.clock.now();
+        let id = self.last.get() + 1;
+        self.last.set(id);
+        let mut queue = self.queue.borrow_mut();
+        queue.set_slots(count);
+        let deadline = now + deadline;
+        let offer = Offer {
+            id,
+            priority,
+            deadline,
+            service: self.service.get(),
+        };
+        match queue.offer(offer, now) {
+            Admission::Run => Ok(Place::Held(Slot {
+                slots: Rc::clone(self),
+                since: now,
+            })),
+            Admission::Queued(_) => {
+                let (tx, rx) = oneshot::channel();
+                self.waiting.borrow_mut().push((id, tx));
+                Ok(Place::Waiting(Wait {
+                    slots: Rc::clone(self),
+                    id,
+                    rx,
+                }))
+            }
+            Admission::Shed(shed) => Err(match shed.reason {
+                Shed::DeadlineTooShort => {
+                    let why = "the deadline is shorter than a run is expected to take";
+                    Refusal::not_run(Code::DeadlineExceeded, why)
+                }
+                Shed::QueueDelay | Shed::QueueFull => {
+                    let refusal = Refusal::not_run(Code::Overloaded, "upstream is at capacity");
+                    refusal.retry_after(shed.retry_after.max(Millis::from_secs(1)))
+                }
+            }),
+        }
+    }
+
+    /// Passes a slot on to the next request that waits.
+    fn release(&self) {
+        loop {
+            let mut late = Vec::new();
+            let next = self.queue.borrow_mut().release(self.clock.now(), &mut late);
+            for offer in late {
+                // The dropped sender tells the request that its deadline would be missed.
+                drop(self.take(offer.id));
+            }
+            let Some(next) = next else {
+                return;
+            };
+            if self.take(next.id).is_some_and(|tx| tx.send(()).is_ok()) {
+                return;
+            }
+        }
+    }
+
+    fn take(&self, id: u64) -> Option<oneshot::Sender<()>> {
+        let mut waiting = self.waiting.borrow_mut();
+        let at = waiting.binary_search_by_key(&id, |(id, _)| *id).ok()?;
+        Some(waiting.remove(at).1)
+    }
+}
+
+/// A slot; passed on when it is dropped.
+#[derive(Debug)]
+pub(super) struct Slot {
+    slots: Rc<Slots>,
+    since: Millis,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let held = self.slots.clock.now().since(self.since);
+        let before = self.slots.service.get();
+        let smoothed = (before.0 * (SMOOTHING - 1) + held.0) / SMOOTHING;
+        self.slots.service.set(Millis(smoothed));
+        self.slots.release();
+    }
+}
+
+/// A place in the queue; given up when it is dropped.
+#[derive(Debug)]
+pub(super) struct Wait {
+    slots: Rc<Slots>,
+    id: u64,
+    rx: oneshot::Receiver<()>,
+}
+
+impl Wait {
+    async fn slot(mut self) -> Option<Slot> {
+        (&mut self.rx).await.ok()?;
+        Some(Slot {
+            slots: Rc::clone(&self.slots),
+            since: self.slots.clock.now(),
+        })
+    }
+}
+
+impl Drop for Wait {
+    fn drop(&mut self) {
+        self.slots.queue.borrow_mut().cancel(self.id);
+        drop(self.slots.take(self.id));
+        // The slot may have been passed on to a request that has just gone away.
+        if self.rx.try_recv().is_ok() {
+            self.slots.release();
+        }
+    }
+}
+
+/// Returns the refusal of a request that waited and would miss its deadline.
+pub(super) fn no_slot() -> Refusal {
+    let why = "no slot became free in time";
+    Refusal::not_run(Code::DeadlineExceeded, why)
+}
--- a/src/gateway/serve/mod.rs
+++ b/src/gateway/serve/mod.rs
@@ -237,7 +237,8 @@
             version: step.version.clone(),
         };
         if accepted {
-            note_returned(job, quality, &step.version, rated);
+            let unrated = if at == 0 { step.first } else { step.escalated };
+            note_returned(job, quality, rated, unrated);
             return given;
         }
         rejected = Some(given);
@@ -248,14 +249,13 @@
 }
 
 /// Counts a returned answer, so that the class meets its target on the whole.
-fn note_returned(job: &Job, of: &Quality, version: &VersionRef, rated: Rated) {
-    let now = job.shared.clock.unix();
-    let table = &mut job.shared.quality.borrow_mut().table;
+fn note_returned(job: &Job, of: &Quality, rated: Rated, unrated: Ppm) {
     let quality = match rated {
         Rated::Pass => Ppm::ONE,
         Rated::Fail => Ppm(0),
-        Rated::Missing => table.estimate(&of.class, version, Reach::First, now).lower,
+        Rated::Missing => unrated,
     };
+    let table = &mut job.shared.quality.borrow_mut().table;
     table.returned(&of.class, of.target, quality);
 }
 
