Pass the fencing token with every engine order

Cause: a defect that let paused holders and agents ignore tokens passed no_old_order_takes_effect. The agents treated all engines as ignoring tokens and sent 0 with every order, so the tokens in the test were sorted trivially; an engine that checks them would have refused later ones, and the sheet's checks_fencing had no effect.

Change: every order carries its token; checks_fencing decides only whether the agent waits for an order that may still be on its way.

The fencing oracle expects the token on every order instead of on those of checking engines only.

Ruled out: starting the machine only when a sheet is in force (an agent that starts during an outage would take no order for longer than needed).

--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -49,6 +49,13 @@
         let Some(orders) = orders.as_mut() else {
             return reply("refused");
         };
+        let in_force = shared.follower.in_force();
+        let own = in_force
+            .as_ref()
+            .and_then(|held| held.sheet.upstream(&shared.upstream));
+        orders
+            .machine
+            .set_checks_fencing(own.is_some_and(|upstream| upstream.checks_fencing));
         orders.last += 1;
         orders.waiting.push((orders.last, tx));
         orders
@@ -127,11 +134,11 @@
     step(&shared, |machine| machine.on_highest(&highest, now));
 }
 
-async fn apply(shared: Rc<Shared>, id: u64, fence: Option<Fence>, command: Value) {
+async fn apply(shared: Rc<Shared>, id: u64, fence: Fence, command: Value) {
     let Client::Engine(engine) = &shared.client else {
         return;
     };
-    let given = engine.order(fence.map_or(0, |f| f.0), &command).await;
+    let given = engine.order(fence.0, &command).await;
     let end = match given {
         Ok(()) => OrderEnd::Done,
         Err(
--- a/src/fencing/orders.rs
+++ b/src/fencing/orders.rs
@@ -24,8 +24,8 @@
     Apply {
         /// The agent's number of the order.
         id: u64,
-        /// Token to pass on; none for engines that ignore it.
-        fence: Option<Fence>,
+        /// Token to pass on; an engine that ignores it may keep it for its log.
+        fence: Fence,
         /// The order.
         command: C,
     },
@@ -116,6 +116,16 @@
         (orders, effects)
     }
 
+    /// Notes whether the engine refuses old tokens itself, as the sheet in force says.
+    ///
+    /// Such an engine needs no wait for an order that may still be on its way.
+    pub fn set_checks_fencing(&mut self, checks_fencing: bool) {
+        self.checks_fencing = checks_fencing;
+        if checks_fencing && matches!(self.engine, Engine::SettlingUntil(_)) {
+            self.engine = Engine::Idle;
+        }
+    }
+
     /// Returns the highest token known; none while no order is accepted.
     #[must_use]
     pub const fn highest(&self) -> Option<Fence> {
@@ -226,10 +236,6 @@
         }
         let Order { id, fence, command } = self.queue.pop_front()?;
         self.engine = Engine::Busy(id);
-        Some(OrderEffect::Apply {
-            id,
-            fence: self.checks_fencing.then_some(fence),
-            command,
-        })
+        Some(OrderEffect::Apply { id, fence, command })
     }
 }
--- a/src/fencing/tests.rs
+++ b/src/fencing/tests.rs
@@ -13,7 +13,7 @@
 #[derive(Debug, Clone, Copy)]
 struct AtEngine {
     id: u64,
-    fence: Option<Fence>,
+    fence: Fence,
     given_by: Fence,
     /// Set when no agent waits any more: the time until which the order may still take effect.
     orphan_until: Option<Millis>,
@@ -65,7 +65,7 @@
     /// Lets the engine take an order; an engine that checks tokens refuses lower ones.
     fn process(&mut self, at: usize, now: Millis) {
         let order = self.in_flight.swap_remove(at);
-        assert_eq!(order.fence, self.checks.then_some(order.given_by));
+        assert_eq!(order.fence, order.given_by);
         let refused = self.checks && self.effects.last() > Some(&order.given_by);
         if !refused {
             assert!(
@@ -292,7 +292,7 @@
     );
     let apply = |id, command| OrderEffect::Apply {
         id,
-        fence: Some(Fence(5)),
+        fence: Fence(5),
         command,
     };
     assert_eq!(orders.submit(3, Fence(5), 'c', now), [apply(3, 'c')]);
--- a/tests/processes/faults.rs
+++ b/tests/processes/faults.rs
@@ -369,6 +369,8 @@
     wait_for("first order at both engines", || {
         !site.engine_orders("engine-a").is_empty() && !site.engine_orders("engine-b").is_empty()
     });
+    let first = fences("engine-a")[0];
+    assert!(first > 0, "the first order carries no fencing token");
     let holder = site
         .gateways
         .iter()
@@ -413,4 +415,8 @@
         .pop()
         .expect("it took orders");
     assert_eq!(last["order"]["load"], json!(["large/v1"]));
+    assert!(
+        last["fence"].as_u64() > Some(first),
+        "the new holder has no newer token: {last}"
+    );
 }
