Check that processes follow a sheet within 3 s without faults

Cause: the fuzz looked at convergence only at the end of a sequence, so a process that followed an apply late in between was not seen.

Change: in sequences without faults, every process that has a sheet is compared after each step with the root of 3 s before.

Ruled out: the same check under faults, which would need to know which processes can reach each other at each moment.

--- a/tests/whole_system/oracle.rs
+++ b/tests/whole_system/oracle.rs
@@ -24,6 +24,9 @@
 /// Time after a leaving notice within which new work may still arrive.
 const LEAVING: Millis = Millis::from_secs(3);
 
+/// Time within which a sheet is in effect everywhere.
+const FOLLOW: Millis = Millis::from_secs(3);
+
 /// Rounding of times to milliseconds at both ends.
 const ROUNDING: Millis = Millis(5);
 
@@ -218,6 +221,15 @@
         }
     }
 
+    /// Checks without faults that processes follow within 3 s; one without a sheet has just started.
+    pub fn check_followed(&self, processes: &[(String, u64)], now: Millis) {
+        if !self.0.borrow().disturbed {
+            let started = processes.iter().filter(|(_, held)| *held > 0);
+            let started: Vec<_> = started.cloned().collect();
+            self.check_converged(&started, now.since(FOLLOW));
+        }
+    }
+
     /// Checks that all processes have the revision that was in force some time ago.
     pub fn check_converged(&self, processes: &[(String, u64)], ended_at: Millis) {
         let mut state = self.0.borrow_mut();
--- a/tests/whole_system/world.rs
+++ b/tests/whole_system/world.rs
@@ -356,6 +356,9 @@
 
     /// Notes the revision of every process.
     pub fn observe(&self) {
+        self.env
+            .oracle
+            .check_followed(&self.revisions(), self.env.now());
         let agents = self.env.agents.borrow();
         let agents = agents.iter().flatten().filter(|a| a.proc.is_alive());
         agents.for_each(|a| self.env.oracle.revision(a.inc, a.follower().revision()));
