Let idempotency records and roll-out reports end by themselves

Cause: records of keyed calls and reports of replaced gateways stayed in the key-value service for ever. And a defect that lets an agent take old fencing tokens still passed no_old_order_takes_effect, because the paused holder hears of its lost lease before it gives another order.

The process test now also gives an order with the old token straight to the agent and expects it to be stale.

--- a/src/agent/keyed.rs
+++ b/src/agent/keyed.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 
 use super::answers::Answer;
+use super::leases;
 use super::refusals;
 use super::service::{self, Whole};
 use super::shared::{Shared, draw};
@@ -115,12 +116,21 @@
         }
     }
 
+    /// Writes a record that the service removes when its key has expired.
     async fn write(&self, write: RecordWrite) -> Result<TxnOutcome, KvError> {
-        let change = Change::put(write.key, write.value);
-        self.shared
-            .kv
-            .txn(vec![write.condition], vec![change])
-            .await
+        let RecordWrite {
+            key,
+            value,
+            condition,
+        } = write;
+        let lifetime = self.in_force.sheet.policy.key_lifetime;
+        let lease = Some(leases::current(self.shared, lifetime).await?);
+        let put = Change::Put { key, value, lease };
+        let written = self.shared.kv.txn(vec![condition], vec![put]).await;
+        if written == Err(KvError::LeaseGone) {
+            leases::forget(self.shared);
+        }
+        written
     }
 
     async fn run_once(&self, whole: &mut Option<Bytes>) -> RunEnd {
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -10,6 +10,7 @@
 mod calls;
 mod engine;
 mod keyed;
+mod leases;
 mod orders;
 pub mod price;
 pub mod refusals;
--- a/src/agent/shared.rs
+++ b/src/agent/shared.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use super::answers::Answers;
+use super::leases::RecordLease;
 use super::orders::Orders;
 use super::slots::Slots;
 use crate::clock::Clock;
@@ -45,6 +46,7 @@
     pub slots: Rc<Slots>,
     /// Requests that run or wait for a slot.
     pub running: Cell<u32>,
+    pub record_lease: Cell<Option<RecordLease>>,
     /// Number of the last keyed call.
     pub calls: Cell<u64>,
     /// Keyed calls whose outcome is not stored yet.
@@ -87,6 +89,7 @@
             orders: RefCell::default(),
             slots: Slots::new(clock),
             running: Cell::new(0),
+            record_lease: Cell::new(None),
             calls: Cell::new(0),
             outcome_writes: Cell::new(0),
             leaving: Cell::new(false),
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -154,11 +154,11 @@
         known.evidence
     };
     let key = format!("{}{}", evidence_prefix(version), shared.incarnation);
-    let value = serde_json::to_vec(&evidence).unwrap_or_default();
-    shared
-        .kv
-        .txn(Vec::new(), vec![Change::put(key, value)])
-        .await?;
+    let value = serde_json::to_vec(&evidence).unwrap_or_default().into();
+    // The state keeps what was pooled, so a report may end with its gateway.
+    let lease = shared.presence.borrow().lease();
+    let put = Change::Put { key, value, lease };
+    shared.kv.txn(Vec::new(), vec![put]).await?;
     shared
         .rollouts
         .borrow_mut()
--- a/tests/processes/faults.rs
+++ b/tests/processes/faults.rs
@@ -403,6 +403,13 @@
         site.status(holder)["revision"] == json!(2)
     });
 
+    let late = json!({ "load": ["small/v1"] });
+    let verdict = crate::fixture::give_order(site.upstreams[0].agent.addr, first, &late);
+    assert_eq!(
+        verdict, "stale",
+        "an order of the old holder that arrives late"
+    );
+
     for name in ["engine-a", "engine-b"] {
         let fences = fences(name);
         assert!(
--- a/tests/processes/fixture.rs
+++ b/tests/processes/fixture.rs
@@ -14,6 +14,8 @@
 use actix_http::Method;
 use actix_http::header::{HeaderName, HeaderValue};
 use bytes::Bytes;
+use fireflywind::peer::{Link, PeerKey};
+use fireflywind::units::Millis;
 use fireflywind::upstream::Timeouts;
 use fireflywind::upstream::exchange::{Request, send};
 use serde_json::{Value, json};
@@ -542,6 +544,22 @@
     uuid::Uuid::now_v7().to_string()
 }
 
+/// Gives an engine command to an agent, as a gateway with this fencing token would, and returns the verdict.
+pub fn give_order(agent: SocketAddr, fence: u64, order: &Value) -> String {
+    let key = PeerKey::new(PEER_KEY.as_bytes()).expect("the key is long enough");
+    let deadline = Millis::from_secs(20);
+    actix_rt::System::new().block_on(async {
+        let link = Link::connect(agent, &key, deadline)
+            .await
+            .expect("the agent listens");
+        let reply = link
+            .order(fence, order.to_string().as_bytes(), deadline)
+            .await;
+        let reply: Value = serde_json::from_slice(&reply.expect("a reply")).expect("it is JSON");
+        reply["verdict"].as_str().unwrap_or_default().to_owned()
+    })
+}
+
 /// Returns a chat completion request.
 pub fn prompt(model: &str, text: &str) -> Value {
     json!({ "model": model, "messages": [{ "role": "user", "content": text }] })
