Measure what one crashing request takes down

Cause: the bound of two upstreams for each fingerprint was checked by a property test, but no experiment showed what containment costs innocent requests, or what happens without it.

Change: experiment `crash` drives the suspect state machines of 8 gateways and 4 or 24 agents. One request that crashes each upstream that runs it is sent 20 times through random gateways, each time in a batch with 4 innocent requests for each agent. A run that a crash cuts off is placed again.

Ruled out: innocent requests with repeated bodies, since all have their own fingerprint here; a bystander is refused only if it was in flight at both crashes. The copies of the crashing request are sent one after the other, and reports reach all agents before the next one. The experiment says nothing about copies that run at the same moment or about lost reports.

--- a/examples/experiment/main.rs
+++ b/examples/experiment/main.rs
@@ -1,6 +1,7 @@
 //! Runs one named, seeded experiment, or `all`, and prints a table; `--json` adds one JSON object.
 
 mod cost;
+mod crash;
 mod decide;
 mod exposure;
 mod latency;
@@ -25,6 +26,7 @@
 const EXPERIMENTS: &[Experiment] = &[
     ("cost", cost::cost),
     ("cost-faults", cost::cost_faults),
+    ("crash", crash::run),
     ("decide", decide::run),
     ("exposure", exposure::exposure),
     ("latency", latency::run),
