--- a/src/gateway/links.rs
+++ b/src/gateway/links.rs
@@ -83,11 +83,7 @@
     pub fn pool(&self, in_force: &InForce, target: &Target, shared: &Shared) -> Pool {
         let now = shared.clock.now();
         let (mut local, mut remote) = (Vec::new(), Vec::new());
-        // Links are fewer than the sheet's upstreams: a subset for each version.
-        for entry in &self.entries {
-            let Some(upstream) = in_force.sheet.upstream(&entry.upstream) else {
-                continue;
-            };
+        for upstream in &in_force.sheet.upstreams {
             let slots = match (&upstream.serves, target) {
                 (UpstreamKind::Engine { versions, slots }, Target::Version(version))
                     if versions.contains(version) =>
@@ -101,6 +97,9 @@
                 }
                 _ => continue,
             };
+            let Some(entry) = self.find(&upstream.id) else {
+                continue;
+            };
             if self.members.usable(&upstream.id, now).is_none() {
                 continue;
             }
@@ -122,15 +121,12 @@
 
     /// Tells whether some upstream may receive work for a version now.
     pub fn is_routable(&self, in_force: &InForce, version: &VersionRef, now: Millis) -> bool {
-        self.entries.iter().any(|entry| {
-            let upstream = in_force.sheet.upstream(&entry.upstream);
-            let serves = upstream.is_some_and(|upstream| {
-                matches!(
-                    &upstream.serves,
-                    UpstreamKind::Engine { versions, .. } if versions.contains(version)
-                )
-            });
-            serves && self.members.usable(&entry.upstream, now).is_some()
+        in_force.sheet.upstreams.iter().any(|upstream| {
+            let serves = matches!(
+                &upstream.serves,
+                UpstreamKind::Engine { versions, .. } if versions.contains(version)
+            );
+            serves && self.members.usable(&upstream.id, now).is_some()
         })
     }
 
