Let a gateway that starts in an outage get the sheet from seeds

Cause: a process test showed that a gateway that was started during an outage of the key-value service answered no_sheet until its end: it learns the agents' addresses from the sheet, and had none.

Change: the settings may name agents as seeds; a gateway without a sheet after 1 s asks them in turn.

Ruled out: addresses in the VM list (the platform's list has names and states only).

--- a/src/demo/site.rs
+++ b/src/demo/site.rs
@@ -375,6 +375,7 @@
         }],
         rating: Some(rating),
         vm_list: None,
+        seeds: Vec::new(),
         max_body_bytes: settings::defaults::MAX_BODY_BYTES,
         max_header_bytes: settings::defaults::MAX_HEADER_BYTES,
         log_level: settings::defaults::LOG_LEVEL,
--- a/src/gateway/links.rs
+++ b/src/gateway/links.rs
@@ -504,7 +504,7 @@
 }
 
 /// Returns what the gateway says about itself; `all` repeats every crash report that it knows.
-fn own_status(shared: &Shared, all: bool) -> Status {
+pub(super) fn own_status(shared: &Shared, all: bool) -> Status {
     let flushed = serde_json::to_vec(shared.ledger.borrow().flushed());
     let now = shared.clock.unix();
     let suspects = shared.suspects.borrow();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod quality;
 mod rollouts;
 pub mod rules;
+mod seeds;
 mod serve;
 mod shared;
 #[cfg(test)]
@@ -85,6 +86,7 @@
             actix_rt::spawn(links::run(Rc::clone(&shared))),
             actix_rt::spawn(background::run(Rc::clone(&shared))),
             actix_rt::spawn(background::run_duties(Rc::clone(&shared))),
+            actix_rt::spawn(seeds::run(Rc::clone(&shared), cfg.seeds.clone())),
         ];
         log::info!(
             event = "gateway_started",
--- /dev/null
+++ b/src/gateway/seeds.rs
@@ -0,0 +1,47 @@
+//! Gets the first sheet from agents that the settings name, while the key-value service is out.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use actix_rt::time::sleep;
+
+use super::links;
+use super::shared::Shared;
+use crate::ids::UpstreamId;
+use crate::membership::{CONNECT_TIMEOUT, SILENCE};
+use crate::peer::Link;
+use crate::units::Millis;
+
+/// Time that the key-value service has for the first sheet before agents are asked.
+const FIRST_READ: Millis = Millis::from_secs(1);
+
+/// Time between two rounds over the seeds.
+const ROUND: Millis = Millis::from_secs(1);
+
+/// Asks the seeds in turn until a sheet is in force.
+pub(super) async fn run(shared: Rc<Shared>, seeds: Vec<SocketAddr>) {
+    sleep(FIRST_READ.duration()).await;
+    while shared.follower.in_force().is_none() && !seeds.is_empty() {
+        for seed in &seeds {
+            if shared.follower.in_force().is_none() {
+                ask(&shared, *seed).await;
+            }
+        }
+        sleep(ROUND.duration()).await;
+    }
+}
+
+async fn ask(shared: &Shared, seed: SocketAddr) {
+    let Ok(link) = Link::connect(seed, &shared.peer_key, CONNECT_TIMEOUT).await else {
+        return;
+    };
+    let status = links::own_status(shared, true);
+    let Ok(agent) = link.status(&status, SILENCE).await else {
+        return;
+    };
+    let name = agent.name;
+    shared.follower.set_peers(std::slice::from_ref(&name));
+    shared.follower.pull_from(&name);
+    links::exchange(shared, &UpstreamId::from(name.as_str()), &link).await;
+    log::info!(event = "seed_asked", agent = name.as_str(), revision = shared.follower.revision(); "");
+}
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -31,6 +31,7 @@
     Field::required("session_keys", Shape::List(&SESSION_KEY)),
     Field::optional("rating", Shape::Address),
     Field::optional("vm_list", Shape::Address),
+    Field::optional("seeds", ADDRESSES),
     Field::optional("max_body_bytes", BODY_BYTES),
     Field::optional("max_header_bytes", HEADER_BYTES),
     Field::optional("log_level", LOG_LEVEL),
@@ -63,6 +64,8 @@
     pub rating: Option<SocketAddr>,
     /// Address of the platform's list of VMs; without one, only direct evidence counts.
     pub vm_list: Option<SocketAddr>,
+    /// Addresses of some agents, from which a start during an outage gets the sheet.
+    pub seeds: Vec<SocketAddr>,
     /// Largest body of a request, in bytes.
     pub max_body_bytes: u64,
     /// Largest head of a request, in bytes.
@@ -95,6 +98,8 @@
     session_keys: Vec<SessionKey>,
     rating: Option<SocketAddr>,
     vm_list: Option<SocketAddr>,
+    #[serde(default)]
+    seeds: Vec<SocketAddr>,
     max_body_bytes: Option<u64>,
     max_header_bytes: Option<u64>,
     log_level: Option<String>,
@@ -123,6 +128,7 @@
             session_keys: file.session_keys,
             rating: file.rating,
             vm_list: file.vm_list,
+            seeds: file.seeds,
             max_body_bytes: file.max_body_bytes.unwrap_or(defaults::MAX_BODY_BYTES),
             max_header_bytes: file.max_header_bytes.unwrap_or(defaults::MAX_HEADER_BYTES),
             log_level: super::log_level(file.log_level.as_deref()),
--- a/tests/processes/double_faults.rs
+++ b/tests/processes/double_faults.rs
@@ -247,3 +247,27 @@
     let answer = site.chat(0, &prompt("large/v1", "goes on"), &[]);
     assert_eq!(answer.expect("an answer").status, 200);
 }
+
+// Guards against a gateway that is started during an outage and serves nobody until its end.
+#[test]
+fn a_gateway_that_starts_in_an_outage_serves_with_the_sheet_of_an_agent() {
+    let mut site = site("outage-start");
+    site.set_fault("out");
+    site.gateways[0].kill();
+    site.add_gateway("gateway-c", "dc-a");
+
+    wait_for("answer through the new gateway", || {
+        let answer = site.chat(2, &prompt("small/v1", "during"), &[]);
+        answer.is_some_and(|a| a.status == 200)
+    });
+    let order = site.order(2, &new_key(), "{}").expect("an answer");
+    assert_eq!(
+        (order.status, order.ran().as_str()),
+        (503, "unknown"),
+        "{order:?}"
+    );
+    site.set_fault("none");
+
+    let bill = site.bill(1);
+    assert_eq!(charged(&bill), 1, "{bill}");
+}
--- a/tests/processes/fixture.rs
+++ b/tests/processes/fixture.rs
@@ -340,10 +340,11 @@
 
     /// Starts a gateway.
     pub fn add_gateway(&mut self, name: &str, data_centre: &str) {
+        let seeds: Vec<_> = self.upstreams.iter().map(|u| u.agent.addr).collect();
         let settings = json!({
             "name": name, "data_centre": data_centre, "listen": "127.0.0.1:0",
             "admin_listen": "127.0.0.1:0", "kv": [self.kv.addr], "peer_key": PEER_KEY,
-            "rating": self.rating.addr, "vm_list": self.vms.addr, "stop_deadline": "20s",
+            "rating": self.rating.addr, "vm_list": self.vms.addr, "seeds": seeds, "stop_deadline": "20s",
             "session_keys": [{ "id": "k1", "secret": "session-key-of-the-process-tests-01" }],
         });
         let path = self.write(&format!("{name}.json"), &settings);
