Let two agents compete for the same order

Cause: the test of twenty orders sent through two gateways at once had one agent, whose memory of keys it knows suffices to stop a second run. It did not reach the compare-and-swap of the intent.

Change: each data centre has an orders service with its agent, and each gateway prefers its own. The runs of both services are counted together. The outcome is waited for, as the other agent may read the intent first.

Ruled out: a test that passes without the condition. On a scratch change that wrote intents and outcomes unconditionally, the test failed with 40 runs for 20 keys; the change was taken back.

Conclusion: the test now guards the stored intent, not only the memory of one agent.

--- a/tests/processes/double_faults.rs
+++ b/tests/processes/double_faults.rs
@@ -24,9 +24,9 @@
     site
 }
 
-/// Makes the orders service wait before it runs a call.
-fn delay_orders(site: &Site, delay: &str) {
-    let service = site.upstreams.iter().find(|u| u.name == "orders-a");
+/// Makes an orders service wait before it runs a call.
+fn delay_orders(site: &Site, name: &str, delay: &str) {
+    let service = site.upstreams.iter().find(|u| u.name == name);
     let addr = service.expect("it exists").process.addr;
     let body = json!({ "delay": delay }).to_string();
     let answer = http(addr, "POST", "/__behaviour", &[], &body);
@@ -42,8 +42,8 @@
     (!value.is_null()).then_some(value)
 }
 
-fn order_runs(site: &Site) -> Vec<u64> {
-    let runs = site.service_runs("orders-a");
+fn order_runs(site: &Site, name: &str) -> Vec<u64> {
+    let runs = site.service_runs(name);
     let runs = runs.as_array().into_iter().flatten();
     runs.filter_map(|run| run["count"].as_u64()).collect()
 }
@@ -65,7 +65,7 @@
 fn an_order_with_a_lost_outcome_and_a_killed_gateway(test: &str, fault: &str) {
     let mut site = site(test);
     let key = new_key();
-    delay_orders(&site, "3s");
+    delay_orders(&site, "orders-a", "3s");
 
     let first = thread::scope(|scope| {
         let order = scope.spawn(|| site.order(0, &key, ORDER));
@@ -75,7 +75,9 @@
             intent.is_some()
         });
         site.set_fault(fault);
-        wait_for("run of the order", || !order_runs(&site).is_empty());
+        wait_for("run of the order", || {
+            !order_runs(&site, "orders-a").is_empty()
+        });
         if fault == "lose_next_write" {
             wait_for("outcome of the order", || record(&site, &key) != intent);
         }
@@ -92,7 +94,7 @@
     });
 
     let outcome = outcome.expect("an answer");
-    assert_eq!(order_runs(&site), [1]);
+    assert_eq!(order_runs(&site, "orders-a"), [1]);
     if let Some(first) = first.filter(|a| a.whole) {
         assert!(is_true_of(&first, &outcome), "{first:?}");
     }
@@ -179,8 +181,20 @@
 #[test]
 fn the_same_order_through_two_gateways_at_once_runs_once() {
     const KEYS: usize = 20;
-    let site = site("twins");
-    delay_orders(&site, "50ms");
+    let mut site = Site::start("twins");
+    // Each gateway prefers the agent of its own data centre, so that two agents compete for a key.
+    for (service, gateway, data_centre) in [
+        ("orders-a", "gateway-a", "dc-a"),
+        ("orders-b", "gateway-b", "dc-b"),
+    ] {
+        site.add_service(service, data_centre, "orders");
+        site.add_gateway(gateway, data_centre);
+        delay_orders(&site, service, "50ms");
+    }
+    site.add_engine("engine-a", "dc-a", &["small/v1", "large/v1"]);
+    site.apply(&site.sheet());
+    site.wait_ready(0, 3);
+    site.wait_ready(1, 3);
 
     for n in 0..KEYS {
         let (key, body) = (new_key(), format!(r#"{{"pallets":{n}}}"#));
@@ -195,9 +209,13 @@
             });
             callers.map(|caller| caller.join().expect("no panic"))
         });
-        let outcome = site.order(n % 2, &key, &body).expect("an answer");
+        let mut outcome = None;
+        wait_for("outcome of the order", || {
+            outcome = site.order(n % 2, &key, &body).filter(|a| a.status == 200);
+            outcome.is_some()
+        });
 
-        assert_eq!(outcome.status, 200, "{outcome:?}");
+        let outcome = outcome.expect("an answer");
         for answer in &answers {
             assert!(is_true_of(answer, &outcome), "{answer:?}");
         }
@@ -207,7 +225,8 @@
         );
     }
 
-    assert_eq!(order_runs(&site), [1; KEYS]);
+    let runs = [order_runs(&site, "orders-a"), order_runs(&site, "orders-b")].concat();
+    assert_eq!(runs, [1; KEYS]);
 }
 
 // Guards against an agent that wakes with an old sheet and runs a version that was withdrawn meanwhile.
