Measure bytes of state and the control traffic of a link

Cause: the capacity page needs slopes of state, memory and control traffic, and none was measured.

Change: `experiment state` prints serialised sizes of accounts, versions, upstreams, sessions, idempotency records, charges, checkpoints, evidence and rating cells; the growth of resident memory for copies of charges, kept answers and links; bytes and messages of a real link, counted by a forwarder between gateway and agent; and processor time, memory and key-value calls of daemons at rest over 2 and 12 agents. `relay` reports the time at rest by itself, since the constant of its fit also holds the cost of wake-ups (10 ms a second against 1.3 to 1.6).

Ruled out: resident memory for rating cells (memory freed before is used again, so the growth is 0), and a link's memory through the forwarder (154 KB, of which the forwarder's threads and buffers are nearly all).

--- a/examples/experiment/main.rs
+++ b/examples/experiment/main.rs
@@ -8,6 +8,7 @@
 mod report;
 mod rng;
 mod site;
+mod state;
 
 use std::process::ExitCode;
 
@@ -25,6 +26,7 @@
     ("exposure", exposure::exposure),
     ("overload", overload::overload),
     ("relay", relay::relay),
+    ("state", state::state),
 ];
 
 fn main() -> ExitCode {
--- a/examples/experiment/relay.rs
+++ b/examples/experiment/relay.rs
@@ -24,6 +24,9 @@
 /// Upstreams at the target size besides those that run here.
 const IDLE_UPSTREAMS: usize = 1_798;
 
+/// Deadline of the class of requests, longer than any answer.
+const DEADLINE_S: u32 = 60;
+
 /// Answer lengths and rates over which the slopes are fitted.
 const LOADS: [Load; 6] = [
     Load {
@@ -126,7 +129,7 @@
         let micro = 1e6;
         rows.extend([
             Row::baseline(
-                format!("{name}: processor time at rest, microseconds a second"),
+                format!("{name}: constant of the fit, microseconds a second"),
                 each(&|f| slopes(f)[0] * micro),
             ),
             Row::baseline(
@@ -151,7 +154,17 @@
             ),
         ]);
     }
+    // The first span is at rest; the constant of the fit also holds what a daemon pays for being woken.
+    let rest = |(inputs, time): Span| time / inputs[0] * 1e6;
     rows.extend([
+        Row::baseline(
+            "gateway at rest: processor time, microseconds a second",
+            each(&|f| rest(f.gateway[0])),
+        ),
+        Row::baseline(
+            "agent at rest: processor time, microseconds a second",
+            each(&|f| rest(f.agent[0])),
+        ),
         Row::baseline(
             "gateway: added processor time of a request with 1,800 upstreams, microseconds",
             each(&|f| (f.large - expected(fit(&f.gateway), LARGE)) * 1e6),
@@ -180,13 +193,13 @@
 
 fn measure() -> Figures {
     let site = Site::start(AGENTS, TOKEN_DELAY_MS);
-    site.apply(0);
+    site.apply(0, DEADLINE_S);
     let mut figures = Figures::default();
     span(&site, None, &mut figures);
     for load in LOADS {
         span(&site, Some(load), &mut figures);
     }
-    figures.resident = [site.gateway.resident(), site.agents[0].resident()];
+    figures.resident = [&site.gateway, &site.agents[0]].map(|p| p.resident_bytes() / 1e6);
     figures.large = large(&site);
     figures
 }
@@ -236,7 +249,7 @@
 
 /// Returns the gateway's processor time of one request under a sheet of 1,800 upstreams.
 fn large(site: &Site) -> f64 {
-    site.apply(IDLE_UPSTREAMS);
+    site.apply(IDLE_UPSTREAMS, DEADLINE_S);
     let time = |load: Option<Load>| {
         let (before, start) = (site.gateway.processor_time(), Instant::now());
         match load {
--- a/examples/experiment/site.rs
+++ b/examples/experiment/site.rs
@@ -11,12 +11,13 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use fireflywind::upstream::Timeouts;
 use fireflywind::upstream::exchange::{Request, send};
 use serde_json::{Value, json};
 
 /// Key that the processes of a run share.
-const PEER_KEY: &str = "peer-key-of-the-relay-experiment-0123456789";
+pub const PEER_KEY: &str = "peer-key-of-the-relay-experiment-0123456789";
 
 /// API key of the account `shop`.
 pub const API_KEY: &str = "key-shop";
@@ -89,16 +90,21 @@
         Duration::from_nanos(nanoseconds).as_secs_f64()
     }
 
-    /// Returns the resident memory in megabytes.
-    pub fn resident(&self) -> f64 {
-        let path = format!("/proc/{}/status", self.child.id());
-        let status = fs::read_to_string(path).expect("the process runs");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u32>().ok());
-        f64::from(kilobytes.unwrap_or(0)) / 1_000.0
+    /// Returns the resident memory in bytes.
+    pub fn resident_bytes(&self) -> f64 {
+        resident_bytes(&self.child.id().to_string())
     }
 }
 
+/// Returns the resident memory of a process, or of this one as `self`, in bytes.
+pub fn resident_bytes(process: &str) -> f64 {
+    let status = fs::read_to_string(format!("/proc/{process}/status"));
+    let status = status.expect("the process runs");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u32>().ok());
+    f64::from(kilobytes.unwrap_or(0)) * 1_024.0
+}
+
 fn path_of(program: &str) -> PathBuf {
     let own = std::env::current_exe().expect("the path of the experiment is known");
     // The experiment is in the folder `examples` beside the programs.
@@ -169,8 +175,8 @@
     }
 
     /// Puts a sheet into force with `idle` more upstreams that serve another version and do not answer.
-    pub fn apply(&self, idle: usize) {
-        let path = self.write("sheet.json", &self.sheet(idle));
+    pub fn apply(&self, idle: usize, deadline_s: u32) {
+        let path = self.write("sheet.json", &self.sheet(idle, deadline_s));
         let gateways: Vec<_> = self.gateway.admin.into_iter().collect();
         let settings = json!({ "kv": [self.kv.addr], "gateways": gateways });
         let settings = self.write("operator.json", &settings);
@@ -186,6 +192,12 @@
         self.wait_ready();
     }
 
+    /// Returns the calls of the key-value service so far; a waiting watch counts as one.
+    pub fn calls(&self) -> f64 {
+        let calls: Value = serde_json::from_slice(&get(self.kv.addr, "/calls")).unwrap_or_default();
+        calls["calls"].as_f64().unwrap_or(0.0)
+    }
+
     fn write(&self, name: &str, value: &Value) -> String {
         let path = self.dir.join(name);
         fs::write(&path, value.to_string()).expect("the file can be written");
@@ -196,7 +208,7 @@
         let admin = self.gateway.admin.expect("a gateway has an admin listener");
         let end = Instant::now() + DEADLINE;
         loop {
-            let status = get(admin, "/status");
+            let status: Value = serde_json::from_slice(&get(admin, "/status")).unwrap_or_default();
             if status["usable_upstreams"].as_u64() >= Some(self.agents.len() as u64) {
                 return;
             }
@@ -205,7 +217,7 @@
         }
     }
 
-    fn sheet(&self, idle: usize) -> Value {
+    fn sheet(&self, idle: usize, deadline_s: u32) -> Value {
         let upstream = |id: String, agent: SocketAddr, versions: &[&str]| {
             json!({
                 "id": id, "agent": agent, "data_centre": "dc-a",
@@ -231,7 +243,7 @@
             "models": models,
             "cascades": [{ "id": "small-first", "steps": STEPS }],
             "classes": [{
-                "id": "tags", "quality_target": 500, "cascade": "small-first", "deadline": "60s",
+                "id": "tags", "quality_target": 500, "cascade": "small-first", "deadline": format!("{deadline_s}s"),
             }],
             "upstreams": upstreams,
         })
@@ -244,19 +256,19 @@
     SocketAddr::from(([127, 1, high, low], 9))
 }
 
-fn get(addr: SocketAddr, path: &str) -> Value {
+/// Returns the body of an answer, empty if there is none.
+pub fn get(addr: SocketAddr, path: &str) -> Bytes {
     let request = Request {
         method: "GET".parse().expect("it is a method"),
         target: path.to_owned(),
         headers: Vec::new(),
-        body: bytes::Bytes::new(),
+        body: Bytes::new(),
     };
     actix_rt::System::new().block_on(async {
         let Ok(response) = send(addr, Timeouts::default(), &request).await else {
-            return Value::Null;
+            return Bytes::new();
         };
-        let body = response.body.collect(1 << 20).await.unwrap_or_default();
-        serde_json::from_slice(&body).unwrap_or_default()
+        response.body.collect(16 << 20).await.unwrap_or_default()
     })
 }
 
