--- a/examples/experiment/main.rs
+++ b/examples/experiment/main.rs
@@ -12,6 +12,7 @@
 mod rng;
 mod site;
 mod spread;
+mod state;
 
 use std::process::ExitCode;
 
@@ -23,6 +24,15 @@
 /// An experiment: its name and the function that runs it on the given seeds.
 type Experiment = (&'static str, fn(&[u64]) -> Report);
 
+const EXPERIMENTS: &[Experiment] = &[
+    ("cost", cost::cost),
+    ("cost-faults", cost::cost_faults),
+    ("crash", crash::run),
+    ("decide", decide::run),
+    ("exposure", exposure::exposure),
+    ("latency", latency::run),
+    ("overload", overload::overload),
+    ("relay", relay::relay),
 const EXPERIMENTS: &[Experiment] = &[
     ("cost", cost::cost),
     ("cost-faults", cost::cost_faults),
@@ -33,6 +43,8 @@
     ("overload", overload::overload),
     ("relay", relay::relay),
     ("spread", spread::run),
+    ("state", state::state),
+];
 ];
 
 fn main() -> ExitCode {
