--- a/examples/experiment/main.rs
+++ b/examples/experiment/main.rs
@@ -25,14 +25,6 @@
 type Experiment = (&'static str, fn(&[u64]) -> Report);
 
 const EXPERIMENTS: &[Experiment] = &[
-    ("cost", cost::cost),
-    ("cost-faults", cost::cost_faults),
-    ("crash", crash::run),
-    ("decide", decide::run),
-    ("exposure", exposure::exposure),
-    ("latency", latency::run),
-    ("overload", overload::overload),
-    ("relay", relay::relay),
 const EXPERIMENTS: &[Experiment] = &[
     ("cost", cost::cost),
     ("cost-faults", cost::cost_faults),
@@ -45,7 +37,6 @@
     ("spread", spread::run),
     ("state", state::state),
 ];
-];
 
 fn main() -> ExitCode {
     let mut json = false;
