--- a/examples/experiment/main.rs
+++ b/examples/experiment/main.rs
@@ -24,7 +24,6 @@
 /// An experiment: its name and the function that runs it on the given seeds.
 type Experiment = (&'static str, fn(&[u64]) -> Report);
 
-const EXPERIMENTS: &[Experiment] = &[
 const EXPERIMENTS: &[Experiment] = &[
     ("cost", cost::cost),
     ("cost-faults", cost::cost_faults),
