Confirm the sheet after an agent was stopped

Change: an agent that notices a gap of 2 s in its periodic work takes no request until the key-value service has confirmed its sheet since, or for 3 s, in which every gateway has sent its status; it reads the root at once.

Ruled out: a time of sending in each request (the clocks of two VMs are not compared anywhere else).

--- a/src/agent/background.rs
+++ b/src/agent/background.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 
 use super::shared::Shared;
+use super::stall;
 use crate::http::{Handler, Incoming, Outgoing};
 use crate::ledger::{HeldEffect, write_orphans};
 use crate::units::Millis;
@@ -16,6 +17,7 @@
 /// Does the periodic work until it is aborted.
 pub(super) async fn run(shared: Rc<Shared>) {
     loop {
+        stall::note_step(&shared);
         let now = shared.clock.now();
         shared.answers.borrow_mut().sweep(now);
         let effects = shared.held.borrow_mut().step(now);
--- a/src/agent/calls.rs
+++ b/src/agent/calls.rs
@@ -7,7 +7,7 @@
 use super::answers::Answer;
 use super::shared::{Client, Shared};
 use super::slots::Place;
-use super::{admission, engine, keyed, orders, service};
+use super::{admission, engine, keyed, orders, service, stall};
 use crate::dissemination::Admission;
 use crate::follower::InForce;
 use crate::ledger::Flushed;
@@ -42,6 +42,11 @@
         if shared.leaving.get() {
             return refuse(Refusal::not_run(Code::Stopping, "upstream is leaving"));
         }
+        if !stall::is_confirmed(shared) {
+            let refusal =
+                Refusal::not_run(Code::NoSheet, "agent was stopped and confirms its sheet");
+            return refuse(refusal.retry_after(FULL_RETRY));
+        }
         let own = shared.follower.revision();
         match shared.follower.admit(req.revision) {
             Admission::Run => {}
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -17,6 +17,7 @@
 mod service;
 mod shared;
 mod slots;
+mod stall;
 #[cfg(test)]
 mod tests;
 
--- a/src/agent/shared.rs
+++ b/src/agent/shared.rs
@@ -16,6 +16,7 @@
 use crate::settings;
 use crate::suspect::{self, MAX_REPORTS, Suspects};
 use crate::telemetry::Metrics;
+use crate::units::Millis;
 use crate::upstream::Timeouts;
 use crate::upstream::engine::EngineClient;
 use crate::upstream::service::ServiceClient;
@@ -52,6 +53,10 @@
     /// Keyed calls whose outcome is not stored yet.
     pub outcome_writes: Cell<u32>,
     pub leaving: Cell<bool>,
+    /// Time of the last step of the periodic work.
+    pub last_step: Cell<Millis>,
+    /// Time at which the end of a stop was noticed, until the sheet is confirmed.
+    pub stalled: Cell<Option<Millis>>,
     /// Whether the engine answers; unset between a crash and the engine's next answer.
     pub engine_up: Cell<bool>,
     pub metrics: Metrics,
@@ -93,6 +98,8 @@
             calls: Cell::new(0),
             outcome_writes: Cell::new(0),
             leaving: Cell::new(false),
+            last_step: Cell::new(clock.now()),
+            stalled: Cell::new(None),
             engine_up: Cell::new(true),
             metrics: Metrics::open(),
         })
--- a/src/follower/mod.rs
+++ b/src/follower/mod.rs
@@ -59,6 +59,8 @@
     replica: RefCell<Replica>,
     in_force: RefCell<Option<Rc<InForce>>>,
     outbox: RefCell<Vec<(PeerId, Message)>>,
+    /// The read of the root that is under way.
+    reading: RefCell<Option<JoinHandle<()>>>,
     /// Store revision of the root that was read last.
     seen: Cell<u64>,
     changed: Notify,
@@ -93,6 +95,7 @@
             replica: RefCell::new(Replica::new(role, draw, clock.now())),
             in_force: RefCell::default(),
             outbox: RefCell::default(),
+            reading: RefCell::default(),
             seen: Cell::new(0),
             changed: Notify::new(),
         });
@@ -149,6 +152,11 @@
             .admit(revision, now, held.sheet.policy.max_staleness)
     }
 
+    /// Reads the root at once in place of the read that is under way.
+    pub fn read_now(&self) {
+        start_read(&self.inner, false);
+    }
+
     /// Waits for the next change of the sheet in force.
     pub async fn changed(&self) {
         self.inner.changed.notified().await;
@@ -243,9 +251,7 @@
 fn perform(inner: &Rc<Inner>, effects: Vec<Effect>) {
     for effect in effects {
         match effect {
-            Effect::ReadRoot { wait, .. } => {
-                actix_rt::spawn(read_root(Rc::clone(inner), wait));
-            }
+            Effect::ReadRoot { wait, .. } => start_read(inner, wait),
             Effect::ReadParts(digests) => {
                 actix_rt::spawn(read_parts(Rc::clone(inner), digests));
             }
@@ -258,6 +264,15 @@
     }
 }
 
+fn start_read(inner: &Rc<Inner>, wait: bool) {
+    let read = actix_rt::spawn(read_root(Rc::clone(inner), wait));
+    let earlier = inner.reading.borrow_mut().replace(read);
+    if let Some(earlier) = earlier {
+        // One that has ended is not affected.
+        earlier.abort();
+    }
+}
+
 async fn read_root(inner: Rc<Inner>, wait: bool) {
     let sent = inner.clock.now();
     let read = if wait {
--- a/tests/processes/double_faults.rs
+++ b/tests/processes/double_faults.rs
@@ -290,3 +290,48 @@
     let bill = site.bill(1);
     assert_eq!(charged(&bill), 1, "{bill}");
 }
+
+// Guards against a request that reaches an agent while it is stopped, and that runs on a version which was
+// withdrawn meanwhile, although its gateway has given it up.
+#[test]
+fn requests_that_waited_at_a_stopped_agent_do_not_run_on_a_withdrawn_version() {
+    let mut site = Site::start("stalled");
+    site.add_engine("engine-a", "dc-a", &["small/v1", "large/v1"]);
+    let proxy = Proxy::start(site.upstreams[0].agent.addr);
+    site.upstreams[0].reached_at = Some(proxy.addr);
+    site.add_service("orders-a", "dc-a", "orders");
+    site.add_gateway("gateway-a", "dc-a");
+    site.apply(&site.sheet());
+    site.wait_ready(0, 2);
+    site.upstreams[0].agent.signal("STOP");
+    let before = proxy.forwarded();
+
+    let answer = std::thread::scope(|scope| {
+        let site = &site;
+        let chat = scope.spawn(move || site.chat(0, &prompt("small/v1", "waited"), &[]));
+        wait_for("request on its way to the agent", || {
+            proxy.forwarded() > before + 200
+        });
+        let mut sheet = site.sheet();
+        sheet["models"][0]["versions"][0]["state"] = json!("withdrawn");
+        sheet["cascades"][0]["steps"] = json!(["large/v1"]);
+        site.apply(&sheet);
+        chat.join().expect("no panic").expect("an answer")
+    });
+    assert_ne!(answer.status, 200, "{answer:?}");
+    site.upstreams[0].agent.signal("CONT");
+    wait_for("sheet at the agent", || {
+        let admin = site.upstreams[0]
+            .agent
+            .admin
+            .expect("an agent has an admin listener");
+        let status = crate::fixture::http(admin, "GET", "/status", &[], "");
+        status.is_some_and(|s| s.json()["revision"] == json!(2))
+    });
+    wait_for("answer on another version", || {
+        let answer = site.chat(0, &prompt("large/v1", "later"), &[]);
+        answer.is_some_and(|a| a.status == 200)
+    });
+
+    assert_eq!(site.engine_runs("waited"), 0);
+}
