Hold requests that name a version to the account's limits

Cause: found on reading: limits are kept by class, and a request that names a version has none, so an account could pass its limits by naming versions. A refused request that had not run also used up its expected tokens.

Change: such a request counts against the account's tightest limit; a request that did not run gives its tokens back. The limits of a request are in a module of their own; a request that ends because its sheet changed too often is closed in the ledger like any refusal; a gateway without crash reports no longer hashes each body twice.

Ruled out: a reserved class name in the sheet (old sheets would stay unlimited).

--- a/src/gateway/planning.rs
+++ b/src/gateway/planning.rs
@@ -13,7 +13,7 @@
 use crate::units::{Millis, Permille, Tokens};
 
 /// Class name of requests that ask for one version.
-const DIRECT: &str = "direct";
+pub(super) const DIRECT: &str = "direct";
 
 /// Deadline of requests that ask for one version.
 const DIRECT_DEADLINE: Millis = Millis::from_secs(120);
--- a/src/gateway/serve/job.rs
+++ b/src/gateway/serve/job.rs
@@ -1,6 +1,5 @@
 //! One request from its arrival to its record.
 
-use std::cell::Cell;
 use std::rc::Rc;
 
 use actix_rt::time::{Instant, sleep};
@@ -10,12 +9,13 @@
 use super::super::shared::{Shared, draw};
 use super::super::{rollouts, rules};
 use super::Ask;
+use super::limited::Limited;
 use super::sinks::{Labels, Reply, Restart};
 use crate::follower::InForce;
 use crate::http::Outgoing;
-use crate::ids::{AccountId, ClassId, RequestId, UpstreamId, VersionRef};
+use crate::ids::{ClassId, RequestId, UpstreamId, VersionRef};
 use crate::ledger::Charge;
-use crate::limits::{LimitKind, Passage, backoff};
+use crate::limits::{Passage, backoff};
 use crate::peer::{Head, RunRequest, Target};
 use crate::record::{Asked, AttemptEnd, Event, Outcome, Record};
 use crate::refusal::{Code, Ran, Refusal};
@@ -75,62 +75,6 @@
     limited: Option<Limited>,
 }
 
-/// A request's part of its account's limits; given back when it is dropped.
-#[derive(Debug)]
-struct Limited {
-    shared: Rc<Shared>,
-    account: AccountId,
-    class: ClassId,
-    expected: Tokens,
-    used: Cell<Tokens>,
-}
-
-impl Drop for Limited {
-    fn drop(&mut self) {
-        let mut limits = self.shared.limits.borrow_mut();
-        limits.finish(&self.account, &self.class, self.expected, self.used.get());
-    }
-}
-
-/// Takes a request's part of its account's limits, if there are any for its class.
-fn admit(
-    shared: &Rc<Shared>,
-    in_force: &InForce,
-    ask: &Ask,
-    class: &ClassId,
-    expected: Tokens,
-) -> Result<Option<Limited>, Refusal> {
-    let account = in_force.sheet.account(&ask.account);
-    let limit = account.and_then(|a| a.limits.iter().find(|limit| limit.class == *class));
-    let Some(limit) = limit else {
-        return Ok(None);
-    };
-    let now = shared.clock.now();
-    let admitted = shared
-        .limits
-        .borrow_mut()
-        .admit(&ask.account, limit, expected, now);
-    if let Err(reached) = admitted {
-        let what = match reached.kind {
-            LimitKind::Requests => "requests a second",
-            LimitKind::Tokens => "tokens a minute",
-            LimitKind::Concurrency => "requests in flight",
-        };
-        let why = format!(
-            "account {} reached its limit of {what} for {class}",
-            ask.account
-        );
-        return Err(Refusal::not_run(Code::RateLimited, why).retry_after(reached.retry_after));
-    }
-    Ok(Some(Limited {
-        shared: Rc::clone(shared),
-        account: ask.account.clone(),
-        class: class.clone(),
-        expected,
-        used: Cell::new(expected),
-    }))
-}
-
 impl Job {
     /// Opens a request in the ledger.
     pub fn open(
@@ -141,7 +85,7 @@
         asked: Asked,
         expected: Tokens,
     ) -> Result<Self, Refusal> {
-        let limited = admit(shared, &in_force, &ask, &class, expected)?;
+        let limited = Limited::admit(shared, &in_force, &ask.account, &class, expected)?;
         let mut ledger = shared.ledger.borrow_mut();
         if !ledger.has_room() {
             let refusal = Refusal::not_run(Code::Overloaded, "the ledger cannot be stored");
@@ -323,6 +267,9 @@
     }
 
     fn is_suspect(&self) -> bool {
+        if self.shared.suspects.borrow().reports().is_empty() {
+            return false;
+        }
         let fingerprint = Fingerprint::of(&self.ask.account, &self.ask.body);
         let now = self.shared.clock.unix();
         self.shared.suspects.borrow().count(fingerprint, now) > 0
@@ -442,29 +389,40 @@
                 reply.give(self.labels(Some(&version)).put(outgoing));
                 self.answered(&whole)
             }
-            StepEnd::Refused(refusal) => {
-                let refusal = rules::truthful(refusal, self.may_have_run);
-                let outgoing = Outgoing::refusal(&refusal);
-                reply.give(self.labels(None).put(outgoing));
-                self.close_without_charge();
-                Outcome::Refused(refusal)
-            }
+            StepEnd::Refused(refusal) => self.refused(refusal, reply),
+            StepEnd::SheetBehind => self.refused(rules::sheet_changes(), reply),
             StepEnd::CutOff { bytes, refusal } => {
                 self.close_without_charge();
                 Outcome::Incomplete { bytes, refusal }
             }
-            StepEnd::SheetBehind => Outcome::Refused(rules::sheet_changes()),
             StepEnd::CallerLeft => Outcome::CallerLeft,
         };
         self.record(outcome);
     }
 
+    fn refused(&mut self, refusal: Refusal, reply: &Reply) -> Outcome {
+        let refusal = rules::truthful(refusal, self.may_have_run);
+        let outgoing = Outgoing::refusal(&refusal);
+        reply.give(self.labels(None).put(outgoing));
+        self.close_without_charge();
+        if refusal.ran == Ran::NotRun {
+            self.note_used(Tokens(0));
+        }
+        Outcome::Refused(refusal)
+    }
+
+    fn note_used(&self, tokens: Tokens) {
+        if let Some(limited) = &self.limited {
+            limited.note_used(tokens);
+        }
+    }
+
     fn answered(&mut self, whole: &Whole) -> Outcome {
         let charge = whole.charge.clone().filter(|_| !whole.replayed);
         let amount = charge.as_ref().map(|c| c.amount);
-        if let (Some(limited), Some(charge)) = (&self.limited, &charge) {
+        if let Some(charge) = &charge {
             let (input, output) = charge.item.tokens();
-            limited.used.set(input + output);
+            self.note_used(input + output);
         }
         self.close(charge);
         Outcome::Answered {
--- /dev/null
+++ b/src/gateway/serve/limited.rs
@@ -0,0 +1,90 @@
+//! A request's part of its account's limits.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use super::super::planning::DIRECT;
+use super::super::shared::Shared;
+use crate::follower::InForce;
+use crate::ids::{AccountId, ClassId};
+use crate::limits::LimitKind;
+use crate::refusal::{Code, Refusal};
+use crate::sheet::{Account, Limit};
+use crate::units::Tokens;
+
+/// A request's part of its account's limits; given back when it is dropped.
+#[derive(Debug)]
+pub(super) struct Limited {
+    shared: Rc<Shared>,
+    account: AccountId,
+    class: ClassId,
+    expected: Tokens,
+    used: Cell<Tokens>,
+}
+
+impl Drop for Limited {
+    fn drop(&mut self) {
+        let mut limits = self.shared.limits.borrow_mut();
+        limits.finish(&self.account, &self.class, self.expected, self.used.get());
+    }
+}
+
+impl Limited {
+    /// Takes a request's part, if the account has a limit for its class.
+    ///
+    /// # Errors
+    /// The [`Refusal`] of a request above a limit.
+    pub fn admit(
+        shared: &Rc<Shared>,
+        in_force: &InForce,
+        account: &AccountId,
+        class: &ClassId,
+        expected: Tokens,
+    ) -> Result<Option<Self>, Refusal> {
+        let found = in_force.sheet.account(account);
+        let Some(limit) = found.and_then(|account| limit_of(account, class)) else {
+            return Ok(None);
+        };
+        let now = shared.clock.now();
+        let admitted = shared
+            .limits
+            .borrow_mut()
+            .admit(account, limit, expected, now);
+        if let Err(reached) = admitted {
+            let what = match reached.kind {
+                LimitKind::Requests => "requests a second",
+                LimitKind::Tokens => "tokens a minute",
+                LimitKind::Concurrency => "requests in flight",
+            };
+            let why = format!(
+                "account {account} reached its limit of {what} for {}",
+                limit.class
+            );
+            return Err(Refusal::not_run(Code::RateLimited, why).retry_after(reached.retry_after));
+        }
+        Ok(Some(Self {
+            shared: Rc::clone(shared),
+            account: account.clone(),
+            class: limit.class.clone(),
+            expected,
+            used: Cell::new(expected),
+        }))
+    }
+
+    /// Notes the tokens that the request really used.
+    pub fn note_used(&self, tokens: Tokens) {
+        self.used.set(tokens);
+    }
+}
+
+/// Returns the limit that a request counts against.
+///
+/// A request that names a version belongs to no class. It counts against the account's tightest limit, so
+/// that naming versions is no way around the limits.
+fn limit_of<'a>(account: &'a Account, class: &ClassId) -> Option<&'a Limit> {
+    let limits = account.limits.iter();
+    if class.as_str() == DIRECT {
+        return limits.min_by_key(|limit| limit.requests_per_s);
+    }
+    limits.into_iter().find(|limit| limit.class == *class)
+}
--- a/src/gateway/serve/mod.rs
+++ b/src/gateway/serve/mod.rs
@@ -1,6 +1,7 @@
 //! Drives a request: plan, steps, attempts, judgement, ledger and record.
 
 mod job;
+mod limited;
 mod sinks;
 
 use std::rc::Rc;
@@ -57,7 +58,7 @@
 ) -> Outgoing {
     let class = match &chatting.chat.asked {
         Asked::Class(class) => class.clone(),
-        Asked::Version(_) | Asked::Service(_) => "direct".into(),
+        Asked::Version(_) | Asked::Service(_) => planning::DIRECT.into(),
     };
     let asked = chatting.chat.asked.clone();
     let (tx, rx) = oneshot::channel();
--- a/tests/processes/whole_path.rs
+++ b/tests/processes/whole_path.rs
@@ -186,3 +186,41 @@
         (400, "not_run")
     );
 }
+
+// Guards against an account that uses more than its limits, also by naming versions instead of classes.
+#[test]
+fn an_account_is_held_to_its_limits() {
+    let site = site("limits");
+    let mut sheet = site.sheet();
+    sheet["accounts"][0]["limits"] = json!([{
+        "class": "tags", "requests_per_s": 1, "tokens_per_min": 1_000_000, "concurrency": 1,
+    }]);
+    site.apply(&sheet);
+
+    let answers: Vec<_> = std::thread::scope(|scope| {
+        let site = &site;
+        let sent = (0..10).map(|n| {
+            let model = if n % 2 == 0 { "tags" } else { "small/v1" };
+            let body = prompt(model, &format!("{n} [[delay=20]]"));
+            scope.spawn(move || site.chat(0, &body, &[]).expect("an answer"))
+        });
+        let sent: Vec<_> = sent.collect();
+        sent.into_iter()
+            .map(|s| s.join().expect("no panic"))
+            .collect()
+    });
+
+    let refused: Vec<_> = answers.iter().filter(|a| a.status == 429).collect();
+    assert!(answers.iter().any(|a| a.status == 200), "{answers:?}");
+    assert!(refused.len() >= 5, "{answers:?}");
+    for answer in refused {
+        assert_eq!(
+            (answer.code().as_str(), answer.ran().as_str()),
+            ("rate_limited", "not_run")
+        );
+        let after = answer
+            .header("retry-after")
+            .and_then(|v| v.parse::<u64>().ok());
+        assert!(after >= Some(1), "{answer:?}");
+    }
+}
