Split the gateway's links by what they do

Cause: one file of 588 lines held the table of links, their upkeep and the status messages, and grouped upstreams by target twice.

Ruled out: a change of behaviour; all tests stay as they are.

--- /dev/null
+++ b/src/gateway/links/status.rs
@@ -0,0 +1,106 @@
+//! What a gateway and an agent tell each other besides requests.
+
+use super::super::shared::Shared;
+use crate::ids::UpstreamId;
+use crate::membership::{Evidence, SILENCE};
+use crate::peer::{Link, Status};
+use crate::route::pick::Source;
+use crate::suspect;
+use crate::units::Millis;
+
+/// Time between two exchanges of sheet messages with an agent of the same revision.
+///
+/// They confirm the sheet to a process that is cut off from the key-value service, which may serve for hours
+/// without.
+const EXCHANGE_INTERVAL: Millis = Millis::from_secs(10);
+
+/// Exchanges of sheet messages in a row with one agent; a sheet of 1 MB takes four.
+const MAX_EXCHANGES: usize = 16;
+
+/// Tells whether sheet messages are to be exchanged: at once if the revisions differ, else from time to time.
+pub(super) fn is_exchange_due(shared: &Shared, upstream: &UpstreamId, revision: u64) -> bool {
+    let now = shared.clock.now();
+    let mut links = shared.links.borrow_mut();
+    let Ok(at) = links.entries.binary_search_by(|e| e.upstream.cmp(upstream)) else {
+        return false;
+    };
+    let entry = &mut links.entries[at];
+    let is_due = revision != shared.follower.revision() || now >= entry.next_exchange;
+    if is_due {
+        entry.next_exchange = now + EXCHANGE_INTERVAL;
+    }
+    is_due
+}
+
+/// Takes what an agent says about itself.
+pub(super) fn take_status(shared: &Shared, upstream: &UpstreamId, agent: &Status) {
+    let now = shared.clock.now();
+    let mut links = shared.links.borrow_mut();
+    links
+        .members
+        .observe(upstream, Evidence::Heard(agent.incarnation), now);
+    if agent.leaving {
+        links
+            .members
+            .observe(upstream, Evidence::Leaving(agent.incarnation), now);
+    }
+    links.observe_load(upstream, agent.running, now, Source::Report);
+    drop(links);
+    if let Some(reports) = suspect::decode(&agent.suspects) {
+        let now = shared.clock.unix();
+        shared.suspects.borrow_mut().merge(&reports, now);
+    }
+}
+
+/// Returns what the gateway says about itself; `all` repeats every crash report that it knows.
+pub(in super::super) fn own_status(shared: &Shared, all: bool) -> Status {
+    let flushed = serde_json::to_vec(shared.ledger.borrow().flushed());
+    let now = shared.clock.unix();
+    let suspects = shared.suspects.borrow();
+    let reports = suspects.reports().iter();
+    let recent = reports
+        .filter(|r| all || now.since(r.at) < Millis::from_secs(10))
+        .copied();
+    Status {
+        name: shared.name.clone(),
+        incarnation: shared.incarnation,
+        revision: shared.follower.revision(),
+        leaving: shared.stopping.get(),
+        running: 0,
+        flushed: flushed.unwrap_or_default().into(),
+        suspects: suspect::encode(&recent.collect::<Vec<_>>()).into(),
+    }
+}
+
+/// Exchanges sheet messages with an agent until neither side has more.
+pub(in super::super) async fn exchange(shared: &Shared, upstream: &UpstreamId, link: &Link) {
+    for _ in 0..MAX_EXCHANGES {
+        let Some(messages) = shared.follower.take_messages(upstream.as_str()) else {
+            return;
+        };
+        let Ok(replies) = link.exchange(&messages, SILENCE).await else {
+            return;
+        };
+        if !replies.is_empty() && shared.follower.on_messages(&replies).is_none() {
+            log::warn!(event = "sheet_messages_malformed", upstream = upstream.as_str(); "");
+            return;
+        }
+    }
+}
+
+/// Tells all agents of the crash reports that are known, before a caller hears of the crash.
+pub(in super::super) async fn spread_suspects(shared: &Shared) {
+    let reports = suspect::encode(shared.suspects.borrow().reports());
+    let links = shared.links.borrow().all();
+    let told = links
+        .iter()
+        .map(|(_, link)| link.suspects(&reports, SILENCE));
+    futures_util::future::join_all(told).await;
+}
+
+/// Takes the crash reports of an agent at once, without a wait for the next heartbeat.
+pub(in super::super) async fn fetch_suspects(shared: &Shared, upstream: &UpstreamId, link: &Link) {
+    if let Ok(agent) = link.status(&own_status(shared, false), SILENCE).await {
+        take_status(shared, upstream, &agent);
+    }
+}
