Share the test site and the reading of replies

Cause: two files of process tests built the same site, and the whole-system test had a copy of how the gateway reads replies.

Change: one fixture for the site; ReadBody tells its charge and its part of the answer for both.

Ruled out: a change of any assertion.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,9 +15,7 @@
 };
 use crate::refusal::{Code, Ran, Refusal};
 use crate::route::pick::Source as LoadSource;
-use crate::stream::{
-    Assembly, End, EndStatus, Fed, IncompleteReason, Part, READ_TIMEOUT, Reply, Source,
-};
+use crate::stream::{Assembly, Fed, IncompleteReason, READ_TIMEOUT, Reply, Source};
 use crate::units::Millis;
 
 /// Time for an agent to accept or refuse an attempt.
@@ -213,8 +211,8 @@
                 sink.head(&reply.head);
             }
             let (status, running) = (reply.head.status, reply.running);
-            let (charge, replayed) = settled(&reply.body);
-            let Some(part) = part(reply.body) else {
+            let (charge, replayed) = reply.body.settled();
+            let Some(part) = reply.body.into_part() else {
                 return incomplete(&mut assembly, IncompleteReason::AgentLost);
             };
             let source = Source {
@@ -329,25 +327,3 @@
         LONGEST
     } as u64)
 }
-
-fn settled(body: &ReadBody) -> (Option<Charge>, bool) {
-    match body {
-        ReadBody::End {
-            charge, replayed, ..
-        } => (serde_json::from_slice(charge).ok(), *replayed),
-        _ => (None, false),
-    }
-}
-
-fn part(body: ReadBody) -> Option<Part> {
-    Some(match body {
-        ReadBody::Pending => Part::Pending,
-        ReadBody::Chunk { offset, bytes } => Part::Chunk { offset, bytes },
-        ReadBody::End { length, digest, .. } => Part::End(End {
-            status: EndStatus::Complete,
-            length,
-            digest,
-        }),
-        ReadBody::Failed(_) | ReadBody::Gone => return None,
-    })
-}
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -3,7 +3,9 @@
 use bytes::Bytes;
 
 use crate::ids::{AccountId, ClassId, Incarnation, RequestId, ServiceId, VersionRef};
+use crate::ledger::Charge;
 use crate::refusal::Refusal;
+use crate::stream::{End, EndStatus, Part};
 use crate::units::Millis;
 
 /// What a request runs on.
@@ -137,6 +139,34 @@
     Gone,
 }
 
+impl ReadBody {
+    /// Returns the charge of a whole answer, and whether it is the kept one of an earlier request.
+    #[must_use]
+    pub fn settled(&self) -> (Option<Charge>, bool) {
+        match self {
+            Self::End {
+                charge, replayed, ..
+            } => (serde_json::from_slice(charge).ok(), *replayed),
+            _ => (None, false),
+        }
+    }
+
+    /// Returns what the read found of the answer; `None` if the agent does not have it or it failed.
+    #[must_use]
+    pub fn into_part(self) -> Option<Part> {
+        Some(match self {
+            Self::Pending => Part::Pending,
+            Self::Chunk { offset, bytes } => Part::Chunk { offset, bytes },
+            Self::End { length, digest, .. } => Part::End(End {
+                status: EndStatus::Complete,
+                length,
+                digest,
+            }),
+            Self::Failed(_) | Self::Gone => return None,
+        })
+    }
+}
+
 /// An agent's reply to a read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReadReply {
--- a/tests/processes/double_faults.rs
+++ b/tests/processes/double_faults.rs
@@ -11,19 +11,6 @@
 
 const ORDER: &str = r#"{"pallets":1}"#;
 
-fn site(test: &str) -> Site {
-    let mut site = Site::start(test);
-    site.add_engine("engine-a", "dc-a", &["small/v1", "large/v1"]);
-    site.add_engine("engine-b", "dc-b", &["small/v1", "large/v1"]);
-    site.add_service("orders-a", "dc-a", "orders");
-    site.add_gateway("gateway-a", "dc-a");
-    site.add_gateway("gateway-b", "dc-b");
-    site.apply(&site.sheet());
-    site.wait_ready(0, 3);
-    site.wait_ready(1, 3);
-    site
-}
-
 /// Makes an orders service wait before it runs a call.
 fn delay_orders(site: &Site, name: &str, delay: &str) {
     let service = site.upstreams.iter().find(|u| u.name == name);
@@ -63,7 +50,7 @@
 
 /// Loses the answer of an outcome's write, kills the gateway and sends the order again.
 fn an_order_with_a_lost_outcome_and_a_killed_gateway(test: &str, fault: &str) {
-    let mut site = site(test);
+    let mut site = Site::with_two_gateways(test);
     let key = new_key();
     delay_orders(&site, "orders-a", "3s");
 
@@ -120,7 +107,7 @@
 // doubled, and against a gateway started in the outage that stays without a sheet when it ends.
 #[test]
 fn charges_of_a_gateway_killed_in_an_outage_are_billed_once() {
-    let mut site = site("outage-charges");
+    let mut site = Site::with_two_gateways("outage-charges");
     site.set_fault("out");
     let answered = |site: &Site, gateway, text: &str| {
         let answer = site.chat(gateway, &prompt("small/v1", text), &[]);
@@ -233,7 +220,7 @@
 #[test]
 fn an_agent_that_slept_through_a_withdrawal_runs_nothing_on_the_version() {
     const REQUESTS: usize = 24;
-    let site = site("slept-through");
+    let site = Site::with_two_gateways("slept-through");
     let mut sheet = site.sheet();
     sheet["models"][0]["versions"][0]["state"] = json!("withdrawn");
     sheet["cascades"][0]["steps"] = json!(["large/v1"]);
@@ -270,7 +257,7 @@
 // Guards against a gateway that is started during an outage and serves nobody until its end.
 #[test]
 fn a_gateway_that_starts_in_an_outage_serves_with_the_sheet_of_an_agent() {
-    let mut site = site("outage-start");
+    let mut site = Site::with_two_gateways("outage-start");
     site.set_fault("out");
     site.gateways[0].kill();
     site.add_gateway("gateway-c", "dc-a");
--- a/tests/processes/faults.rs
+++ b/tests/processes/faults.rs
@@ -5,23 +5,10 @@
 use crate::fixture::{Site, new_key, prompt, text, wait_for};
 use crate::proxy::Proxy;
 
-fn site(test: &str) -> Site {
-    let mut site = Site::start(test);
-    site.add_engine("engine-a", "dc-a", &["small/v1", "large/v1"]);
-    site.add_engine("engine-b", "dc-b", &["small/v1", "large/v1"]);
-    site.add_service("orders-a", "dc-a", "orders");
-    site.add_gateway("gateway-a", "dc-a");
-    site.add_gateway("gateway-b", "dc-b");
-    site.apply(&site.sheet());
-    site.wait_ready(0, 3);
-    site.wait_ready(1, 3);
-    site
-}
-
 // Guards against a second run of an order that is sent again through another gateway after its own was killed.
 #[test]
 fn an_order_survives_the_death_of_its_gateway_and_agent() {
-    let mut site = site("order-faults");
+    let mut site = Site::with_two_gateways("order-faults");
     let key = new_key();
     let first = site.order(0, &key, r#"{"pallets":1}"#).expect("an answer");
 
@@ -48,7 +35,7 @@
 // Guards against an order that runs, or is said not to have run, while nobody can read its record.
 #[test]
 fn an_order_during_an_outage_is_unknown_and_runs_later() {
-    let site = site("order-outage");
+    let site = Site::with_two_gateways("order-outage");
     let key = new_key();
     site.set_fault("out");
 
@@ -72,7 +59,7 @@
 // Guards against a charge that is lost or doubled when the gateway dies before its ledger is stored.
 #[test]
 fn a_charge_survives_the_death_of_its_gateway() {
-    let mut site = site("charge");
+    let mut site = Site::with_two_gateways("charge");
     let answer = site
         .chat(0, &prompt("small/v1", "x"), &[])
         .expect("an answer");
@@ -88,7 +75,7 @@
 // Guards against a withdrawn version that still gets requests, and against a sheet that reverts.
 #[test]
 fn a_withdrawn_version_gets_no_request_and_never_comes_back() {
-    let mut site = site("withdrawn");
+    let mut site = Site::with_two_gateways("withdrawn");
     let mut sheet = site.sheet();
     let session = site
         .chat(0, &prompt("small/v1", "x"), &[])
@@ -135,7 +122,7 @@
 // Guards against a planned stop that cuts off a request.
 #[test]
 fn a_stopped_gateway_and_agent_finish_their_requests() {
-    let mut site = site("graceful");
+    let mut site = Site::with_two_gateways("graceful");
     let mut body = prompt("large/v1", "slow [[tokens=20]] [[delay=50]]");
     body["stream"] = json!(true);
 
@@ -184,7 +171,7 @@
 // Guards against two operators who both hear that their sheet is in force.
 #[test]
 fn of_two_operators_one_gets_the_difference() {
-    let site = site("operators");
+    let site = Site::with_two_gateways("operators");
     let mut mine = site.sheet();
     mine["classes"][0]["deadline"] = json!("31s");
     site.apply(&mine);
@@ -288,7 +275,7 @@
 // Guards against a gateway that waits for a stopped agent, and against one that never uses it again.
 #[test]
 fn a_stopped_agent_is_passed_by_and_used_again_later() {
-    let site = site("stopped");
+    let site = Site::with_two_gateways("stopped");
     let answered = |text: &str| {
         let answer = site.chat(0, &prompt("large/v1", text), &[]);
         answer.is_some_and(|a| a.status == 200)
@@ -305,7 +292,7 @@
 // Guards against a session that changes its version in another gateway, after its own is gone.
 #[test]
 fn a_session_stays_on_its_version() {
-    let mut site = site("session");
+    let mut site = Site::with_two_gateways("session");
     let first = site
         .chat(0, &prompt("large/v1", "start"), &[])
         .expect("an answer");
@@ -333,7 +320,7 @@
 // Guards against new work for an upstream whose VM the platform takes away.
 #[test]
 fn an_upstream_that_the_vm_list_calls_leaving_gets_no_new_work() {
-    let site = site("vm-list");
+    let site = Site::with_two_gateways("vm-list");
     let vm = |name: &str, state: &str| json!({ "name": name, "state": state });
     let list = json!({ "vms": [
         vm("engine-a", "leaving"), vm("engine-b", "live"), vm("orders-a", "live"),
@@ -357,7 +344,7 @@
 // Guards against an order of a gateway that was stopped past its lease and still believes that it has the duty.
 #[test]
 fn no_old_order_takes_effect_after_a_newer_holder() {
-    let site = site("fencing");
+    let site = Site::with_two_gateways("fencing");
     let fences = |name: &str| -> Vec<u64> {
         let orders = site.engine_orders(name);
         orders
--- a/tests/processes/fixture.rs
+++ b/tests/processes/fixture.rs
@@ -272,6 +272,20 @@
         }
     }
 
+    /// Starts a site of two engines, an order service and two gateways with a sheet in force.
+    pub fn with_two_gateways(test: &str) -> Self {
+        let mut site = Self::start(test);
+        site.add_engine("engine-a", "dc-a", &["small/v1", "large/v1"]);
+        site.add_engine("engine-b", "dc-b", &["small/v1", "large/v1"]);
+        site.add_service("orders-a", "dc-a", "orders");
+        site.add_gateway("gateway-a", "dc-a");
+        site.add_gateway("gateway-b", "dc-b");
+        site.apply(&site.sheet());
+        site.wait_ready(0, 3);
+        site.wait_ready(1, 3);
+        site
+    }
+
     /// Starts an engine and its agent.
     pub fn add_engine(&mut self, name: &str, data_centre: &str, versions: &[&str]) {
         let process = standin("engine", &[]);
--- a/tests/whole_system/attempts.rs
+++ b/tests/whole_system/attempts.rs
@@ -7,9 +7,7 @@
 use fireflywind::ledger::Charge;
 use fireflywind::peer::{LinkError, ReadBody, ReadReply, RunReply, RunRequest};
 use fireflywind::refusal::{Code, Ran, Refusal};
-use fireflywind::stream::{
-    Assembly, End, EndStatus, Fed, IncompleteReason, Part, READ_TIMEOUT, Reply, Source,
-};
+use fireflywind::stream::{Assembly, Fed, IncompleteReason, READ_TIMEOUT, Reply, Source};
 use fireflywind::units::Millis;
 
 use super::callers::Transcript;
@@ -186,8 +184,8 @@
                 head_given = true;
                 sink.head();
             }
-            let (charge, replayed) = settled(&reply.body);
-            let Some(part) = part(reply.body) else {
+            let (charge, replayed) = reply.body.settled();
+            let Some(part) = reply.body.into_part() else {
                 return incomplete(&mut assembly, IncompleteReason::AgentLost);
             };
             let source = source(reply.attempt);
@@ -244,25 +242,3 @@
     assembly.give_up(reason);
     rules::incomplete(reason).into()
 }
-
-fn settled(body: &ReadBody) -> (Option<Charge>, bool) {
-    match body {
-        ReadBody::End {
-            charge, replayed, ..
-        } => (serde_json::from_slice(charge).ok(), *replayed),
-        _ => (None, false),
-    }
-}
-
-fn part(body: ReadBody) -> Option<Part> {
-    Some(match body {
-        ReadBody::Pending => Part::Pending,
-        ReadBody::Chunk { offset, bytes } => Part::Chunk { offset, bytes },
-        ReadBody::End { length, digest, .. } => Part::End(End {
-            status: EndStatus::Complete,
-            length,
-            digest,
-        }),
-        ReadBody::Failed(_) | ReadBody::Gone => return None,
-    })
-}
