Check a request again that waited for its slot

Change: when a slot is free and another sheet is in force than at the admission, the request is checked against it and refused as not run.

Ruled out: emptying the queue when a sheet comes into force (most of the waiting requests are still allowed).

Before: a_request_that_waits_does_not_run_on_a_version_withdrawn_meanwhile got its answer from the withdrawn version. After: 409, not_run, no run.

--- a/src/agent/engine.rs
+++ b/src/agent/engine.rs
@@ -77,6 +77,7 @@
     let Some(_slot) = place.slot().await else {
         return Err(no_slot().into());
     };
+    shared.check_again(billed.in_force, req)?;
     admit_suspect(shared, req, run).await?;
     if !shared.engine_up.get() {
         // A request that met an engine in its restart would look like one that crashed it.
--- a/src/agent/keyed.rs
+++ b/src/agent/keyed.rs
@@ -34,6 +34,10 @@
         answer.fail(no_slot(), false);
         return;
     };
+    if let Err(refusal) = shared.check_again(&in_force, &req) {
+        answer.fail(refusal, false);
+        return;
+    }
     let call = KeyedCall {
         account: req.account.clone(),
         key,
--- a/src/agent/service.rs
+++ b/src/agent/service.rs
@@ -58,6 +58,7 @@
     let Some(_slot) = place.slot().await else {
         return Err(no_slot());
     };
+    shared.check_again(in_force, req)?;
     let mut response = send(shared, req)
         .await
         .map_err(|error| refusals::service(&error).resend_safe())?;
--- a/src/agent/shared.rs
+++ b/src/agent/shared.rs
@@ -3,16 +3,19 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use super::admission;
 use super::answers::Answers;
 use super::leases::RecordLease;
 use super::orders::Orders;
 use super::slots::Slots;
 use crate::clock::Clock;
-use crate::follower::Follower;
+use crate::follower::{Follower, InForce};
 use crate::idempotency::{KNOWN_BYTES, KnownKeys};
 use crate::ids::{Incarnation, UpstreamId};
 use crate::ledger::HeldCharges;
+use crate::peer::RunRequest;
 use crate::platform::KeyValue;
+use crate::refusal::Refusal;
 use crate::settings;
 use crate::suspect::{self, MAX_REPORTS, Suspects};
 use crate::telemetry::Metrics;
@@ -106,6 +109,21 @@
     }
 }
 
+impl Shared {
+    /// Checks a request again that waited for a slot, if another sheet is in force since it was admitted.
+    ///
+    /// # Errors
+    /// The [`Refusal`] of a request that the present sheet does not allow; it has not run.
+    pub fn check_again(&self, admitted: &InForce, req: &RunRequest) -> Result<(), Refusal> {
+        match self.follower.in_force() {
+            Some(present) if present.revision != admitted.revision => {
+                admission::admit(&present.sheet, &self.upstream, req).map(drop)
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
 /// Draws a random number.
 pub(super) fn draw() -> u64 {
     let (draw, _) = uuid::Uuid::new_v4().as_u64_pair();
--- a/tests/processes/faults.rs
+++ b/tests/processes/faults.rs
@@ -414,3 +414,57 @@
         "the new holder has no newer token: {last}"
     );
 }
+
+// Guards against a request that waits for a slot while its version is withdrawn, and runs on it afterwards.
+#[test]
+fn a_request_that_waits_does_not_run_on_a_version_withdrawn_meanwhile() {
+    let mut site = Site::start("queued");
+    site.add_engine("engine-a", "dc-a", &["small/v1", "large/v1"]);
+    site.add_service("orders-a", "dc-a", "orders");
+    site.add_gateway("gateway-a", "dc-a");
+    let mut sheet = site.sheet();
+    sheet["upstreams"][0]["serves"]["engine"]["slots"] = json!(1);
+    site.apply(&sheet);
+    site.wait_ready(0, 2);
+    let running = |count: u64| {
+        let admin = site.upstreams[0]
+            .agent
+            .admin
+            .expect("an agent has an admin listener");
+        let status = crate::fixture::http(admin, "GET", "/status", &[], "");
+        status.is_some_and(|s| s.json()["running"].as_u64() >= Some(count))
+    };
+
+    let (slow, queued) = std::thread::scope(|scope| {
+        let site = &site;
+        let slow = prompt("large/v1", "slow [[tokens=60]] [[delay=50]]");
+        let slow = scope.spawn(move || site.chat(0, &slow, &[]));
+        wait_for("first request at the agent", || running(1));
+        let queued = scope.spawn(move || site.chat(0, &prompt("small/v1", "queued"), &[]));
+        wait_for("second request in the queue", || running(2));
+        sheet["models"][0]["versions"][0]["state"] = json!("withdrawn");
+        sheet["cascades"][0]["steps"] = json!(["large/v1"]);
+        site.apply(&sheet);
+        wait_for("sheet at the agent", || {
+            let admin = site.upstreams[0]
+                .agent
+                .admin
+                .expect("an agent has an admin listener");
+            let status = crate::fixture::http(admin, "GET", "/status", &[], "");
+            status.is_some_and(|s| s.json()["revision"] == json!(2))
+        });
+        (
+            slow.join().expect("no panic"),
+            queued.join().expect("no panic"),
+        )
+    });
+
+    assert_eq!(slow.map(|a| a.status), Some(200));
+    let queued = queued.expect("an answer");
+    assert_eq!(
+        (queued.status, queued.ran().as_str()),
+        (409, "not_run"),
+        "{queued:?}"
+    );
+    assert_eq!(site.engine_runs("queued"), 0);
+}
