Plan a request of a class again if its version was withdrawn

Cause: a request that waited in an agent's queue while its version was withdrawn was refused to its caller, although its class has other versions.

Change: when an agent refuses a version as withdrawn, nothing has run and the gateway has a newer sheet, a request of a class is planned again.

Ruled out: the same for a request that names the version (its caller asked for that one and hears 409).

Before: the case of a class in a_request_that_waits_does_not_run got 409. After: 200 by the other version of the cascade.

--- a/src/gateway/serve/job.rs
+++ b/src/gateway/serve/job.rs
@@ -214,6 +214,9 @@
                 Ended::Refused(failed) => failed,
             };
             tried.failed.push(upstream);
+            if self.may_plan_again(&failed.refusal) {
+                return StepEnd::SheetBehind;
+            }
             if failed.refusal.ran != Ran::NotRun {
                 if !sink.restart() {
                     sink.cut_off(&failed.refusal).await;
@@ -243,6 +246,16 @@
         StepEnd::Refused(last.unwrap_or_else(full))
     }
 
+    /// Tells whether an agent refused a version that a newer sheet has withdrawn since the plan was made.
+    fn may_plan_again(&self, refusal: &Refusal) -> bool {
+        let is_replaced = self.shared.follower.revision() != self.in_force.revision;
+        refusal.code == Code::VersionWithdrawn
+            && refusal.ran == Ran::NotRun
+            && !self.may_have_run
+            && is_replaced
+            && matches!(self.asked, Asked::Class(_))
+    }
+
     fn pick(&self, target: &Target, prefix: Option<u64>, tried: &mut Tried) -> Option<Pick> {
         let mut links = self.shared.links.borrow_mut();
         let draws = [draw(), draw()];
--- a/tests/processes/faults.rs
+++ b/tests/processes/faults.rs
@@ -435,13 +435,15 @@
         status.is_some_and(|s| s.json()["running"].as_u64() >= Some(count))
     };
 
-    let (slow, queued) = std::thread::scope(|scope| {
+    let (slow, queued, by_class) = std::thread::scope(|scope| {
         let site = &site;
         let slow = prompt("large/v1", "slow [[tokens=60]] [[delay=50]]");
         let slow = scope.spawn(move || site.chat(0, &slow, &[]));
         wait_for("first request at the agent", || running(1));
         let queued = scope.spawn(move || site.chat(0, &prompt("small/v1", "queued"), &[]));
         wait_for("second request in the queue", || running(2));
+        let by_class = scope.spawn(move || site.chat(0, &prompt("tags", "by class"), &[]));
+        wait_for("third request in the queue", || running(3));
         sheet["models"][0]["versions"][0]["state"] = json!("withdrawn");
         sheet["cascades"][0]["steps"] = json!(["large/v1"]);
         site.apply(&sheet);
@@ -453,10 +455,8 @@
             let status = crate::fixture::http(admin, "GET", "/status", &[], "");
             status.is_some_and(|s| s.json()["revision"] == json!(2))
         });
-        (
-            slow.join().expect("no panic"),
-            queued.join().expect("no panic"),
-        )
+        let join = |chat: std::thread::ScopedJoinHandle<'_, _>| chat.join().expect("no panic");
+        (join(slow), join(queued), join(by_class))
     });
 
     assert_eq!(slow.map(|a| a.status), Some(200));
@@ -467,4 +467,8 @@
         "{queued:?}"
     );
     assert_eq!(site.engine_runs("queued"), 0);
+    // A request of a class is planned again under the new sheet.
+    let by_class = by_class.expect("an answer");
+    assert_eq!(by_class.status, 200, "{by_class:?}");
+    assert_eq!(by_class.header("fireflywind-version"), Some("large/v1"));
 }
