Export the calls to the key-value service, test leaving and stopping

Cause: the call budget was counted but not exported, and no process test had a caller who leaves, or a second signal during a stop.

Change: both daemons export calls and refused calls; process tests for the caller who leaves a stream, the second signal and the metrics.

Ruled out: a metric for each kind of call (the budget knows reads and writes only).

The test of the second signal was not seen red.

--- a/src/agent/background.rs
+++ b/src/agent/background.rs
@@ -38,6 +38,7 @@
 }
 
 fn export(shared: &Shared) {
+    shared.metrics.calls(shared.kv.counts());
     let count = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
     shared
         .metrics
--- a/src/gateway/background.rs
+++ b/src/gateway/background.rs
@@ -56,6 +56,7 @@
 }
 
 fn export(shared: &Shared) {
+    shared.metrics.calls(shared.kv.counts());
     let count = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
     let now = shared.clock.now();
     shared
--- a/src/platform/etcd.rs
+++ b/src/platform/etcd.rs
@@ -364,6 +364,10 @@
 }
 
 impl KeyValue for EtcdKv {
+    fn counts(&self) -> CallCounts {
+        self.calls()
+    }
+
     fn get<'a>(&'a self, key: &'a str) -> LocalFuture<'a, Result<Option<Entry>, KvError>> {
         Box::pin(self.get_entry(key))
     }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -13,6 +13,8 @@
 
 use bytes::Bytes;
 
+use budget::CallCounts;
+
 use crate::units::Millis;
 
 /// Largest value that the service holds, in bytes.
@@ -122,6 +124,11 @@
 ///
 /// Each call counts against the service's rates; a waiting watch counts as one.
 pub trait KeyValue: fmt::Debug {
+    /// Returns the calls so far, as far as the client counts them.
+    fn counts(&self) -> CallCounts {
+        CallCounts::default()
+    }
+
     /// Reads one key.
     ///
     /// # Errors
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::fmt;
 
+use crate::platform::budget::CallCounts;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
 };
@@ -133,6 +134,15 @@
         self.values.with_label_values(&[name]).set(value);
     }
 
+    /// Sets the numbers of calls to the key-value service so far.
+    pub fn calls(&self, counts: CallCounts) {
+        let value = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
+        self.value("kv_reads", value(counts.reads));
+        self.value("kv_writes", value(counts.writes));
+        self.value("kv_reads_refused", value(counts.refused_reads));
+        self.value("kv_writes_refused", value(counts.refused_writes));
+    }
+
     /// Returns the count of an event.
     #[must_use]
     pub fn event_count(&self, name: &'static str) -> u64 {
--- a/tests/processes/faults.rs
+++ b/tests/processes/faults.rs
@@ -472,3 +472,63 @@
     assert_eq!(by_class.status, 200, "{by_class:?}");
     assert_eq!(by_class.header("fireflywind-version"), Some("large/v1"));
 }
+
+// Guards against a run that goes on, and holds its slot, for a caller who has left.
+#[test]
+fn a_caller_who_leaves_ends_the_run() {
+    use std::io::{Read as _, Write as _};
+
+    let site = Site::with_two_gateways("leaves");
+    let text = "long [[tokens=1000]] [[delay=50]]";
+    let mut body = prompt("large/v1", text);
+    body["stream"] = json!(true);
+    let body = body.to_string();
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n",
+        crate::fixture::SHOP_KEY,
+        body.len()
+    );
+    let mut caller = std::net::TcpStream::connect(site.gateways[0].addr).expect("it listens");
+    caller
+        .write_all(head.as_bytes())
+        .expect("the socket takes the bytes");
+    caller
+        .write_all(body.as_bytes())
+        .expect("the socket takes the bytes");
+    let mut first = [0; 512];
+    assert!(caller.read(&mut first).expect("the answer begins") > 0);
+    assert_eq!(site.engine_runs(text), 1);
+
+    drop(caller);
+
+    wait_for("end of the run", || site.runs_in_state(text, "ended") == 1);
+}
+
+// Guards against a daemon that cannot be stopped at once while a request holds up its graceful stop.
+#[test]
+fn a_second_signal_stops_at_once() {
+    let mut site = Site::with_two_gateways("second-signal");
+    let mut body = prompt("large/v1", "long [[tokens=1000]] [[delay=50]]");
+    body["stream"] = json!(true);
+
+    std::thread::scope(|scope| {
+        let gateway = &site.gateways[0];
+        let chat = scope.spawn(|| site.chat(0, &body, &[]));
+        wait_for("run at an engine", || {
+            site.engine_runs("long [[tokens=1000]] [[delay=50]]") == 1
+        });
+        gateway.signal("TERM");
+        wait_for("begin of the stop", || {
+            gateway.log().contains("event=stop_requested")
+        });
+        gateway.signal("TERM");
+        let answer = chat.join().expect("no panic");
+        assert!(
+            answer.is_none_or(|a| !a.whole),
+            "the answer cannot be whole yet"
+        );
+    });
+
+    assert_eq!(site.gateways[0].wait(), Some(5));
+}
--- a/tests/processes/fixture.rs
+++ b/tests/processes/fixture.rs
@@ -476,14 +476,29 @@
         )
     }
 
-    /// Returns how often an engine ran a prompt.
-    pub fn engine_runs(&self, prompt: &str) -> usize {
+    /// Returns the runs of a prompt at all engines.
+    fn runs_of(&self, prompt: &str) -> Vec<Value> {
         let digest = sha256(prompt);
         let engines = self.upstreams.iter().filter(|u| u.kind == "engine");
         let runs = engines.filter_map(|u| http(u.process.addr, "GET", "/runs", &[], ""));
-        let runs: Vec<_> = runs.map(|runs| runs.json()).collect();
-        let runs = runs.iter().filter_map(Value::as_array).flatten();
-        runs.filter(|run| run["prompt"] == digest.as_str()).count()
+        let runs = runs
+            .filter_map(|runs| runs.json().as_array().cloned())
+            .flatten();
+        runs.filter(|run| run["prompt"] == digest.as_str())
+            .collect()
+    }
+
+    /// Returns how often an engine ran a prompt.
+    pub fn engine_runs(&self, prompt: &str) -> usize {
+        self.runs_of(prompt).len()
+    }
+
+    /// Returns how many runs of a prompt are in a state: `running`, `done` or `ended`.
+    pub fn runs_in_state(&self, prompt: &str, state: &str) -> usize {
+        self.runs_of(prompt)
+            .iter()
+            .filter(|run| run["state"] == state)
+            .count()
     }
 
     /// Returns the number of runs of one engine.
--- a/tests/processes/whole_path.rs
+++ b/tests/processes/whole_path.rs
@@ -52,6 +52,19 @@
     let bill = site.bill(1);
     assert_eq!(total(&bill), 1, "{bill}");
     assert_eq!(bill["unknown"], json!([]));
+
+    let admin = site.gateways[0]
+        .admin
+        .expect("a gateway has an admin listener");
+    let metrics = fixture::http(admin, "GET", "/metrics", &[], "").expect("an answer");
+    let metrics = String::from_utf8_lossy(&metrics.body).into_owned();
+    let request = "fireflywind_requests_total{account=\"shop\",class=\"tags\",outcome=\"ok\"} 1";
+    assert!(metrics.contains(request), "{metrics}");
+    let reads = "fireflywind_value{name=\"kv_reads\"} 0";
+    assert!(
+        metrics.contains("kv_reads") && !metrics.contains(reads),
+        "{metrics}"
+    );
 }
 
 // Guards against a stream whose bytes differ from what the engine sent.
