Record the time to the first byte

Cause: found on reading: the histogram of the time to the first byte, on which the target has a bound, was registered and never observed.

Change: streams observe it with their first bytes, whole answers when they go out; Retry-After is computed in one place; an unused method and two faults of doc links are gone; the agent's status names its data centre.

Ruled out: observing it at the status line (a stream's first token may come much later).

--- a/src/agent/background.rs
+++ b/src/agent/background.rs
@@ -72,6 +72,7 @@
             200,
             &json!({
                 "upstream": shared.upstream,
+                "data_centre": shared.data_centre,
                 "incarnation": shared.incarnation,
                 "revision": shared.follower.revision(),
                 "leaving": shared.leaving.get(),
--- a/src/agent/shared.rs
+++ b/src/agent/shared.rs
@@ -11,7 +11,7 @@
 use crate::clock::Clock;
 use crate::follower::{Follower, InForce};
 use crate::idempotency::{KNOWN_BYTES, KnownKeys};
-use crate::ids::{Incarnation, UpstreamId};
+use crate::ids::{DataCentre, Incarnation, UpstreamId};
 use crate::ledger::HeldCharges;
 use crate::peer::RunRequest;
 use crate::platform::KeyValue;
@@ -35,6 +35,7 @@
 #[derive(Debug)]
 pub(super) struct Shared {
     pub upstream: UpstreamId,
+    pub data_centre: DataCentre,
     pub incarnation: Incarnation,
     pub clock: Clock,
     pub kv: Rc<dyn KeyValue>,
@@ -81,6 +82,7 @@
         let name = cfg.upstream.as_str();
         Rc::new(Self {
             upstream: cfg.upstream.clone(),
+            data_centre: cfg.data_centre.clone(),
             incarnation,
             clock,
             follower: Follower::open(name, Rc::clone(&kv), clock, draw()),
--- a/src/follower/mod.rs
+++ b/src/follower/mod.rs
@@ -1,7 +1,7 @@
 //! Follows the sheet in force: performs the effects of the dissemination's state machine.
 //!
 //! The rules (never a lower revision, never a root with missing parts) are those of
-//! [`Replica`](crate::dissemination::Replica); this module does its reads and turns the parts into a sheet.
+//! [`Replica`]; this module does its reads and turns the parts into a sheet.
 
 mod root;
 #[cfg(test)]
--- a/src/gateway/planning.rs
+++ b/src/gateway/planning.rs
@@ -1,4 +1,4 @@
-//! Collects what a plan depends on; pure but for [`collect`].
+//! Collects what a plan depends on; pure but for `collect`.
 
 use super::chat::Chat;
 use super::shared::Shared;
--- a/src/gateway/serve/job.rs
+++ b/src/gateway/serve/job.rs
@@ -13,7 +13,7 @@
 use super::sinks::{Labels, Reply, Restart};
 use crate::follower::InForce;
 use crate::http::Outgoing;
-use crate::ids::{ClassId, RequestId, UpstreamId, VersionRef};
+use crate::ids::{AccountId, ClassId, RequestId, UpstreamId, VersionRef};
 use crate::ledger::Charge;
 use crate::limits::{Passage, backoff};
 use crate::peer::{Head, RunRequest, Target};
@@ -75,6 +75,24 @@
     limited: Option<Limited>,
 }
 
+/// Notes the time from a request's arrival to the first byte of its answer.
+#[derive(Debug)]
+pub(super) struct FirstByte {
+    shared: Rc<Shared>,
+    account: AccountId,
+    class: ClassId,
+    arrival: Instant,
+}
+
+impl FirstByte {
+    /// Notes that the first byte goes out now.
+    pub fn note(&self) {
+        let seconds = self.arrival.elapsed().as_secs_f64();
+        let (account, class) = (self.account.as_str(), self.class.as_str());
+        self.shared.metrics.first_byte(account, class, seconds);
+    }
+}
+
 impl Job {
     /// Opens a request in the ledger.
     pub fn open(
@@ -110,6 +128,16 @@
         })
     }
 
+    /// Returns what notes the first byte of the answer.
+    pub fn first_byte(&self) -> FirstByte {
+        FirstByte {
+            shared: Rc::clone(&self.shared),
+            account: self.ask.account.clone(),
+            class: self.class.clone(),
+            arrival: self.arrival,
+        }
+    }
+
     /// Sets the time from arrival to the end of the answer.
     pub const fn set_deadline(&mut self, deadline: Millis) {
         self.deadline = deadline;
@@ -399,6 +427,7 @@
                 version,
             } => {
                 let outgoing = Outgoing::whole(head.status, &head.content_type, body);
+                self.first_byte().note();
                 reply.give(self.labels(Some(&version)).put(outgoing));
                 self.answered(&whole)
             }
--- a/src/gateway/serve/sinks.rs
+++ b/src/gateway/serve/sinks.rs
@@ -12,7 +12,7 @@
 
 use super::super::api::SESSION_HEADER;
 use super::super::attempt::Sink;
-use super::job::Job;
+use super::job::{FirstByte, Job};
 use crate::http::{Outgoing, error_body};
 use crate::ids::VersionRef;
 use crate::peer::Head;
@@ -81,7 +81,8 @@
     labels: Labels,
     tx: Option<mpsc::Sender<io::Result<Bytes>>>,
     is_events: bool,
-    handed: bool,
+    /// Taken with the first bytes.
+    first_byte: Option<FirstByte>,
 }
 
 impl Stream {
@@ -91,7 +92,7 @@
             labels: job.labels(version),
             tx: None,
             is_events: false,
-            handed: false,
+            first_byte: Some(job.first_byte()),
         }
     }
 }
@@ -121,7 +122,9 @@
         let Some(tx) = &self.tx else {
             return false;
         };
-        self.handed = true;
+        if let Some(first_byte) = self.first_byte.take() {
+            first_byte.note();
+        }
         tx.send(Ok(bytes)).await.is_ok()
     }
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -17,6 +17,7 @@
 
 pub use server::{Bounds, Running, bind};
 
+use crate::limits::retry_after_secs;
 use crate::platform::LocalFuture;
 use crate::refusal::Refusal;
 
@@ -96,7 +97,7 @@
     pub fn refusal(refusal: &Refusal) -> Self {
         let mut outgoing = Self::json(refusal.code.status(), &error_body(refusal));
         if let Some(after) = refusal.retry_after {
-            let seconds = after.0.div_ceil(1_000);
+            let seconds = retry_after_secs(after);
             outgoing
                 .response
                 .headers_mut()
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -3,11 +3,12 @@
 use std::cell::RefCell;
 use std::fmt;
 
-use crate::platform::budget::CallCounts;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
+use crate::platform::budget::CallCounts;
+
 /// Most label values of one kind; further ones are counted under `other`.
 ///
 /// At ten accounts and ten classes a process exports about a thousand series.
@@ -143,12 +144,6 @@
         self.value("kv_writes_refused", value(counts.refused_writes));
     }
 
-    /// Returns the count of an event.
-    #[must_use]
-    pub fn event_count(&self, name: &'static str) -> u64 {
-        self.events.with_label_values(&[name]).get()
-    }
-
     /// Encodes all metrics in the Prometheus text format.
     #[must_use]
     pub fn text(&self) -> String {
--- a/tests/processes/whole_path.rs
+++ b/tests/processes/whole_path.rs
@@ -60,6 +60,8 @@
     let metrics = String::from_utf8_lossy(&metrics.body).into_owned();
     let request = "fireflywind_requests_total{account=\"shop\",class=\"tags\",outcome=\"ok\"} 1";
     assert!(metrics.contains(request), "{metrics}");
+    let first = "fireflywind_first_byte_seconds_count{account=\"shop\",class=\"tags\"} 1";
+    assert!(metrics.contains(first), "{metrics}");
     let reads = "fireflywind_value{name=\"kv_reads\"} 0";
     assert!(
         metrics.contains("kv_reads") && !metrics.contains(reads),
