Keep the repetition time of crash reports in one place

Cause: gateway and agent had the same ten seconds as a constant and as a bare number.

Change: one constant beside the codec of the reports.

Ruled out: a change of the time.

--- a/src/agent/calls.rs
+++ b/src/agent/calls.rs
@@ -20,9 +20,6 @@
 use crate::suspect;
 use crate::units::Millis;
 
-/// Age up to which crash reports are repeated in each status; older ones have reached every gateway.
-const REPEAT_REPORTS: Millis = Millis::from_secs(10);
-
 /// Time after which a caller may try a full upstream again.
 const FULL_RETRY: Millis = Millis::from_secs(1);
 
@@ -184,7 +181,7 @@
         let suspects = shared.suspects.borrow();
         let reports = suspects.suspects().reports().iter();
         let recent: Vec<_> = reports
-            .filter(|r| unix.since(r.at) < REPEAT_REPORTS)
+            .filter(|r| unix.since(r.at) < suspect::REPEATED_FOR)
             .copied()
             .collect();
         Status {
--- a/src/gateway/links/status.rs
+++ b/src/gateway/links/status.rs
@@ -59,7 +59,7 @@
     let suspects = shared.suspects.borrow();
     let reports = suspects.reports().iter();
     let recent = reports
-        .filter(|r| all || now.since(r.at) < Millis::from_secs(10))
+        .filter(|r| all || now.since(r.at) < suspect::REPEATED_FOR)
         .copied();
     Status {
         name: shared.name.clone(),
