Use one draw, one digest text, one duty name and one status fixture

Gateway and agent drew random numbers each with their own copy, the lookup of API keys had a hexadecimal form of its own beside sheet::digest, the agent took the name of the duty from the gateway's module, and five process tests asked agents for their status by hand.

Change: ids::draw, Digest::of, fencing::FLEET_DUTY and Upstream::status in the fixture serve all of them. The draw also mixes both halves of the UUID: its upper half alone has four fixed bits.

--- a/src/agent/keyed.rs
+++ b/src/agent/keyed.rs
@@ -9,13 +9,14 @@
 use super::leases;
 use super::refusals;
 use super::service::{self, Whole};
-use super::shared::{Shared, draw};
+use super::shared::Shared;
 use super::slots::{Place, no_slot};
 use crate::follower::InForce;
 use crate::idempotency::{
     Attempt, Call, CallDigest, Effect, IdempotencyKey, KeptBody, KeyedAnswer, KeyedCall, Outcome,
     RecordWrite, RunEnd, Step,
 };
+use crate::ids::draw;
 use crate::peer::RunRequest;
 use crate::platform::{Change, KvError, TxnOutcome};
 use crate::refusal::{Code, Ran, Refusal};
--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -8,8 +8,9 @@
 use tokio::sync::oneshot;
 
 use super::shared::{Client, Shared};
-use crate::fencing::{EngineOrders, Fence, OrderEffect, OrderEnd, SETTLE, Verdict, fence_key};
-use crate::gateway::DUTY;
+use crate::fencing::{
+    EngineOrders, FLEET_DUTY, Fence, OrderEffect, OrderEnd, SETTLE, Verdict, fence_key,
+};
 use crate::upstream::UpstreamError;
 
 /// Status with which an engine refuses an order of an old fencing token.
@@ -127,7 +128,7 @@
 }
 
 async fn read_highest(shared: Rc<Shared>) {
-    let key = fence_key(DUTY);
+    let key = fence_key(FLEET_DUTY);
     let read = shared.kv.get(&key).await;
     let highest = read.map(|entry| Fence::highest(entry.as_ref()));
     let now = shared.clock.now();
--- a/src/agent/shared.rs
+++ b/src/agent/shared.rs
@@ -85,7 +85,7 @@
             data_centre: cfg.data_centre.clone(),
             incarnation,
             clock,
-            follower: Follower::open(name, Rc::clone(&kv), clock, draw()),
+            follower: Follower::open(name, Rc::clone(&kv), clock, crate::ids::draw()),
             kv,
             client,
             answers: RefCell::default(),
@@ -125,9 +125,3 @@
         }
     }
 }
-
-/// Draws a random number.
-pub(super) fn draw() -> u64 {
-    let (draw, _) = uuid::Uuid::new_v4().as_u64_pair();
-    draw
-}
--- a/src/fencing/mod.rs
+++ b/src/fencing/mod.rs
@@ -21,6 +21,9 @@
 use crate::ids::Incarnation;
 use crate::platform::{Change, Compare, Entry, LeaseId};
 
+/// Duty of stepping roll-outs and of giving orders to engines, which one gateway has at a time.
+pub const FLEET_DUTY: &str = "fleet";
+
 /// A fencing token.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/src/gateway/account.rs
+++ b/src/gateway/account.rs
@@ -1,10 +1,10 @@
 //! Finds the client account of an API key.
 
-use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
 use crate::http::Incoming;
 use crate::refusal::{Code, Refusal};
+use crate::sheet::digest::Digest;
 use crate::sheet::{Account, Sheet};
 
 /// Longest API key, in bytes.
@@ -24,7 +24,7 @@
         .map(str::trim);
     let key = key.filter(|key| !key.is_empty() && key.len() <= MAX_KEY_BYTES);
     let key = key.ok_or_else(|| refuse("an API key is needed as a bearer token"))?;
-    let hash = hex(&Sha256::digest(key));
+    let hash = Digest::of(key.as_bytes()).to_string();
     let mut found = None;
     for account in &sheet.accounts {
         for known in &account.key_hashes {
@@ -35,13 +35,3 @@
     }
     found.ok_or_else(|| refuse("the API key is not known"))
 }
-
-fn hex(bytes: &[u8]) -> String {
-    use std::fmt::Write as _;
-
-    bytes.iter().fold(String::new(), |mut text, byte| {
-        // Writing to a string cannot fail.
-        let _ = write!(text, "{byte:02x}");
-        text
-    })
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -34,7 +34,6 @@
 use crate::settings;
 use crate::units::Millis;
 
-pub(crate) use presence::DUTY;
 use shared::Shared;
 
 /// Time between two looks at whether the ledger is stored.
--- a/src/gateway/presence.rs
+++ b/src/gateway/presence.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 
-use crate::fencing::{self, Fence, Holder};
+use crate::fencing::{self, FLEET_DUTY, Fence, Holder};
 use crate::ids::Incarnation;
 use crate::platform::{Change, KeyValue, KvError, LeaseId, TxnOutcome};
 use crate::units::Millis;
@@ -18,9 +18,6 @@
 /// Prefix of the entries of live gateways.
 const PREFIX: &str = "/fireflywind/gateway/";
 
-/// Duty of stepping roll-outs and of giving orders to engines.
-pub(crate) const DUTY: &str = "fleet";
-
 /// What the gateway holds in the key-value service.
 #[derive(Debug)]
 pub(super) struct Presence {
@@ -114,7 +111,7 @@
 
 /// Claims the duty; the claim of another gateway stands until its lease ends.
 async fn claim(shared: &Shared, lease: LeaseId, asked_at: Millis) -> Result<(), KvError> {
-    let (conditions, changes) = fencing::claim(DUTY, shared.incarnation, lease);
+    let (conditions, changes) = fencing::claim(FLEET_DUTY, shared.incarnation, lease);
     let fence = match shared.kv.txn(conditions, changes).await {
         Ok(TxnOutcome::Applied(revision)) => Some(Fence(revision)),
         Ok(TxnOutcome::Conflict) => None,
@@ -130,7 +127,7 @@
 
 /// Reads whether a claim whose answer was lost took effect.
 async fn claimed(shared: &Shared, own: Incarnation) -> Result<Option<Fence>, KvError> {
-    let entry = shared.kv.get(&fencing::lease_key(DUTY)).await?;
+    let entry = shared.kv.get(&fencing::lease_key(FLEET_DUTY)).await?;
     Ok(entry.and_then(|entry| Fence::of_claim(&entry, own)))
 }
 
--- a/src/gateway/serve/job.rs
+++ b/src/gateway/serve/job.rs
@@ -6,14 +6,14 @@
 use bytes::Bytes;
 
 use super::super::attempt::{self, Ended, Failed, Whole};
-use super::super::shared::{Shared, draw};
+use super::super::shared::Shared;
 use super::super::{rollouts, rules};
 use super::Ask;
 use super::limited::Limited;
 use super::sinks::{Labels, Reply, Restart};
 use crate::follower::InForce;
 use crate::http::Outgoing;
-use crate::ids::{AccountId, ClassId, RequestId, UpstreamId, VersionRef};
+use crate::ids::{AccountId, ClassId, RequestId, UpstreamId, VersionRef, draw};
 use crate::ledger::Charge;
 use crate::limits::{Passage, backoff};
 use crate::peer::{Head, RunRequest, Target};
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -67,7 +67,7 @@
             data_centre: cfg.data_centre.clone(),
             incarnation,
             clock,
-            follower: Follower::open(&cfg.name, Rc::clone(&kv), clock, draw()),
+            follower: Follower::open(&cfg.name, Rc::clone(&kv), clock, crate::ids::draw()),
             kv,
             peer_key,
             sessions,
@@ -103,9 +103,3 @@
         );
     }
 }
-
-/// Draws a random number.
-pub(super) fn draw() -> u64 {
-    let (draw, _) = uuid::Uuid::new_v4().as_u64_pair();
-    draw
-}
--- a/src/ids/mod.rs
+++ b/src/ids/mod.rs
@@ -150,6 +150,14 @@
     }
 }
 
+/// Draws 64 bits from the operating system's random source.
+#[must_use]
+pub fn draw() -> u64 {
+    // The fixed bits of each half of a version 4 UUID meet random bits of the other half.
+    let (high, low) = uuid::Uuid::new_v4().as_u64_pair();
+    high ^ low.rotate_left(32)
+}
+
 /// One run of a process, drawn at random when the process starts.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
--- a/tests/processes/double_faults.rs
+++ b/tests/processes/double_faults.rs
@@ -239,11 +239,8 @@
             .map(|caller| caller.join().expect("no panic").expect("an answer"));
         answers.collect::<Vec<_>>()
     });
-    let admin = site.upstreams[0].agent.admin;
-    let admin = admin.expect("an agent has an admin listener");
     wait_for("the new sheet at the agent", || {
-        let status = http(admin, "GET", "/status", &[], "");
-        status.is_some_and(|s| s.json()["revision"] == json!(2))
+        site.upstreams[0].status()["revision"] == json!(2)
     });
 
     for (n, answer) in answers.iter().enumerate() {
@@ -308,12 +305,7 @@
     assert_ne!(answer.status, 200, "{answer:?}");
     site.upstreams[0].agent.signal("CONT");
     wait_for("sheet at the agent", || {
-        let admin = site.upstreams[0]
-            .agent
-            .admin
-            .expect("an agent has an admin listener");
-        let status = crate::fixture::http(admin, "GET", "/status", &[], "");
-        status.is_some_and(|s| s.json()["revision"] == json!(2))
+        site.upstreams[0].status()["revision"] == json!(2)
     });
     wait_for("answer on another version", || {
         let answer = site.chat(0, &prompt("large/v1", "later"), &[]);
--- a/tests/processes/faults.rs
+++ b/tests/processes/faults.rs
@@ -133,11 +133,7 @@
             .map(|n| scope.spawn(move || site.chat(n % 2, body, &[])))
             .collect();
         wait_for("requests at the agents", || {
-            let busy = |u: &crate::fixture::Upstream| {
-                let admin = u.agent.admin.expect("an agent has an admin listener");
-                let status = crate::fixture::http(admin, "GET", "/status", &[], "");
-                status.is_some_and(|s| s.json()["running"].as_u64() > Some(0))
-            };
+            let busy = |u: &crate::fixture::Upstream| u.status()["running"].as_u64() > Some(0);
             site.upstreams.iter().filter(|u| busy(u)).count() >= 2
         });
         site.gateways[0].signal("TERM");
@@ -426,14 +422,7 @@
     sheet["upstreams"][0]["serves"]["engine"]["slots"] = json!(1);
     site.apply(&sheet);
     site.wait_ready(0, 2);
-    let running = |count: u64| {
-        let admin = site.upstreams[0]
-            .agent
-            .admin
-            .expect("an agent has an admin listener");
-        let status = crate::fixture::http(admin, "GET", "/status", &[], "");
-        status.is_some_and(|s| s.json()["running"].as_u64() >= Some(count))
-    };
+    let running = |count: u64| site.upstreams[0].status()["running"].as_u64() >= Some(count);
 
     let (slow, queued, by_class) = std::thread::scope(|scope| {
         let site = &site;
@@ -448,12 +437,7 @@
         sheet["cascades"][0]["steps"] = json!(["large/v1"]);
         site.apply(&sheet);
         wait_for("sheet at the agent", || {
-            let admin = site.upstreams[0]
-                .agent
-                .admin
-                .expect("an agent has an admin listener");
-            let status = crate::fixture::http(admin, "GET", "/status", &[], "");
-            status.is_some_and(|s| s.json()["revision"] == json!(2))
+            site.upstreams[0].status()["revision"] == json!(2)
         });
         let join = |chat: std::thread::ScopedJoinHandle<'_, _>| chat.join().expect("no panic");
         (join(slow), join(queued), join(by_class))
--- a/tests/processes/fixture.rs
+++ b/tests/processes/fixture.rs
@@ -253,6 +253,16 @@
     kind: &'static str,
 }
 
+impl Upstream {
+    /// Returns the status of the agent.
+    pub fn status(&self) -> Value {
+        let admin = self.agent.admin.expect("an agent has an admin listener");
+        http(admin, "GET", "/status", &[], "")
+            .map(|s| s.json())
+            .unwrap_or_default()
+    }
+}
+
 static NEXT_DIR: AtomicU32 = AtomicU32::new(0);
 
 impl Site {
