--- a/src/agent/calls.rs
+++ b/src/agent/calls.rs
@@ -10,11 +10,11 @@
 use super::{admission, engine, keyed, orders, service, stall};
 use crate::dissemination::Admission;
 use crate::follower::InForce;
+use crate::kv::LocalFuture;
 use crate::ledger::Flushed;
 use crate::peer::{
     Head, PeerCalls, ReadBody, ReadReply, ReadRequest, RunReply, RunRequest, Status,
 };
-use crate::platform::LocalFuture;
 use crate::refusal::{Code, Refusal};
 use crate::stream::MAX_UNACKNOWLEDGED_BYTES;
 use crate::suspect;
--- a/src/agent/keyed.rs
+++ b/src/agent/keyed.rs
@@ -17,8 +17,8 @@
     RecordWrite, RunEnd, Step,
 };
 use crate::ids::draw;
+use crate::kv::{Change, KvError, TxnOutcome};
 use crate::peer::RunRequest;
-use crate::platform::{Change, KvError, TxnOutcome};
 use crate::refusal::{Code, Ran, Refusal};
 use crate::upstream::UpstreamError;
 
--- a/src/agent/leases.rs
+++ b/src/agent/leases.rs
@@ -4,7 +4,7 @@
 //! service removes them by itself and holds few leases.
 
 use crate::idempotency::MAX_AHEAD;
-use crate::platform::{KvError, LeaseId};
+use crate::kv::{KvError, LeaseId};
 use crate::units::Millis;
 
 use super::shared::Shared;
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -29,9 +29,9 @@
 use actix_rt::time::{Instant, sleep};
 
 use crate::http;
+use crate::kv::KeyValue;
 use crate::membership::PING_INTERVAL;
 use crate::peer::{PeerKey, Server};
-use crate::platform::KeyValue;
 use crate::settings;
 use crate::units::Millis;
 
--- a/src/bin/fireflywind-agent/main.rs
+++ b/src/bin/fireflywind-agent/main.rs
@@ -7,8 +7,8 @@
 use fireflywind::agent::Agent;
 use fireflywind::daemon::exit_codes::DaemonExit;
 use fireflywind::daemon::{self, Program, StopSignals};
-use fireflywind::platform::budget::CallBudget;
-use fireflywind::platform::etcd::EtcdKv;
+use fireflywind::kv::budget::CallBudget;
+use fireflywind::kv::etcd::EtcdKv;
 use fireflywind::settings;
 
 const PROGRAM: Program = Program {
--- a/src/bin/fireflywind-gateway/main.rs
+++ b/src/bin/fireflywind-gateway/main.rs
@@ -6,8 +6,8 @@
 use fireflywind::daemon::exit_codes::DaemonExit;
 use fireflywind::daemon::{self, Program, StopSignals};
 use fireflywind::gateway::Gateway;
-use fireflywind::platform::budget::CallBudget;
-use fireflywind::platform::etcd::EtcdKv;
+use fireflywind::kv::budget::CallBudget;
+use fireflywind::kv::etcd::EtcdKv;
 use fireflywind::settings;
 
 const PROGRAM: Program = Program {
--- a/src/bin/fireflywind-standin/main.rs
+++ b/src/bin/fireflywind-standin/main.rs
@@ -5,7 +5,7 @@
 use std::io::{self, Write as _};
 use std::process::ExitCode;
 
-use fireflywind::platform::memory::MemoryKv;
+use fireflywind::kv::memory::MemoryKv;
 use fireflywind::standin::{Running, engine, kv, rating, service, vms};
 
 use cli::{Command, Kind};
--- a/src/bin/fireflywind/bill.rs
+++ b/src/bin/fireflywind/bill.rs
@@ -1,7 +1,7 @@
 //! The verb bill.
 
+use fireflywind::kv::KeyValue;
 use fireflywind::ledger::{Bill, Product, Total, read_bill};
-use fireflywind::platform::KeyValue;
 use serde_json::{Value, json};
 
 use crate::cli::Options;
--- a/src/bin/fireflywind/platform.rs
+++ b/src/bin/fireflywind/platform.rs
@@ -4,9 +4,9 @@
 
 use actix_http::Method;
 use bytes::Bytes;
+use fireflywind::kv::budget::CallBudget;
+use fireflywind::kv::etcd::EtcdKv;
 use fireflywind::operator::Held;
-use fireflywind::platform::budget::CallBudget;
-use fireflywind::platform::etcd::EtcdKv;
 use fireflywind::settings::Operator;
 use fireflywind::units::Millis;
 use fireflywind::upstream::exchange::{Request, send};
--- a/src/bin/fireflywind/tests.rs
+++ b/src/bin/fireflywind/tests.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+use fireflywind::kv::memory::{Fault, MemoryKv};
 use fireflywind::operator::{Applied, apply as apply_sheet};
-use fireflywind::platform::memory::{Fault, MemoryKv};
 use fireflywind::settings::{Agent, Gateway, Operator, load};
 use fireflywind::sheet::{self, ApplyId, Sheet};
 use serde_json::Value;
--- a/src/bin/fireflywind/verbs.rs
+++ b/src/bin/fireflywind/verbs.rs
@@ -7,8 +7,8 @@
 use std::path::Path;
 
 use fireflywind::ids::VersionRef;
+use fireflywind::kv::KeyValue;
 use fireflywind::operator::{self, Applied, ApplyError, InForce, ReadError};
-use fireflywind::platform::KeyValue;
 use fireflywind::settings::{self, Operator};
 use fireflywind::sheet::parts::{PartCache, Root, split};
 use fireflywind::sheet::{self, ApplyId, Difference, Finding, Sheet, VersionState};
--- a/src/fencing/mod.rs
+++ b/src/fencing/mod.rs
@@ -19,7 +19,7 @@
 };
 
 use crate::ids::Incarnation;
-use crate::platform::{Change, Compare, Entry, LeaseId};
+use crate::kv::{Change, Compare, Entry, LeaseId};
 
 /// Duty of stepping roll-outs and of giving orders to engines, which one gateway has at a time.
 pub const FLEET_DUTY: &str = "fleet";
--- a/src/fencing/orders.rs
+++ b/src/fencing/orders.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use super::Fence;
-use crate::platform::KvError;
+use crate::kv::KvError;
 use crate::units::Millis;
 
 /// Largest number of orders that wait for the engine.
--- a/src/fencing/tests.rs
+++ b/src/fencing/tests.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 use crate::fixtures::{check, run_paused};
-use crate::platform::memory::{Fault, MemoryKv};
-use crate::platform::{KeyValue, KvError, TxnOutcome};
+use crate::kv::memory::{Fault, MemoryKv};
+use crate::kv::{KeyValue, KvError, TxnOutcome};
 use crate::units::Millis;
 
 const TTL: Millis = Millis(1_000);
--- a/src/follower/mod.rs
+++ b/src/follower/mod.rs
@@ -21,8 +21,8 @@
 use crate::dissemination::{
     Admission, Digest, Effect, Message, Neighbours, Part, PeerId, Replica, RootRef,
 };
+use crate::kv::KeyValue;
 use crate::operator::{PART_PREFIX, ROOT_KEY};
-use crate::platform::KeyValue;
 use crate::sheet::Sheet;
 use crate::units::Millis;
 
--- a/src/follower/root.rs
+++ b/src/follower/root.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 
 use crate::dissemination::{Digest, Part, RootRef};
-use crate::platform::Entry;
+use crate::kv::Entry;
 use crate::sheet::Sheet;
 use crate::sheet::digest::ApplyId;
 use crate::sheet::parts::{self, PartKind, PartRef, PartsError, Root};
--- a/src/follower/tests.rs
+++ b/src/follower/tests.rs
@@ -3,8 +3,8 @@
 use super::*;
 use crate::fixtures::{self, run_paused};
 use crate::ids::VersionRef;
+use crate::kv::memory::{Fault, MemoryKv};
 use crate::operator::apply;
-use crate::platform::memory::{Fault, MemoryKv};
 use crate::sheet::VersionState;
 use crate::sheet::digest::ApplyId;
 
--- a/src/gateway/links/upkeep.rs
+++ b/src/gateway/links/upkeep.rs
@@ -9,9 +9,9 @@
 use super::{Entry, served};
 use crate::follower::InForce;
 use crate::ids::{DataCentre, UpstreamId};
+use crate::kv::vms::{self, VmState};
 use crate::membership::{Attempt, CONNECT_TIMEOUT, Effect, Evidence, Listed, SILENCE, SUBSET_SIZE};
 use crate::peer::{Link, Status, Target};
-use crate::platform::vms::{self, VmState};
 use crate::units::Millis;
 
 /// Time between two choices of the wanted upstreams.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,8 +28,8 @@
 use actix_rt::time::{Instant, sleep};
 
 use crate::http;
+use crate::kv::KeyValue;
 use crate::peer::PeerKey;
-use crate::platform::KeyValue;
 use crate::session::{SessionKey, SessionKeys};
 use crate::settings;
 use crate::units::Millis;
--- a/src/gateway/pooling.rs
+++ b/src/gateway/pooling.rs
@@ -3,7 +3,7 @@
 //! Counts only grow and merge by their maximum, so a report that is old, repeated or missing does no harm.
 
 use super::shared::Shared;
-use crate::platform::{Change, KvError};
+use crate::kv::{Change, KvError};
 use crate::rating::Row;
 use crate::units::Millis;
 
--- a/src/gateway/presence.rs
+++ b/src/gateway/presence.rs
@@ -4,7 +4,7 @@
 
 use crate::fencing::{self, FLEET_DUTY, Fence, Holder};
 use crate::ids::Incarnation;
-use crate::platform::{Change, KeyValue, KvError, LeaseId, TxnOutcome};
+use crate::kv::{Change, KeyValue, KvError, LeaseId, TxnOutcome};
 use crate::units::Millis;
 
 use super::shared::Shared;
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -7,7 +7,7 @@
 use super::shared::Shared;
 use crate::follower::InForce;
 use crate::ids::{Incarnation, VersionRef};
-use crate::platform::{Change, Compare, KvError, TxnOutcome};
+use crate::kv::{Change, Compare, KvError, TxnOutcome};
 use crate::rollout::{Evidence, Observation, Phase, RolloutGuard};
 use crate::sheet::{Rollout, VersionState};
 use crate::units::{Millis, Permille};
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -17,8 +17,8 @@
 
 pub use server::{Bounds, Running, bind};
 
+use crate::kv::LocalFuture;
 use crate::limits::retry_after_secs;
-use crate::platform::LocalFuture;
 use crate::refusal::Refusal;
 
 /// A request whose body was read.
--- a/src/idempotency/mod.rs
+++ b/src/idempotency/mod.rs
@@ -19,7 +19,7 @@
 };
 
 use crate::ids::AccountId;
-use crate::platform::{Compare, Entry, KvError, TxnOutcome};
+use crate::kv::{Compare, Entry, KvError, TxnOutcome};
 use crate::units::Millis;
 
 /// How often a call tries to write its intent; the second try follows a read.
--- a/src/ledger/bill.rs
+++ b/src/ledger/bill.rs
@@ -4,7 +4,7 @@
 use super::{Charge, Checkpoint, Intervals, OrphanPage, Totals};
 use crate::idempotency::{RECORD_PREFIX, Record, RecordState};
 use crate::ids::{Incarnation, RequestId};
-use crate::platform::{KeyValue, KvError};
+use crate::kv::{KeyValue, KvError};
 
 /// The union of all records of the ledger.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
--- a/src/ledger/gateway.rs
+++ b/src/ledger/gateway.rs
@@ -7,7 +7,7 @@
 use super::keys::Key;
 use super::{Charge, Closed, Intervals, Totals, back_off};
 use crate::ids::{Incarnation, RequestId};
-use crate::platform::{Change, Compare, KeyValue, KvError, MAX_VALUE_BYTES, TxnOutcome};
+use crate::kv::{Change, Compare, KeyValue, KvError, MAX_VALUE_BYTES, TxnOutcome};
 use crate::units::Millis;
 
 /// Time between two checkpoints; 410 gateways then make 82 of the service's 300 writes a second.
--- a/src/ledger/held.rs
+++ b/src/ledger/held.rs
@@ -5,7 +5,7 @@
 use super::keys::Key;
 use super::{Charge, Flushed, back_off};
 use crate::ids::Incarnation;
-use crate::platform::{Change, Compare, KeyValue, KvError, MAX_VALUE_BYTES, TxnOutcome};
+use crate::kv::{Change, Compare, KeyValue, KvError, MAX_VALUE_BYTES, TxnOutcome};
 use crate::units::Millis;
 
 /// Silence after which a gateway is taken as gone.
--- a/src/ledger/tests.rs
+++ b/src/ledger/tests.rs
@@ -8,7 +8,7 @@
 use super::*;
 use crate::fixtures::check;
 use crate::ids::Incarnation;
-use crate::platform::Change;
+use crate::kv::Change;
 
 fn call(account: &str, request: RequestId, rank: (u16, u16), amount: u64) -> Charge {
     Charge {
@@ -169,7 +169,7 @@
     let [Change::Put { value, .. }] = &changes[..] else {
         panic!("one write");
     };
-    assert!(value.len() < crate::platform::MAX_VALUE_BYTES);
+    assert!(value.len() < crate::kv::MAX_VALUE_BYTES);
     assert_eq!(checkpoint.totals.requests(), checkpoint.closed.count());
     let waiting = opened / 2 - checkpoint.closed.count();
     assert!(waiting > 0);
--- a/src/ledger/tests/world.rs
+++ b/src/ledger/tests/world.rs
@@ -9,10 +9,8 @@
 use super::call;
 use crate::fixtures::check;
 use crate::ids::Incarnation;
-use crate::platform::memory::{Fault, MemoryKv};
-use crate::platform::{
-    Change, Compare, Entry, KeyValue, KvError, LeaseId, LocalFuture, TxnOutcome,
-};
+use crate::kv::memory::{Fault, MemoryKv};
+use crate::kv::{Change, Compare, Entry, KeyValue, KvError, LeaseId, LocalFuture, TxnOutcome};
 
 type Op = (u8, u8, u8);
 type Answer<'a, T> = LocalFuture<'a, Result<T, KvError>>;
--- a/src/operator/apply.rs
+++ b/src/operator/apply.rs
@@ -6,7 +6,7 @@
 
 use super::read::{ReadError, StoredRoot, read, read_root};
 use super::{COLLECTION_KEY, MAX_TXN_OPS, PREVIOUS_ROOT_KEY, ROOT_KEY, part_key};
-use crate::platform::{Change, Compare, KeyValue, KvError, MAX_VALUE_BYTES, TxnOutcome};
+use crate::kv::{Change, Compare, KeyValue, KvError, MAX_VALUE_BYTES, TxnOutcome};
 use crate::sheet::digest::ApplyId;
 use crate::sheet::parts::{Part, PartCache, PartsError, RECENT_APPLIES, Root, split};
 use crate::sheet::{Difference, Sheet, diff};
--- a/src/operator/collect.rs
+++ b/src/operator/collect.rs
@@ -2,7 +2,7 @@
 
 use super::read::{ReadError, read_root};
 use super::{COLLECTION_KEY, MAX_TXN_OPS, PART_PREFIX, PREVIOUS_ROOT_KEY, ROOT_KEY};
-use crate::platform::{Change, Compare, KeyValue, TxnOutcome};
+use crate::kv::{Change, Compare, KeyValue, TxnOutcome};
 use crate::sheet::digest::Digest;
 use crate::sheet::parts::Root;
 
--- a/src/operator/read.rs
+++ b/src/operator/read.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 
 use super::{PART_PREFIX, ROOT_KEY, part_key};
-use crate::platform::{KeyValue, KvError};
+use crate::kv::{KeyValue, KvError};
 use crate::sheet::Sheet;
 use crate::sheet::digest::Digest;
 use crate::sheet::parts::{self, PartCache, PartsError, Root};
--- a/src/operator/tests/rough.rs
+++ b/src/operator/tests/rough.rs
@@ -5,11 +5,9 @@
 
 use actix_rt::time::sleep;
 
+use crate::kv::memory::MemoryKv;
+use crate::kv::{Change, Compare, Entry, KeyValue, KvError, LeaseId, LocalFuture, TxnOutcome};
 use crate::operator::{PART_PREFIX, PREVIOUS_ROOT_KEY, ROOT_KEY};
-use crate::platform::memory::MemoryKv;
-use crate::platform::{
-    Change, Compare, Entry, KeyValue, KvError, LeaseId, LocalFuture, TxnOutcome,
-};
 use crate::sheet::Sheet;
 use crate::sheet::parts::{PartCache, Root, join};
 use crate::units::Millis;
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -17,7 +17,7 @@
 use super::message::{ReadReply, ReadRequest, RunReply, RunRequest, Status};
 use super::peer_capnp::{bootstrap, peer};
 use super::{SCHEMA_VERSION, codec, network};
-use crate::platform::LocalFuture;
+use crate::kv::LocalFuture;
 use crate::units::Millis;
 
 /// Pause after a failed accept, such as one for lack of file descriptors.
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -11,7 +11,7 @@
 use super::*;
 use crate::fixtures::check;
 use crate::ids::{Incarnation, RequestId, VersionRef};
-use crate::platform::LocalFuture;
+use crate::kv::LocalFuture;
 use crate::refusal::{Code, Refusal};
 use crate::units::Millis;
 
--- a/src/sheet/parts.rs
+++ b/src/sheet/parts.rs
@@ -9,7 +9,7 @@
 use super::digest::{ApplyId, Digest};
 use super::model::{Sheet, Upstream};
 use crate::ids::DataCentre;
-use crate::platform::MAX_VALUE_BYTES;
+use crate::kv::MAX_VALUE_BYTES;
 
 /// Number of earlier apply IDs that a root names.
 pub const RECENT_APPLIES: usize = 16;
--- a/src/standin/kv.rs
+++ b/src/standin/kv.rs
@@ -11,13 +11,13 @@
 use serde_json::json;
 
 use super::server::{self, Call, Reply, Running};
-use crate::platform::memory::{Fault, MemoryKv};
-use crate::platform::wire::{
+use crate::kv::memory::{Fault, MemoryKv};
+use crate::kv::wire::{
     Blob, CODE_INVALID, CODE_NOT_FOUND, CODE_UNAVAILABLE, Condition, ErrorBody, Event, EventKind,
     Header, Int64, LeaseMessage, Operation, Pair, RangeAnswer, RangeRequest, StreamLine, Target,
     TxnAnswer, TxnRequest, WatchAnswer, WatchRequest, prefix_range,
 };
-use crate::platform::{Change, Compare, Entry, KeyValue as _, KvError, LeaseId, TxnOutcome};
+use crate::kv::{Change, Compare, Entry, KeyValue as _, KvError, LeaseId, TxnOutcome};
 use crate::units::Millis;
 
 /// Body of `POST /fault`.
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -21,7 +21,7 @@
 use serde::de::DeserializeOwned;
 use tokio::sync::Notify;
 
-use crate::platform::LocalFuture;
+use crate::kv::LocalFuture;
 use crate::units::Millis;
 
 /// Largest body that a stand-in accepts.
--- a/src/standin/tests.rs
+++ b/src/standin/tests.rs
@@ -34,7 +34,7 @@
 #[test]
 fn kv_faults_are_set_over_http() {
     actix_rt::System::new().block_on(async {
-        let store = crate::platform::memory::MemoryKv::open();
+        let store = crate::kv::memory::MemoryKv::open();
         let kv = kv::bind(loopback(), store).expect("loopback can be bound");
         let range = serde_json::json!({"key": "YQ=="});
 
--- a/src/standin/vms.rs
+++ b/src/standin/vms.rs
@@ -8,7 +8,7 @@
 use actix_http::StatusCode;
 
 use super::server::{self, Call, Reply, Running};
-use crate::platform::vms::{PATH, VmList};
+use crate::kv::vms::{PATH, VmList};
 
 /// Starts the stand-in with an empty list; `PUT /vms` replaces it.
 ///
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -7,7 +7,7 @@
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
-use crate::platform::budget::CallCounts;
+use crate::kv::budget::CallCounts;
 
 /// Most label values of one kind; further ones are counted under `other`.
 ///
--- a/tests/whole_system/agent.rs
+++ b/tests/whole_system/agent.rs
@@ -11,9 +11,9 @@
 use fireflywind::follower::{Follower, InForce};
 use fireflywind::idempotency::{KNOWN_BYTES, KnownKeys};
 use fireflywind::ids::{Incarnation, UpstreamId};
+use fireflywind::kv::KeyValue;
 use fireflywind::ledger::{Flushed, HeldCharges, HeldEffect, write_orphans};
 use fireflywind::peer::{Head, ReadBody, ReadReply, ReadRequest, RunReply, RunRequest, Status};
-use fireflywind::platform::KeyValue;
 use fireflywind::refusal::{Code, Refusal};
 use fireflywind::suspect::{self, MAX_REPORTS, Suspects};
 use fireflywind::units::Millis;
--- a/tests/whole_system/gateway.rs
+++ b/tests/whole_system/gateway.rs
@@ -6,13 +6,13 @@
 use fireflywind::fencing::{self, Fence, Holder};
 use fireflywind::follower::{Follower, InForce};
 use fireflywind::ids::{DataCentre, Incarnation, UpstreamId, VersionRef};
+use fireflywind::kv::{Change, KeyValue, KvError, TxnOutcome};
 use fireflywind::ledger::{Flushed, GatewayLedger, write_checkpoint};
 use fireflywind::limits::RetryBudget;
 use fireflywind::membership::{
     Attempt, CONNECT_TIMEOUT, Effect, Evidence, Members, SILENCE, SUBSET_SIZE,
 };
 use fireflywind::peer::{Status, Target};
-use fireflywind::platform::{Change, KeyValue, KvError, TxnOutcome};
 use fireflywind::rating::RatingTable;
 use fireflywind::route::pick::{Member, Pool};
 use fireflywind::session::{SessionKey, SessionKeys};
--- a/tests/whole_system/oracle.rs
+++ b/tests/whole_system/oracle.rs
@@ -6,11 +6,11 @@
 
 use fireflywind::idempotency::{RECORD_PREFIX, Record, RecordState};
 use fireflywind::ids::{AccountId, Incarnation, RequestId, UpstreamId, VersionRef};
+use fireflywind::kv::memory::MemoryKv;
+use fireflywind::kv::{Entry, KeyValue};
 use fireflywind::ledger::keys::{Key, PREFIX};
 use fireflywind::ledger::{Charge, Checkpoint, OrphanPage, read_bill};
 use fireflywind::peer::{RunRequest, Target};
-use fireflywind::platform::memory::MemoryKv;
-use fireflywind::platform::{Entry, KeyValue};
 use fireflywind::refusal::{Code, Ran};
 use fireflywind::sheet::parts::Root;
 use fireflywind::sheet::{ApplyId, Sheet, VersionState};
--- a/tests/whole_system/runs.rs
+++ b/tests/whole_system/runs.rs
@@ -11,9 +11,9 @@
     Attempt, Call, CallDigest, Effect, IdempotencyKey, KeptBody, KeyedAnswer, KeyedCall, Outcome,
     RecordWrite, RunEnd, Step,
 };
+use fireflywind::kv::{Change, KeyValue, KvError, TxnOutcome};
 use fireflywind::ledger::Charge;
 use fireflywind::peer::{RunRequest, Target};
-use fireflywind::platform::{Change, KeyValue, KvError, TxnOutcome};
 use fireflywind::refusal::{Code, Ran, Refusal};
 use fireflywind::suspect::{Admit, Fingerprint, Run};
 use fireflywind::units::{Millis, Tokens};
--- a/tests/whole_system/store.rs
+++ b/tests/whole_system/store.rs
@@ -6,11 +6,11 @@
 use std::rc::Rc;
 
 use actix_rt::time::sleep;
-use fireflywind::operator::ROOT_KEY;
-use fireflywind::platform::memory::MemoryKv;
-use fireflywind::platform::{
+use fireflywind::kv::memory::MemoryKv;
+use fireflywind::kv::{
     Change, Compare, Entry, KeyValue, KvError, LeaseId, LocalFuture, TxnOutcome,
 };
+use fireflywind::operator::ROOT_KEY;
 use fireflywind::units::Millis;
 
 use super::world::Proc;
