--- /dev/null
+++ b/src/bin/fireflywind-router/main.rs
@@ -0,0 +1,63 @@
+//! Gateway for deployments whose platform keeps configuration and membership: talks straight to upstreams.
+
+use std::process::ExitCode;
+
+use fireflywind::daemon::exit_codes::DaemonExit;
+use fireflywind::daemon::{self, StopSignals};
+use fireflywind::forward::gateway::{Addresses, Gateway};
+use fireflywind::forward::shared::{Policy, Shared};
+use fireflywind::platform::settings::GatewaySettings;
+use fireflywind::platform::store::Store;
+use fireflywind::telemetry::buffered;
+
+const NAME: &str = "fireflywind-router";
+
+fn main() -> ExitCode {
+    let cfg = match GatewaySettings::load() {
+        Ok(cfg) => cfg,
+        Err(error) => {
+            eprintln!("{NAME}: {error}");
+            return DaemonExit::InvalidSettings.into();
+        }
+    };
+    let writer = match buffered::start(log::LevelFilter::Info) {
+        Ok(writer) => writer,
+        Err(error) => {
+            eprintln!("{NAME}: {error}");
+            return DaemonExit::CannotStart.into();
+        }
+    };
+    let exit = actix_rt::System::new().block_on(run(&cfg));
+    writer.close();
+    exit.into()
+}
+
+async fn run(cfg: &GatewaySettings) -> DaemonExit {
+    let policy = Policy {
+        name: cfg.name.clone(),
+        data_centre: cfg.data_centre.clone(),
+        retries: cfg.retries.bounds(),
+        key_revocation: cfg.key_revocation,
+        exposure_permille: cfg.exposure_permille(),
+        session_span: cfg.session_span,
+        stop_grace: cfg.stop_grace,
+    };
+    let shared = Shared::open(policy, Box::new(Store::open(cfg.store)));
+    let addresses = Addresses {
+        listen: cfg.listen,
+        ready: cfg.ready,
+        admin: cfg.admin,
+    };
+    let started = StopSignals::listen().and_then(|s| Ok((s, Gateway::bind(shared, addresses)?)));
+    match started {
+        Ok((signals, gateway)) => {
+            log::info!(event = "start", name:% = cfg.name, version = env!("CARGO_PKG_VERSION"),
+                listen:% = cfg.listen, data_centre:% = cfg.data_centre; "");
+            daemon::stop_on_signal(signals, || gateway.stop()).await
+        }
+        Err(error) => {
+            eprintln!("{NAME}: {}: {error}", cfg.listen);
+            DaemonExit::CannotStart
+        }
+    }
+}
--- /dev/null
+++ b/src/forward/body.rs
@@ -0,0 +1,160 @@
+//! Decoding of message bodies.
+
+use bytes::{Buf, BytesMut};
+
+use super::head::Framing;
+
+/// Longest line with a chunk's size, in bytes; chunk extensions are read over.
+const MAX_SIZE_LINE: usize = 256;
+
+/// Longest trailer section, in bytes.
+const MAX_TRAILER: usize = 4 * 1024;
+
+/// Bytes that are no valid body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BadChunk;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Length(u64),
+    UntilClose,
+    ChunkSize,
+    ChunkData(u64),
+    ChunkEnd,
+    Trailer(usize),
+    Done,
+}
+
+/// Decodes one body as its bytes arrive.
+#[derive(Debug)]
+pub struct Decoder {
+    state: State,
+}
+
+impl Decoder {
+    /// Starts a body.
+    #[must_use]
+    pub const fn new(framing: Framing) -> Self {
+        let state = match framing {
+            Framing::Length(0) => State::Done,
+            Framing::Length(length) => State::Length(length),
+            Framing::Chunked => State::ChunkSize,
+            Framing::UntilClose => State::UntilClose,
+        };
+        Self { state }
+    }
+
+    /// Tells whether the whole body was decoded.
+    #[must_use]
+    pub const fn is_done(&self) -> bool {
+        matches!(self.state, State::Done)
+    }
+
+    /// Tells whether a clean close of the connection ends the body.
+    #[must_use]
+    pub const fn ends_with_close(&self) -> bool {
+        matches!(self.state, State::UntilClose)
+    }
+
+    /// Moves the body's bytes from the front of `buf` to `out`, as far as they have arrived.
+    ///
+    /// # Errors
+    /// If the chunks are not valid.
+    pub fn decode(&mut self, buf: &mut BytesMut, out: &mut BytesMut) -> Result<(), BadChunk> {
+        loop {
+            match self.state {
+                State::Done => return Ok(()),
+                State::UntilClose => {
+                    out.extend_from_slice(buf);
+                    buf.clear();
+                    return Ok(());
+                }
+                State::Length(left) => {
+                    let left = move_bytes(buf, out, left);
+                    self.state = if left == 0 {
+                        State::Done
+                    } else {
+                        State::Length(left)
+                    };
+                    if left > 0 {
+                        return Ok(());
+                    }
+                }
+                State::ChunkData(left) => {
+                    let left = move_bytes(buf, out, left);
+                    if left > 0 {
+                        self.state = State::ChunkData(left);
+                        return Ok(());
+                    }
+                    self.state = State::ChunkEnd;
+                }
+                State::ChunkEnd if buf.len() < 2 => return Ok(()),
+                State::ChunkEnd => {
+                    if &buf[..2] != b"\r\n" {
+                        return Err(BadChunk);
+                    }
+                    buf.advance(2);
+                    self.state = State::ChunkSize;
+                }
+                State::ChunkSize => {
+                    let Some(line) = take_line(buf, MAX_SIZE_LINE)? else {
+                        return Ok(());
+                    };
+                    self.state = match chunk_size(&line)? {
+                        0 => State::Trailer(0),
+                        size => State::ChunkData(size),
+                    };
+                }
+                State::Trailer(length) => {
+                    let Some(line) = take_line(buf, MAX_TRAILER - length)? else {
+                        return Ok(());
+                    };
+                    self.state = if line.is_empty() {
+                        State::Done
+                    } else {
+                        State::Trailer(length + line.len())
+                    };
+                }
+            }
+        }
+    }
+}
+
+fn move_bytes(buf: &mut BytesMut, out: &mut BytesMut, left: u64) -> u64 {
+    let length = usize::try_from(left).map_or(buf.len(), |left| left.min(buf.len()));
+    out.extend_from_slice(&buf[..length]);
+    buf.advance(length);
+    left - length as u64
+}
+
+/// Takes a line without its end; a line feed alone does not end it.
+fn take_line(buf: &mut BytesMut, max: usize) -> Result<Option<BytesMut>, BadChunk> {
+    let Some(end) = buf.iter().position(|b| *b == b'\n') else {
+        return if buf.len() > max {
+            Err(BadChunk)
+        } else {
+            Ok(None)
+        };
+    };
+    if end == 0 || buf[end - 1] != b'\r' || end > max + 1 {
+        return Err(BadChunk);
+    }
+    let line = buf.split_to(end - 1);
+    buf.advance(2);
+    if line.contains(&b'\r') {
+        return Err(BadChunk);
+    }
+    Ok(Some(line))
+}
+
+fn chunk_size(line: &[u8]) -> Result<u64, BadChunk> {
+    let end = line.iter().position(|b| *b == b';').unwrap_or(line.len());
+    let digits = line[..end].trim_ascii_end();
+    let is_hex =
+        !digits.is_empty() && digits.len() <= 8 && digits.iter().all(u8::is_ascii_hexdigit);
+    if !is_hex {
+        return Err(BadChunk);
+    }
+    let text = std::str::from_utf8(digits).map_err(|_utf8| BadChunk)?;
+    u64::from_str_radix(text, 16).map_err(|_number| BadChunk)
+}
--- /dev/null
+++ b/src/forward/client.rs
@@ -0,0 +1,258 @@
+//! One client connection: reads requests, serves them one after the other.
+
+use std::io;
+use std::rc::Rc;
+
+use bytes::{Bytes, BytesMut};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::router::table::ClientLimits;
+use crate::units::Millis;
+
+use super::body::Decoder;
+use super::head::{self, Framing, HeadError, RequestHead};
+use super::reply::OwnReply;
+use super::request;
+use super::shared::Shared;
+
+/// Bytes that one read takes at most.
+const READ_SIZE: usize = 16 * 1024;
+
+/// Bytes of later requests that are held while one is served.
+const MAX_AHEAD: usize = 64 * 1024;
+
+/// Longest time that a client may take to read what was written to it.
+const WRITE_STALL: Millis = Millis::from_secs(10);
+
+/// Longest time for a body to arrive; clients give up before.
+const BODY_TIMEOUT: Millis = Millis::from_secs(10);
+
+/// Whether the connection may carry another request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum After {
+    /// It may.
+    KeepAlive,
+    /// It is closed.
+    Close,
+}
+
+/// A request that was read whole.
+#[derive(Debug)]
+pub struct Incoming {
+    /// Head.
+    pub head: RequestHead,
+    /// Body.
+    pub body: Bytes,
+    /// Runtime time at which its first bytes had been read.
+    pub arrived: Millis,
+}
+
+/// A client's connection.
+#[derive(Debug)]
+pub struct ClientConn {
+    stream: TcpStream,
+    buf: BytesMut,
+}
+
+enum ReadEnd {
+    /// The connection ended, or was idle for too long.
+    Over,
+    /// The request is refused and the connection closed.
+    Refuse(OwnReply),
+}
+
+impl From<io::Error> for ReadEnd {
+    fn from(_error: io::Error) -> Self {
+        Self::Over
+    }
+}
+
+impl From<HeadError> for ReadEnd {
+    fn from(error: HeadError) -> Self {
+        let status = if error == HeadError::TooManyFields {
+            431
+        } else {
+            400
+        };
+        Self::Refuse(OwnReply::new(status, error.name()))
+    }
+}
+
+/// Serves a connection until it ends.
+pub async fn serve(shared: Rc<Shared>, stream: TcpStream) {
+    shared.open_connections.update(|n| n + 1);
+    let mut conn = ClientConn {
+        stream,
+        buf: BytesMut::new(),
+    };
+    conn.run(&shared).await;
+    shared.open_connections.update(|n| n - 1);
+}
+
+impl ClientConn {
+    async fn run(&mut self, shared: &Rc<Shared>) {
+        loop {
+            let limits = shared.table.borrow().limits;
+            let req = match self.read_request(shared, &limits).await {
+                Ok(req) => req,
+                Err(ReadEnd::Over) => return,
+                Err(ReadEnd::Refuse(reply)) => {
+                    shared.metrics.event("request_refused_unread");
+                    log::info!(event = "refused", status = reply.status, reason = reply.reason; "");
+                    self.refuse(&reply).await;
+                    return;
+                }
+            };
+            shared.in_flight.update(|n| n + 1);
+            let after = request::serve(shared, self, req).await;
+            shared.in_flight.update(|n| n - 1);
+            if after == After::Close {
+                // Closing with unread bytes would reset the connection under the answer.
+                self.drain().await;
+                return;
+            }
+        }
+    }
+
+    async fn read_request(
+        &mut self,
+        shared: &Shared,
+        limits: &ClientLimits,
+    ) -> Result<Incoming, ReadEnd> {
+        if self.buf.is_empty() {
+            let idle = actix_rt::time::timeout(limits.idle_timeout.duration(), self.read_more());
+            match idle.await {
+                Ok(Ok(true)) => {}
+                Ok(Ok(false) | Err(_)) | Err(_) => return Err(ReadEnd::Over),
+            }
+        }
+        let arrived = shared.clock.now();
+        let head = actix_rt::time::timeout(limits.head_timeout.duration(), self.read_head(limits));
+        let head = match head.await {
+            Ok(head) => head?,
+            Err(_elapsed) => return Err(ReadEnd::Refuse(OwnReply::new(408, "slow head"))),
+        };
+        let body = actix_rt::time::timeout(BODY_TIMEOUT.duration(), self.read_body(&head, limits));
+        let body = match body.await {
+            Ok(body) => body?,
+            Err(_elapsed) => return Err(ReadEnd::Refuse(OwnReply::new(408, "slow body"))),
+        };
+        Ok(Incoming {
+            head,
+            body,
+            arrived,
+        })
+    }
+
+    async fn read_head(&mut self, limits: &ClientLimits) -> Result<RequestHead, ReadEnd> {
+        loop {
+            if let Some(head) = head::take_request(&mut self.buf)? {
+                return Ok(head);
+            }
+            if self.buf.len() > limits.head_bytes {
+                return Err(ReadEnd::Refuse(OwnReply::new(431, "head too large")));
+            }
+            if !self.read_more().await? {
+                return Err(ReadEnd::Over);
+            }
+        }
+    }
+
+    async fn read_body(
+        &mut self,
+        head: &RequestHead,
+        limits: &ClientLimits,
+    ) -> Result<Bytes, ReadEnd> {
+        let too_large = || ReadEnd::Refuse(OwnReply::new(413, "body too large"));
+        match head.framing {
+            Framing::Length(0) => return Ok(Bytes::new()),
+            Framing::Length(length) if length > limits.body_bytes as u64 => return Err(too_large()),
+            _ => {}
+        }
+        if head.fields.lists("expect", "100-continue") && self.buf.is_empty() {
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+        }
+        let mut decoder = Decoder::new(head.framing);
+        let mut body = BytesMut::new();
+        loop {
+            decoder
+                .decode(&mut self.buf, &mut body)
+                .map_err(|_chunk| ReadEnd::Refuse(OwnReply::new(400, "invalid chunk")))?;
+            if decoder.is_done() {
+                return Ok(body.freeze());
+            }
+            if body.len() > limits.body_bytes {
+                return Err(too_large());
+            }
+            if !self.read_more().await? {
+                return Err(ReadEnd::Over);
+            }
+        }
+    }
+
+    async fn read_more(&mut self) -> io::Result<bool> {
+        loop {
+            self.stream.readable().await?;
+            self.buf.reserve(READ_SIZE);
+            match self.stream.try_read_buf(&mut self.buf) {
+                Ok(length) => return Ok(length > 0),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    /// Waits until the client has closed the connection; bytes of later requests are kept.
+    pub async fn closed(&mut self) {
+        while self.buf.len() < MAX_AHEAD {
+            if !matches!(self.read_more().await, Ok(true)) {
+                return;
+            }
+        }
+        std::future::pending().await
+    }
+
+    /// Writes bytes.
+    ///
+    /// # Errors
+    /// If the connection breaks or the client does not read for too long.
+    pub async fn write(&mut self, mut bytes: &[u8]) -> io::Result<()> {
+        match self.stream.try_write(bytes) {
+            Ok(length) => bytes = &bytes[length..],
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => return Err(error),
+        }
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        let rest = self.stream.write_all(bytes);
+        match actix_rt::time::timeout(WRITE_STALL.duration(), rest).await {
+            Ok(result) => result,
+            Err(_elapsed) => Err(io::ErrorKind::TimedOut.into()),
+        }
+    }
+
+    async fn refuse(&mut self, reply: &OwnReply) {
+        let mut out = BytesMut::new();
+        reply.write(&mut out, true, false);
+        if self.write(&out).await.is_ok() {
+            self.drain().await;
+        }
+    }
+
+    /// Ends the writing side and reads over what is still on its way, for a short time.
+    async fn drain(&mut self) {
+        const DRAIN_TIME: Millis = Millis(300);
+        if self.stream.shutdown().await.is_err() {
+            return;
+        }
+        let read_over = async {
+            while matches!(self.read_more().await, Ok(true)) {
+                self.buf.clear();
+            }
+        };
+        // The client closes by itself or is cut off.
+        let _ = actix_rt::time::timeout(DRAIN_TIME.duration(), read_over).await;
+    }
+}
--- /dev/null
+++ b/src/forward/exchange.rs
@@ -0,0 +1,163 @@
+//! One exchange with an upstream: connect, send, read the head of the answer.
+
+use std::io;
+use std::net::SocketAddr;
+
+use bytes::{Bytes, BytesMut};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::platform::headers;
+
+use super::body::Decoder;
+use super::head::{self, Framing, ResponseHead};
+use super::pool::Conn;
+
+/// Bytes that one read takes at most.
+const READ_SIZE: usize = 16 * 1024;
+
+/// Largest answer that is held whole before it is passed on, in bytes.
+const MAX_WHOLE: usize = 16 * 1024 * 1024;
+
+/// Largest head of a response, in bytes.
+const MAX_RESPONSE_HEAD: usize = 64 * 1024;
+
+/// Answers to other requests that are read over before the connection is given up.
+const MAX_STRAY: usize = 2;
+
+/// Why an exchange gave no answer.
+#[derive(Debug)]
+pub enum ExchangeError {
+    /// The connection broke.
+    Broken(io::Error),
+    /// The upstream closed it.
+    Closed,
+    /// The bytes were no answer, or one to another request.
+    Garbled(&'static str),
+}
+
+impl ExchangeError {
+    /// Name in logs.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Broken(_) => "broken",
+            Self::Closed => "closed",
+            Self::Garbled(what) => what,
+        }
+    }
+}
+
+impl From<io::Error> for ExchangeError {
+    fn from(error: io::Error) -> Self {
+        Self::Broken(error)
+    }
+}
+
+/// Opens a connection.
+///
+/// # Errors
+/// If it is refused.
+pub async fn connect(addr: SocketAddr) -> io::Result<Conn> {
+    Conn::new(TcpStream::connect(addr).await?)
+}
+
+/// Sends a request.
+///
+/// # Errors
+/// If the connection breaks.
+pub async fn send(conn: &mut Conn, message: &[u8]) -> io::Result<()> {
+    conn.stream.write_all(message).await
+}
+
+/// Reads once; `false` at the end of the connection.
+///
+/// # Errors
+/// If the connection breaks.
+pub async fn read_more(conn: &mut Conn) -> io::Result<bool> {
+    loop {
+        conn.stream.readable().await?;
+        conn.buf.reserve(READ_SIZE);
+        match conn.stream.try_read_buf(&mut conn.buf) {
+            Ok(length) => return Ok(length > 0),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+/// Reads the head of the answer to the request `id`; extra answers to earlier requests are read over.
+///
+/// # Errors
+/// If the connection ends, or the bytes are no answer to the request.
+pub async fn read_head(
+    conn: &mut Conn,
+    id: &[u8],
+    to_head: bool,
+) -> Result<ResponseHead, ExchangeError> {
+    for _ in 0..=MAX_STRAY {
+        let head = next_head(conn, to_head).await?;
+        let echoed = head.fields.get(headers::REQUEST_ID);
+        let is_success = (200..300).contains(&head.status);
+        match echoed {
+            Some(echoed) if echoed == id => return check_signature(head),
+            // Refusals need not carry the id; a success must.
+            None if !is_success || id.is_empty() => return Ok(head),
+            _ if head.framing == Framing::UntilClose => break,
+            _ => {
+                read_whole(conn, &head).await?;
+            }
+        }
+    }
+    Err(ExchangeError::Garbled("answer to another request"))
+}
+
+fn check_signature(head: ResponseHead) -> Result<ResponseHead, ExchangeError> {
+    let is_success = (200..300).contains(&head.status);
+    if is_success && head.fields.get(headers::SIGNATURE).is_none() {
+        return Err(ExchangeError::Garbled("success without a signature"));
+    }
+    Ok(head)
+}
+
+async fn next_head(conn: &mut Conn, to_head: bool) -> Result<ResponseHead, ExchangeError> {
+    loop {
+        match head::take_response(&mut conn.buf, to_head) {
+            Ok(Some(head)) => return Ok(head),
+            Ok(None) if conn.buf.len() > MAX_RESPONSE_HEAD => {
+                return Err(ExchangeError::Garbled("endless head"));
+            }
+            Ok(None) => {}
+            Err(error) => return Err(ExchangeError::Garbled(error.name())),
+        }
+        if !read_more(conn).await? {
+            return Err(ExchangeError::Closed);
+        }
+    }
+}
+
+/// Reads the whole body of an answer.
+///
+/// # Errors
+/// If it is cut off, not valid or too long.
+pub async fn read_whole(conn: &mut Conn, head: &ResponseHead) -> Result<Bytes, ExchangeError> {
+    let mut decoder = Decoder::new(head.framing);
+    let mut body = BytesMut::new();
+    loop {
+        (decoder.decode(&mut conn.buf, &mut body))
+            .map_err(|_chunk| ExchangeError::Garbled("invalid chunk"))?;
+        if decoder.is_done() {
+            return Ok(body.freeze());
+        }
+        if body.len() > MAX_WHOLE {
+            return Err(ExchangeError::Garbled("answer too long"));
+        }
+        if !read_more(conn).await? {
+            return if decoder.ends_with_close() {
+                Ok(body.freeze())
+            } else {
+                Err(ExchangeError::Closed)
+            };
+        }
+    }
+}
--- /dev/null
+++ b/src/forward/follow.rs
@@ -0,0 +1,490 @@
+//! Follows the platform's store and keeps the gateway's view of it.
+//!
+//! The view comes from a full list and then from changes. After a gap in the history the list is read
+//! again; what is known stays in use until then. Each answer of the store also confirms that the API keys
+//! are current.
+
+use std::fmt;
+use std::rc::Rc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::kv::LocalFuture;
+use crate::router::fleet::{Change, Upstream};
+use crate::router::rollout::{Phase, Rollout};
+use crate::router::table::RouteTable;
+use crate::units::Millis;
+
+use super::shared::Shared;
+
+/// Longest wait of one watch call; an answer at least this often confirms that API keys are current.
+const WATCH_WAIT: Millis = Millis(1_500);
+
+/// Shortest and longest pause after a failed call to the store.
+const RETRY_PAUSE: (Millis, Millis) = (Millis(100), Millis(600));
+
+/// How long the first changes after an outage count as its consequence: upstreams whose entries lapsed
+/// need up to two seconds to be back.
+const AFTER_OUTAGE: Millis = Millis(2_500);
+
+/// Time without an answer of the store from which it counts as having been away.
+const OUTAGE: Millis = Millis(2_200);
+
+/// When a roll-out started, as recorded by the first gateway that saw its order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutStart {
+    /// Version that is rolled out.
+    pub to: String,
+    /// Time of the start, in Unix milliseconds.
+    pub started_unix_ms: u64,
+}
+
+/// One thing that the store says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Notice {
+    /// A configuration.
+    Table(Rc<RouteTable>),
+    /// A report of an upstream.
+    Upstream(Upstream),
+    /// An upstream's entry was removed.
+    UpstreamRemoved(Rc<str>),
+    /// A version is to be rolled out.
+    RolloutOrder {
+        /// Service.
+        service: Rc<str>,
+        /// Version.
+        to: Rc<str>,
+        /// Time that it may take.
+        ramp: Millis,
+    },
+    /// An order was removed.
+    RolloutRemoved(Rc<str>),
+    /// Where a roll-out stands.
+    RolloutPhase {
+        /// Service.
+        service: Rc<str>,
+        /// Version.
+        to: Rc<str>,
+        /// Where it stands.
+        phase: Phase,
+        /// Revision of the record, for the next write.
+        revision: u64,
+    },
+    /// When a roll-out started.
+    RolloutStart {
+        /// Service.
+        service: Rc<str>,
+        /// The record.
+        start: RolloutStart,
+    },
+}
+
+/// Everything that the store holds, at a revision.
+#[derive(Debug)]
+pub struct Listing {
+    /// What the items say.
+    pub notices: Vec<Notice>,
+    /// Revision from which changes go on.
+    pub revision: u64,
+}
+
+/// Why a call to the store gave nothing.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ControlError {
+    /// The changes since the revision are no longer known.
+    HistoryLost,
+    /// The condition of a write did not hold.
+    Conflict,
+    /// No usable answer.
+    Unavailable(String),
+}
+
+impl fmt::Display for ControlError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::HistoryLost => f.write_str("the history since the last revision is lost"),
+            Self::Conflict => f.write_str("the record has changed"),
+            Self::Unavailable(why) => f.write_str(why),
+        }
+    }
+}
+
+/// A new state of a roll-out, to be written under the condition that nobody else wrote one.
+#[derive(Debug, Clone)]
+pub struct RolloutWrite {
+    /// Service.
+    pub service: Rc<str>,
+    /// Version.
+    pub to: Rc<str>,
+    /// New state.
+    pub phase: Phase,
+    /// Revision of the state that it replaces; 0 if there is none.
+    pub revision: u64,
+    /// Record of the start, written with the first state.
+    pub start: Option<RolloutStart>,
+}
+
+/// The platform's store as the gateway needs it.
+pub trait Control {
+    /// Reads everything.
+    fn list(&self) -> LocalFuture<'_, Result<Listing, ControlError>>;
+
+    /// Waits up to `wait` for changes after a revision.
+    fn watch(&self, after: u64, wait: Millis) -> LocalFuture<'_, Result<Listing, ControlError>>;
+
+    /// Writes the state of a roll-out; returns the record's revision.
+    fn write_rollout(&self, write: RolloutWrite) -> LocalFuture<'_, Result<u64, ControlError>>;
+}
+
+/// Follows the store until the task is dropped.
+pub async fn run(shared: Rc<Shared>) {
+    let mut failures = 0;
+    let mut revision = None;
+    loop {
+        let asked = shared.clock.now();
+        let result = match revision {
+            None => shared.control.list().await,
+            Some(after) => shared.control.watch(after, WATCH_WAIT).await,
+        };
+        let now = shared.clock.now();
+        match result {
+            Ok(listing) => {
+                note_contact(&shared, asked, now, failures);
+                failures = 0;
+                take_in(&shared, listing.notices, revision.is_none(), now);
+                // The history never goes back.
+                revision =
+                    Some(revision.map_or(listing.revision, |r: u64| r.max(listing.revision)));
+            }
+            Err(ControlError::HistoryLost) => {
+                log::warn!(event = "store_history_lost", revision = revision.unwrap_or(0); "");
+                revision = None;
+            }
+            Err(error) => {
+                failures += 1;
+                shared.metrics.event("store_call_failed");
+                if failures == 1 {
+                    log::warn!(event = "store_lost", error:% = error; "");
+                }
+                let pause = RETRY_PAUSE.0.0 << failures.min(3);
+                let jitter = shared.draw() % 100;
+                let pause = Millis(pause.min(RETRY_PAUSE.1.0) + jitter);
+                actix_rt::time::sleep(pause.duration()).await;
+            }
+        }
+        expire(&shared);
+    }
+}
+
+/// Notes an answer of the store; a call that was sent at `asked` shows the state of then or later.
+fn note_contact(shared: &Shared, asked: Millis, now: Millis, failures: u32) {
+    let mut freshness = shared.freshness.borrow_mut();
+    let silence = freshness.age(now);
+    // A watch without changes is answered with the state at its end, but it may have been held up on
+    // its way back, so only the time of the question is sure.
+    freshness.confirm(asked);
+    drop(freshness);
+    let was_away = failures > 0 || silence.is_some_and(|s| s > OUTAGE + WATCH_WAIT);
+    if was_away {
+        shared.outage_until.set(now + AFTER_OUTAGE);
+        let silence = silence.map_or(0, |s| s.0);
+        log::info!(event = "store_regained", silence_ms = silence, failures = failures; "");
+    }
+}
+
+fn take_in(shared: &Rc<Shared>, notices: Vec<Notice>, is_list: bool, now: Millis) {
+    let after_outage = now < shared.outage_until.get();
+    let mut upstreams = Vec::new();
+    for notice in notices {
+        match notice {
+            Notice::Upstream(upstream) if is_list => upstreams.push(upstream),
+            Notice::Upstream(upstream) => {
+                let change = shared.fleet.borrow_mut().put(upstream);
+                shared.note_change(change);
+            }
+            Notice::UpstreamRemoved(id) => {
+                let change = shared.fleet.borrow_mut().remove(&id, now, after_outage);
+                shared.note_change(change);
+            }
+            Notice::Table(table) => shared.set_table(table),
+            Notice::RolloutOrder { service, to, ramp } => {
+                shared.rollouts.borrow_mut().order(&service, to, ramp, now);
+            }
+            Notice::RolloutRemoved(service) => shared.rollouts.borrow_mut().remove(&service),
+            Notice::RolloutPhase {
+                service,
+                to,
+                phase,
+                revision,
+            } => (shared.rollouts.borrow_mut()).set_phase(&service, &to, phase, revision),
+            Notice::RolloutStart { service, start } => {
+                let unix = shared.clock.unix();
+                let ago = unix.since(Millis(start.started_unix_ms));
+                let started = Millis(now.0.saturating_sub(ago.0));
+                (shared.rollouts.borrow_mut()).set_start(&service, &start.to, started);
+            }
+        }
+    }
+    if is_list {
+        let changes = (shared.fleet.borrow_mut()).replace(upstreams, now, after_outage);
+        for change in changes {
+            shared.note_change(Some(change));
+        }
+    }
+    shared.is_loaded.set(true);
+}
+
+fn expire(shared: &Shared) {
+    let now = shared.clock.now();
+    let gone = shared.fleet.borrow_mut().expire(now);
+    for change in gone {
+        shared.note_change(Some(change));
+    }
+}
+
+/// Roll-outs by service, with what the store holds of them.
+#[derive(Debug, Default)]
+pub struct Rollouts {
+    known: Vec<Known>,
+    exposure_permille: u64,
+}
+
+#[derive(Debug)]
+struct Known {
+    service: Rc<str>,
+    rollout: Rollout,
+    /// Revision of the state's record; 0 before the first one.
+    revision: u64,
+    /// State for this version in the store, if any.
+    recorded: Option<Phase>,
+    /// A write is on its way.
+    is_writing: bool,
+    /// A state that arrived before its order, with the version it is of.
+    early: Option<(Rc<str>, Phase)>,
+}
+
+impl Rollouts {
+    /// Starts without a roll-out.
+    #[must_use]
+    pub const fn new(exposure_permille: u64) -> Self {
+        Self {
+            known: Vec::new(),
+            exposure_permille,
+        }
+    }
+
+    /// Returns the roll-out of a service.
+    #[must_use]
+    pub fn get(&self, service: &str) -> Option<&Rollout> {
+        self.find(service).map(|at| &self.known[at].rollout).ok()
+    }
+
+    /// Returns the roll-out of a service, to observe answers.
+    pub fn get_mut(&mut self, service: &str) -> Option<&mut Rollout> {
+        let at = self.find(service).ok()?;
+        Some(&mut self.known[at].rollout)
+    }
+
+    /// Takes in an order.
+    pub fn order(&mut self, service: &Rc<str>, to: Rc<str>, ramp: Millis, now: Millis) {
+        let found = self.find(service);
+        if found.is_ok_and(|at| self.known[at].rollout.to == to && self.known[at].is_ordered()) {
+            return;
+        }
+        log::info!(event = "rollout_ordered", service:% = service, to:% = to, ramp_ms = ramp.0; "");
+        let rollout = Rollout::new(to, now, ramp, self.exposure_permille);
+        match found {
+            Ok(at) => {
+                let known = &mut self.known[at];
+                let early = known.early.take().filter(|(to, _)| *to == rollout.to);
+                known.rollout = rollout;
+                known.recorded = early.map(|(_, phase)| phase);
+                if let Some(phase) = known.recorded {
+                    known.rollout.set_phase(phase);
+                }
+            }
+            Err(at) => self.known.insert(
+                at,
+                Known {
+                    service: Rc::clone(service),
+                    rollout,
+                    revision: 0,
+                    recorded: None,
+                    is_writing: false,
+                    early: None,
+                },
+            ),
+        }
+    }
+
+    /// Forgets an order.
+    pub fn remove(&mut self, service: &str) {
+        if let Ok(at) = self.find(service) {
+            self.known.remove(at);
+        }
+    }
+
+    /// Takes in a recorded state.
+    pub fn set_phase(&mut self, service: &Rc<str>, to: &Rc<str>, phase: Phase, revision: u64) {
+        let at = match self.find(service) {
+            Ok(at) => at,
+            Err(at) => {
+                // The order arrives later in the same list.
+                let rollout = Rollout::new(Rc::from(""), Millis(0), Millis(0), 0);
+                self.known.insert(
+                    at,
+                    Known {
+                        service: Rc::clone(service),
+                        rollout,
+                        revision: 0,
+                        recorded: None,
+                        is_writing: false,
+                        early: None,
+                    },
+                );
+                at
+            }
+        };
+        let known = &mut self.known[at];
+        if revision < known.revision {
+            return;
+        }
+        known.revision = revision;
+        if known.rollout.to == *to {
+            if known.recorded != Some(phase) {
+                log::info!(event = "rollout_state", service:% = service, to:% = to, phase:? = phase, revision = revision; "");
+            }
+            known.recorded = Some(phase);
+            known.rollout.set_phase(phase);
+        } else {
+            known.early = Some((Rc::clone(to), phase));
+        }
+    }
+
+    /// Takes in the recorded start.
+    pub fn set_start(&mut self, service: &str, to: &str, started: Millis) {
+        if let Some(rollout) = self.get_mut(service).filter(|r| r.to.as_ref() == to) {
+            rollout.set_start(started);
+        }
+    }
+
+    /// Returns states that are due to be written, and marks them as on their way.
+    pub fn due(&mut self, now: Millis, unix: Millis) -> Vec<RolloutWrite> {
+        let due = self.known.iter_mut().filter_map(|known| {
+            if known.is_writing || !known.is_ordered() {
+                return None;
+            }
+            if matches!(known.recorded, Some(Phase::Complete | Phase::Reverted)) {
+                return None;
+            }
+            // A stop that was decided here may still have to be recorded.
+            let decided = known.rollout.verdict(now);
+            let phase = decided.unwrap_or_else(|| known.rollout.phase());
+            if known.recorded == Some(phase) {
+                return None;
+            }
+            known.is_writing = true;
+            let start = known.recorded.is_none().then(|| RolloutStart {
+                to: known.rollout.to.to_string(),
+                started_unix_ms: unix.0,
+            });
+            Some(RolloutWrite {
+                service: Rc::clone(&known.service),
+                to: Rc::clone(&known.rollout.to),
+                phase,
+                revision: known.revision,
+                start,
+            })
+        });
+        due.collect()
+    }
+
+    /// Notes how a write ended.
+    pub fn written(&mut self, write: &RolloutWrite, result: &Result<u64, ControlError>) {
+        let Ok(at) = self.find(&write.service) else {
+            return;
+        };
+        self.known[at].is_writing = false;
+        if let Ok(revision) = result {
+            self.set_phase(&write.service, &write.to, write.phase, *revision);
+        }
+    }
+
+    fn find(&self, service: &str) -> Result<usize, usize> {
+        self.known
+            .binary_search_by(|k| k.service.as_ref().cmp(service))
+    }
+}
+
+impl Known {
+    fn is_ordered(&self) -> bool {
+        !self.rollout.to.is_empty()
+    }
+}
+
+/// Pause between two looks at whether a roll-out is due for a decision.
+const DECISION_PAUSE: Millis = Millis(200);
+
+/// Records decisions on roll-outs until the task is dropped.
+pub async fn decide_rollouts(shared: Rc<Shared>) {
+    loop {
+        actix_rt::time::sleep(DECISION_PAUSE.duration()).await;
+        // Gateways look at different times, so that one of them writes and the others read.
+        let jitter = Millis(shared.draw() % 100);
+        actix_rt::time::sleep(jitter.duration()).await;
+        let (now, unix) = (shared.clock.now(), shared.clock.unix());
+        let due = shared.rollouts.borrow_mut().due(now, unix);
+        for write in due {
+            apply_at_once(&shared, &write);
+            let shared = Rc::clone(&shared);
+            actix_rt::spawn(async move {
+                let result = shared.control.write_rollout(write.clone()).await;
+                let outcome = match &result {
+                    Ok(_) => "written".to_owned(),
+                    Err(error) => error.to_string(),
+                };
+                log::info!(event = "rollout_write", service:% = write.service, to:% = write.to,
+                    phase:? = write.phase, replaces = write.revision, outcome:% = outcome; "");
+                if result.is_err() {
+                    actix_rt::time::sleep(DECISION_PAUSE.duration()).await;
+                }
+                shared.rollouts.borrow_mut().written(&write, &result);
+            });
+        }
+    }
+}
+
+/// A stop takes effect here before it is recorded; a completion only when it is.
+fn apply_at_once(shared: &Shared, write: &RolloutWrite) {
+    if write.phase != Phase::Reverted {
+        return;
+    }
+    let mut rollouts = shared.rollouts.borrow_mut();
+    if let Some(rollout) = rollouts.get_mut(&write.service) {
+        let [new_bad, new, old_bad, old] = rollout.evidence();
+        log::warn!(event = "rollout_stopped", service:% = write.service, to:% = write.to,
+            new_bad = new_bad, new = new, old_bad = old_bad, old = old; "");
+        rollout.set_phase(Phase::Reverted);
+    }
+}
+
+impl Shared {
+    /// Logs a change of the fleet and drops what belongs to an upstream that left.
+    pub(super) fn note_change(&self, change: Option<Change>) {
+        let Some(change) = change else {
+            return;
+        };
+        let (what, upstream) = match &change {
+            Change::Joined(u) => ("joined", u),
+            Change::Draining(u) => ("draining", u),
+            Change::Gone(u) => ("gone", u),
+            Change::Missing(u) => ("missing", u),
+            Change::Outdated(u) => ("outdated", u),
+        };
+        log::info!(event = "upstream", change = what, upstream:% = upstream.id, addr:% = upstream.addr,
+            service:% = upstream.service, version:% = upstream.version, boot = upstream.boot, seq = upstream.seq; "");
+        if matches!(change, Change::Gone(_) | Change::Draining(_)) {
+            self.pool.borrow_mut().forget(&upstream.id);
+        }
+    }
+}
--- /dev/null
+++ b/src/forward/gateway.rs
@@ -0,0 +1,211 @@
+//! A running gateway: listeners, background work and the planned stop.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use actix_rt::task::JoinHandle;
+use actix_rt::time::sleep;
+use bytes::{BufMut, BytesMut};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+use crate::units::Millis;
+
+use super::shared::Shared;
+use super::{client, follow};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Time after the request to stop for which new connections are still taken: the balancer asks for the
+/// state each second and takes a gateway out after two misses.
+const STILL_ACCEPTING: Millis = Millis(2_600);
+
+/// Time before the kill at which the process ends in any case.
+const STOP_MARGIN: Millis = Millis(500);
+
+/// Pause between two looks at whether all requests have ended.
+const STOP_POLL: Millis = Millis(50);
+
+/// Pause between two passes over idle connections and forgotten upstreams.
+const UPKEEP_PAUSE: Millis = Millis(1_000);
+
+/// Longest time for a question on the readiness or metrics address.
+const QUESTION_TIMEOUT: Millis = Millis(2_000);
+
+/// Addresses of a gateway.
+#[derive(Debug, Clone, Copy)]
+pub struct Addresses {
+    /// Takes clients' connections.
+    pub listen: SocketAddr,
+    /// Answers whether the gateway is ready.
+    pub ready: SocketAddr,
+    /// Serves metrics.
+    pub admin: SocketAddr,
+}
+
+/// A running gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    shared: Rc<Shared>,
+    accepting: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
+    addresses: Addresses,
+}
+
+impl Gateway {
+    /// Binds the addresses and starts to follow the store.
+    ///
+    /// # Errors
+    /// If an address cannot be bound.
+    pub fn bind(shared: Rc<Shared>, addresses: Addresses) -> io::Result<Self> {
+        let listener = listen(addresses.listen)?;
+        let ready = listen(addresses.ready)?;
+        let admin = listen(addresses.admin)?;
+        let addresses = Addresses {
+            listen: listener.local_addr()?,
+            ready: ready.local_addr()?,
+            admin: admin.local_addr()?,
+        };
+        let accepting = actix_rt::spawn(accept(Rc::clone(&shared), listener));
+        let tasks = vec![
+            actix_rt::spawn(follow::run(Rc::clone(&shared))),
+            actix_rt::spawn(follow::decide_rollouts(Rc::clone(&shared))),
+            actix_rt::spawn(answer_questions(Rc::clone(&shared), ready)),
+            actix_rt::spawn(answer_questions(Rc::clone(&shared), admin)),
+            actix_rt::spawn(upkeep(Rc::clone(&shared))),
+        ];
+        Ok(Self {
+            shared,
+            accepting,
+            tasks,
+            addresses,
+        })
+    }
+
+    /// Returns the bound addresses.
+    #[must_use]
+    pub const fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Stops gracefully; `true` if every request has ended.
+    pub async fn stop(self) -> bool {
+        let shared = &self.shared;
+        shared.is_stopping.set(true);
+        let started = shared.clock.now();
+        let latest = started + shared.policy.stop_grace.since(STOP_MARGIN);
+        let still_accepting = STILL_ACCEPTING.min(latest.since(started));
+        sleep(still_accepting.duration()).await;
+        self.accepting.abort();
+        while shared.in_flight.get() > 0 && shared.clock.now() < latest {
+            sleep(STOP_POLL.duration()).await;
+        }
+        let left = shared.in_flight.get();
+        log::info!(event = "stopped", cut_off = left, connections = shared.open_connections.get(); "");
+        for task in &self.tasks {
+            task.abort();
+        }
+        left == 0
+    }
+}
+
+fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
+
+async fn accept(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _peer)) => {
+                if let Err(error) = stream.set_nodelay(true) {
+                    log::debug!(event = "client_socket", error:% = error; "");
+                }
+                actix_rt::spawn(client::serve(Rc::clone(&shared), stream));
+            }
+            Err(error) => {
+                // Usually too many open files; connections end meanwhile.
+                log::warn!(event = "accept_failed", error:% = error; "");
+                sleep(STOP_POLL.duration()).await;
+            }
+        }
+    }
+}
+
+/// Answers questions about readiness and metrics, one a connection or several.
+async fn answer_questions(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _peer)) => {
+                actix_rt::spawn(answer_question(Rc::clone(&shared), stream));
+            }
+            Err(error) => {
+                log::warn!(event = "accept_failed", error:% = error; "");
+                sleep(STOP_POLL.duration()).await;
+            }
+        }
+    }
+}
+
+async fn answer_question(shared: Rc<Shared>, mut stream: TcpStream) {
+    let mut buf = BytesMut::new();
+    loop {
+        let read = actix_rt::time::timeout(QUESTION_TIMEOUT.duration(), stream.read_buf(&mut buf));
+        match read.await {
+            Ok(Ok(length)) if length > 0 && buf.len() <= 8 * 1024 => {}
+            _ => return,
+        }
+        let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") else {
+            continue;
+        };
+        let question = buf.split_to(end + 4);
+        let target = question[..]
+            .split(|b| *b == b' ')
+            .nth(1)
+            .unwrap_or_default();
+        let (status, body) = if target.ends_with(b"metrics") {
+            ("200 OK", metrics(&shared))
+        } else if shared.is_ready() {
+            ("200 OK", "ready\n".to_owned())
+        } else {
+            ("503 Service Unavailable", "not ready\n".to_owned())
+        };
+        let mut out = BytesMut::new();
+        let length = body.len();
+        out.put_slice(format!("HTTP/1.1 {status}\r\nContent-Type: text/plain\r\n").as_bytes());
+        out.put_slice(format!("Content-Length: {length}\r\n\r\n{body}").as_bytes());
+        if stream.write_all(&out).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn metrics(shared: &Shared) -> String {
+    let value = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+    let metrics = &shared.metrics;
+    metrics.value("in_flight", value(shared.in_flight.get()));
+    metrics.value("connections", value(shared.open_connections.get()));
+    let version = shared.table.borrow().version;
+    metrics.value(
+        "configuration_version",
+        i64::try_from(version).unwrap_or(i64::MAX),
+    );
+    let age = shared.freshness.borrow().age(shared.clock.now());
+    let age = age.map_or(-1, |age| i64::try_from(age.0).unwrap_or(i64::MAX));
+    metrics.value("configuration_age_ms", age);
+    metrics.value("upstreams", value(shared.fleet.borrow().all().count()));
+    metrics.text()
+}
+
+async fn upkeep(shared: Rc<Shared>) {
+    loop {
+        sleep(UPKEEP_PAUSE.duration()).await;
+        shared.pool.borrow_mut().expire(shared.clock.now());
+        let fleet = shared.fleet.borrow();
+        (shared.health.borrow_mut()).retain(|id, boot| fleet.is_present(id, boot));
+    }
+}
--- /dev/null
+++ b/src/forward/head.rs
@@ -0,0 +1,284 @@
+//! Heads of requests and responses, parsed strictly.
+//!
+//! What two parsers could read in two ways is refused: a request that is framed in two ways could smuggle
+//! another one inside it.
+
+use std::fmt;
+use std::ops::Range;
+
+use bytes::{Bytes, BytesMut};
+
+/// Most header fields of a head.
+const MAX_FIELDS: usize = 96;
+
+/// Why bytes are no head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum HeadError {
+    /// Bytes that are no HTTP/1.1 head.
+    Malformed,
+    /// Two lengths, or a length that is no number, or an unknown transfer coding.
+    Framing,
+    /// More fields than allowed.
+    TooManyFields,
+    /// Not exactly one host.
+    Host,
+}
+
+impl HeadError {
+    /// Text for logs and error answers.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed head",
+            Self::Framing => "ambiguous body framing",
+            Self::TooManyFields => "too many header fields",
+            Self::Host => "not exactly one Host header",
+        }
+    }
+}
+
+impl fmt::Display for HeadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// How the end of a body is found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Framing {
+    /// After this many bytes.
+    Length(u64),
+    /// After the last chunk.
+    Chunked,
+    /// When the connection is closed.
+    UntilClose,
+}
+
+#[derive(Debug, Clone)]
+struct Field {
+    name: Range<usize>,
+    value: Range<usize>,
+}
+
+/// Header fields in their order.
+#[derive(Debug, Clone)]
+pub struct Fields {
+    raw: Bytes,
+    fields: Vec<Field>,
+}
+
+impl Fields {
+    /// Returns the first value of a field.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&[u8]> {
+        self.all(name).next()
+    }
+
+    /// Returns the first value of a field, if it is text.
+    #[must_use]
+    pub fn text(&self, name: &str) -> Option<&str> {
+        self.get(name)
+            .and_then(|value| std::str::from_utf8(value).ok())
+    }
+
+    /// Returns the first value of a field, if it is a whole number.
+    #[must_use]
+    pub fn number(&self, name: &str) -> Option<u64> {
+        self.text(name).and_then(|value| value.trim().parse().ok())
+    }
+
+    /// Returns all fields in their order.
+    pub fn iter(&self) -> impl Iterator<Item = (&[u8], &[u8])> {
+        (self.fields.iter()).map(|f| (&self.raw[f.name.clone()], &self.raw[f.value.clone()]))
+    }
+
+    /// Tells whether a list such as `Connection` names a token.
+    #[must_use]
+    pub fn lists(&self, name: &str, token: &str) -> bool {
+        self.all(name).any(|value| {
+            value
+                .split(|b| *b == b',')
+                .any(|item| item.trim_ascii().eq_ignore_ascii_case(token.as_bytes()))
+        })
+    }
+
+    fn all(&self, name: &str) -> impl Iterator<Item = &[u8]> {
+        self.iter()
+            .filter(move |(n, _)| n.eq_ignore_ascii_case(name.as_bytes()))
+            .map(|(_, value)| value)
+    }
+
+    /// Returns the length of the body, if it is given once and clearly.
+    fn content_length(&self) -> Result<Option<u64>, HeadError> {
+        let mut values = self.all("content-length");
+        let Some(first) = values.next() else {
+            return Ok(None);
+        };
+        let is_number =
+            !first.is_empty() && first.len() <= 15 && first.iter().all(u8::is_ascii_digit);
+        if !is_number || values.any(|other| other != first) {
+            return Err(HeadError::Framing);
+        }
+        let text = std::str::from_utf8(first).map_err(|_utf8| HeadError::Framing)?;
+        text.parse().map(Some).map_err(|_number| HeadError::Framing)
+    }
+
+    /// Tells whether the body is in chunks.
+    fn is_chunked(&self) -> Result<bool, HeadError> {
+        let mut codings = self.all("transfer-encoding");
+        match (codings.next(), codings.next()) {
+            (None, _) => Ok(false),
+            (Some(coding), None) if coding.eq_ignore_ascii_case(b"chunked") => Ok(true),
+            _ => Err(HeadError::Framing),
+        }
+    }
+}
+
+/// Head of a request.
+#[derive(Debug, Clone)]
+pub struct RequestHead {
+    /// Method as sent.
+    pub method: Bytes,
+    /// Target as sent.
+    pub target: Bytes,
+    /// Header fields.
+    pub fields: Fields,
+    /// Length of the body or chunks; a request without either has none.
+    pub framing: Framing,
+    /// Whether the connection may carry another request.
+    pub keep_alive: bool,
+}
+
+impl RequestHead {
+    /// Returns the path without the query.
+    #[must_use]
+    pub fn path(&self) -> &str {
+        let end = self.target.iter().position(|b| *b == b'?');
+        std::str::from_utf8(&self.target[..end.unwrap_or(self.target.len())]).unwrap_or_default()
+    }
+
+    /// Returns the host without a port, in lower case.
+    #[must_use]
+    pub fn host(&self) -> String {
+        let host = self.fields.text("host").unwrap_or_default();
+        let end = host.rfind(':').filter(|at| !host[*at..].contains(']'));
+        host[..end.unwrap_or(host.len())].to_ascii_lowercase()
+    }
+}
+
+/// Head of a response.
+#[derive(Debug, Clone)]
+pub struct ResponseHead {
+    /// Status code.
+    pub status: u16,
+    /// Header fields.
+    pub fields: Fields,
+    /// How the body ends.
+    pub framing: Framing,
+    /// Whether the connection may carry another request.
+    pub keep_alive: bool,
+}
+
+/// Takes the head of a request off the front of `buf`; `None` if it is not there yet.
+///
+/// # Errors
+/// If the bytes are no head, or its framing is ambiguous.
+pub fn take_request(buf: &mut BytesMut) -> Result<Option<RequestHead>, HeadError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut parsed = httparse::Request::new(&mut headers);
+    let length = match parsed.parse(buf) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(error) => return Err(head_error(error)),
+    };
+    let (Some(method), Some(target), Some(minor)) = (parsed.method, parsed.path, parsed.version)
+    else {
+        return Err(HeadError::Malformed);
+    };
+    let method = range_of(buf, method.as_bytes());
+    let target = range_of(buf, target.as_bytes());
+    let fields = ranges(buf, parsed.headers);
+    let raw = buf.split_to(length).freeze();
+    let (method, target) = (raw.slice(method), raw.slice(target));
+    let fields = Fields { raw, fields };
+    let hosts = fields.all("host").count();
+    if hosts > 1 || (hosts == 0 && minor == 1) {
+        return Err(HeadError::Host);
+    }
+    let framing = match (fields.is_chunked()?, fields.content_length()?) {
+        (true, None) if minor == 1 => Framing::Chunked,
+        (true, _) => return Err(HeadError::Framing),
+        (false, length) => Framing::Length(length.unwrap_or(0)),
+    };
+    let keep_alive = minor == 1 && !fields.lists("connection", "close");
+    Ok(Some(RequestHead {
+        method,
+        target,
+        fields,
+        framing,
+        keep_alive,
+    }))
+}
+
+/// Takes the head of a final response off the front of `buf`; interim ones are dropped.
+///
+/// # Errors
+/// If the bytes are no head, or its framing is ambiguous.
+pub fn take_response(buf: &mut BytesMut, to_head: bool) -> Result<Option<ResponseHead>, HeadError> {
+    loop {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut parsed = httparse::Response::new(&mut headers);
+        let length = match parsed.parse(buf) {
+            Ok(httparse::Status::Complete(length)) => length,
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(error) => return Err(head_error(error)),
+        };
+        let (Some(status), Some(minor)) = (parsed.code, parsed.version) else {
+            return Err(HeadError::Malformed);
+        };
+        let fields = ranges(buf, parsed.headers);
+        let raw = buf.split_to(length).freeze();
+        if status == 101 {
+            return Err(HeadError::Malformed);
+        }
+        if (100..200).contains(&status) {
+            continue;
+        }
+        let fields = Fields { raw, fields };
+        let framing = match (fields.is_chunked()?, fields.content_length()?) {
+            _ if to_head || matches!(status, 204 | 304) => Framing::Length(0),
+            (true, None) => Framing::Chunked,
+            (true, Some(_)) => return Err(HeadError::Framing),
+            (false, Some(length)) => Framing::Length(length),
+            (false, None) => Framing::UntilClose,
+        };
+        let keep_alive =
+            minor == 1 && framing != Framing::UntilClose && !fields.lists("connection", "close");
+        return Ok(Some(ResponseHead {
+            status,
+            fields,
+            framing,
+            keep_alive,
+        }));
+    }
+}
+
+const fn head_error(error: httparse::Error) -> HeadError {
+    match error {
+        httparse::Error::TooManyHeaders => HeadError::TooManyFields,
+        _ => HeadError::Malformed,
+    }
+}
+
+fn range_of(buf: &[u8], part: &[u8]) -> Range<usize> {
+    let start = part.as_ptr().addr() - buf.as_ptr().addr();
+    start..start + part.len()
+}
+
+fn ranges(buf: &[u8], headers: &[httparse::Header<'_>]) -> Vec<Field> {
+    let field = |h: &httparse::Header<'_>| Field {
+        name: range_of(buf, h.name.as_bytes()),
+        value: range_of(buf, h.value),
+    };
+    headers.iter().map(field).collect()
+}
--- /dev/null
+++ b/src/forward/pool.rs
@@ -0,0 +1,155 @@
+//! Kept connections to upstreams.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::BytesMut;
+use tokio::net::TcpStream;
+
+use crate::units::Millis;
+
+/// Idle connections that are kept for one upstream.
+const MAX_IDLE: usize = 24;
+
+/// Idle time after which a connection is dropped if the upstream gave no time.
+const DEFAULT_IDLE: Millis = Millis(4_000);
+
+/// Margin before the upstream's own idle time, so that a request does not cross its close.
+const IDLE_MARGIN: Millis = Millis(400);
+
+/// A connection to an upstream.
+#[derive(Debug)]
+pub struct Conn {
+    /// The socket.
+    pub stream: TcpStream,
+    /// Bytes that were read and not yet used.
+    pub buf: BytesMut,
+    /// Whether it has carried a request before.
+    pub is_reused: bool,
+    /// Longest idle time that the upstream allows.
+    pub idle_limit: Millis,
+    idle_since: Millis,
+}
+
+impl Conn {
+    /// Wraps a new connection.
+    ///
+    /// # Errors
+    /// If the socket's options cannot be set.
+    pub fn new(stream: TcpStream) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        Ok(Self {
+            stream,
+            buf: BytesMut::new(),
+            is_reused: false,
+            idle_limit: DEFAULT_IDLE,
+            idle_since: Millis(0),
+        })
+    }
+
+    /// Takes over the time of a `Keep-Alive` header.
+    pub fn set_keep_alive(&mut self, header: &str) {
+        let timeout = header.split(',').find_map(|part| {
+            let value = part.trim().strip_prefix("timeout=")?;
+            value.parse().ok()
+        });
+        if let Some(secs) = timeout {
+            self.idle_limit = Millis::from_secs(secs).since(IDLE_MARGIN);
+        }
+    }
+
+    /// Tells whether nothing has arrived since the last answer: neither a close nor stray bytes.
+    fn is_quiet(&self) -> bool {
+        let mut byte = [0];
+        let read = self.stream.try_read(&mut byte);
+        self.buf.is_empty() && matches!(read, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+#[derive(Debug)]
+struct Shelf {
+    id: Rc<str>,
+    boot: u64,
+    addr: SocketAddr,
+    idle: Vec<Conn>,
+}
+
+/// Idle connections by upstream.
+#[derive(Debug, Default)]
+pub struct Pool {
+    shelves: Vec<Shelf>,
+}
+
+impl Pool {
+    /// Takes the connection that was used last, if it was idle for at most `max_idle`.
+    pub fn take(&mut self, id: &str, boot: u64, now: Millis, max_idle: Millis) -> Option<Conn> {
+        let at = self.find(id).ok()?;
+        let shelf = &mut self.shelves[at];
+        if shelf.boot != boot {
+            shelf.idle.clear();
+            return None;
+        }
+        while let Some(conn) = shelf.idle.pop() {
+            let idle = now.since(conn.idle_since);
+            if idle <= conn.idle_limit.min(max_idle) && conn.is_quiet() {
+                return Some(conn);
+            }
+            if idle <= conn.idle_limit && idle > max_idle {
+                // The others are older still; they stay for requests that may be repeated.
+                shelf.idle.push(conn);
+                return None;
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for later requests.
+    pub fn put(&mut self, id: &Rc<str>, boot: u64, addr: SocketAddr, mut conn: Conn, now: Millis) {
+        conn.is_reused = true;
+        conn.idle_since = now;
+        if conn.buf.capacity() > 64 * 1024 {
+            conn.buf = BytesMut::new();
+        }
+        let at = match self.find(id) {
+            Ok(at) => at,
+            Err(at) => {
+                let shelf = Shelf {
+                    id: Rc::clone(id),
+                    boot,
+                    addr,
+                    idle: Vec::new(),
+                };
+                self.shelves.insert(at, shelf);
+                at
+            }
+        };
+        let shelf = &mut self.shelves[at];
+        if shelf.boot != boot || shelf.addr != addr {
+            shelf.idle.clear();
+            shelf.boot = boot;
+            shelf.addr = addr;
+        }
+        if shelf.idle.len() < MAX_IDLE {
+            shelf.idle.push(conn);
+        }
+    }
+
+    /// Closes the idle connections to an upstream.
+    pub fn forget(&mut self, id: &str) {
+        if let Ok(at) = self.find(id) {
+            self.shelves.remove(at);
+        }
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn expire(&mut self, now: Millis) {
+        for shelf in &mut self.shelves {
+            (shelf.idle).retain(|c| now.since(c.idle_since) <= c.idle_limit);
+        }
+    }
+
+    fn find(&self, id: &str) -> Result<usize, usize> {
+        self.shelves.binary_search_by(|s| s.id.as_ref().cmp(id))
+    }
+}
--- /dev/null
+++ b/src/forward/reply.rs
@@ -0,0 +1,131 @@
+//! Answers of the gateway's own and heads of forwarded answers.
+
+use bytes::{BufMut, BytesMut};
+
+use super::head::{Fields, ResponseHead};
+
+/// Answer of the gateway's own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OwnReply {
+    /// Status code.
+    pub status: u16,
+    /// Machine-readable reason.
+    pub reason: &'static str,
+    /// When the client may come back, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl OwnReply {
+    /// Makes an answer without a time to come back.
+    #[must_use]
+    pub const fn new(status: u16, reason: &'static str) -> Self {
+        Self {
+            status,
+            reason,
+            retry_after_ms: None,
+        }
+    }
+
+    /// Writes the whole answer.
+    pub fn write(&self, out: &mut BytesMut, closes: bool, to_head: bool) {
+        let body = format!("{{\"error\":\"{}\"}}", self.reason);
+        let phrase = phrase(self.status);
+        out.put_slice(format!("HTTP/1.1 {} {phrase}\r\n", self.status).as_bytes());
+        out.put_slice(b"Content-Type: application/json\r\n");
+        out.put_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+        if let Some(ms) = self.retry_after_ms {
+            let (secs, rest) = (ms / 1_000, ms % 1_000);
+            out.put_slice(format!("Retry-After: {secs}.{rest:03}\r\n").as_bytes());
+        }
+        if closes {
+            out.put_slice(b"Connection: close\r\n");
+        }
+        out.put_slice(b"\r\n");
+        if !to_head {
+            out.put_slice(body.as_bytes());
+        }
+    }
+}
+
+/// How the body of a forwarded answer is framed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyOut {
+    /// All of it is known.
+    Length(usize),
+    /// It is written in chunks.
+    Chunked,
+    /// It has none because the request was `HEAD`; the upstream's length is kept.
+    None,
+}
+
+/// Writes the head of an upstream's answer for the client.
+pub fn write_head(out: &mut BytesMut, head: &ResponseHead, body: BodyOut, closes: bool) {
+    out.put_slice(format!("HTTP/1.1 {} {}\r\n", head.status, phrase(head.status)).as_bytes());
+    copy_fields(out, &head.fields, |_name| false);
+    match body {
+        BodyOut::Length(length) => {
+            out.put_slice(format!("Content-Length: {length}\r\n").as_bytes());
+        }
+        BodyOut::Chunked => out.put_slice(b"Transfer-Encoding: chunked\r\n"),
+        BodyOut::None => {
+            if let Some(length) = head.fields.get("content-length") {
+                out.put_slice(b"Content-Length: ");
+                out.put_slice(length);
+                out.put_slice(b"\r\n");
+            }
+        }
+    }
+    if closes {
+        out.put_slice(b"Connection: close\r\n");
+    }
+    out.put_slice(b"\r\n");
+}
+
+/// Copies fields but for those that concern one connection, the framing of one message, or are skipped.
+pub fn copy_fields(out: &mut BytesMut, fields: &Fields, skips: impl Fn(&[u8]) -> bool) {
+    let has_connection = fields.get("connection").is_some();
+    for (name, value) in fields.iter() {
+        let is_listed = has_connection
+            && std::str::from_utf8(name).is_ok_and(|name| fields.lists("connection", name));
+        if is_hop_by_hop(name) || is_listed || skips(name) {
+            continue;
+        }
+        out.put_slice(name);
+        out.put_slice(b": ");
+        out.put_slice(value);
+        out.put_slice(b"\r\n");
+    }
+}
+
+fn is_hop_by_hop(name: &[u8]) -> bool {
+    const NAMES: [&[u8]; 10] = [
+        b"connection",
+        b"content-length",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    ];
+    NAMES.iter().any(|hop| name.eq_ignore_ascii_case(hop))
+}
+
+const fn phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/src/forward/shared.rs
@@ -0,0 +1,152 @@
+//! State that all connections of a gateway share.
+
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::rc::Rc;
+
+use crate::clock::Clock;
+use crate::ids;
+use crate::router::fleet::Fleet;
+use crate::router::freshness::Freshness;
+use crate::router::health::HealthTable;
+use crate::router::retry::{RetryBounds, RetryBudget};
+use crate::router::table::RouteTable;
+use crate::telemetry::metrics::Metrics;
+use crate::units::Millis;
+
+use super::follow::{Control, Rollouts};
+use super::pool::Pool;
+
+/// Settings of a gateway that bind its decisions.
+#[derive(Debug, Clone)]
+pub struct Policy {
+    /// Name of the gateway.
+    pub name: Rc<str>,
+    /// Data centre of the gateway.
+    pub data_centre: Rc<str>,
+    /// Bounds of retries.
+    pub retries: RetryBounds,
+    /// Longest time that a revoked API key may work.
+    pub key_revocation: Option<Millis>,
+    /// Share of a service's requests that may reach a bad version, in permille.
+    pub exposure_permille: u64,
+    /// Time after which two requests of a session no longer belong together.
+    pub session_span: Millis,
+    /// Time from the request to stop until the process is killed.
+    pub stop_grace: Millis,
+}
+
+/// State of a gateway.
+pub struct Shared {
+    /// Settings.
+    pub policy: Policy,
+    /// Runtime clock.
+    pub clock: Clock,
+    /// The store.
+    pub control: Box<dyn Control>,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Configuration in force.
+    pub table: RefCell<Rc<RouteTable>>,
+    /// Registered upstreams.
+    pub fleet: RefCell<Fleet>,
+    /// What was seen of upstreams.
+    pub health: RefCell<HealthTable>,
+    /// Idle connections to upstreams.
+    pub pool: RefCell<Pool>,
+    /// Roll-outs.
+    pub rollouts: RefCell<Rollouts>,
+    /// Age of the API keys.
+    pub freshness: RefCell<Freshness>,
+    /// Until when changes of the registry count as the consequence of an outage.
+    pub outage_until: Cell<Millis>,
+    /// Whether everything was read from the store once.
+    pub is_loaded: Cell<bool>,
+    /// Whether the gateway is to stop.
+    pub is_stopping: Cell<bool>,
+    /// Client connections that are open.
+    pub open_connections: Cell<usize>,
+    /// Requests that are being served.
+    pub in_flight: Cell<usize>,
+    budgets: RefCell<Vec<(Rc<str>, RetryBudget)>>,
+    random: Cell<u64>,
+}
+
+impl fmt::Debug for Shared {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Shared")
+            .field("policy", &self.policy)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Shared {
+    /// Starts with an empty view.
+    #[must_use]
+    pub fn open(policy: Policy, control: Box<dyn Control>) -> Rc<Self> {
+        let freshness = Freshness::new(policy.key_revocation);
+        let rollouts = Rollouts::new(policy.exposure_permille);
+        Rc::new(Self {
+            policy,
+            clock: Clock::start(),
+            control,
+            metrics: Metrics::open(),
+            table: RefCell::default(),
+            fleet: RefCell::default(),
+            health: RefCell::default(),
+            pool: RefCell::default(),
+            rollouts: RefCell::new(rollouts),
+            freshness: RefCell::new(freshness),
+            outage_until: Cell::default(),
+            is_loaded: Cell::default(),
+            is_stopping: Cell::default(),
+            open_connections: Cell::default(),
+            in_flight: Cell::default(),
+            budgets: RefCell::default(),
+            random: Cell::new(ids::draw()),
+        })
+    }
+
+    /// Returns a random number; for spreading, not for secrets.
+    pub fn draw(&self) -> u64 {
+        let next = self.random.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
+        self.random.set(next);
+        crate::router::mix(next)
+    }
+
+    /// Puts a configuration into force; an older one than that in force is ignored.
+    pub fn set_table(&self, table: Rc<RouteTable>) {
+        let known = self.table.borrow().version;
+        if table.version < known {
+            log::warn!(event = "configuration_outdated", version = table.version, known = known; "");
+            return;
+        }
+        if table.version > known {
+            log::info!(event = "configuration", version = table.version, replaces = known,
+                routes = table.routes().len(); "");
+        }
+        *self.table.borrow_mut() = table;
+    }
+
+    /// Tells whether the gateway can serve new connections.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let now = self.clock.now();
+        let is_trusted = self.freshness.borrow().is_trusted(now);
+        self.is_loaded.get() && !self.is_stopping.get() && is_trusted
+    }
+
+    /// Calls `f` with the retry budget of a service.
+    pub fn with_budget<T>(&self, service: &Rc<str>, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        let at = match budgets.binary_search_by(|(s, _)| s.cmp(service)) {
+            Ok(at) => at,
+            Err(at) => {
+                let budget = RetryBudget::new(self.policy.retries);
+                budgets.insert(at, (Rc::clone(service), budget));
+                at
+            }
+        };
+        f(&mut budgets[at].1)
+    }
+}
--- /dev/null
+++ b/src/platform/items.rs
@@ -0,0 +1,355 @@
+//! Items of the store, decoded into the product's types.
+//!
+//! Items come from several writers. One that cannot be read is reported and ignored; what is known stays.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::forward::follow::{Notice, RolloutStart};
+use crate::router::fleet::{Upstream, UpstreamState};
+use crate::router::rollout::Phase;
+use crate::router::table::{
+    Account, ClientLimits, RequestKind, Route, RouteTable, ServiceSettings, Target,
+};
+use crate::units::Millis;
+
+/// Key of the configuration.
+pub(super) const CONFIG: &str = "op/config";
+/// Keys of roll-out orders, by service.
+pub(super) const ORDERS: &str = "op/rollout/";
+/// Keys of roll-out states, by service; the operator reads them.
+pub(super) const STATUSES: &str = "status/rollout/";
+/// Keys of upstreams, by id.
+pub(super) const UPSTREAMS: &str = "servers/";
+/// Keys of the gateways' own records of when a roll-out started, by service.
+pub(super) const STARTS: &str = "fireflywind/rollout/";
+
+/// An item that cannot be used.
+#[derive(Debug)]
+pub struct BadItem(String);
+
+impl fmt::Display for BadItem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl From<serde_json::Error> for BadItem {
+    fn from(error: serde_json::Error) -> Self {
+        Self(error.to_string())
+    }
+}
+
+/// Decodes an item; `None` if its key means nothing to a gateway.
+///
+/// # Errors
+/// If the value does not hold what its key promises.
+pub fn decode(key: &str, value: &[u8], revision: u64) -> Result<Option<Notice>, BadItem> {
+    if key == CONFIG {
+        return config(value).map(|table| Some(Notice::Table(Rc::new(table))));
+    }
+    if let Some(id) = key.strip_prefix(UPSTREAMS) {
+        return upstream(id, value).map(|u| Some(Notice::Upstream(u)));
+    }
+    if let Some(service) = key.strip_prefix(ORDERS) {
+        let order: Order = serde_json::from_slice(value)?;
+        return Ok(Some(Notice::RolloutOrder {
+            service: service.into(),
+            to: order.to.into(),
+            ramp: seconds(order.ramp_s)?,
+        }));
+    }
+    if let Some(service) = key.strip_prefix(STATUSES) {
+        let status: Status = serde_json::from_slice(value)?;
+        return Ok(Some(Notice::RolloutPhase {
+            service: service.into(),
+            to: status.to.into(),
+            phase: phase(&status.state)?,
+            revision,
+        }));
+    }
+    if let Some(service) = key.strip_prefix(STARTS) {
+        let start: RolloutStart = serde_json::from_slice(value)?;
+        return Ok(Some(Notice::RolloutStart {
+            service: service.into(),
+            start,
+        }));
+    }
+    Ok(None)
+}
+
+/// Decodes that an item was removed.
+#[must_use]
+pub fn decode_removal(key: &str) -> Option<Notice> {
+    if let Some(id) = key.strip_prefix(UPSTREAMS) {
+        return Some(Notice::UpstreamRemoved(id.into()));
+    }
+    let service = key.strip_prefix(ORDERS)?;
+    Some(Notice::RolloutRemoved(service.into()))
+}
+
+/// Encodes the state of a roll-out for the operator.
+#[must_use]
+pub fn encode_status(to: &str, phase: Phase) -> Vec<u8> {
+    let state = match phase {
+        Phase::Active => "active",
+        Phase::Complete => "complete",
+        Phase::Reverted => "reverted",
+    };
+    serde_json::json!({ "state": state, "to": to })
+        .to_string()
+        .into_bytes()
+}
+
+#[derive(Deserialize)]
+struct Order {
+    to: String,
+    /// The whole time that the roll-out may take, not only its ramp.
+    #[serde(rename = "rampS")]
+    ramp_s: f64,
+}
+
+#[derive(Deserialize)]
+struct Status {
+    state: String,
+    to: String,
+}
+
+fn phase(state: &str) -> Result<Phase, BadItem> {
+    match state {
+        "active" => Ok(Phase::Active),
+        "complete" => Ok(Phase::Complete),
+        "reverted" => Ok(Phase::Reverted),
+        other => Err(BadItem(format!("unknown state {other:?}"))),
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a float cast saturates at the limits"
+)]
+fn seconds(value: f64) -> Result<Millis, BadItem> {
+    if value.is_finite() && value >= 0.0 {
+        Ok(Millis((value * 1_000.0) as u64))
+    } else {
+        Err(BadItem(format!("{value} s is no time span")))
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a float cast saturates at the limits"
+)]
+fn millis(value: f64) -> Millis {
+    Millis(value.max(0.0) as u64)
+}
+
+#[derive(Deserialize)]
+struct Entry {
+    service: String,
+    addr: SocketAddr,
+    zone: String,
+    version: Value,
+    slots: u32,
+    state: String,
+    #[serde(rename = "coldLeftMs", default)]
+    warm_up_ms: f64,
+    /// Number of reports that changed something, not of all reports.
+    #[serde(default)]
+    seq: u64,
+    #[serde(default)]
+    born: u64,
+}
+
+fn upstream(id: &str, value: &[u8]) -> Result<Upstream, BadItem> {
+    let entry: Entry = serde_json::from_slice(value)?;
+    let state = match entry.state.as_str() {
+        "ready" => UpstreamState::Ready,
+        "draining" => UpstreamState::Draining,
+        other => return Err(BadItem(format!("unknown state {other:?}"))),
+    };
+    let version = match entry.version {
+        Value::String(text) => text,
+        Value::Number(number) => number.to_string(),
+        other => return Err(BadItem(format!("version {other} is no name"))),
+    };
+    Ok(Upstream {
+        id: id.into(),
+        addr: entry.addr,
+        service: entry.service.into(),
+        data_centre: entry.zone.into(),
+        version: version.into(),
+        slots: entry.slots.max(1),
+        state,
+        boot: entry.born,
+        seq: entry.seq,
+        warm_up: millis(entry.warm_up_ms),
+    })
+}
+
+#[derive(Deserialize)]
+struct Config {
+    version: u64,
+    routes: Vec<Value>,
+    #[serde(default)]
+    services: Vec<Service>,
+    limits: Option<Limits>,
+    tenants: Option<Vec<Tenant>>,
+}
+
+#[derive(Deserialize)]
+struct RawRoute {
+    name: String,
+    host: String,
+    prefix: String,
+    /// What may be repeated, not the type of the content.
+    #[serde(rename = "type")]
+    kind: String,
+    #[serde(rename = "timeoutMs")]
+    timeout_ms: f64,
+    #[serde(rename = "goalMs", default)]
+    goal_ms: f64,
+    #[serde(default)]
+    priority: u8,
+    #[serde(default = "one")]
+    attempts: u32,
+    #[serde(default)]
+    public: bool,
+    /// Requests carry prompts with shared parts; nothing has to stay with one upstream.
+    #[serde(default)]
+    sticky: bool,
+    #[serde(default)]
+    resumable: bool,
+    #[serde(rename = "gapAimMs", default)]
+    gap_ms: f64,
+    /// Names of models, smallest first.
+    #[serde(default)]
+    sizes: Vec<String>,
+    service: Option<String>,
+    split: Option<Vec<Part>>,
+}
+
+#[derive(Deserialize)]
+struct Part {
+    service: String,
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+struct Service {
+    name: String,
+    #[serde(rename = "maxConns", default)]
+    max_connections: u32,
+    engine: Option<Value>,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    #[serde(rename = "maxHeaderBytes")]
+    head_bytes: usize,
+    #[serde(rename = "maxBodyBytes")]
+    body_bytes: usize,
+    #[serde(rename = "headerTimeoutMs")]
+    head_ms: f64,
+    #[serde(rename = "idleTimeoutMs")]
+    idle_ms: f64,
+}
+
+#[derive(Deserialize)]
+struct Tenant {
+    name: String,
+    #[serde(rename = "apiKeys", default)]
+    keys: Vec<String>,
+    priority: Option<u8>,
+}
+
+const fn one() -> u32 {
+    1
+}
+
+fn config(value: &[u8]) -> Result<RouteTable, BadItem> {
+    let config: Config = serde_json::from_slice(value)?;
+    let routes = config.routes.into_iter().map(route);
+    let routes = routes.collect::<Result<Vec<_>, _>>()?;
+    let services = config.services.into_iter().map(|s| ServiceSettings {
+        name: s.name.into(),
+        max_connections: s.max_connections,
+        is_engine: s.engine.is_some(),
+    });
+    let limits = config.limits.map(|l| ClientLimits {
+        head_bytes: l.head_bytes,
+        body_bytes: l.body_bytes,
+        head_timeout: millis(l.head_ms),
+        idle_timeout: millis(l.idle_ms),
+    });
+    let accounts = config.tenants.map(|tenants| {
+        let of_tenant = tenants.into_iter().flat_map(|tenant| {
+            let account = Rc::new(Account {
+                name: tenant.name.into(),
+                priority: tenant.priority,
+            });
+            let keys = tenant.keys.into_iter();
+            keys.map(move |key| (Rc::from(key), Rc::clone(&account)))
+        });
+        of_tenant.collect()
+    });
+    Ok(RouteTable::new(
+        config.version,
+        routes,
+        services.collect(),
+        accounts,
+        limits.unwrap_or_default(),
+    ))
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a float cast saturates at the limits"
+)]
+fn route(value: Value) -> Result<Rc<Route>, BadItem> {
+    let raw: RawRoute = serde_json::from_value(value)?;
+    let kind = match (raw.kind.as_str(), raw.resumable) {
+        ("safe", _) => RequestKind::Idempotent,
+        ("unsafe", _) => RequestKind::AtMostOnce,
+        ("stream", true) => RequestKind::ResumableStream,
+        ("stream", false) => RequestKind::Stream,
+        (other, _) => return Err(BadItem(format!("route {} has kind {other:?}", raw.name))),
+    };
+    let targets = match (raw.split, raw.service) {
+        (Some(split), _) => split
+            .into_iter()
+            .map(|part| Target {
+                service: part.service.into(),
+                // Weights may be fractions.
+                weight: (part.weight * 1_000.0) as u32,
+            })
+            .collect(),
+        (None, Some(service)) => vec![Target {
+            service: service.into(),
+            weight: 1,
+        }],
+        (None, None) => return Err(BadItem(format!("route {} has no service", raw.name))),
+    };
+    Ok(Rc::new(Route {
+        name: raw.name.into(),
+        host: raw.host.to_ascii_lowercase().into(),
+        prefix: raw.prefix.into(),
+        kind,
+        timeout: millis(raw.timeout_ms),
+        goal: millis(raw.goal_ms),
+        priority: raw.priority,
+        attempts: raw.attempts.max(1),
+        is_public: raw.public,
+        has_prompts: raw.sticky,
+        gap: millis(raw.gap_ms),
+        models: raw.sizes.into_iter().map(Rc::from).collect(),
+        targets,
+    }))
+}
--- /dev/null
+++ b/src/platform/settings.rs
@@ -0,0 +1,138 @@
+//! Settings of a gateway, as the template `deploy/gateway.json` renders them.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+
+use serde::Deserialize;
+
+use crate::router::retry::RetryBounds;
+use crate::units::Millis;
+
+/// Variable that holds the path of the settings file.
+const PATH_VARIABLE: &str = "FIREFLYWIND_NODE_FILE";
+
+/// Settings that cannot be used.
+#[derive(Debug)]
+pub enum SettingsError {
+    /// The variable with the path is not set.
+    NoPath,
+    /// The file cannot be read.
+    Unreadable(PathBuf, std::io::Error),
+    /// The file holds no valid settings.
+    Invalid(PathBuf, serde_json::Error),
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoPath => write!(f, "{PATH_VARIABLE} is not set"),
+            Self::Unreadable(path, error) => write!(f, "{}: {error}", path.display()),
+            Self::Invalid(path, error) => write!(f, "{}: {error}", path.display()),
+        }
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+/// Settings of a gateway on the platform.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// Name of the gateway.
+    pub name: Rc<str>,
+    /// Data centre of the gateway.
+    pub data_centre: Rc<str>,
+    /// Address that takes clients' connections.
+    pub listen: SocketAddr,
+    /// Address that answers whether the gateway is ready.
+    pub ready: SocketAddr,
+    /// Address of the metrics.
+    pub admin: SocketAddr,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Time from SIGTERM to SIGKILL.
+    pub stop_grace: Millis,
+    /// Longest time that a revoked API key may work; absent if keys are trusted without a limit.
+    #[serde(default)]
+    pub key_revocation: Option<Millis>,
+    /// Bounds of retries.
+    pub retries: Retries,
+    /// Share of a service's requests that may reach a bad version.
+    #[serde(default = "default_exposure")]
+    pub exposure: f64,
+    /// Time after which two requests of a session no longer belong together.
+    #[serde(default = "default_session")]
+    pub session_span: Millis,
+}
+
+/// Bounds of retries.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Retries {
+    /// Sends beyond the first one for each request.
+    pub ratio: f64,
+    /// Seconds of the sliding window.
+    pub window_s: f64,
+    /// Sends that are allowed on top, over all gateways.
+    pub slack: f64,
+}
+
+impl Retries {
+    /// Returns the bounds in the router's type.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a float cast saturates at the limits"
+    )]
+    pub fn bounds(&self) -> RetryBounds {
+        RetryBounds {
+            ratio: self.ratio.max(0.0),
+            window: Millis((self.window_s * 1_000.0) as u64),
+            slack: self.slack as u64,
+        }
+    }
+}
+
+const fn default_exposure() -> f64 {
+    0.1
+}
+
+const fn default_session() -> Millis {
+    Millis::from_secs(5)
+}
+
+impl GatewaySettings {
+    /// Reads the settings whose path the platform gives.
+    ///
+    /// # Errors
+    /// If there is no path, or the file cannot be read or holds no valid settings.
+    pub fn load() -> Result<Self, SettingsError> {
+        let path = std::env::var_os(PATH_VARIABLE).ok_or(SettingsError::NoPath)?;
+        Self::read(Path::new(&path))
+    }
+
+    /// Returns the share of a service's requests that may reach a bad version, in permille.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a float cast saturates at the limits"
+    )]
+    pub fn exposure_permille(&self) -> u64 {
+        (self.exposure.clamp(0.0, 1.0) * 1_000.0) as u64
+    }
+
+    /// Reads settings from a file.
+    ///
+    /// # Errors
+    /// If the file cannot be read or holds no valid settings.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read(path)
+            .map_err(|error| SettingsError::Unreadable(path.to_owned(), error))?;
+        serde_json::from_slice(&text)
+            .map_err(|error| SettingsError::Invalid(path.to_owned(), error))
+    }
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,297 @@
+//! Client of the platform's store.
+
+use std::cell::RefCell;
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use bytes::Bytes;
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::forward::exchange;
+use crate::forward::follow::{Control, ControlError, Listing, RolloutWrite};
+use crate::forward::head;
+use crate::forward::pool::Conn;
+use crate::kv::LocalFuture;
+use crate::units::Millis;
+
+use super::items;
+
+/// Time for an answer, beyond the time that a watch waits; the store answers in milliseconds when sound.
+const ANSWER_TIMEOUT: Millis = Millis(700);
+
+/// Time for an answer to the next call after failed ones, for a slow store.
+const SLOW_ANSWER_TIMEOUT: Millis = Millis(2_500);
+
+/// Largest head of an answer, in bytes.
+const MAX_HEAD: usize = 16 * 1024;
+
+/// Connection to the store, with one kept connection for each use.
+#[derive(Debug)]
+pub struct Store {
+    addr: SocketAddr,
+    reads: RefCell<Option<Conn>>,
+    writes: RefCell<Option<Conn>>,
+    is_slow: std::cell::Cell<bool>,
+}
+
+#[derive(Deserialize)]
+struct Item {
+    key: String,
+    #[serde(default)]
+    value: Option<String>,
+    rev: u64,
+    #[serde(default)]
+    tombstone: bool,
+}
+
+#[derive(Deserialize)]
+struct Page {
+    items: Vec<Item>,
+    #[serde(rename = "hasMore", default)]
+    has_more: bool,
+    /// Revision of the whole store, not of the page.
+    #[serde(rename = "storeRevision")]
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct Changes {
+    events: Vec<Item>,
+    #[serde(rename = "storeRevision")]
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct Written {
+    rev: u64,
+}
+
+#[derive(Clone, Copy)]
+enum Use {
+    Read,
+    Write,
+}
+
+impl Store {
+    /// Opens the store at an address; connections are made when they are needed.
+    #[must_use]
+    pub const fn open(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            reads: RefCell::new(None),
+            writes: RefCell::new(None),
+            is_slow: std::cell::Cell::new(false),
+        }
+    }
+
+    async fn call(
+        &self,
+        used: Use,
+        method: &str,
+        target: &str,
+        body: &[u8],
+        wait: Millis,
+    ) -> Result<(u16, Bytes), ControlError> {
+        let kept = match used {
+            Use::Read => &self.reads,
+            Use::Write => &self.writes,
+        };
+        let conn = kept.borrow_mut().take();
+        let timeout = if self.is_slow.get() {
+            SLOW_ANSWER_TIMEOUT
+        } else {
+            ANSWER_TIMEOUT
+        };
+        let exchanged = actix_rt::time::timeout(
+            (wait + timeout).duration(),
+            self.exchange(conn, method, target, body),
+        );
+        let result = match exchanged.await {
+            Err(_elapsed) => Err("no answer in time".to_owned()),
+            Ok(result) => result,
+        };
+        match result {
+            Ok((status, body, conn)) => {
+                *kept.borrow_mut() = conn;
+                self.is_slow.set(false);
+                Ok((status, body))
+            }
+            Err(why) => {
+                self.is_slow.set(true);
+                Err(ControlError::Unavailable(why))
+            }
+        }
+    }
+
+    async fn exchange(
+        &self,
+        conn: Option<Conn>,
+        method: &str,
+        target: &str,
+        body: &[u8],
+    ) -> Result<(u16, Bytes, Option<Conn>), String> {
+        let text = |error: std::io::Error| error.to_string();
+        let mut conn = match conn {
+            Some(conn) => conn,
+            None => exchange::connect(self.addr).await.map_err(text)?,
+        };
+        let mut message = format!("{method} {target} HTTP/1.1\r\nHost: {}\r\n", self.addr);
+        if !body.is_empty() {
+            message.push_str("Content-Type: application/json\r\n");
+        }
+        // Writing to a string cannot fail.
+        let _ = write!(message, "Content-Length: {}\r\n\r\n", body.len());
+        let mut message = message.into_bytes();
+        message.extend_from_slice(body);
+        exchange::send(&mut conn, &message).await.map_err(text)?;
+        let head = loop {
+            match head::take_response(&mut conn.buf, false) {
+                Ok(Some(head)) => break head,
+                Ok(None) if conn.buf.len() > MAX_HEAD => return Err("endless head".to_owned()),
+                Ok(None) => {}
+                Err(error) => return Err(error.to_string()),
+            }
+            if !exchange::read_more(&mut conn).await.map_err(text)? {
+                return Err("closed before an answer".to_owned());
+            }
+        };
+        let body = exchange::read_whole(&mut conn, &head).await;
+        let body = body.map_err(|error| error.name().to_owned())?;
+        let keep = head.keep_alive && conn.buf.is_empty();
+        Ok((head.status, body, keep.then_some(conn)))
+    }
+
+    async fn range(&self, prefix: &str, listing: &mut Listing) -> Result<(), ControlError> {
+        let mut after = String::new();
+        loop {
+            let mut target = format!("/api/kv-range?prefix={}", escape(prefix));
+            if !after.is_empty() {
+                // Writing to a string cannot fail.
+                let _ = write!(target, "&after={}", escape(&after));
+            }
+            let (status, body) = self.call(Use::Read, "GET", &target, b"", Millis(0)).await?;
+            let page: Page = parse(status, &body)?;
+            listing.revision = listing.revision.min(page.revision);
+            after = page.items.last().map(|i| i.key.clone()).unwrap_or_default();
+            take(page.items, listing);
+            if !page.has_more || after.is_empty() {
+                return Ok(());
+            }
+        }
+    }
+
+    async fn write(&self, write: RolloutWrite) -> Result<u64, ControlError> {
+        let key = format!("{}{}", items::STATUSES, write.service);
+        let status = BASE64.encode(items::encode_status(&write.to, write.phase));
+        let mut puts = vec![json!({ "key": key, "value": status })];
+        if let Some(start) = &write.start {
+            let value =
+                serde_json::to_vec(start).map_err(|e| ControlError::Unavailable(e.to_string()))?;
+            let start_key = format!("{}{}", items::STARTS, write.service);
+            puts.push(json!({ "key": start_key, "value": BASE64.encode(value) }));
+        }
+        let body = json!({
+            "precondition": [{ "key": key, "rev": write.revision }],
+            "puts": puts,
+            "deletes": [],
+        });
+        let body = body.to_string();
+        let result = self.call(
+            Use::Write,
+            "POST",
+            "/api/kv-txn",
+            body.as_bytes(),
+            Millis(0),
+        );
+        match result.await? {
+            (412, _) => Err(ControlError::Conflict),
+            (status, body) => parse::<Written>(status, &body).map(|w| w.rev),
+        }
+    }
+}
+
+impl Control for Store {
+    fn list(&self) -> LocalFuture<'_, Result<Listing, ControlError>> {
+        Box::pin(async {
+            let mut listing = Listing {
+                notices: Vec::new(),
+                revision: u64::MAX,
+            };
+            let prefixes = [
+                items::CONFIG,
+                items::ORDERS,
+                items::STATUSES,
+                items::STARTS,
+                items::UPSTREAMS,
+            ];
+            for prefix in prefixes {
+                self.range(prefix, &mut listing).await?;
+            }
+            Ok(listing)
+        })
+    }
+
+    fn watch(&self, after: u64, wait: Millis) -> LocalFuture<'_, Result<Listing, ControlError>> {
+        Box::pin(async move {
+            let target = format!("/api/kv-watch?prefix=&after={after}&waitMs={}", wait.0);
+            let (status, body) = self.call(Use::Read, "GET", &target, b"", wait).await?;
+            if status == 410 {
+                return Err(ControlError::HistoryLost);
+            }
+            let changes: Changes = parse(status, &body)?;
+            let mut listing = Listing {
+                notices: Vec::new(),
+                revision: changes.revision,
+            };
+            take(changes.events, &mut listing);
+            Ok(listing)
+        })
+    }
+
+    fn write_rollout(&self, write: RolloutWrite) -> LocalFuture<'_, Result<u64, ControlError>> {
+        Box::pin(self.write(write))
+    }
+}
+
+fn parse<T: for<'de> Deserialize<'de>>(status: u16, body: &[u8]) -> Result<T, ControlError> {
+    if status != 200 {
+        return Err(ControlError::Unavailable(format!("status {status}")));
+    }
+    serde_json::from_slice(body).map_err(|error| ControlError::Unavailable(error.to_string()))
+}
+
+fn take(items: Vec<Item>, listing: &mut Listing) {
+    for item in items {
+        if item.tombstone {
+            listing.notices.extend(items::decode_removal(&item.key));
+            continue;
+        }
+        let value = BASE64.decode(item.value.unwrap_or_default());
+        let decoded = value.map_err(|error| error.to_string()).and_then(|value| {
+            items::decode(&item.key, &value, item.rev).map_err(|error| error.to_string())
+        });
+        match decoded {
+            Ok(notice) => listing.notices.extend(notice),
+            Err(error) => {
+                log::warn!(event = "item_ignored", key:% = item.key, revision = item.rev, error:% = error; "");
+            }
+        }
+    }
+}
+
+/// Escapes a value of a query.
+fn escape(text: &str) -> String {
+    let mut out = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-._~/".contains(&byte) {
+            out.push(char::from(byte));
+        } else {
+            // Writing to a string cannot fail.
+            let _ = write!(out, "%{byte:02X}");
+        }
+    }
+    out
+}
--- /dev/null
+++ b/src/router/fleet.rs
@@ -0,0 +1,192 @@
+//! The upstreams that are registered in the store, and how far they may be used.
+//!
+//! The registry can be wrong in known ways: entries lapse while the store is away, old reports arrive
+//! after newer ones, and an id or an address can be taken over by a new process.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use crate::units::Millis;
+
+/// How long an entry that lapsed during an outage of the store is still used after the store's return.
+///
+/// The registry promises that live upstreams are back within about two seconds.
+const LAPSE_GRACE: Millis = Millis(2_000);
+
+/// Whether an upstream takes new requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum UpstreamState {
+    /// It takes requests.
+    Ready,
+    /// It finishes what it has and will leave.
+    Draining,
+}
+
+/// One upstream as registered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Upstream {
+    /// Id of this registration.
+    pub id: Rc<str>,
+    /// Address that takes requests.
+    pub addr: SocketAddr,
+    /// Service that it belongs to.
+    pub service: Rc<str>,
+    /// Data centre.
+    pub data_centre: Rc<str>,
+    /// Version of its software or weights.
+    pub version: Rc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub state: UpstreamState,
+    /// Start of its process, in Unix milliseconds; tells two processes with one id apart.
+    pub boot: u64,
+    /// Number of the report; it grows within a boot.
+    pub seq: u64,
+    /// Time until which it is slower than usual after its start, as a span from the report.
+    pub warm_up: Millis,
+}
+
+#[derive(Debug, Clone)]
+struct Member {
+    upstream: Rc<Upstream>,
+    /// When an entry that is missing since an outage is taken as gone.
+    missing_until: Option<Millis>,
+}
+
+/// What a change of the registry meant.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// A new upstream, or a new process under a known id.
+    Joined(Rc<Upstream>),
+    /// It takes no new requests.
+    Draining(Rc<Upstream>),
+    /// It is gone.
+    Gone(Rc<Upstream>),
+    /// It is missing after an outage and still used for a while.
+    Missing(Rc<Upstream>),
+    /// An older report than the known one, which is ignored.
+    Outdated(Rc<Upstream>),
+}
+
+/// All registered upstreams, sorted by id.
+#[derive(Debug, Clone, Default)]
+pub struct Fleet {
+    members: Vec<Member>,
+}
+
+impl Fleet {
+    /// Takes in a report of an upstream.
+    pub fn put(&mut self, mut reported: Upstream) -> Option<Change> {
+        let found = self.find(&reported.id);
+        let Ok(at) = found else {
+            let upstream = Rc::new(reported);
+            self.members.insert(
+                found.unwrap_or_else(|at| at),
+                Member {
+                    upstream: Rc::clone(&upstream),
+                    missing_until: None,
+                },
+            );
+            return Some(Change::Joined(upstream));
+        };
+        let member = &mut self.members[at];
+        let known = &member.upstream;
+        if (reported.boot, reported.seq) < (known.boot, known.seq) {
+            return Some(Change::Outdated(Rc::clone(known)));
+        }
+        let is_same_boot = reported.boot == known.boot;
+        // A process that has begun to leave does not come back.
+        if is_same_boot && known.state == UpstreamState::Draining {
+            reported.state = UpstreamState::Draining;
+        }
+        let was = known.state;
+        member.missing_until = None;
+        member.upstream = Rc::new(reported);
+        let upstream = Rc::clone(&member.upstream);
+        match (is_same_boot, was, upstream.state) {
+            (false, _, _) => Some(Change::Joined(upstream)),
+            (true, UpstreamState::Ready, UpstreamState::Draining) => {
+                Some(Change::Draining(upstream))
+            }
+            (true, _, _) => None,
+        }
+    }
+
+    /// Takes in that an entry was removed; `after_outage` tells that the store was away just before.
+    pub fn remove(&mut self, id: &str, now: Millis, after_outage: bool) -> Option<Change> {
+        let at = self.find(id).ok()?;
+        let member = &mut self.members[at];
+        let upstream = Rc::clone(&member.upstream);
+        if after_outage && upstream.state == UpstreamState::Ready {
+            member.missing_until.get_or_insert(now + LAPSE_GRACE);
+            return Some(Change::Missing(upstream));
+        }
+        self.members.remove(at);
+        Some(Change::Gone(upstream))
+    }
+
+    /// Replaces the registry by a full list; entries that are not in it count as removed.
+    pub fn replace(
+        &mut self,
+        listed: Vec<Upstream>,
+        now: Millis,
+        after_outage: bool,
+    ) -> Vec<Change> {
+        let mut ids: Vec<_> = listed.iter().map(|u| Rc::clone(&u.id)).collect();
+        ids.sort();
+        let known = self.members.iter().map(|m| Rc::clone(&m.upstream.id));
+        let missing: Vec<_> = known.filter(|id| ids.binary_search(id).is_err()).collect();
+        let removed = missing
+            .iter()
+            .filter_map(|id| self.remove(id, now, after_outage))
+            .collect::<Vec<_>>();
+        let put = listed.into_iter().filter_map(|u| self.put(u));
+        removed.into_iter().chain(put.collect::<Vec<_>>()).collect()
+    }
+
+    /// Drops entries whose time as missing is over.
+    pub fn expire(&mut self, now: Millis) -> Vec<Change> {
+        let mut gone = Vec::new();
+        self.members.retain(|m| {
+            let is_gone = m.missing_until.is_some_and(|until| until <= now);
+            if is_gone {
+                gone.push(Change::Gone(Rc::clone(&m.upstream)));
+            }
+            !is_gone
+        });
+        gone
+    }
+
+    /// Returns the upstreams of a service that may get new requests, by id.
+    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Rc<Upstream>> {
+        self.all()
+            .filter(move |u| u.service.as_ref() == service && u.state == UpstreamState::Ready)
+    }
+
+    /// Returns all upstreams, by id.
+    pub fn all(&self) -> impl Iterator<Item = &Rc<Upstream>> {
+        self.members.iter().map(|m| &m.upstream)
+    }
+
+    /// Tells whether the same process still takes requests.
+    #[must_use]
+    pub fn is_ready(&self, id: &str, boot: u64) -> bool {
+        self.find(id).is_ok_and(|at| {
+            let upstream = &self.members[at].upstream;
+            upstream.boot == boot && upstream.state == UpstreamState::Ready
+        })
+    }
+
+    /// Tells whether the same process is registered, also if it is draining.
+    #[must_use]
+    pub fn is_present(&self, id: &str, boot: u64) -> bool {
+        self.find(id)
+            .is_ok_and(|at| self.members[at].upstream.boot == boot)
+    }
+
+    fn find(&self, id: &str) -> Result<usize, usize> {
+        self.members
+            .binary_search_by(|m| m.upstream.id.as_ref().cmp(id))
+    }
+}
--- /dev/null
+++ b/src/router/freshness.rs
@@ -0,0 +1,51 @@
+//! How long API keys may be trusted without word from the store.
+//!
+//! A key that was taken away must not work for longer than the deployment allows, also on a gateway that
+//! is cut off. A gateway therefore trusts its table only for some time after the store has confirmed it.
+
+use crate::units::Millis;
+
+/// Part of the allowed time after which keys are no longer trusted, in percent.
+///
+/// The rest covers the way of a request from the client to the gateway and on to the upstream.
+const TRUST_PERCENT: u64 = 90;
+
+/// Age of the routing table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Freshness {
+    bound: Option<Millis>,
+    confirmed: Option<Millis>,
+}
+
+impl Freshness {
+    /// Starts without a confirmed table; `bound` is the longest time that a revoked key may work, or
+    /// `None` if keys are trusted without a limit.
+    #[must_use]
+    pub const fn new(bound: Option<Millis>) -> Self {
+        Self {
+            bound,
+            confirmed: None,
+        }
+    }
+
+    /// Notes that the table was current at `at`, a time at or before the store's answer.
+    pub fn confirm(&mut self, at: Millis) {
+        self.confirmed = self.confirmed.max(Some(at));
+    }
+
+    /// Returns the time since the table was last known to be current.
+    #[must_use]
+    pub fn age(&self, now: Millis) -> Option<Millis> {
+        self.confirmed.map(|at| now.since(at))
+    }
+
+    /// Tells whether API keys may be trusted.
+    #[must_use]
+    pub fn is_trusted(&self, now: Millis) -> bool {
+        match (self.bound, self.age(now)) {
+            (_, None) => false,
+            (None, Some(_)) => true,
+            (Some(bound), Some(age)) => age.0 * 100 < bound.0 * TRUST_PERCENT,
+        }
+    }
+}
--- /dev/null
+++ b/src/router/mod.rs
@@ -0,0 +1,35 @@
+//! Decisions of a gateway on a managed platform: which upstream, which model, what may be sent again.
+//!
+//! All parts are pure: the time is passed in as runtime milliseconds and nothing performs I/O. The
+//! platform's adapter fills [`table::RouteTable`] and [`fleet::Fleet`]; [`crate::forward`] carries out
+//! what is decided here.
+
+pub mod attempt;
+pub mod cascade;
+pub mod fleet;
+pub mod freshness;
+pub mod health;
+pub mod pick;
+pub mod retry;
+pub mod rollout;
+pub mod table;
+#[cfg(test)]
+mod tests;
+
+/// Mixes a number; the finalizer of SplitMix64.
+#[must_use]
+pub const fn mix(seed: u64) -> u64 {
+    let mut z = seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
+/// Hashes bytes to the same number in every process (FNV-1a, then mixed).
+#[must_use]
+pub fn hash(bytes: &[u8]) -> u64 {
+    let folded = bytes.iter().fold(0xcbf2_9ce4_8422_2325_u64, |h, b| {
+        (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3)
+    });
+    mix(folded)
+}
--- /dev/null
+++ b/src/router/rollout.rs
@@ -0,0 +1,258 @@
+//! Roll-out of a new version of a service under a deadline.
+//!
+//! A small, constant share of the sessions goes to the new version until most of the time is over. Every
+//! gateway judges the new version by its own requests and stops the roll-out alone. If the version is
+//! sound, all requests go there, the old upstreams finish what they have, and the roll-out is completed.
+//! The platform runs its own deadline and stops the old upstreams, which sets this apart from the product's
+//! [`crate::rollout::RolloutGuard`].
+
+use std::rc::Rc;
+
+use crate::units::Millis;
+
+/// Part of the allowed exposure that the first phase uses, in percent; the rest is kept for the time
+/// until a stop is known everywhere.
+const CANARY_PERCENT: u64 = 45;
+
+/// Part of the time for which the canary share holds, in percent.
+const CANARY_UNTIL: u64 = 72;
+
+/// Part of the time at which the roll-out is completed, in percent.
+const COMPLETE_AT: u64 = 92;
+
+/// Bad answers that a stop needs at least.
+const MIN_BAD: f64 = 3.0;
+
+/// Rate of bad answers above the old version's that stops the roll-out.
+const EXCESS: f64 = 0.15;
+
+/// Answers that the old version needs before its mean time counts.
+const MIN_SAMPLES: f64 = 8.0;
+
+/// Times the old version's mean at which an answer counts as slow.
+const SLOW_FACTOR: f64 = 3.5;
+
+/// Time to the first byte below which no answer counts as slow.
+const SLOW_FLOOR: Millis = Millis(60);
+
+/// Time in which an old observation loses half of its weight.
+const HALF_LIFE: Millis = Millis(5_000);
+
+/// Where the roll-out stands for all gateways.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Phase {
+    /// The new version is being judged.
+    Active,
+    /// It has replaced the old one.
+    Complete,
+    /// It is given up.
+    Reverted,
+}
+
+/// Which upstreams of the service may get a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Group {
+    /// Those of the new version.
+    New,
+    /// All others.
+    Old,
+}
+
+/// How an upstream answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Answer {
+    /// With success, its first byte after this time.
+    Good(Millis),
+    /// With an error of its own, or with an answer that broke off.
+    Bad,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Tally {
+    total: f64,
+    bad: f64,
+    updated: Millis,
+}
+
+impl Tally {
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "spans of a process's life are far below 2^52 ms"
+    )]
+    fn add(&mut self, is_bad: bool, now: Millis) {
+        let halvings = now.since(self.updated).0 as f64 / HALF_LIFE.0 as f64;
+        let keep = 0.5_f64.powf(halvings);
+        self.total = self.total * keep + 1.0;
+        self.bad = self.bad * keep + f64::from(u8::from(is_bad));
+        self.updated = now;
+    }
+
+    fn rate(&self) -> f64 {
+        self.bad / self.total.max(1.0)
+    }
+}
+
+/// Mean time to the first byte of the old version for one kind of request.
+#[derive(Debug, Clone)]
+struct Usual {
+    kind: u64,
+    samples: f64,
+    mean: f64,
+}
+
+/// The roll-out of one service.
+#[derive(Debug, Clone)]
+pub struct Rollout {
+    /// Version that is rolled out.
+    pub to: Rc<str>,
+    phase: Phase,
+    started: Millis,
+    ramp: Millis,
+    exposure_permille: u64,
+    old: Tally,
+    new: Tally,
+    usual: Vec<Usual>,
+}
+
+impl Rollout {
+    /// Starts at `started`, to be done within `ramp`; `exposure_permille` of the service's requests may
+    /// reach a bad version.
+    #[must_use]
+    pub fn new(to: Rc<str>, started: Millis, ramp: Millis, exposure_permille: u64) -> Self {
+        Self {
+            to,
+            phase: Phase::Active,
+            started,
+            ramp,
+            exposure_permille,
+            old: Tally::default(),
+            new: Tally::default(),
+            usual: Vec::new(),
+        }
+    }
+
+    /// Takes over a recorded phase. A recorded decision holds for all gateways; `Active` may be older than a
+    /// stop that was decided here.
+    pub fn set_phase(&mut self, phase: Phase) {
+        if phase != Phase::Active {
+            self.phase = phase;
+        }
+    }
+
+    /// Moves the start, as another gateway has recorded it.
+    pub fn set_start(&mut self, started: Millis) {
+        self.started = started;
+    }
+
+    /// Returns where the roll-out stands.
+    #[must_use]
+    pub const fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Returns the share of sessions that go to the new version, in permille.
+    #[must_use]
+    pub fn share_permille(&self, now: Millis) -> u64 {
+        match self.phase {
+            Phase::Complete => 1_000,
+            Phase::Reverted => 0,
+            Phase::Active if self.is_past(CANARY_UNTIL, now) => 1_000,
+            Phase::Active => self.exposure_permille * CANARY_PERCENT / 100,
+        }
+    }
+
+    /// Returns where a session belongs; all gateways agree on it without messages.
+    #[must_use]
+    pub fn group(&self, session: u64, now: Millis) -> Group {
+        if super::mix(session) % 1_000 < self.share_permille(now) {
+            Group::New
+        } else {
+            Group::Old
+        }
+    }
+
+    /// Tells whether upstreams of the other group may be used if one's own has none.
+    #[must_use]
+    pub fn can_fall_back(&self, from: Group) -> bool {
+        match (self.phase, from) {
+            // A version that was given up gets nothing, whatever happens to the others.
+            (Phase::Reverted, _) => false,
+            // The old upstreams end when the roll-out is complete, but some may still be there.
+            (_, Group::New) => true,
+            (Phase::Complete, Group::Old) => true,
+            (Phase::Active, Group::Old) => false,
+        }
+    }
+
+    /// Takes in an answer; `kind` names the kind of request, whose usual times are alike.
+    pub fn observe(&mut self, version: &str, kind: u64, answer: Answer, now: Millis) {
+        let is_new = version == self.to.as_ref();
+        let is_bad = match answer {
+            Answer::Bad => true,
+            Answer::Good(first_byte) => is_new && self.is_slow(kind, first_byte),
+        };
+        if is_new {
+            self.new.add(is_bad, now);
+        } else {
+            self.old.add(is_bad, now);
+            if let Answer::Good(first_byte) = answer {
+                self.learn(kind, first_byte);
+            }
+        }
+    }
+
+    /// Returns the phase to record, if it is time for a decision.
+    #[must_use]
+    pub fn verdict(&self, now: Millis) -> Option<Phase> {
+        if self.phase != Phase::Active {
+            return None;
+        }
+        let is_bad = self.new.bad >= MIN_BAD && self.new.rate() > self.old.rate() * 1.5 + EXCESS;
+        if is_bad {
+            return Some(Phase::Reverted);
+        }
+        self.is_past(COMPLETE_AT, now).then_some(Phase::Complete)
+    }
+
+    /// Returns weighted bad answers and answers of the new and the old version, for logs.
+    #[must_use]
+    pub const fn evidence(&self) -> [f64; 4] {
+        [self.new.bad, self.new.total, self.old.bad, self.old.total]
+    }
+
+    fn is_past(&self, percent: u64, now: Millis) -> bool {
+        now.since(self.started).0 * 100 >= self.ramp.0 * percent
+    }
+
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "times of answers are far below 2^52 ms"
+    )]
+    fn is_slow(&self, kind: u64, first_byte: Millis) -> bool {
+        let usual = self.usual.iter().find(|u| u.kind == kind);
+        usual.is_some_and(|u| {
+            u.samples >= MIN_SAMPLES
+                && first_byte > SLOW_FLOOR
+                && first_byte.0 as f64 > u.mean * SLOW_FACTOR
+        })
+    }
+
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "times of answers are far below 2^52 ms"
+    )]
+    fn learn(&mut self, kind: u64, first_byte: Millis) {
+        let value = first_byte.0 as f64;
+        match self.usual.iter_mut().find(|u| u.kind == kind) {
+            Some(usual) => {
+                usual.samples += 1.0;
+                usual.mean += (value - usual.mean) / usual.samples.min(50.0);
+            }
+            None => self.usual.push(Usual {
+                kind,
+                samples: 1.0,
+                mean: value,
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/src/router/table.rs
@@ -0,0 +1,213 @@
+//! The routing table in force: routes, client accounts and limits of one configuration version.
+
+use std::rc::Rc;
+
+use crate::units::Millis;
+
+/// What may be repeated of a route's requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RequestKind {
+    /// May run any number of times.
+    Idempotent,
+    /// May run once at most.
+    AtMostOnce,
+    /// An event stream that may go on at another upstream.
+    ResumableStream,
+    /// An event stream that may run once at most.
+    Stream,
+}
+
+impl RequestKind {
+    /// Tells whether a request that may have run can be sent again.
+    #[must_use]
+    pub const fn is_repeatable(self) -> bool {
+        matches!(self, Self::Idempotent | Self::ResumableStream)
+    }
+
+    /// Tells whether the answer is an event stream.
+    #[must_use]
+    pub const fn is_stream(self) -> bool {
+        matches!(self, Self::ResumableStream | Self::Stream)
+    }
+}
+
+/// A service that takes a share of a route's requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Target {
+    /// Name of the service.
+    pub service: Rc<str>,
+    /// Relative weight.
+    pub weight: u32,
+}
+
+/// One route.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    /// Name of the route.
+    pub name: Rc<str>,
+    /// Host that it answers for, in lower case.
+    pub host: Rc<str>,
+    /// Path prefix, with a slash at both ends.
+    pub prefix: Rc<str>,
+    /// What may be repeated.
+    pub kind: RequestKind,
+    /// Longest time that a request is kept waiting.
+    pub timeout: Millis,
+    /// Time within which an answer has its full value.
+    pub goal: Millis,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Most upstreams that may run one request.
+    pub attempts: u32,
+    /// Whether requests need no API key.
+    pub is_public: bool,
+    /// Whether requests carry prompts whose parts upstreams cache.
+    pub has_prompts: bool,
+    /// Longest pause between two events.
+    pub gap: Millis,
+    /// Models to choose from, smallest first; empty if the client names the model.
+    pub models: Vec<Rc<str>>,
+    /// Services that take the requests.
+    pub targets: Vec<Target>,
+}
+
+impl Route {
+    /// Returns the service of a request; `draw` is a uniform random number.
+    #[must_use]
+    pub fn service(&self, draw: u64) -> Option<&Rc<str>> {
+        let total: u64 = self.targets.iter().map(|t| u64::from(t.weight)).sum();
+        let mut left = draw.checked_rem(total)?;
+        for target in &self.targets {
+            match left.checked_sub(u64::from(target.weight)) {
+                Some(rest) => left = rest,
+                None => return Some(&target.service),
+            }
+        }
+        None
+    }
+}
+
+/// A service's settings.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceSettings {
+    /// Name of the service.
+    pub name: Rc<str>,
+    /// Connections that an upstream accepts from all callers together.
+    pub max_connections: u32,
+    /// Whether its upstreams are model engines.
+    pub is_engine: bool,
+}
+
+/// The client account of an API key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Account {
+    /// Name of the client account.
+    pub name: Rc<str>,
+    /// Rank that replaces the route's.
+    pub priority: Option<u8>,
+}
+
+/// Limits on what a client may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClientLimits {
+    /// Largest head of a request, in bytes.
+    pub head_bytes: usize,
+    /// Largest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// Longest time from the first byte of a head to its last.
+    pub head_timeout: Millis,
+    /// Longest time that a connection may stay idle.
+    pub idle_timeout: Millis,
+}
+
+impl Default for ClientLimits {
+    /// The limits until a configuration is known; those of the first deployments.
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            head_timeout: Millis::from_secs(3),
+            idle_timeout: Millis::from_secs(15),
+        }
+    }
+}
+
+/// One version of the configuration.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RouteTable {
+    /// Version; it only grows.
+    pub version: u64,
+    routes: Vec<Rc<Route>>,
+    services: Vec<ServiceSettings>,
+    keys: Vec<(Rc<str>, Rc<Account>)>,
+    has_accounts: bool,
+    /// Limits on what a client may send.
+    pub limits: ClientLimits,
+}
+
+impl RouteTable {
+    /// Makes a table; `accounts` is `None` if requests carry no API keys.
+    #[must_use]
+    pub fn new(
+        version: u64,
+        mut routes: Vec<Rc<Route>>,
+        mut services: Vec<ServiceSettings>,
+        accounts: Option<Vec<(Rc<str>, Rc<Account>)>>,
+        limits: ClientLimits,
+    ) -> Self {
+        // Within a host the longest prefix comes first, so that the first match is the right one.
+        routes.sort_by(|a, b| {
+            (a.host.cmp(&b.host)).then_with(|| b.prefix.len().cmp(&a.prefix.len()))
+        });
+        services.sort_by(|a, b| a.name.cmp(&b.name));
+        let has_accounts = accounts.is_some();
+        let mut keys = accounts.unwrap_or_default();
+        keys.sort_by(|a, b| a.0.cmp(&b.0));
+        Self {
+            version,
+            routes,
+            services,
+            keys,
+            has_accounts,
+            limits,
+        }
+    }
+
+    /// Returns the route of a host and path: the longest prefix that begins the path.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
+        let first = self.routes.partition_point(|r| *r.host < *host);
+        let of_host = self.routes[first..].iter().take_while(|r| *r.host == *host);
+        of_host
+            .into_iter()
+            .find(|r| path.starts_with(r.prefix.as_ref()))
+    }
+
+    /// Returns all routes.
+    #[must_use]
+    pub fn routes(&self) -> &[Rc<Route>] {
+        &self.routes
+    }
+
+    /// Returns a service's settings.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&ServiceSettings> {
+        let found = self
+            .services
+            .binary_search_by(|s| s.name.as_ref().cmp(name));
+        found.ok().map(|at| &self.services[at])
+    }
+
+    /// Tells whether requests carry API keys.
+    #[must_use]
+    pub const fn has_accounts(&self) -> bool {
+        self.has_accounts
+    }
+
+    /// Returns the client account of an API key.
+    #[must_use]
+    pub fn account(&self, key: &str) -> Option<&Rc<Account>> {
+        let found = self.keys.binary_search_by(|(k, _)| k.as_ref().cmp(key));
+        found.ok().map(|at| &self.keys[at].1)
+    }
+}
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,5 +1,6 @@
 //! Logs and metrics of the daemons.
 
+pub mod buffered;
 pub mod logging;
 pub mod metrics;
 #[cfg(test)]
