Leave an upstream only if it is silent on all connections

The engines read long prompts between the tokens of other requests; they were busy, not dead.

Change: each byte from an upstream counts as a sign of life for all of its requests. A stream or a request without an answer leaves early only if the upstream is silent on all connections, and late otherwise.

Ruled out: a longer pause for all cases, since dark upstreams would then cost each of their streams the time that makes them late.

--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -69,6 +69,20 @@
     pub(super) sent: Millis,
 }
 
+impl Leg {
+    /// Notes that bytes came from the upstream.
+    pub(super) fn hear(&self, shared: &Shared, now: Millis) {
+        let upstream = &self.upstream;
+        (shared.health.borrow_mut()).hear(&upstream.id, upstream.boot, now);
+    }
+
+    /// Tells whether bytes came from the upstream since a time, for whichever request.
+    pub(super) fn is_heard(&self, shared: &Shared, since: Millis, now: Millis) -> bool {
+        let upstream = &self.upstream;
+        (shared.health.borrow_mut()).is_heard(&upstream.id, upstream.boot, since, now)
+    }
+}
+
 enum Outcome {
     /// The answer was delivered.
     Delivered { status: u16, after: After },
@@ -396,10 +410,8 @@
     if let Err(error) = exchange::send(&mut leg.conn, &message).await {
         return lost(shared, job, &leg, &ExchangeError::Broken(error));
     }
-    let silence = silence_limit(shared, job, is_last);
     let head = {
-        let read = exchange::read_head(&mut leg.conn, &job.id, job.to_head);
-        let timed = actix_rt::time::timeout(silence.duration(), read);
+        let timed = read_head_in_time(shared, job, &mut leg, is_last);
         tokio::select! {
             biased;
             head = timed => head,
@@ -407,10 +419,11 @@
         }
     };
     let head = match head {
-        Ok(Ok(head)) => head,
-        Ok(Err(error)) => return lost(shared, job, &leg, &error),
-        Err(_elapsed) => return silent(shared, job, &leg),
+        Some(Ok(head)) => head,
+        Some(Err(error)) => return lost(shared, job, &leg, &error),
+        None => return silent(shared, job, &leg),
     };
+    leg.hear(shared, shared.clock.now());
     answer(shared, client, job, leg, head, relay, is_last).await
 }
 
@@ -444,19 +457,58 @@
     })
 }
 
-/// Returns how long an upstream may be silent before its answer begins.
-fn silence_limit(shared: &Shared, job: &Job, is_last: bool) -> Millis {
+/// Reads the head of the answer; `None` if the upstream is given up before.
+async fn read_head_in_time(
+    shared: &Shared,
+    job: &Job,
+    leg: &mut Leg,
+    is_last: bool,
+) -> Option<Result<ResponseHead, ExchangeError>> {
+    let patience = patience(shared, job, is_last);
+    let id = Rc::clone(&leg.upstream.id);
+    let (boot, sent) = (leg.upstream.boot, leg.sent);
+    let read = exchange::read_head(&mut leg.conn, &job.id, job.to_head);
+    tokio::pin!(read);
+    let head = actix_rt::time::timeout(patience.silent.duration(), &mut read).await;
+    if let Ok(head) = head {
+        return Some(head);
+    }
+    let now = shared.clock.now();
+    if !(shared.health.borrow_mut()).is_heard(&id, boot, sent, now) {
+        return None;
+    }
+    let rest = patience.busy.since(patience.silent);
+    let head = actix_rt::time::timeout(rest.duration(), read).await;
+    head.ok()
+}
+
+/// How long an answer may take to begin.
+struct Patience {
+    /// At an upstream that is silent on all connections.
+    silent: Millis,
+    /// At an upstream that answers other requests.
+    busy: Millis,
+}
+
+fn patience(shared: &Shared, job: &Job, is_last: bool) -> Patience {
     let left = job.deadline.since(shared.clock.now());
     if !job.route.kind.is_repeatable() || is_last {
-        return left;
+        return Patience {
+            silent: left,
+            busy: left,
+        };
     }
-    let goal = job.route.goal;
-    let patience = if job.route.kind.is_stream() {
-        Millis(goal.0 * 6 / 10)
+    let goal = job.route.goal.0;
+    let (silent, busy) = if job.route.kind.is_stream() {
+        (Millis(goal * 6 / 10), Millis(goal * 2))
     } else {
-        Millis(goal.0 * 2)
+        (Millis(goal * 2), Millis(goal * 3))
     };
-    left.min(patience.max(MIN_SILENCE))
+    let silent = silent.max(MIN_SILENCE).min(left);
+    Patience {
+        silent,
+        busy: busy.max(silent).min(left),
+    }
 }
 
 fn observe(shared: &Shared, upstream: &Upstream, seen: Seen, what: &str) {
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -13,9 +13,16 @@
 use super::request::{Job, Leg};
 use super::shared::Shared;
 
-/// Part of the longest pause between events after which the stream goes on at another upstream, in
-/// percent; the rest is for the other upstream to begin.
-const GAP_PERCENT: u64 = 70;
+/// Part of the longest pause between events after which a stream leaves an upstream that is silent on all
+/// connections, in percent; the rest is for the other upstream to begin.
+const SILENT_PERCENT: u64 = 70;
+
+/// The same for an upstream that answers other requests: a busy engine reads long prompts between the
+/// tokens of a stream, and going on elsewhere would add to the load.
+const BUSY_PERCENT: u64 = 300;
+
+/// Pause between two looks at an upstream that is late with an event.
+const RECHECK: Millis = Millis(50);
 
 /// Longest pause if the route gives none.
 const DEFAULT_GAP: Millis = Millis(2_000);
@@ -77,10 +84,12 @@
     relay.events.drop_partial();
     let mut decoder = Decoder::new(head.framing);
     let mut out = BytesMut::with_capacity(1_024);
-    let gap = match job.route.gap {
+    let longest = match job.route.gap {
         Millis(0) => DEFAULT_GAP,
-        gap => Millis(gap.0 * GAP_PERCENT / 100),
+        gap => gap,
     };
+    let gap = Millis(longest.0 * SILENT_PERCENT / 100);
+    let busy_gap = Millis(longest.0 * BUSY_PERCENT / 100);
     let mut last_event = shared.clock.now();
     let timer = actix_rt::time::sleep(gap.duration());
     tokio::pin!(timer);
@@ -110,6 +119,7 @@
                 return RelayEnd::ClientGone;
             }
             last_event = shared.clock.now();
+            leg.hear(shared, last_event);
         }
         if decoder.is_done() {
             return RelayEnd::Complete;
@@ -125,10 +135,11 @@
                         return RelayEnd::TimedOut;
                     }
                     let silent_at = last_event + gap;
-                    if now >= silent_at {
+                    let is_heard = leg.is_heard(shared, last_event, now);
+                    if now >= last_event + busy_gap || (now >= silent_at && !is_heard) {
                         return RelayEnd::Silent;
                     }
-                    let wait = silent_at.min(job.deadline).since(now);
+                    let wait = silent_at.min(job.deadline).since(now).max(RECHECK);
                     timer.as_mut().reset(actix_rt::time::Instant::now() + wait.duration());
                 }
             }
--- a/src/router/health.rs
+++ b/src/router/health.rs
@@ -58,6 +58,8 @@
     boot: u64,
     /// Requests of this gateway that are in flight there.
     pub in_flight: u32,
+    /// When any byte last came from it.
+    pub heard: Millis,
     outcomes: f64,
     failures: f64,
     updated: Millis,
@@ -71,6 +73,7 @@
             id,
             boot,
             in_flight: 0,
+            heard: Millis(0),
             outcomes: 0.0,
             failures: 0.0,
             updated: now,
@@ -167,6 +170,16 @@
         }
     }
 
+    /// Notes that bytes came from an upstream.
+    pub fn hear(&mut self, id: &Rc<str>, boot: u64, now: Millis) {
+        self.entry(id, boot, now).heard = now;
+    }
+
+    /// Tells whether bytes came from an upstream at or after `since`, for whichever request.
+    pub fn is_heard(&mut self, id: &Rc<str>, boot: u64, since: Millis, now: Millis) -> bool {
+        self.entry(id, boot, now).heard > since
+    }
+
     /// Forgets upstreams that are no longer registered and have nothing in flight.
     pub fn retain(&mut self, mut keep: impl FnMut(&str, u64) -> bool) {
         self.entries
