Ask a silent engine before leaving it, close idle connections at a stop

A stream whose attempts were used up was ended because of a gap, and connections that stayed idle through a stop sent requests that the end of the process cut off.

Change: router/patience decides when a silent upstream is left: never without another attempt, not if it works on other requests or says so when asked. At the end of the accepting phase of a stop, idle connections close.

Ruled out: longer fixed time-outs, which a queue of long prompts exceeds.

--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -121,8 +121,16 @@
         limits: &ClientLimits,
     ) -> Result<Incoming, ReadEnd> {
         if self.buf.is_empty() {
+            if shared.is_closing.get() {
+                return Err(ReadEnd::Over);
+            }
             let idle = actix_rt::time::timeout(limits.idle_timeout.duration(), self.read_more());
-            match idle.await {
+            let idle = tokio::select! {
+                biased;
+                idle = idle => idle,
+                () = shared.close_idle.notified() => return Err(ReadEnd::Over),
+            };
+            match idle {
                 Ok(Ok(true)) => {}
                 Ok(Ok(false) | Err(_)) | Err(_) => return Err(ReadEnd::Over),
             }
--- a/src/forward/gateway.rs
+++ b/src/forward/gateway.rs
@@ -99,6 +99,8 @@
         let still_accepting = STILL_ACCEPTING.min(latest.since(started));
         sleep(still_accepting.duration()).await;
         self.accepting.abort();
+        shared.close_idle.notify_waiters();
+        shared.is_closing.set(true);
         while shared.in_flight.get() > 0 && shared.clock.now() < latest {
             sleep(STOP_POLL.duration()).await;
         }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -15,6 +15,7 @@
 pub mod reply;
 pub mod request;
 pub mod shared;
+mod silence;
 pub mod stream;
 #[cfg(test)]
 mod tests;
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -1,5 +1,6 @@
 //! One request: admission, attempts, and the answer to the client.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use bytes::{BufMut, Bytes, BytesMut};
@@ -9,6 +10,7 @@
 use crate::router::cascade::{self, Opinion, Verdict};
 use crate::router::fleet::Upstream;
 use crate::router::health::Seen;
+use crate::router::patience::Limits;
 use crate::router::pick::{self, Candidate};
 use crate::router::rollout::{Answer, Group};
 use crate::router::table::{Account, RequestKind, Route, RouteTable};
@@ -21,6 +23,7 @@
 use super::pool::Conn;
 use super::reply::{self, BodyOut, OwnReply};
 use super::shared::Shared;
+use super::silence::{self, Silence, Watched};
 use super::stream::{self, Relay, RelayEnd};
 
 /// Time for a new connection; a packet that is lost on the way is sent again only after a second.
@@ -40,7 +43,7 @@
 const NO_UPSTREAM_RETRY: Millis = Millis(400);
 
 /// Requests share the slack of the retry budget over at most this many gateways.
-const MAX_GATEWAYS: usize = 32;
+pub(super) const MAX_GATEWAYS: usize = 32;
 
 /// The request as it is to be served.
 #[derive(Debug)]
@@ -75,11 +78,30 @@
         let upstream = &self.upstream;
         (shared.health.borrow_mut()).hear(&upstream.id, upstream.boot, now);
     }
+}
 
-    /// Tells whether bytes came from the upstream since a time, for whichever request.
-    pub(super) fn is_heard(&self, shared: &Shared, since: Millis, now: Millis) -> bool {
-        let upstream = &self.upstream;
-        (shared.health.borrow_mut()).is_heard(&upstream.id, upstream.boot, since, now)
+impl Job {
+    /// Tells whether the service's upstreams are model engines.
+    pub(super) fn is_engine(&self, shared: &Shared) -> bool {
+        let table = shared.table.borrow();
+        table.service(&self.service).is_some_and(|s| s.is_engine)
+    }
+
+    fn watched<'a>(
+        &'a self,
+        shared: &'a Shared,
+        upstream: &'a Rc<Upstream>,
+        limits: Limits,
+        has_attempts: bool,
+    ) -> Watched<'a> {
+        Watched {
+            shared,
+            upstream,
+            service: &self.service,
+            id: &self.id,
+            limits,
+            has_attempts,
+        }
     }
 }
 
@@ -264,9 +286,9 @@
             return give_up(client, failure, &attempts, job, "no_upstream", &relay).await;
         };
         tried.push(Rc::clone(&upstream.id));
-        let is_last = !attempts.can_escalate();
+        let can_move = attempts.can_escalate();
         (shared.health.borrow_mut()).start(&upstream.id, upstream.boot, now);
-        let end = attempt(shared, client, req, job, &upstream, &mut relay, is_last).await;
+        let end = attempt(shared, client, req, job, &upstream, &mut relay, can_move).await;
         let now = shared.clock.now();
         (shared.health.borrow_mut()).end(&upstream.id, upstream.boot, now);
         needs_budget = true;
@@ -400,7 +422,7 @@
     job: &Job,
     upstream: &Rc<Upstream>,
     relay: &mut Relay,
-    is_last: bool,
+    can_move: bool,
 ) -> AttemptEnd {
     let mut leg = match open_leg(shared, job, upstream).await {
         Ok(leg) => leg,
@@ -411,20 +433,25 @@
         return lost(shared, job, &leg, &ExchangeError::Broken(error));
     }
     let head = {
-        let timed = read_head_in_time(shared, job, &mut leg, is_last);
+        let last = Cell::new(leg.sent);
+        let silence = silence::wait(
+            job.watched(shared, upstream, head_limits(shared, job), can_move),
+            &last,
+        );
+        let read = exchange::read_head(&mut leg.conn, &job.id, job.to_head);
         tokio::select! {
             biased;
-            head = timed => head,
+            head = read => head,
             () = client.closed() => return AttemptEnd::ClientGone,
+            silence = silence => return silent(shared, job, upstream, leg.sent, silence),
         }
     };
     let head = match head {
-        Some(Ok(head)) => head,
-        Some(Err(error)) => return lost(shared, job, &leg, &error),
-        None => return silent(shared, job, &leg),
+        Ok(head) => head,
+        Err(error) => return lost(shared, job, &leg, &error),
     };
     leg.hear(shared, shared.clock.now());
-    answer(shared, client, job, leg, head, relay, is_last).await
+    answer(shared, client, job, leg, head, relay, can_move).await
 }
 
 /// Takes a kept connection or opens one.
@@ -457,57 +484,20 @@
     })
 }
 
-/// Reads the head of the answer; `None` if the upstream is given up before.
-async fn read_head_in_time(
-    shared: &Shared,
-    job: &Job,
-    leg: &mut Leg,
-    is_last: bool,
-) -> Option<Result<ResponseHead, ExchangeError>> {
-    let patience = patience(shared, job, is_last);
-    let id = Rc::clone(&leg.upstream.id);
-    let (boot, sent) = (leg.upstream.boot, leg.sent);
-    let read = exchange::read_head(&mut leg.conn, &job.id, job.to_head);
-    tokio::pin!(read);
-    let head = actix_rt::time::timeout(patience.silent.duration(), &mut read).await;
-    if let Ok(head) = head {
-        return Some(head);
-    }
-    let now = shared.clock.now();
-    if !(shared.health.borrow_mut()).is_heard(&id, boot, sent, now) {
-        return None;
-    }
-    let rest = patience.busy.since(patience.silent);
-    let head = actix_rt::time::timeout(rest.duration(), read).await;
-    head.ok()
-}
-
-/// How long an answer may take to begin.
-struct Patience {
-    /// At an upstream that is silent on all connections.
-    silent: Millis,
-    /// At an upstream that answers other requests.
-    busy: Millis,
-}
-
-fn patience(shared: &Shared, job: &Job, is_last: bool) -> Patience {
-    let left = job.deadline.since(shared.clock.now());
-    if !job.route.kind.is_repeatable() || is_last {
-        return Patience {
-            silent: left,
-            busy: left,
-        };
-    }
+/// Returns how long an upstream may be silent before its answer begins.
+fn head_limits(shared: &Shared, job: &Job) -> Limits {
     let goal = job.route.goal.0;
     let (silent, busy) = if job.route.kind.is_stream() {
-        (Millis(goal * 6 / 10), Millis(goal * 2))
+        (Millis(goal * 5 / 10), Millis(goal * 2))
     } else {
         (Millis(goal * 2), Millis(goal * 3))
     };
-    let silent = silent.max(MIN_SILENCE).min(left);
-    Patience {
+    let silent = silent.max(MIN_SILENCE);
+    Limits {
         silent,
-        busy: busy.max(silent).min(left),
+        busy: busy.max(silent),
+        deadline: job.deadline,
+        can_ask: job.is_engine(shared),
     }
 }
 
@@ -539,16 +529,22 @@
     AttemptEnd::Retry(Ended::Lost)
 }
 
-fn silent(shared: &Shared, job: &Job, leg: &Leg) -> AttemptEnd {
-    let now = shared.clock.now();
-    let waited = now.since(leg.sent);
+fn silent(
+    shared: &Shared,
+    job: &Job,
+    upstream: &Upstream,
+    sent: Millis,
+    silence: Silence,
+) -> AttemptEnd {
+    let waited = shared.clock.now().since(sent);
     log::info!(event = "attempt_silent", request:% = String::from_utf8_lossy(&job.id),
-        upstream:% = leg.upstream.id, waited_ms = waited.0; "");
-    observe(shared, &leg.upstream, Seen::Silent, "silent");
-    if now + MIN_LEFT >= job.deadline {
-        AttemptEnd::TimedOut { may_have_run: true }
-    } else {
-        AttemptEnd::Retry(Ended::Lost)
+        upstream:% = upstream.id, waited_ms = waited.0, end:? = silence; "");
+    match silence {
+        Silence::Leave => {
+            observe(shared, upstream, Seen::Silent, "silent");
+            AttemptEnd::Retry(Ended::Lost)
+        }
+        Silence::TimedOut => AttemptEnd::TimedOut { may_have_run: true },
     }
 }
 
@@ -613,32 +609,37 @@
     mut leg: Leg,
     head: ResponseHead,
     relay: &mut Relay,
-    is_last: bool,
+    can_move: bool,
 ) -> AttemptEnd {
     if let Some(text) = head.fields.text("keep-alive") {
         leg.conn.set_keep_alive(text);
     }
     let is_success = (200..300).contains(&head.status);
     if is_success && job.route.kind.is_stream() && !job.to_head {
-        return answer_stream(shared, client, job, leg, head, relay, is_last).await;
+        return answer_stream(shared, client, job, leg, head, relay, can_move).await;
     }
     let body = {
-        let left = job.deadline.since(shared.clock.now());
+        let last = Cell::new(shared.clock.now());
+        let upstream = Rc::clone(&leg.upstream);
+        let sent = leg.sent;
+        let silence = silence::wait(
+            job.watched(shared, &upstream, head_limits(shared, job), can_move),
+            &last,
+        );
         let read = exchange::read_whole(&mut leg.conn, &head);
-        let timed = actix_rt::time::timeout(left.duration(), read);
         tokio::select! {
             biased;
-            body = timed => body,
+            body = read => body,
             () = client.closed() => return AttemptEnd::ClientGone,
+            silence = silence => return silent(shared, job, &upstream, sent, silence),
         }
     };
     let body = match body {
-        Ok(Ok(body)) => body,
-        Ok(Err(error)) => {
+        Ok(body) => body,
+        Err(error) => {
             observe_version(shared, job, &leg.upstream, Answer::Bad);
             return lost(shared, job, &leg, &error);
         }
-        Err(_elapsed) => return silent(shared, job, &leg),
     };
     let upstream = Rc::clone(&leg.upstream);
     let first_byte = shared.clock.now().since(leg.sent);
@@ -661,7 +662,7 @@
     if head.status >= 500 {
         observe(shared, &upstream, Seen::Error, "error");
         observe_version(shared, job, &upstream, Answer::Bad);
-        if job.route.kind.is_repeatable() && !is_last {
+        if job.route.kind.is_repeatable() && can_move {
             return AttemptEnd::Failure(Box::new(head), body);
         }
     } else {
@@ -720,7 +721,7 @@
     mut leg: Leg,
     head: ResponseHead,
     relay: &mut Relay,
-    is_last: bool,
+    can_move: bool,
 ) -> AttemptEnd {
     let first_byte = shared.clock.now().since(leg.sent);
     observe(shared, &leg.upstream, Seen::Answer, "stream");
@@ -730,7 +731,7 @@
             model,
             models: job.route.models.len(),
             confidence: (head.fields.number(headers::CONFIDENCE)).and_then(|c| c.try_into().ok()),
-            can_send: !is_last,
+            can_send: can_move,
         };
         let verdict = cascade::judge(opinion);
         log::info!(event = "confidence", request:% = String::from_utf8_lossy(&job.id), model = model,
@@ -743,7 +744,9 @@
         }
     }
     let closes = !job.keep_alive || shared.is_stopping.get();
-    let end = stream::relay(shared, client, job, &mut leg, &head, relay, closes).await;
+    let upstream = Rc::clone(&leg.upstream);
+    let watched = job.watched(shared, &upstream, stream::limits(shared, job), can_move);
+    let end = stream::relay(watched, client, job, &mut leg.conn, &head, relay, closes).await;
     match end {
         RelayEnd::Complete => {
             let status = head.status;
@@ -758,12 +761,12 @@
             }
         }
         RelayEnd::ClientGone => AttemptEnd::ClientGone,
-        RelayEnd::TimedOut => AttemptEnd::TimedOut { may_have_run: true },
         RelayEnd::Lost(error) => {
             observe_version(shared, job, &leg.upstream, Answer::Bad);
             lost_midway(shared, job, &leg, &error)
         }
-        RelayEnd::Silent => {
+        RelayEnd::Silent(Silence::TimedOut) => AttemptEnd::TimedOut { may_have_run: true },
+        RelayEnd::Silent(Silence::Leave) => {
             observe(shared, &leg.upstream, Seen::Silent, "gap");
             lost_midway(shared, job, &leg, &ExchangeError::Garbled("gap"))
         }
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -4,6 +4,8 @@
 use std::fmt;
 use std::rc::Rc;
 
+use tokio::sync::Notify;
+
 use crate::clock::Clock;
 use crate::ids;
 use crate::router::fleet::Fleet;
@@ -64,6 +66,10 @@
     pub is_loaded: Cell<bool>,
     /// Whether the gateway is to stop.
     pub is_stopping: Cell<bool>,
+    /// Closes client connections that carry no request, near the end of a stop.
+    pub close_idle: Notify,
+    /// Whether idle client connections are being closed.
+    pub is_closing: Cell<bool>,
     /// Client connections that are open.
     pub open_connections: Cell<usize>,
     /// Requests that are being served.
@@ -100,6 +106,8 @@
             outage_until: Cell::default(),
             is_loaded: Cell::default(),
             is_stopping: Cell::default(),
+            close_idle: Notify::new(),
+            is_closing: Cell::default(),
             open_connections: Cell::default(),
             in_flight: Cell::default(),
             budgets: RefCell::default(),
--- /dev/null
+++ b/src/forward/silence.rs
@@ -0,0 +1,105 @@
+//! Waits for the moment at which a silent upstream is left.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use actix_rt::time::{sleep, timeout};
+
+use crate::platform::report;
+use crate::router::fleet::Upstream;
+use crate::router::patience::{self, Asked, Limits, Next, Signs};
+use crate::units::Millis;
+
+use super::exchange;
+use super::head;
+use super::pool::Conn;
+use super::shared::Shared;
+
+/// Time for an engine to tell its state; it needs no slot for that.
+const ASK_TIMEOUT: Millis = Millis(250);
+
+/// How a wait for an upstream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Silence {
+    /// Another upstream is to get the request.
+    Leave,
+    /// The request's time is over.
+    TimedOut,
+}
+
+/// The upstream of a request and what bounds the wait for it.
+pub(super) struct Watched<'a> {
+    pub(super) shared: &'a Shared,
+    pub(super) upstream: &'a Rc<Upstream>,
+    pub(super) service: &'a Rc<str>,
+    pub(super) id: &'a [u8],
+    pub(super) limits: Limits,
+    /// Whether attempts are left for another upstream.
+    pub(super) has_attempts: bool,
+}
+
+/// Returns when the upstream is to be left; `last` is the time of the request's last bytes.
+pub(super) async fn wait(watched: Watched<'_>, last: &Cell<Millis>) -> Silence {
+    let shared = watched.shared;
+    let mut asked: Option<(Millis, Asked)> = None;
+    loop {
+        let now = shared.clock.now();
+        let since = last.get();
+        let (id, boot) = (&watched.upstream.id, watched.upstream.boot);
+        let is_heard = (shared.health.borrow_mut()).is_heard(id, boot, since, now);
+        let gateways = super::request::MAX_GATEWAYS;
+        let can_move = watched.has_attempts
+            && shared.with_budget(watched.service, |b| b.has_send(now, gateways));
+        let signs = Signs {
+            since,
+            is_heard,
+            state: asked.filter(|(at, _)| *at >= since).map(|(_, state)| state),
+            can_move,
+        };
+        match patience::next(&watched.limits, &signs, now) {
+            Next::Wait(pause) => sleep(pause.duration()).await,
+            Next::Leave => return Silence::Leave,
+            Next::TimedOut => return Silence::TimedOut,
+            Next::Ask => {
+                let state = ask(&watched).await;
+                log::info!(event = "asked", request:% = String::from_utf8_lossy(watched.id),
+                    upstream:% = id, silent_ms = now.since(since).0, state:? = state; "");
+                asked = Some((shared.clock.now(), state));
+            }
+        }
+    }
+}
+
+async fn ask(watched: &Watched<'_>) -> Asked {
+    watched.shared.metrics.event("upstream_asked");
+    let load = timeout(ASK_TIMEOUT.duration(), fetch(watched.upstream)).await;
+    let Ok(Some(load)) = load else {
+        return Asked::NoSign;
+    };
+    let id = std::str::from_utf8(watched.id).unwrap_or_default();
+    if load.waiting > 0 || load.ids.iter().any(|known| known == id) {
+        Asked::AtWork
+    } else {
+        Asked::NoSign
+    }
+}
+
+async fn fetch(upstream: &Upstream) -> Option<report::EngineLoad> {
+    let mut conn: Conn = exchange::connect(upstream.addr).await.ok()?;
+    let message = format!(
+        "GET {} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n",
+        report::TARGET,
+        upstream.addr
+    );
+    exchange::send(&mut conn, message.as_bytes()).await.ok()?;
+    let head = loop {
+        if let Some(head) = head::take_response(&mut conn.buf, false).ok()? {
+            break head;
+        }
+        if !exchange::read_more(&mut conn).await.ok()? {
+            return None;
+        }
+    };
+    let body = exchange::read_whole(&mut conn, &head).await.ok()?;
+    report::decode(&body).filter(|_| head.status == 200)
+}
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -1,7 +1,11 @@
 //! Forwarding of an event stream, over one or more upstreams.
 
+use std::cell::Cell;
+use std::rc::Rc;
+
 use bytes::{BufMut, BytesMut};
 
+use crate::router::patience::Limits;
 use crate::units::Millis;
 
 use super::body::Decoder;
@@ -9,9 +13,11 @@
 use super::events::Events;
 use super::exchange::{self, ExchangeError};
 use super::head::ResponseHead;
+use super::pool::Conn;
 use super::reply::{self, BodyOut};
-use super::request::{Job, Leg};
+use super::request::Job;
 use super::shared::Shared;
+use super::silence::{self, Silence, Watched};
 
 /// Part of the longest pause between events after which a stream leaves an upstream that is silent on all
 /// connections, in percent; the rest is for the other upstream to begin.
@@ -21,9 +27,6 @@
 /// tokens of a stream, and going on elsewhere would add to the load.
 const BUSY_PERCENT: u64 = 300;
 
-/// Pause between two looks at an upstream that is late with an event.
-const RECHECK: Millis = Millis(50);
-
 /// Longest pause if the route gives none.
 const DEFAULT_GAP: Millis = Millis(2_000);
 
@@ -41,12 +44,10 @@
     Complete,
     /// The client has gone.
     ClientGone,
-    /// The time of the request is over.
-    TimedOut,
     /// The upstream broke off.
     Lost(ExchangeError),
-    /// The upstream is silent.
-    Silent,
+    /// The upstream was silent for too long, or the time of the request is over.
+    Silent(Silence),
 }
 
 impl Relay {
@@ -71,30 +72,40 @@
     }
 }
 
+/// Returns how long an upstream may be silent between two events.
+pub(super) fn limits(shared: &Shared, job: &Job) -> Limits {
+    let longest = match job.route.gap {
+        Millis(0) => DEFAULT_GAP,
+        gap => gap,
+    };
+    Limits {
+        silent: Millis(longest.0 * SILENT_PERCENT / 100),
+        busy: Millis(longest.0 * BUSY_PERCENT / 100),
+        deadline: job.deadline,
+        can_ask: job.is_engine(shared),
+    }
+}
+
 /// Forwards events until the stream ends; the head goes out with the first events.
 pub(super) async fn relay(
-    shared: &Shared,
+    watched: Watched<'_>,
     client: &mut ClientConn,
     job: &Job,
-    leg: &mut Leg,
+    conn: &mut Conn,
     head: &ResponseHead,
     relay: &mut Relay,
     closes: bool,
 ) -> RelayEnd {
     relay.events.drop_partial();
+    let shared = watched.shared;
+    let upstream = Rc::clone(watched.upstream);
     let mut decoder = Decoder::new(head.framing);
     let mut out = BytesMut::with_capacity(1_024);
-    let longest = match job.route.gap {
-        Millis(0) => DEFAULT_GAP,
-        gap => gap,
-    };
-    let gap = Millis(longest.0 * SILENT_PERCENT / 100);
-    let busy_gap = Millis(longest.0 * BUSY_PERCENT / 100);
-    let mut last_event = shared.clock.now();
-    let timer = actix_rt::time::sleep(gap.duration());
-    tokio::pin!(timer);
+    let last = Cell::new(shared.clock.now());
+    let silence = silence::wait(watched, &last);
+    tokio::pin!(silence);
     loop {
-        if let Err(_chunk) = decoder.decode(&mut leg.conn.buf, relay.events.input()) {
+        if let Err(_chunk) = decoder.decode(&mut conn.buf, relay.events.input()) {
             return RelayEnd::Lost(ExchangeError::Garbled("invalid chunk"));
         }
         let Ok(mut events) = relay.events.take() else {
@@ -118,31 +129,18 @@
             if client.write(&out).await.is_err() {
                 return RelayEnd::ClientGone;
             }
-            last_event = shared.clock.now();
-            leg.hear(shared, last_event);
+            let now = shared.clock.now();
+            last.set(now);
+            (shared.health.borrow_mut()).hear(&upstream.id, upstream.boot, now);
         }
         if decoder.is_done() {
             return RelayEnd::Complete;
         }
-        let read = loop {
-            tokio::select! {
-                biased;
-                read = exchange::read_more(&mut leg.conn) => break read,
-                () = client.closed() => return RelayEnd::ClientGone,
-                () = &mut timer => {
-                    let now = shared.clock.now();
-                    if now >= job.deadline {
-                        return RelayEnd::TimedOut;
-                    }
-                    let silent_at = last_event + gap;
-                    let is_heard = leg.is_heard(shared, last_event, now);
-                    if now >= last_event + busy_gap || (now >= silent_at && !is_heard) {
-                        return RelayEnd::Silent;
-                    }
-                    let wait = silent_at.min(job.deadline).since(now).max(RECHECK);
-                    timer.as_mut().reset(actix_rt::time::Instant::now() + wait.duration());
-                }
-            }
+        let read = tokio::select! {
+            biased;
+            read = exchange::read_more(conn) => read,
+            () = client.closed() => return RelayEnd::ClientGone,
+            silence = &mut silence => return RelayEnd::Silent(silence),
         };
         match read {
             Ok(true) => {}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod headers;
 pub mod items;
+pub mod report;
 pub mod settings;
 pub mod store;
 #[cfg(test)]
