Divide upstreams by model and prompt size, learn what larger models gain

Escalation always went to the largest model.

Change: router/pick divides the upstreams of a route with several models into lanes for the smallest model, larger models and the largest prompts (size-interval assignment, border by router/sizes). router/cascade asks the smallest model whose predicted confidence is enough, and learns the gain.

--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -7,11 +7,11 @@
 
 use crate::platform::headers;
 use crate::router::attempt::{Attempts, Ended, Promise};
-use crate::router::cascade::{self, Opinion, Verdict};
+use crate::router::cascade::{Cascade, Opinion, Verdict};
 use crate::router::fleet::Upstream;
 use crate::router::health::Seen;
 use crate::router::patience::Limits;
-use crate::router::pick::{self, Candidate};
+use crate::router::pick::{self, Candidate, Lane};
 use crate::router::rollout::{Answer, Group};
 use crate::router::table::{Account, RequestKind, Route, RouteTable};
 use crate::router::{hash, mix};
@@ -57,8 +57,12 @@
     pub(super) id: Bytes,
     affinity: Option<u64>,
     session: u64,
+    /// Length of the prompt.
+    prompt_tokens: u64,
     /// Index of the model; `None` if the client names it.
     model: Option<usize>,
+    /// Model whose answer was dropped last, and its confidence.
+    dropped: Option<(usize, u8)>,
     to_head: bool,
     keep_alive: bool,
     /// Last event that the client has.
@@ -87,6 +91,12 @@
         table.service(&self.service).is_some_and(|s| s.is_engine)
     }
 
+    fn lane(&self, shared: &Shared) -> Lane {
+        let sizes = shared.sizes.borrow();
+        let is_large = sizes.is_large(self.prompt_tokens, pick::LARGE_PROMPT_TOKENS);
+        Lane::of(self.model, is_large)
+    }
+
     fn watched<'a>(
         &'a self,
         shared: &'a Shared,
@@ -105,6 +115,35 @@
     }
 }
 
+/// Prompt tokens that an upstream has to read, for as long as this lives.
+struct Pending<'a> {
+    shared: &'a Shared,
+    upstream: &'a Upstream,
+    tokens: u64,
+}
+
+impl<'a> Pending<'a> {
+    fn start(shared: &'a Shared, upstream: &'a Upstream, tokens: u64) -> Self {
+        let now = shared.clock.now();
+        let mut health = shared.health.borrow_mut();
+        health.add_pending(&upstream.id, upstream.boot, tokens, now);
+        drop(health);
+        Self {
+            shared,
+            upstream,
+            tokens,
+        }
+    }
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        let now = self.shared.clock.now();
+        let mut health = self.shared.health.borrow_mut();
+        health.end_pending(&self.upstream.id, self.upstream.boot, self.tokens, now);
+    }
+}
+
 enum Outcome {
     /// The answer was delivered.
     Delivered { status: u16, after: After },
@@ -125,8 +164,8 @@
     Broken,
     /// Not answered; another attempt may follow.
     Retry(Ended),
-    /// A larger model is to be asked.
-    Escalate(usize),
+    /// A larger model is to be asked, since this one had only this confidence.
+    Escalate(usize, u8),
     /// An upstream's failure, to be delivered if nothing better follows.
     Failure(Box<ResponseHead>, Bytes),
     TimedOut {
@@ -201,7 +240,9 @@
     Ok(Job {
         affinity: shared_part(parts).filter(|_| route.has_prompts),
         session: session(head, parts),
-        model: chooses_model.then(cascade::first),
+        prompt_tokens: prompt_tokens(head),
+        model: chooses_model.then(Cascade::first),
+        dropped: None,
         account,
         service,
         arrived: req.arrived,
@@ -251,6 +292,13 @@
     (!shared.is_empty()).then(|| hash(shared.trim().as_bytes()))
 }
 
+/// Returns the length of the prompt; the field holds it and the longest output.
+fn prompt_tokens(head: &RequestHead) -> u64 {
+    let text = head.fields.text(headers::TOKENS).unwrap_or_default();
+    let first = text.split(',').next().unwrap_or_default();
+    first.trim().parse().unwrap_or(0)
+}
+
 /// Returns the hash of the session, or of what is closest to it.
 fn session(head: &RequestHead, parts: &str) -> u64 {
     if let Some(session) = head.fields.get(headers::SESSION) {
@@ -300,8 +348,10 @@
                 needs_budget = ended != Ended::NotSent;
                 attempts.note(ended);
             }
-            AttemptEnd::Escalate(model) => {
+            AttemptEnd::Escalate(model, confidence) => {
+                job.dropped = job.model.map(|smaller| (smaller, confidence));
                 job.model = Some(model);
+                shared.sizes.borrow_mut().observe(job.prompt_tokens);
                 // The other model's upstreams are chosen afresh.
                 tried.clear();
                 attempts.note(Ended::Dropped);
@@ -381,7 +431,7 @@
         }
     };
     let mut health = shared.health.borrow_mut();
-    let candidates: Vec<_> = usable
+    let mut candidates: Vec<_> = usable
         .iter()
         .map(|u| {
             let health = health.entry(&u.id, u.boot, now);
@@ -390,12 +440,14 @@
                 is_local: u.data_centre == shared.policy.data_centre,
                 slots: u.slots,
                 in_flight: health.in_flight,
+                pending: health.pending,
                 failures: permille(health.failure_rate()),
                 is_ejected: health.is_ejected(now),
                 is_tried: tried.contains(&u.id),
             }
         })
         .collect();
+    pick::divide(&mut candidates, job.lane(shared));
     let affinity = job.affinity.map(|a| mix(a ^ job.model.unwrap_or(0) as u64));
     let (at, reason) = pick::pick(&candidates, affinity, shared.draw())?;
     let upstream = usable[at];
@@ -432,6 +484,7 @@
     if let Err(error) = exchange::send(&mut leg.conn, &message).await {
         return lost(shared, job, &leg, &ExchangeError::Broken(error));
     }
+    let pending = Pending::start(shared, upstream, job.prompt_tokens);
     let head = {
         let last = Cell::new(leg.sent);
         let silence = silence::wait(
@@ -446,6 +499,7 @@
             silence = silence => return silent(shared, job, upstream, leg.sent, silence),
         }
     };
+    drop(pending);
     let head = match head {
         Ok(head) => head,
         Err(error) => return lost(shared, job, &leg, &error),
@@ -733,14 +787,20 @@
             confidence: (head.fields.number(headers::CONFIDENCE)).and_then(|c| c.try_into().ok()),
             can_send: can_move,
         };
-        let verdict = cascade::judge(opinion);
+        let verdict = shared.with_cascade(&job.route.name, |cascade| {
+            if let (Some(earlier), Some(confidence)) = (job.dropped, opinion.confidence) {
+                cascade.learn(earlier, (model, confidence));
+            }
+            cascade.judge(opinion)
+        });
         log::info!(event = "confidence", request:% = String::from_utf8_lossy(&job.id), model = model,
             confidence = opinion.confidence.map_or(-1, i32::from), verdict:? = verdict,
             first_byte_ms = first_byte.0; "");
         if let Verdict::Escalate(larger) = verdict
             && take_budget(shared, job)
         {
-            return AttemptEnd::Escalate(larger);
+            let confidence = opinion.confidence.unwrap_or_default();
+            return AttemptEnd::Escalate(larger, confidence);
         }
     }
     let closes = !job.keep_alive || shared.is_stopping.get();
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -8,10 +8,12 @@
 
 use crate::clock::Clock;
 use crate::ids;
+use crate::router::cascade::Cascade;
 use crate::router::fleet::Fleet;
 use crate::router::freshness::Freshness;
 use crate::router::health::HealthTable;
 use crate::router::retry::{RetryBounds, RetryBudget};
+use crate::router::sizes::SizeMix;
 use crate::router::table::RouteTable;
 use crate::telemetry::metrics::Metrics;
 use crate::units::Millis;
@@ -54,6 +56,10 @@
     pub fleet: RefCell<Fleet>,
     /// What was seen of upstreams.
     pub health: RefCell<HealthTable>,
+    /// What larger models gain, by route.
+    pub cascades: RefCell<Vec<(Rc<str>, Cascade)>>,
+    /// Prompt sizes at larger models.
+    pub sizes: RefCell<SizeMix>,
     /// Idle connections to upstreams.
     pub pool: RefCell<Pool>,
     /// Roll-outs.
@@ -100,6 +106,8 @@
             table: RefCell::default(),
             fleet: RefCell::default(),
             health: RefCell::default(),
+            cascades: RefCell::default(),
+            sizes: RefCell::default(),
             pool: RefCell::default(),
             rollouts: RefCell::new(rollouts),
             freshness: RefCell::new(freshness),
@@ -147,14 +155,30 @@
     /// Calls `f` with the retry budget of a service.
     pub fn with_budget<T>(&self, service: &Rc<str>, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
-        let at = match budgets.binary_search_by(|(s, _)| s.cmp(service)) {
-            Ok(at) => at,
-            Err(at) => {
-                let budget = RetryBudget::new(self.policy.retries);
-                budgets.insert(at, (Rc::clone(service), budget));
-                at
-            }
-        };
-        f(&mut budgets[at].1)
+        f(entry(&mut budgets, service, || {
+            RetryBudget::new(self.policy.retries)
+        }))
     }
+
+    /// Calls `f` with the cascade of a route.
+    pub fn with_cascade<T>(&self, route: &Rc<str>, f: impl FnOnce(&mut Cascade) -> T) -> T {
+        let mut cascades = self.cascades.borrow_mut();
+        f(entry(&mut cascades, route, Cascade::default))
+    }
+}
+
+/// Returns the entry of a name in a sorted list.
+fn entry<'a, T>(
+    list: &'a mut Vec<(Rc<str>, T)>,
+    name: &Rc<str>,
+    make: impl FnOnce() -> T,
+) -> &'a mut T {
+    let at = match list.binary_search_by(|(known, _)| known.cmp(name)) {
+        Ok(at) => at,
+        Err(at) => {
+            list.insert(at, (Rc::clone(name), make()));
+            at
+        }
+    };
+    &mut list[at].1
 }
--- a/src/router/health.rs
+++ b/src/router/health.rs
@@ -58,6 +58,8 @@
     boot: u64,
     /// Requests of this gateway that are in flight there.
     pub in_flight: u32,
+    /// Prompt tokens of this gateway's requests whose answers have not begun.
+    pub pending: u64,
     /// When any byte last came from it.
     pub heard: Millis,
     outcomes: f64,
@@ -73,6 +75,7 @@
             id,
             boot,
             in_flight: 0,
+            pending: 0,
             heard: Millis(0),
             outcomes: 0.0,
             failures: 0.0,
@@ -170,6 +173,19 @@
         }
     }
 
+    /// Counts prompt tokens that an upstream has to read.
+    pub fn add_pending(&mut self, id: &Rc<str>, boot: u64, tokens: u64, now: Millis) {
+        self.entry(id, boot, now).pending += tokens;
+    }
+
+    /// Counts prompt tokens that an upstream has read, or need not read any more.
+    pub fn end_pending(&mut self, id: &Rc<str>, boot: u64, tokens: u64, now: Millis) {
+        let entry = self.entry(id, boot, now);
+        if entry.boot == boot {
+            entry.pending = entry.pending.saturating_sub(tokens);
+        }
+    }
+
     /// Notes that bytes came from an upstream.
     pub fn hear(&mut self, id: &Rc<str>, boot: u64, now: Millis) {
         self.entry(id, boot, now).heard = now;
--- a/src/router/pick.rs
+++ b/src/router/pick.rs
@@ -11,6 +11,25 @@
 /// Requests on top of the bound, so that a nearly idle fleet keeps its affinity.
 const BOUND_SLACK: u64 = 2;
 
+/// Part of the upstreams that serves the smallest model, in percent, if a route has several models.
+///
+/// Long prompts on a large model hold up every token of the requests beside them. The smallest model takes
+/// about a fifth of the work and answers first, so it has upstreams of its own.
+const SMALL_MODEL_PERCENT: usize = 25;
+
+/// Part of the upstreams that serves the largest prompts on larger models, in percent.
+const LARGE_PROMPT_PERCENT: usize = 40;
+
+/// Part of the tokens of larger models that the largest prompts make up, in percent; it is the part that
+/// [`LARGE_PROMPT_PERCENT`] is of the upstreams of larger models.
+pub const LARGE_PROMPT_TOKENS: u32 = 45;
+
+/// Unread prompt tokens above the mean at which a prefix's preferred upstream is passed over.
+const PENDING_SLACK: u64 = 2_048;
+
+/// Fewest upstreams that are divided between models.
+const MIN_DIVIDED: usize = 4;
+
 /// Load that another data centre counts for, in permille of an upstream's slots.
 const DISTANCE: u64 = 120;
 
@@ -25,6 +44,8 @@
     pub slots: u32,
     /// Requests of this gateway that are in flight there.
     pub in_flight: u32,
+    /// Prompt tokens of this gateway's requests whose answers have not begun there.
+    pub pending: u64,
     /// Share of recent failures, in permille.
     pub failures: u32,
     /// Whether it is ejected; used only if all are.
@@ -68,6 +89,59 @@
     }
 }
 
+/// Which models' upstreams an attempt prefers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Lane {
+    /// All upstreams.
+    Any,
+    /// Those of the smallest model.
+    Small,
+    /// Those of the larger models.
+    Large,
+    /// Those of the largest prompts on larger models.
+    LargePrompt,
+}
+
+impl Lane {
+    /// Returns the lane of a model by its index, smallest first.
+    #[must_use]
+    pub const fn of(model: Option<usize>, has_large_prompt: bool) -> Self {
+        match model {
+            None => Self::Any,
+            Some(0) => Self::Small,
+            Some(_) if has_large_prompt => Self::LargePrompt,
+            Some(_) => Self::Large,
+        }
+    }
+}
+
+/// Marks the upstreams outside a lane as tried, as long as the lane has one that can be used.
+///
+/// The division follows the order of the hashes, so all gateways agree on it.
+pub fn divide(candidates: &mut [Candidate], lane: Lane) {
+    if lane == Lane::Any || candidates.len() < MIN_DIVIDED {
+        return;
+    }
+    let mut order: Vec<_> = (0..candidates.len()).collect();
+    order.sort_by_key(|&at| candidates[at].hash);
+    let part = |percent: usize| (order.len() * percent / 100).max(1);
+    let small = part(SMALL_MODEL_PERCENT);
+    let large = small + part(LARGE_PROMPT_PERCENT);
+    let own = match lane {
+        Lane::Small => 0..small,
+        Lane::LargePrompt => small..large,
+        Lane::Any | Lane::Large => large..order.len(),
+    };
+    if order[own.clone()]
+        .iter()
+        .any(|&at| candidates[at].is_good())
+    {
+        for (rank, at) in order.into_iter().enumerate() {
+            candidates[at].is_tried |= !own.contains(&rank);
+        }
+    }
+}
+
 /// Returns the index of the upstream to use; `affinity` is the hash of the shared prefix.
 #[must_use]
 pub fn pick(candidates: &[Candidate], affinity: Option<u64>, draw: u64) -> Option<(usize, Reason)> {
@@ -91,9 +165,14 @@
         .map(|c| u64::from(c.in_flight))
         .sum();
     let bound = total * BOUND_PERCENT / 100 / good + BOUND_SLACK;
+    let pending: u64 = (candidates.iter().filter(|c| c.is_good()))
+        .map(|c| c.pending)
+        .sum();
+    let pending_bound = pending * BOUND_PERCENT / 100 / good + PENDING_SLACK;
     let open = |c: &Candidate| {
         let in_flight = u64::from(c.in_flight);
-        c.is_good() && in_flight < bound && in_flight < u64::from(c.slots)
+        let has_room = in_flight < bound && in_flight < u64::from(c.slots);
+        c.is_good() && has_room && c.pending <= pending_bound
     };
     (0..candidates.len())
         .filter(|&at| open(&candidates[at]))
