Keep sessions on their version in the first half of a roll-out

Change: a gateway remembers the side of recent sessions and keeps it until the first half is over; the share of that half is 15% of the allowed exposure, as sessions seen by other gateways are not known here.

Ruled out: evidence and sessions shared through the store; each write is priced for the writer and for every watcher.

--- a/src/bin/fireflywind-router/main.rs
+++ b/src/bin/fireflywind-router/main.rs
@@ -5,7 +5,7 @@
 use fireflywind::daemon::exit_codes::DaemonExit;
 use fireflywind::daemon::{self, StopSignals};
 use fireflywind::forward::gateway::{Addresses, Gateway};
-use fireflywind::forward::shared::{Policy, Shared};
+use fireflywind::forward::shared::Shared;
 use fireflywind::platform::settings::GatewaySettings;
 use fireflywind::platform::store::Store;
 use fireflywind::telemetry::buffered;
@@ -33,16 +33,7 @@
 }
 
 async fn run(cfg: &GatewaySettings) -> DaemonExit {
-    let policy = Policy {
-        name: cfg.name.clone(),
-        data_centre: cfg.data_centre.clone(),
-        retries: cfg.retries.bounds(),
-        key_revocation: cfg.key_revocation,
-        exposure_permille: cfg.exposure_permille(),
-        session_span: cfg.session_span,
-        stop_grace: cfg.stop_grace,
-    };
-    let shared = Shared::open(policy, Box::new(Store::open(cfg.store)));
+    let shared = Shared::open(cfg.policy(), Box::new(Store::open(cfg.store)));
     let addresses = Addresses {
         listen: cfg.listen,
         ready: cfg.ready,
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -13,6 +13,7 @@
 use crate::router::freshness::Freshness;
 use crate::router::health::HealthTable;
 use crate::router::retry::{RetryBounds, RetryBudget};
+use crate::router::sessions::Sessions;
 use crate::router::sizes::SizeMix;
 use crate::router::table::RouteTable;
 use crate::telemetry::metrics::Metrics;
@@ -56,6 +57,8 @@
     pub fleet: RefCell<Fleet>,
     /// What was seen of upstreams.
     pub health: RefCell<HealthTable>,
+    /// Versions that recent sessions used.
+    pub sessions: RefCell<Sessions>,
     /// What larger models gain, by route.
     pub cascades: RefCell<Vec<(Rc<str>, Cascade)>>,
     /// Prompt sizes at larger models.
@@ -106,6 +109,7 @@
             table: RefCell::default(),
             fleet: RefCell::default(),
             health: RefCell::default(),
+            sessions: RefCell::default(),
             cascades: RefCell::default(),
             sizes: RefCell::default(),
             pool: RefCell::default(),
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -7,6 +7,7 @@
 
 use serde::Deserialize;
 
+use crate::forward::shared::Policy;
 use crate::router::retry::RetryBounds;
 use crate::units::Millis;
 
@@ -62,9 +63,9 @@
     /// Share of a service's requests that may reach a bad version.
     #[serde(default = "default_exposure")]
     pub exposure: f64,
-    /// Time after which two requests of a session no longer belong together.
+    /// Seconds after which two requests of a session no longer belong together.
     #[serde(default = "default_session")]
-    pub session_span: Millis,
+    pub session_s: f64,
 }
 
 /// Bounds of retries.
@@ -100,8 +101,8 @@
     0.1
 }
 
-const fn default_session() -> Millis {
-    Millis::from_secs(5)
+const fn default_session() -> f64 {
+    5.0
 }
 
 impl GatewaySettings {
@@ -114,15 +115,23 @@
         Self::read(Path::new(&path))
     }
 
-    /// Returns the share of a service's requests that may reach a bad version, in permille.
+    /// Returns what binds the gateway's decisions.
     #[must_use]
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         reason = "a float cast saturates at the limits"
     )]
-    pub fn exposure_permille(&self) -> u64 {
-        (self.exposure.clamp(0.0, 1.0) * 1_000.0) as u64
+    pub fn policy(&self) -> Policy {
+        Policy {
+            name: Rc::clone(&self.name),
+            data_centre: Rc::clone(&self.data_centre),
+            retries: self.retries.bounds(),
+            key_revocation: self.key_revocation,
+            exposure_permille: (self.exposure.clamp(0.0, 1.0) * 1_000.0) as u64,
+            session_span: Millis((self.session_s.max(0.0) * 1_000.0) as u64),
+            stop_grace: self.stop_grace,
+        }
     }
 
     /// Reads settings from a file.
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -13,6 +13,7 @@
 pub mod pick;
 pub mod retry;
 pub mod rollout;
+pub mod sessions;
 pub mod sizes;
 pub mod table;
 #[cfg(test)]
--- a/src/router/rollout.rs
+++ b/src/router/rollout.rs
@@ -10,10 +10,17 @@
 
 use crate::units::Millis;
 
-/// Part of the allowed exposure that the first phase uses, in percent; the rest is kept for the time
-/// until a stop is known everywhere.
+/// Part of the allowed exposure that is used in the first half, in percent. Sessions that are under way
+/// when the roll-out starts may stay with their version for that time, and not every gateway knows them.
+const FIRST_PERCENT: u64 = 15;
+
+/// Part of the allowed exposure that is used after the first half, in percent; the rest is kept for the
+/// time until a stop is known everywhere.
 const CANARY_PERCENT: u64 = 45;
 
+/// Part of the time in which sessions stay with their version, in percent.
+const PINNED_UNTIL: u64 = 52;
+
 /// Part of the time for which the canary share holds, in percent.
 const CANARY_UNTIL: u64 = 72;
 
@@ -157,10 +164,19 @@
             Phase::Complete => 1_000,
             Phase::Reverted => 0,
             Phase::Active if self.is_past(CANARY_UNTIL, now) => 1_000,
+            Phase::Active if self.pins_sessions(now) => {
+                self.exposure_permille * FIRST_PERCENT / 100
+            }
             Phase::Active => self.exposure_permille * CANARY_PERCENT / 100,
         }
     }
 
+    /// Tells whether a session must stay with the version that it used before.
+    #[must_use]
+    pub fn pins_sessions(&self, now: Millis) -> bool {
+        self.phase == Phase::Active && !self.is_past(PINNED_UNTIL, now)
+    }
+
     /// Returns where a session belongs; all gateways agree on it without messages.
     #[must_use]
     pub fn group(&self, session: u64, now: Millis) -> Group {
