Split the forwarding of a request by what it does

Change: job (admission), choose, attempt and request, without a change of behaviour; clippy's findings in the new modules are mended.

Ruled out: none.

--- /dev/null
+++ b/src/forward/attempt.rs
@@ -0,0 +1,486 @@
+//! One attempt at one upstream, from the connection to the end of its answer.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use bytes::{BufMut, Bytes, BytesMut};
+
+use crate::platform::headers;
+use crate::router::attempt::Ended;
+use crate::router::cascade::{Opinion, Verdict};
+use crate::router::fleet::Upstream;
+use crate::router::health::Seen;
+use crate::router::patience::Limits;
+use crate::router::rollout::Answer;
+use crate::router::table::RequestKind;
+use crate::router::{hash, mix};
+use crate::units::Millis;
+
+use super::client::{After, ClientConn, Incoming};
+use super::exchange::{self, ExchangeError};
+use super::head::ResponseHead;
+use super::job::Job;
+use super::pool::Conn;
+use super::reply::{self, BodyOut};
+use super::shared::Shared;
+use super::silence::{self, Silence};
+use super::stream::{self, Relay, RelayEnd};
+
+/// Time for a new connection; a packet that is lost on the way is sent again only after a second.
+const CONNECT_TIMEOUT: Millis = Millis(350);
+
+/// Longest idle time of a kept connection for a request that may run once: the shorter, the less likely
+/// the request crosses the upstream's close, whose outcome nobody knows.
+const FRESH_IDLE: Millis = Millis(1_000);
+
+/// Shortest time after which an upstream that is silent is given up for another one.
+const MIN_SILENCE: Millis = Millis(400);
+
+/// Requests share the slack of the retry budget over at most this many gateways.
+pub(super) const MAX_GATEWAYS: usize = 32;
+
+/// An upstream that was chosen, and the connection to it.
+struct Leg {
+    upstream: Rc<Upstream>,
+    conn: Conn,
+    sent: Millis,
+}
+
+impl Leg {
+    /// Notes that bytes came from the upstream.
+    fn hear(&self, shared: &Shared, now: Millis) {
+        let upstream = &self.upstream;
+        (shared.health.borrow_mut()).hear(&upstream.id, upstream.boot, now);
+    }
+}
+
+/// Prompt tokens that an upstream has to read, for as long as this lives.
+struct Pending<'a> {
+    shared: &'a Shared,
+    upstream: &'a Upstream,
+    tokens: u64,
+}
+
+impl<'a> Pending<'a> {
+    fn start(shared: &'a Shared, upstream: &'a Upstream, tokens: u64) -> Self {
+        let now = shared.clock.now();
+        let mut health = shared.health.borrow_mut();
+        health.add_pending(&upstream.id, upstream.boot, tokens, now);
+        drop(health);
+        Self {
+            shared,
+            upstream,
+            tokens,
+        }
+    }
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        let now = self.shared.clock.now();
+        let mut health = self.shared.health.borrow_mut();
+        health.end_pending(&self.upstream.id, self.upstream.boot, self.tokens, now);
+    }
+}
+
+pub(super) enum AttemptEnd {
+    Delivered {
+        status: u16,
+        after: After,
+    },
+    ClientGone,
+    Broken,
+    /// Not answered; another attempt may follow.
+    Retry(Ended),
+    /// A larger model is to be asked, since this one had only this confidence.
+    Escalate(usize, u8),
+    /// An upstream's failure, to be delivered if nothing better follows.
+    Failure(Box<ResponseHead>, Bytes),
+    TimedOut {
+        may_have_run: bool,
+    },
+}
+
+pub(super) async fn attempt(
+    shared: &Rc<Shared>,
+    client: &mut ClientConn,
+    req: &Incoming,
+    job: &Job,
+    upstream: &Rc<Upstream>,
+    relay: &mut Relay,
+    can_move: bool,
+) -> AttemptEnd {
+    let mut leg = match open_leg(shared, job, upstream).await {
+        Ok(leg) => leg,
+        Err(end) => return end,
+    };
+    let message = encode(shared, req, job, upstream, relay);
+    if let Err(error) = exchange::send(&mut leg.conn, &message).await {
+        return lost(shared, job, &leg, &ExchangeError::Broken(error));
+    }
+    let pending = Pending::start(shared, upstream, job.prompt_tokens);
+    let head = {
+        let last = Cell::new(leg.sent);
+        let silence = silence::wait(
+            job.watched(shared, upstream, head_limits(shared, job), can_move),
+            &last,
+        );
+        let read = exchange::read_head(&mut leg.conn, &job.id, job.to_head);
+        tokio::select! {
+            biased;
+            head = read => head,
+            () = client.closed() => return AttemptEnd::ClientGone,
+            silence = silence => return silent(shared, job, upstream, leg.sent, silence),
+        }
+    };
+    drop(pending);
+    let head = match head {
+        Ok(head) => head,
+        Err(error) => return lost(shared, job, &leg, &error),
+    };
+    leg.hear(shared, shared.clock.now());
+    answer(shared, client, job, leg, head, relay, can_move).await
+}
+
+/// Takes a kept connection or opens one.
+async fn open_leg(shared: &Shared, job: &Job, upstream: &Rc<Upstream>) -> Result<Leg, AttemptEnd> {
+    let now = shared.clock.now();
+    let max_idle = match job.route.kind {
+        RequestKind::AtMostOnce | RequestKind::Stream => FRESH_IDLE,
+        RequestKind::Idempotent | RequestKind::ResumableStream => Millis(u64::MAX),
+    };
+    let kept = (shared.pool.borrow_mut()).take(&upstream.id, upstream.boot, now, max_idle);
+    let conn = if let Some(conn) = kept {
+        conn
+    } else {
+        shared.metrics.event("upstream_connection");
+        let left = job.deadline.since(now).min(CONNECT_TIMEOUT);
+        let connect = exchange::connect(upstream.addr);
+        let connected = actix_rt::time::timeout(left.duration(), connect).await;
+        let Ok(Ok(conn)) = connected else {
+            observe(shared, upstream, Seen::Silent, "connect");
+            return Err(AttemptEnd::Retry(Ended::NotSent));
+        };
+        conn
+    };
+    Ok(Leg {
+        upstream: Rc::clone(upstream),
+        conn,
+        sent: shared.clock.now(),
+    })
+}
+
+/// Returns how long an upstream may be silent before its answer begins.
+fn head_limits(shared: &Shared, job: &Job) -> Limits {
+    let goal = job.route.goal.0;
+    let (silent, busy) = if job.route.kind.is_stream() {
+        (Millis(goal * 5 / 10), Millis(goal * 2))
+    } else {
+        (Millis(goal * 2), Millis(goal * 3))
+    };
+    let silent = silent.max(MIN_SILENCE);
+    Limits {
+        silent,
+        busy: busy.max(silent),
+        deadline: job.deadline,
+        can_ask: job.is_engine(shared),
+    }
+}
+
+fn observe(shared: &Shared, upstream: &Upstream, seen: Seen, what: &str) {
+    let now = shared.clock.now();
+    let mut health = shared.health.borrow_mut();
+    let is_ejected = health.observe(&upstream.id, upstream.boot, seen, now);
+    if is_ejected {
+        shared.metrics.event("upstream_ejected");
+        log::warn!(event = "ejected", upstream:% = upstream.id, what = what; "");
+    }
+}
+
+fn observe_version(shared: &Shared, job: &Job, upstream: &Upstream, answer: Answer) {
+    let kind = mix(hash(job.route.name.as_bytes()) ^ job.model.unwrap_or(0) as u64);
+    let now = shared.clock.now();
+    if let Some(rollout) = shared.rollouts.borrow_mut().get_mut(&job.service) {
+        rollout.observe(&upstream.version, kind, answer, now);
+    }
+}
+
+pub(super) fn take_budget(shared: &Shared, job: &Job) -> bool {
+    let now = shared.clock.now();
+    let allowed = shared.with_budget(&job.service, |b| b.take(now, MAX_GATEWAYS));
+    if !allowed {
+        shared.metrics.event("retry_budget_empty");
+    }
+    allowed
+}
+
+fn lost(shared: &Shared, job: &Job, leg: &Leg, error: &ExchangeError) -> AttemptEnd {
+    // A kept connection that is closed says nothing about the upstream.
+    if !leg.conn.is_reused {
+        observe(shared, &leg.upstream, Seen::Broken, error.name());
+    }
+    log::info!(event = "attempt_lost", request:% = String::from_utf8_lossy(&job.id),
+        upstream:% = leg.upstream.id, error = error.name(), reused = leg.conn.is_reused; "");
+    AttemptEnd::Retry(Ended::Lost)
+}
+
+fn silent(
+    shared: &Shared,
+    job: &Job,
+    upstream: &Upstream,
+    sent: Millis,
+    silence: Silence,
+) -> AttemptEnd {
+    let waited = shared.clock.now().since(sent);
+    log::info!(event = "attempt_silent", request:% = String::from_utf8_lossy(&job.id),
+        upstream:% = upstream.id, waited_ms = waited.0, end:? = silence; "");
+    match silence {
+        Silence::Leave => {
+            observe(shared, upstream, Seen::Silent, "silent");
+            AttemptEnd::Retry(Ended::Lost)
+        }
+        Silence::TimedOut => AttemptEnd::TimedOut { may_have_run: true },
+    }
+}
+
+/// Encodes the request for an upstream.
+fn encode(
+    shared: &Shared,
+    req: &Incoming,
+    job: &Job,
+    upstream: &Upstream,
+    relay: &Relay,
+) -> BytesMut {
+    let mut out = BytesMut::with_capacity(req.body.len() + 1_024);
+    out.put_slice(&req.head.method);
+    out.put_slice(b" ");
+    out.put_slice(&req.head.target);
+    out.put_slice(b" HTTP/1.1\r\n");
+    let has_accounts = shared.table.borrow().has_accounts();
+    let names_model = job.model.is_some();
+    reply::copy_fields(&mut out, &req.head.fields, |name| {
+        let is = |other: &str| name.eq_ignore_ascii_case(other.as_bytes());
+        headers::is_own(name)
+            || is("expect")
+            || (has_accounts && is(headers::AUTHORIZATION))
+            || (names_model && is(headers::MODEL))
+            || is(headers::LAST_EVENT_ID)
+    });
+    let mut field = |name: &str, value: &[u8]| {
+        out.put_slice(name.as_bytes());
+        out.put_slice(b": ");
+        out.put_slice(value);
+        out.put_slice(b"\r\n");
+    };
+    let left = job.deadline.since(shared.clock.now()).0.max(1);
+    field(headers::DEADLINE_MS, left.to_string().as_bytes());
+    field(headers::EXPECTED_UPSTREAM, upstream.id.as_bytes());
+    if let Some(account) = &job.account {
+        field(headers::ACCOUNT, account.name.as_bytes());
+    }
+    if let Some(model) = job.model {
+        field(headers::MODEL, job.route.models[model].as_bytes());
+    }
+    if job.route.has_prompts {
+        let account = job.account.as_ref().and_then(|a| a.priority);
+        let priority = account.unwrap_or(job.route.priority).min(9);
+        field(headers::ENGINE_PRIORITY, priority.to_string().as_bytes());
+    }
+    if let Some(id) = relay.last_id() {
+        field(headers::LAST_EVENT_ID, id.to_string().as_bytes());
+    }
+    if !req.body.is_empty() || req.head.method.as_ref() != b"GET" {
+        field("Content-Length", req.body.len().to_string().as_bytes());
+    }
+    out.put_slice(b"\r\n");
+    out.put_slice(&req.body);
+    out
+}
+
+async fn answer(
+    shared: &Rc<Shared>,
+    client: &mut ClientConn,
+    job: &Job,
+    mut leg: Leg,
+    head: ResponseHead,
+    relay: &mut Relay,
+    can_move: bool,
+) -> AttemptEnd {
+    if let Some(text) = head.fields.text("keep-alive") {
+        leg.conn.set_keep_alive(text);
+    }
+    let is_success = (200..300).contains(&head.status);
+    if is_success && job.route.kind.is_stream() && !job.to_head {
+        return answer_stream(shared, client, job, leg, head, relay, can_move).await;
+    }
+    let body = {
+        let last = Cell::new(shared.clock.now());
+        let upstream = Rc::clone(&leg.upstream);
+        let sent = leg.sent;
+        let silence = silence::wait(
+            job.watched(shared, &upstream, head_limits(shared, job), can_move),
+            &last,
+        );
+        let read = exchange::read_whole(&mut leg.conn, &head);
+        tokio::select! {
+            biased;
+            body = read => body,
+            () = client.closed() => return AttemptEnd::ClientGone,
+            silence = silence => return silent(shared, job, &upstream, sent, silence),
+        }
+    };
+    let body = match body {
+        Ok(body) => body,
+        Err(error) => {
+            observe_version(shared, job, &leg.upstream, Answer::Bad);
+            return lost(shared, job, &leg, &error);
+        }
+    };
+    let upstream = Rc::clone(&leg.upstream);
+    let first_byte = shared.clock.now().since(leg.sent);
+    keep(shared, leg, &head);
+    if head.status == 421 || head.fields.get(headers::NOT_RUN).is_some() && head.status != 400 {
+        let seen = if head.status == 421 {
+            Seen::Silent
+        } else {
+            Seen::Full
+        };
+        observe(shared, &upstream, seen, "refused");
+        log::info!(event = "attempt_refused", request:% = String::from_utf8_lossy(&job.id),
+            upstream:% = upstream.id, status = head.status; "");
+        return AttemptEnd::Retry(Ended::Refused);
+    }
+    if relay.has_begun() {
+        observe(shared, &upstream, Seen::Error, "resume_failed");
+        return AttemptEnd::Retry(Ended::Failed);
+    }
+    if head.status >= 500 {
+        observe(shared, &upstream, Seen::Error, "error");
+        observe_version(shared, job, &upstream, Answer::Bad);
+        if job.route.kind.is_repeatable() && can_move {
+            return AttemptEnd::Failure(Box::new(head), body);
+        }
+    } else {
+        observe(shared, &upstream, Seen::Answer, "answer");
+        observe_version(shared, job, &upstream, Answer::Good(first_byte));
+    }
+    let closes = !job.keep_alive || shared.is_stopping.get();
+    deliver(client, job, &head, &body, closes).await
+}
+
+/// Keeps the connection if it can carry another request.
+fn keep(shared: &Shared, leg: Leg, head: &ResponseHead) {
+    let Leg { upstream, conn, .. } = leg;
+    if !head.keep_alive || !conn.buf.is_empty() {
+        return;
+    }
+    if !shared.fleet.borrow().is_ready(&upstream.id, upstream.boot) {
+        return;
+    }
+    let now = shared.clock.now();
+    (shared.pool.borrow_mut()).put(&upstream.id, upstream.boot, upstream.addr, conn, now);
+}
+
+pub(super) async fn deliver(
+    client: &mut ClientConn,
+    job: &Job,
+    head: &ResponseHead,
+    body: &[u8],
+    closes: bool,
+) -> AttemptEnd {
+    let mut out = BytesMut::with_capacity(body.len() + 512);
+    let framing = if job.to_head {
+        BodyOut::None
+    } else {
+        BodyOut::Length(body.len())
+    };
+    reply::write_head(&mut out, head, framing, closes);
+    out.put_slice(body);
+    match client.write(&out).await {
+        Ok(()) => AttemptEnd::Delivered {
+            status: head.status,
+            after: if closes {
+                After::Close
+            } else {
+                After::KeepAlive
+            },
+        },
+        Err(_) => AttemptEnd::ClientGone,
+    }
+}
+
+async fn answer_stream(
+    shared: &Rc<Shared>,
+    client: &mut ClientConn,
+    job: &Job,
+    mut leg: Leg,
+    head: ResponseHead,
+    relay: &mut Relay,
+    can_move: bool,
+) -> AttemptEnd {
+    let first_byte = shared.clock.now().since(leg.sent);
+    observe(shared, &leg.upstream, Seen::Answer, "stream");
+    observe_version(shared, job, &leg.upstream, Answer::Good(first_byte));
+    if let Some(model) = job.model.filter(|_| !relay.has_begun()) {
+        let opinion = Opinion {
+            model,
+            models: job.route.models.len(),
+            confidence: (head.fields.number(headers::CONFIDENCE)).and_then(|c| c.try_into().ok()),
+            can_send: can_move,
+        };
+        let verdict = shared.with_cascade(&job.route.name, |cascade| {
+            if let (Some(earlier), Some(confidence)) = (job.dropped, opinion.confidence) {
+                cascade.learn(earlier, (model, confidence));
+            }
+            cascade.judge(opinion)
+        });
+        log::info!(event = "confidence", request:% = String::from_utf8_lossy(&job.id), model = model,
+            confidence = opinion.confidence.map_or(-1, i32::from), verdict:? = verdict,
+            first_byte_ms = first_byte.0; "");
+        if let Verdict::Escalate(larger) = verdict
+            && take_budget(shared, job)
+        {
+            let confidence = opinion.confidence.unwrap_or_default();
+            return AttemptEnd::Escalate(larger, confidence);
+        }
+    }
+    let closes = !job.keep_alive || shared.is_stopping.get();
+    let upstream = Rc::clone(&leg.upstream);
+    let watched = job.watched(shared, &upstream, stream::limits(shared, job), can_move);
+    let end = stream::relay(watched, client, job, &mut leg.conn, &head, relay, closes).await;
+    match end {
+        RelayEnd::Complete => {
+            let status = head.status;
+            keep(shared, leg, &head);
+            AttemptEnd::Delivered {
+                status,
+                after: if closes {
+                    After::Close
+                } else {
+                    After::KeepAlive
+                },
+            }
+        }
+        RelayEnd::ClientGone => AttemptEnd::ClientGone,
+        RelayEnd::Lost(error) => {
+            observe_version(shared, job, &leg.upstream, Answer::Bad);
+            lost_midway(shared, job, &leg, &error)
+        }
+        RelayEnd::Silent(Silence::TimedOut) => AttemptEnd::TimedOut { may_have_run: true },
+        RelayEnd::Silent(Silence::Leave) => {
+            observe(shared, &leg.upstream, Seen::Silent, "gap");
+            lost_midway(shared, job, &leg, &ExchangeError::Garbled("gap"))
+        }
+    }
+}
+
+fn lost_midway(shared: &Shared, job: &Job, leg: &Leg, error: &ExchangeError) -> AttemptEnd {
+    observe(shared, &leg.upstream, Seen::Broken, error.name());
+    log::info!(event = "stream_lost", request:% = String::from_utf8_lossy(&job.id),
+        upstream:% = leg.upstream.id, error = error.name(); "");
+    if job.route.kind == RequestKind::ResumableStream {
+        AttemptEnd::Retry(Ended::Lost)
+    } else {
+        AttemptEnd::Broken
+    }
+}
--- /dev/null
+++ b/src/forward/choose.rs
@@ -0,0 +1,86 @@
+//! Choice of the upstream for an attempt, from what the gateway knows at that moment.
+
+use std::rc::Rc;
+
+use crate::router::fleet::Upstream;
+use crate::router::pick::{self, Candidate};
+use crate::router::rollout::Group;
+use crate::router::{hash, mix};
+use crate::units::Millis;
+
+use super::job::Job;
+use super::shared::Shared;
+
+/// Chooses the upstream of an attempt.
+pub(super) fn choose(shared: &Shared, job: &Job, tried: &[Rc<str>]) -> Option<Rc<Upstream>> {
+    let now = shared.clock.now();
+    let fleet = shared.fleet.borrow();
+    let ready: Vec<_> = fleet.ready(&job.service).collect();
+    let usable = of_group(shared, job, ready, now);
+    let mut health = shared.health.borrow_mut();
+    let mut candidates: Vec<_> = usable
+        .iter()
+        .map(|u| {
+            let health = health.entry(&u.id, u.boot, now);
+            Candidate {
+                hash: hash(u.id.as_bytes()),
+                is_local: u.data_centre == shared.policy.data_centre,
+                slots: u.slots,
+                in_flight: health.in_flight,
+                pending: health.pending,
+                failures: permille(health.failure_rate()),
+                is_ejected: health.is_ejected(now),
+                is_tried: tried.contains(&u.id),
+            }
+        })
+        .collect();
+    pick::divide(&mut candidates, job.lane(shared));
+    let affinity = job.affinity.map(|a| mix(a ^ job.model.unwrap_or(0) as u64));
+    let (at, reason) = pick::pick(&candidates, affinity, shared.draw())?;
+    let upstream = usable[at];
+    log::info!(event = "pick", request:% = String::from_utf8_lossy(&job.id), upstream:% = upstream.id,
+        session:% = format_args!("{:x}", job.session), version:% = upstream.version, reason = reason.name(), of = candidates.len(),
+        in_flight = candidates[at].in_flight, attempt = tried.len(), model = job.model.unwrap_or(0),
+        table = shared.table.borrow().version; "");
+    Some(Rc::clone(upstream))
+}
+
+/// Returns the upstreams of the versions that the request may run on.
+fn of_group<'a>(
+    shared: &Shared,
+    job: &Job,
+    ready: Vec<&'a Rc<Upstream>>,
+    now: Millis,
+) -> Vec<&'a Rc<Upstream>> {
+    let span = shared.policy.session_span;
+    let mut sessions = shared.sessions.borrow_mut();
+    let rollouts = shared.rollouts.borrow();
+    let Some(rollout) = rollouts.get(&job.service).filter(|r| !r.to.is_empty()) else {
+        sessions.note(job.session, Group::Old, now, span);
+        return ready;
+    };
+    let pinned = sessions.group(job.session, now, span);
+    let pinned = pinned.filter(|_| rollout.pins_sessions(now));
+    let group = pinned.unwrap_or_else(|| rollout.group(job.session, now));
+    sessions.note(job.session, group, now, span);
+    let in_group = |group: Group| {
+        let is_new = group == Group::New;
+        let of_group = ready.iter().filter(|u| (u.version == rollout.to) == is_new);
+        of_group.copied().collect::<Vec<_>>()
+    };
+    let own = in_group(group);
+    match group {
+        _ if !own.is_empty() || !rollout.can_fall_back(group) => own,
+        Group::New => in_group(Group::Old),
+        Group::Old => in_group(Group::New),
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a share is between 0 and 1"
+)]
+fn permille(share: f64) -> u32 {
+    (share * 1_000.0) as u32
+}
--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -218,7 +218,7 @@
                 return;
             }
         }
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 
     /// Writes bytes.
--- /dev/null
+++ b/src/forward/job.rs
@@ -0,0 +1,167 @@
+//! A request as it is to be served: route, client account, deadline and what its prompt says.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+
+use crate::platform::headers;
+use crate::router::cascade::Cascade;
+use crate::router::fleet::Upstream;
+use crate::router::hash;
+use crate::router::patience::Limits;
+use crate::router::pick::{self, Lane};
+use crate::router::table::{Account, Route, RouteTable};
+use crate::units::Millis;
+
+use super::client::Incoming;
+use super::head::RequestHead;
+use super::reply::OwnReply;
+use super::shared::Shared;
+use super::silence::Watched;
+
+/// The request as it is to be served.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub(super) route: Rc<Route>,
+    pub(super) account: Option<Rc<Account>>,
+    pub(super) service: Rc<str>,
+    pub(super) arrived: Millis,
+    /// Runtime time at which the client or the route gives up.
+    pub(super) deadline: Millis,
+    pub(super) id: Bytes,
+    pub(super) affinity: Option<u64>,
+    pub(super) session: u64,
+    /// Length of the prompt.
+    pub(super) prompt_tokens: u64,
+    /// Index of the model; `None` if the client names it.
+    pub(super) model: Option<usize>,
+    /// Model whose answer was dropped last, and its confidence.
+    pub(super) dropped: Option<(usize, u8)>,
+    pub(super) to_head: bool,
+    pub(super) keep_alive: bool,
+    /// Last event that the client has.
+    pub(super) resume_after: Option<u64>,
+}
+
+impl Job {
+    /// Tells whether the service's upstreams are model engines.
+    pub(super) fn is_engine(&self, shared: &Shared) -> bool {
+        let table = shared.table.borrow();
+        table.service(&self.service).is_some_and(|s| s.is_engine)
+    }
+
+    pub(super) fn lane(&self, shared: &Shared) -> Lane {
+        let sizes = shared.sizes.borrow();
+        let is_large = sizes.is_large(self.prompt_tokens, pick::LARGE_PROMPT_TOKENS);
+        Lane::of(self.model, is_large)
+    }
+
+    pub(super) fn watched<'a>(
+        &'a self,
+        shared: &'a Shared,
+        upstream: &'a Rc<Upstream>,
+        limits: Limits,
+        has_attempts: bool,
+    ) -> Watched<'a> {
+        Watched {
+            shared,
+            upstream,
+            service: &self.service,
+            id: &self.id,
+            limits,
+            has_attempts,
+        }
+    }
+}
+
+/// Finds route, client account and deadline of a request, or refuses it.
+pub(super) fn admit(shared: &Shared, req: &Incoming) -> Result<Job, OwnReply> {
+    let table = Rc::clone(&shared.table.borrow());
+    let head = &req.head;
+    if table.version == 0 {
+        return Err(not_run("no_configuration", 300));
+    }
+    let route = table.route(&head.host(), head.path());
+    let route = Rc::clone(route.ok_or(OwnReply::new(404, "no_route"))?);
+    let account = authenticate(shared, &table, &route, head)?;
+    let service = route.service(shared.draw());
+    let service = Rc::clone(service.ok_or_else(|| not_run("no_service", 500))?);
+    let now = shared.clock.now();
+    let patience = head.fields.number(headers::DEADLINE_MS);
+    let patience = patience.map_or(route.timeout, |ms| Millis(ms).min(route.timeout));
+    shared.with_budget(&service, |b| b.request(now));
+    let parts = head.fields.text(headers::PROMPT_PARTS).unwrap_or_default();
+    let chooses_model = !route.models.is_empty() && head.fields.get(headers::MODEL) == Some(b"*");
+    Ok(Job {
+        affinity: shared_part(parts).filter(|_| route.has_prompts),
+        session: session(head, parts),
+        prompt_tokens: prompt_tokens(head),
+        model: chooses_model.then(Cascade::first),
+        dropped: None,
+        account,
+        service,
+        arrived: req.arrived,
+        deadline: req.arrived + patience,
+        id: Bytes::copy_from_slice(head.fields.get(headers::REQUEST_ID).unwrap_or_default()),
+        to_head: head.method.as_ref() == b"HEAD",
+        keep_alive: true,
+        resume_after: head.fields.number(headers::LAST_EVENT_ID),
+        route,
+    })
+}
+
+fn authenticate(
+    shared: &Shared,
+    table: &RouteTable,
+    route: &Route,
+    head: &RequestHead,
+) -> Result<Option<Rc<Account>>, OwnReply> {
+    if !table.has_accounts() || route.is_public {
+        return Ok(None);
+    }
+    if !shared.freshness.borrow().is_trusted(shared.clock.now()) {
+        return Err(not_run("keys_too_old", 1_000));
+    }
+    let key = head.fields.text(headers::AUTHORIZATION);
+    let key = key.and_then(|text| text.strip_prefix(headers::KEY_SCHEME));
+    match key.and_then(|key| table.account(key.trim())) {
+        Some(account) => Ok(Some(Rc::clone(account))),
+        None => Err(OwnReply::new(401, "unknown_key")),
+    }
+}
+
+/// Returns a refusal that promises that the request has not run.
+pub(super) const fn not_run(reason: &'static str, retry_after_ms: u64) -> OwnReply {
+    OwnReply {
+        status: 503,
+        reason,
+        retry_after_ms: Some(retry_after_ms),
+    }
+}
+
+/// Returns the hash of the last part of the prompt that other requests share.
+fn shared_part(parts: &str) -> Option<u64> {
+    let mut ids = parts.rsplit(',').map(|part| part.split(':').next());
+    let last = ids.next()??;
+    let shared = ids.next().flatten().unwrap_or(last);
+    (!shared.is_empty()).then(|| hash(shared.trim().as_bytes()))
+}
+
+/// Returns the length of the prompt; the field holds it and the longest output.
+fn prompt_tokens(head: &RequestHead) -> u64 {
+    let text = head.fields.text(headers::TOKENS).unwrap_or_default();
+    let first = text.split(',').next().unwrap_or_default();
+    first.trim().parse().unwrap_or(0)
+}
+
+/// Returns the hash of the session, or of what is closest to it.
+fn session(head: &RequestHead, parts: &str) -> u64 {
+    if let Some(session) = head.fields.get(headers::SESSION) {
+        return hash(session);
+    }
+    let last = parts.rsplit(',').next().and_then(|p| p.split(':').next());
+    match last {
+        Some(part) if !part.is_empty() => hash(part.as_bytes()),
+        _ => hash(head.fields.get(headers::REQUEST_ID).unwrap_or_default()),
+    }
+}
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -4,13 +4,16 @@
 //! of its connection, so an event of a stream costs one read and one write. Decisions come from
 //! [`crate::router`].
 
+mod attempt;
 pub mod body;
+mod choose;
 pub mod client;
 pub mod events;
 pub mod exchange;
 pub mod follow;
 pub mod gateway;
 pub mod head;
+mod job;
 pub mod pool;
 pub mod reply;
 pub mod request;
--- a/src/forward/pool.rs
+++ b/src/forward/pool.rs
@@ -68,7 +68,7 @@
 }
 
 #[derive(Debug)]
-struct Shelf {
+struct Slot {
     id: Rc<str>,
     boot: u64,
     addr: SocketAddr,
@@ -78,26 +78,26 @@
 /// Idle connections by upstream.
 #[derive(Debug, Default)]
 pub struct Pool {
-    shelves: Vec<Shelf>,
+    slots: Vec<Slot>,
 }
 
 impl Pool {
     /// Takes the connection that was used last, if it was idle for at most `max_idle`.
     pub fn take(&mut self, id: &str, boot: u64, now: Millis, max_idle: Millis) -> Option<Conn> {
         let at = self.find(id).ok()?;
-        let shelf = &mut self.shelves[at];
-        if shelf.boot != boot {
-            shelf.idle.clear();
+        let slot = &mut self.slots[at];
+        if slot.boot != boot {
+            slot.idle.clear();
             return None;
         }
-        while let Some(conn) = shelf.idle.pop() {
+        while let Some(conn) = slot.idle.pop() {
             let idle = now.since(conn.idle_since);
             if idle <= conn.idle_limit.min(max_idle) && conn.is_quiet() {
                 return Some(conn);
             }
             if idle <= conn.idle_limit && idle > max_idle {
                 // The others are older still; they stay for requests that may be repeated.
-                shelf.idle.push(conn);
+                slot.idle.push(conn);
                 return None;
             }
         }
@@ -114,42 +114,42 @@
         let at = match self.find(id) {
             Ok(at) => at,
             Err(at) => {
-                let shelf = Shelf {
+                let slot = Slot {
                     id: Rc::clone(id),
                     boot,
                     addr,
                     idle: Vec::new(),
                 };
-                self.shelves.insert(at, shelf);
+                self.slots.insert(at, slot);
                 at
             }
         };
-        let shelf = &mut self.shelves[at];
-        if shelf.boot != boot || shelf.addr != addr {
-            shelf.idle.clear();
-            shelf.boot = boot;
-            shelf.addr = addr;
+        let slot = &mut self.slots[at];
+        if slot.boot != boot || slot.addr != addr {
+            slot.idle.clear();
+            slot.boot = boot;
+            slot.addr = addr;
         }
-        if shelf.idle.len() < MAX_IDLE {
-            shelf.idle.push(conn);
+        if slot.idle.len() < MAX_IDLE {
+            slot.idle.push(conn);
         }
     }
 
     /// Closes the idle connections to an upstream.
     pub fn forget(&mut self, id: &str) {
         if let Ok(at) = self.find(id) {
-            self.shelves.remove(at);
+            self.slots.remove(at);
         }
     }
 
     /// Closes connections that were idle for too long.
     pub fn expire(&mut self, now: Millis) {
-        for shelf in &mut self.shelves {
-            (shelf.idle).retain(|c| now.since(c.idle_since) <= c.idle_limit);
+        for slot in &mut self.slots {
+            (slot.idle).retain(|c| now.since(c.idle_since) <= c.idle_limit);
         }
     }
 
     fn find(&self, id: &str) -> Result<usize, usize> {
-        self.shelves.binary_search_by(|s| s.id.as_ref().cmp(id))
+        self.slots.binary_search_by(|s| s.id.as_ref().cmp(id))
     }
 }
--- a/src/forward/silence.rs
+++ b/src/forward/silence.rs
@@ -47,7 +47,7 @@
         let since = last.get();
         let (id, boot) = (&watched.upstream.id, watched.upstream.boot);
         let is_heard = (shared.health.borrow_mut()).is_heard(id, boot, since, now);
-        let gateways = super::request::MAX_GATEWAYS;
+        let gateways = super::attempt::MAX_GATEWAYS;
         let can_move = watched.has_attempts
             && shared.with_budget(watched.service, |b| b.has_send(now, gateways));
         let signs = Signs {
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -13,9 +13,9 @@
 use super::events::Events;
 use super::exchange::{self, ExchangeError};
 use super::head::ResponseHead;
+use super::job::Job;
 use super::pool::Conn;
 use super::reply::{self, BodyOut};
-use super::request::Job;
 use super::shared::Shared;
 use super::silence::{self, Silence, Watched};
 
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -19,7 +19,7 @@
 #[cfg(test)]
 mod tests;
 
-/// Mixes a number; the finalizer of SplitMix64.
+/// Mixes a number; the finalizer of `SplitMix64`.
 #[must_use]
 pub const fn mix(seed: u64) -> u64 {
     let mut z = seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/src/router/patience.rs
+++ b/src/router/patience.rs
@@ -76,8 +76,7 @@
     match signs.state {
         _ if signs.is_heard => Next::Wait(RECHECK.min(left)),
         Some(Asked::AtWork) => Next::Wait(RECHECK.min(left)),
-        Some(Asked::NoSign) => Next::Leave,
         None if limits.can_ask => Next::Ask,
-        None => Next::Leave,
+        Some(Asked::NoSign) | None => Next::Leave,
     }
 }
--- a/src/router/rollout.rs
+++ b/src/router/rollout.rs
@@ -191,12 +191,11 @@
     #[must_use]
     pub fn can_fall_back(&self, from: Group) -> bool {
         match (self.phase, from) {
-            // A version that was given up gets nothing, whatever happens to the others.
-            (Phase::Reverted, _) => false,
+            // A version that was given up gets nothing, whatever happens to the others, and an unproven
+            // one no more than its share.
+            (Phase::Reverted, _) | (Phase::Active, Group::Old) => false,
             // The old upstreams end when the roll-out is complete, but some may still be there.
-            (_, Group::New) => true,
-            (Phase::Complete, Group::Old) => true,
-            (Phase::Active, Group::Old) => false,
+            (Phase::Active | Phase::Complete, Group::New) | (Phase::Complete, Group::Old) => true,
         }
     }
 
