Test the router's decisions without a network

Change: 41 tests of routing, membership, health, choice, cascade, budget, attempts, patience and roll-outs; three are properties on fixed seeds.

Ruled out: bounds from measured figures; they come from the deployment's bounds (exposure, budget, trust of keys, grace of lapsed entries).

--- /dev/null
+++ b/src/forward/tests/mod.rs
@@ -0,0 +1,1 @@
+//! Tests of forwarding.
--- /dev/null
+++ b/src/router/tests/fleet.rs
@@ -0,0 +1,207 @@
+//! Registered upstreams and their health.
+
+use std::rc::Rc;
+
+use crate::fixtures;
+use crate::router::fleet::{Change, Fleet, Upstream, UpstreamState};
+use crate::router::health::{HealthTable, Seen};
+use crate::units::Millis;
+
+fn upstream(id: &str, boot: u64, seq: u64, state: UpstreamState) -> Upstream {
+    Upstream {
+        id: id.into(),
+        addr: "127.0.0.1:1".parse().expect("an address"),
+        service: "pool".into(),
+        data_centre: "a".into(),
+        version: "v1".into(),
+        slots: 4,
+        state,
+        boot,
+        seq,
+        warm_up: Millis(0),
+    }
+}
+
+fn ready(id: &str, boot: u64, seq: u64) -> Upstream {
+    upstream(id, boot, seq, UpstreamState::Ready)
+}
+
+fn draining(id: &str, boot: u64, seq: u64) -> Upstream {
+    upstream(id, boot, seq, UpstreamState::Draining)
+}
+
+fn ids(fleet: &Fleet) -> Vec<String> {
+    fleet.ready("pool").map(|u| u.id.to_string()).collect()
+}
+
+#[test]
+fn a_late_report_does_not_undo_draining() {
+    let mut fleet = Fleet::default();
+    fleet.put(ready("u", 1, 1));
+    fleet.put(draining("u", 1, 2));
+
+    let change = fleet.put(ready("u", 1, 1));
+
+    assert!(matches!(change, Some(Change::Outdated(_))));
+    assert!(ids(&fleet).is_empty());
+}
+
+/// A full list after a gap must not bring back who was leaving.
+#[test]
+fn a_list_does_not_undo_draining() {
+    let mut fleet = Fleet::default();
+    fleet.put(draining("u", 1, 2));
+
+    fleet.replace(vec![ready("u", 1, 3)], Millis(0), true);
+
+    assert!(ids(&fleet).is_empty());
+}
+
+#[test]
+fn a_new_boot_under_a_known_id_is_ready() {
+    let mut fleet = Fleet::default();
+    fleet.put(draining("u", 1, 9));
+
+    let change = fleet.put(ready("u", 2, 0));
+
+    assert!(matches!(change, Some(Change::Joined(_))));
+    assert!(fleet.is_ready("u", 2));
+    assert!(!fleet.is_ready("u", 1));
+}
+
+#[test]
+fn a_removed_entry_is_gone_at_once_in_quiet_times() {
+    let mut fleet = Fleet::default();
+    fleet.put(ready("u", 1, 1));
+
+    let change = fleet.remove("u", Millis(0), false);
+
+    assert!(matches!(change, Some(Change::Gone(_))));
+    assert!(ids(&fleet).is_empty());
+}
+
+/// Entries lapse while the store is away; those of live upstreams are back within two seconds.
+#[test]
+fn an_entry_that_lapsed_in_an_outage_stays_for_two_seconds() {
+    let mut fleet = Fleet::default();
+    fleet.put(ready("back", 1, 1));
+    fleet.put(ready("lost", 1, 1));
+    fleet.put(draining("left", 1, 1));
+
+    fleet.replace(Vec::new(), Millis(0), true);
+    assert_eq!(ids(&fleet), ["back", "lost"]);
+    assert!(!fleet.is_present("left", 1));
+    fleet.put(ready("back", 1, 2));
+    assert!(fleet.expire(Millis(1_999)).is_empty());
+    let gone = fleet.expire(Millis(2_000));
+
+    assert!(matches!(gone.as_slice(), [Change::Gone(u)] if &*u.id == "lost"));
+    assert_eq!(ids(&fleet), ["back"]);
+}
+
+/// Whatever the order and the gaps, an upstream that was seen draining never takes requests again in the
+/// same boot, and the newest boot decides.
+#[test]
+fn reports_in_any_order_never_go_back() {
+    fn property(reports: Vec<(bool, u8, u8, bool)>) {
+        let mut fleet = Fleet::default();
+        let mut drained: Vec<u64> = Vec::new();
+        let mut newest = 0;
+        for (is_list, boot, seq, is_draining) in reports {
+            let (boot, seq) = (u64::from(boot % 4), u64::from(seq));
+            let report = if is_draining {
+                draining("u", boot, seq)
+            } else {
+                ready("u", boot, seq)
+            };
+            if is_list {
+                fleet.replace(vec![report], Millis(0), true);
+            } else {
+                fleet.put(report);
+            }
+            newest = newest.max(boot);
+            let shown = fleet.all().next().expect("it is registered");
+            if shown.state == UpstreamState::Draining {
+                drained.push(shown.boot);
+            }
+            assert_eq!(shown.boot, newest);
+            assert!(!drained.contains(&newest) || !fleet.is_ready("u", newest));
+        }
+    }
+    fixtures::check(7, property as fn(Vec<(bool, u8, u8, bool)>));
+}
+
+fn observed(seen: &[Seen]) -> (HealthTable, Rc<str>) {
+    let (mut health, id) = (HealthTable::default(), Rc::from("u"));
+    for seen in seen {
+        health.observe(&id, 1, *seen, Millis(0));
+    }
+    (health, id)
+}
+
+/// Pattern: an upstream that accepts connections and never answers.
+#[test]
+fn one_silence_ejects() {
+    let (mut health, id) = observed(&[Seen::Answer, Seen::Answer, Seen::Silent]);
+
+    assert!(health.entry(&id, 1, Millis(1)).is_ejected(Millis(1)));
+    assert!(!health.entry(&id, 1, Millis(1)).is_ejected(Millis(1_500)));
+}
+
+/// Pattern: an upstream that fails a part of its requests while its health check passes.
+#[test]
+fn a_grey_upstream_is_ejected_and_a_usual_error_rate_is_not() {
+    let grey: Vec<_> = (0..20)
+        .map(|n| {
+            if n % 2 == 0 {
+                Seen::Broken
+            } else {
+                Seen::Answer
+            }
+        })
+        .collect();
+    let usual: Vec<_> = (0..70)
+        .map(|n| {
+            if n % 7 == 0 {
+                Seen::Error
+            } else {
+                Seen::Answer
+            }
+        })
+        .collect();
+
+    let (mut grey, id) = observed(&grey);
+    let (mut usual, _) = observed(&usual);
+
+    assert!(grey.entry(&id, 1, Millis(1)).is_ejected(Millis(1)));
+    assert!(!usual.entry(&id, 1, Millis(1)).is_ejected(Millis(1)));
+}
+
+#[test]
+fn a_new_boot_starts_with_a_clean_record() {
+    let (mut health, id) = observed(&[Seen::Silent]);
+    health.start(&id, 1, Millis(0));
+
+    assert!(!health.entry(&id, 2, Millis(0)).is_ejected(Millis(0)));
+    health.end(&id, 1, Millis(0));
+
+    assert_eq!(health.entry(&id, 2, Millis(0)).in_flight, 0);
+}
+
+/// Pattern: an upstream that goes down and up by turns costs fewer and fewer trials.
+#[test]
+fn ejections_grow_while_an_upstream_stays_silent() {
+    let (mut health, id) = (HealthTable::default(), Rc::from("u"));
+    let mut now = Millis(0);
+    let mut spans = Vec::new();
+    for _ in 0..5 {
+        health.observe(&id, 1, Seen::Silent, now);
+        let start = now;
+        while health.entry(&id, 1, now).is_ejected(now) {
+            now = now + Millis(100);
+        }
+        spans.push(now.since(start).0);
+    }
+
+    assert_eq!(spans, [1_500, 3_000, 6_000, 8_000, 8_000]);
+}
--- /dev/null
+++ b/src/router/tests/load.rs
@@ -0,0 +1,234 @@
+//! Choice of upstreams and models under load, and the retry budget.
+
+use crate::fixtures;
+use crate::router::cascade::{Cascade, Opinion, Verdict};
+use crate::router::pick::{self, Candidate, Lane, Reason};
+use crate::router::retry::{RetryBounds, RetryBudget};
+use crate::router::sizes::SizeMix;
+use crate::router::{hash, mix};
+use crate::units::Millis;
+
+fn candidate(n: u64) -> Candidate {
+    Candidate {
+        hash: hash(&n.to_le_bytes()),
+        is_local: true,
+        slots: 32,
+        in_flight: 0,
+        pending: 0,
+        failures: 0,
+        is_ejected: false,
+        is_tried: false,
+    }
+}
+
+fn candidates(count: u64) -> Vec<Candidate> {
+    (0..count).map(candidate).collect()
+}
+
+#[test]
+fn a_prefix_stays_with_its_upstream() {
+    let all = candidates(18);
+    let first = pick::pick(&all, Some(7), 0);
+
+    let again = (1..50).map(|draw| pick::pick(&all, Some(7), draw));
+
+    assert!(matches!(first, Some((_, Reason::Prefix))));
+    assert!(again.into_iter().all(|picked| picked == first));
+}
+
+/// Only the prefixes of an upstream that is lost move.
+#[test]
+fn losing_an_upstream_moves_only_its_prefixes() {
+    let all = candidates(18);
+    let mut fewer = all.clone();
+    fewer[3].is_ejected = true;
+
+    for prefix in 0..500 {
+        let (before, _) = pick::pick(&all, Some(prefix), 0).expect("one is picked");
+        let (after, _) = pick::pick(&fewer, Some(prefix), 0).expect("one is picked");
+        assert!(before == after || before == 3);
+    }
+}
+
+/// Pattern: one prefix gets a large part of the traffic (hot key).
+#[test]
+fn a_hot_prefix_spreads_before_its_upstream_is_overloaded() {
+    let mut all = candidates(18);
+    for n in 0..90_u64 {
+        // Four of five requests share one prefix.
+        let prefix = if n % 5 == 0 { mix(n) } else { 1 };
+        let (at, _) = pick::pick(&all, Some(prefix), n).expect("one is picked");
+        all[at].in_flight += 1;
+    }
+
+    let most = all.iter().map(|c| c.in_flight).max();
+
+    // The mean is five; the bound is 1.3 times the mean and two.
+    assert!(most.is_some_and(|most| most <= 9));
+}
+
+/// Pattern: a prompt that takes seconds to read waits at the preferred upstream.
+#[test]
+fn a_long_prompt_turns_others_away() {
+    let mut all = candidates(18);
+    let (preferred, _) = pick::pick(&all, Some(9), 0).expect("one is picked");
+    all[preferred].pending = 50_000;
+
+    let (at, _) = pick::pick(&all, Some(9), 0).expect("one is picked");
+
+    assert_ne!(at, preferred);
+}
+
+#[test]
+fn tried_and_ejected_upstreams_are_the_last_choice() {
+    let mut all = candidates(3);
+    all[0].is_ejected = true;
+    all[1].is_tried = true;
+    let (at, _) = pick::pick(&all, None, 0).expect("one is picked");
+    assert_eq!(at, 2);
+
+    all[2].is_ejected = true;
+
+    let (at, reason) = pick::pick(&all, None, 0).expect("one is picked");
+    assert!(at != 1 && reason == Reason::LastChoice);
+    assert_eq!(pick::pick(&[], None, 0), None);
+}
+
+#[test]
+fn lanes_are_disjoint_and_cover_all() {
+    let all = candidates(18);
+    let in_lane = |lane| {
+        let mut divided = all.clone();
+        pick::divide(&mut divided, lane);
+        (0..all.len())
+            .filter(|&at| !divided[at].is_tried)
+            .collect::<Vec<_>>()
+    };
+
+    let lanes = [Lane::Small, Lane::Large, Lane::LargePrompt].map(in_lane);
+    let mut together = lanes.concat();
+    together.sort_unstable();
+
+    assert_eq!(together, (0..18).collect::<Vec<_>>());
+    assert!(lanes.iter().all(|lane| lane.len() >= 4));
+}
+
+/// Pattern: all upstreams of a lane are lost.
+#[test]
+fn a_lane_without_a_sound_upstream_uses_the_others() {
+    let mut all = candidates(8);
+    let mut small = all.clone();
+    pick::divide(&mut small, Lane::Small);
+    for at in 0..all.len() {
+        all[at].is_ejected = !small[at].is_tried;
+    }
+
+    pick::divide(&mut all, Lane::Small);
+
+    assert!(all.iter().all(|c| !c.is_tried));
+}
+
+/// Pattern: heavy-tailed prompts. The largest ones make up the given part of the tokens.
+#[test]
+fn the_border_of_large_prompts_follows_the_tokens() {
+    let mut sizes = SizeMix::default();
+    let prompts: Vec<u64> = (0..400)
+        .map(|n| if n % 20 == 0 { 40_000 } else { 2_000 })
+        .collect();
+    for &size in &prompts {
+        sizes.observe(size);
+    }
+
+    // A twentieth of the prompts makes up 51% of the tokens.
+    assert!(sizes.is_large(40_000, 55));
+    assert!(!sizes.is_large(2_000, 55));
+    assert!(!sizes.is_large(40_000, 40));
+}
+
+#[test]
+fn no_prompt_is_large_before_some_are_known() {
+    let mut sizes = SizeMix::default();
+    sizes.observe(10);
+
+    assert!(!sizes.is_large(1_000_000, 40));
+}
+
+fn opinion(model: usize, confidence: u8) -> Opinion {
+    Opinion {
+        model,
+        models: 3,
+        confidence: Some(confidence),
+        can_send: true,
+    }
+}
+
+#[test]
+fn a_low_opinion_asks_the_smallest_model_that_suffices() {
+    let cascade = Cascade::default();
+
+    assert_eq!(cascade.judge(opinion(0, 80)), Verdict::Deliver);
+    assert_eq!(cascade.judge(opinion(0, 50)), Verdict::Escalate(1));
+    assert_eq!(cascade.judge(opinion(0, 10)), Verdict::Escalate(2));
+    assert_eq!(cascade.judge(opinion(1, 10)), Verdict::Escalate(2));
+    assert_eq!(cascade.judge(opinion(2, 10)), Verdict::Deliver);
+}
+
+#[test]
+fn an_answer_is_kept_if_nothing_can_be_sent() {
+    let cascade = Cascade::default();
+    let stuck = Opinion {
+        can_send: false,
+        ..opinion(0, 5)
+    };
+    let silent = Opinion {
+        confidence: None,
+        ..opinion(0, 0)
+    };
+
+    assert_eq!(cascade.judge(stuck), Verdict::Deliver);
+    assert_eq!(cascade.judge(silent), Verdict::Deliver);
+}
+
+#[test]
+fn a_model_that_gains_nothing_is_passed_over() {
+    let mut cascade = Cascade::default();
+    for _ in 0..100 {
+        cascade.learn((0, 50), (1, 50));
+    }
+
+    assert_eq!(cascade.judge(opinion(0, 50)), Verdict::Escalate(2));
+}
+
+/// In any window the extra sends of eight gateways stay within the ratio and the slack together. The
+/// requests are those of the window, of the one before it, or of the one half a window before it.
+#[test]
+fn extra_sends_stay_within_the_shared_budget() {
+    fn property(steps: Vec<(u8, u8, bool)>) {
+        let bounds = RetryBounds {
+            ratio: 0.5,
+            window: Millis(10_000),
+            slack: 40,
+        };
+        let gateways = 8;
+        let mut budgets = vec![RetryBudget::new(bounds); gateways];
+        let (mut now, mut requests, mut extra) = (Millis(100_000), Vec::new(), Vec::new());
+        for (gateway, pause, is_retry) in steps {
+            now = now + Millis(u64::from(pause) * 4);
+            let budget = &mut budgets[usize::from(gateway) % gateways];
+            if !is_retry {
+                budget.request(now);
+                requests.push(now);
+            } else if budget.take(now, gateways) {
+                extra.push(now);
+            }
+            let count = |times: &[Millis], end: u64| {
+                let window = end - bounds.window.0..=end;
+                times.iter().filter(|t| window.contains(&t.0)).count()
+            };
+            let ends = [now.0, now.0 - 5_000, now.0 - 10_000];
+            let most = ends.map(|end| count(&requests, end)).into_iter().max();
+            assert!(count(&extra, now.0) <= most.unwrap_or(0) / 2 + 40);
+        }
+    }
+    fixtures::check(11, property as fn(Vec<(u8, u8, bool)>));
+}
--- /dev/null
+++ b/src/router/tests/mod.rs
@@ -0,0 +1,7 @@
+//! Tests of the router's decisions; none needs a network.
+
+mod fleet;
+mod load;
+mod outcome;
+mod rollout;
+mod routing;
--- /dev/null
+++ b/src/router/tests/outcome.rs
@@ -0,0 +1,140 @@
+//! What may be sent again, what may be promised, and when a silent upstream is left.
+
+use crate::fixtures;
+use crate::router::attempt::{Attempts, Ended, Promise};
+use crate::router::patience::{self, Asked, Limits, Next, Signs};
+use crate::router::table::RequestKind;
+use crate::units::Millis;
+
+const ENDS: [Ended; 5] = [
+    Ended::NotSent,
+    Ended::Refused,
+    Ended::Lost,
+    Ended::Failed,
+    Ended::Dropped,
+];
+
+/// Whatever happens, a request that may run once is never sent after it may have run, and "not run" is
+/// promised only if no upstream can have run it.
+#[test]
+fn refusals_are_true_and_runs_are_bounded() {
+    fn property(ends: Vec<u8>, kind: u8, allowed: u8) {
+        let kinds = [
+            RequestKind::Idempotent,
+            RequestKind::AtMostOnce,
+            RequestKind::ResumableStream,
+            RequestKind::Stream,
+        ];
+        let kind = kinds[usize::from(kind) % kinds.len()];
+        let allowed = u32::from(allowed % 4) + 1;
+        let mut attempts = Attempts::new(kind, allowed);
+        let mut ran = 0;
+        for end in ends {
+            if !attempts.can_send() {
+                break;
+            }
+            assert!(ran == 0 || kind.is_repeatable());
+            let end = ENDS[usize::from(end) % ENDS.len()];
+            attempts.note(end);
+            ran += u32::from(!matches!(end, Ended::NotSent | Ended::Refused));
+        }
+        assert!(ran <= allowed);
+        assert_eq!(attempts.promise() == Promise::NotRun, ran == 0);
+    }
+    fixtures::check(3, property as fn(Vec<u8>, u8, u8));
+}
+
+#[test]
+fn refusing_upstreams_do_not_keep_a_request_for_ever() {
+    let mut attempts = Attempts::new(RequestKind::AtMostOnce, 1);
+    let mut sends = 0;
+    while attempts.can_send() {
+        attempts.note(Ended::Refused);
+        sends += 1;
+    }
+
+    assert!(sends <= 6);
+    assert_eq!(attempts.promise(), Promise::NotRun);
+}
+
+fn limits() -> Limits {
+    Limits {
+        silent: Millis(1_000),
+        busy: Millis(4_000),
+        deadline: Millis(20_000),
+        can_ask: true,
+    }
+}
+
+fn signs() -> Signs {
+    Signs {
+        since: Millis(0),
+        is_heard: false,
+        state: None,
+        can_move: true,
+    }
+}
+
+#[test]
+fn a_silent_upstream_is_asked_and_then_left() {
+    let no_sign = Signs {
+        state: Some(Asked::NoSign),
+        ..signs()
+    };
+
+    assert_eq!(
+        patience::next(&limits(), &signs(), Millis(400)),
+        Next::Wait(Millis(600))
+    );
+    assert_eq!(
+        patience::next(&limits(), &signs(), Millis(1_000)),
+        Next::Ask
+    );
+    assert_eq!(
+        patience::next(&limits(), &no_sign, Millis(1_000)),
+        Next::Leave
+    );
+}
+
+/// Pattern: a long prompt is read between the tokens of other requests.
+#[test]
+fn a_busy_upstream_is_kept_until_its_limit() {
+    let heard = Signs {
+        is_heard: true,
+        ..signs()
+    };
+    let at_work = Signs {
+        state: Some(Asked::AtWork),
+        ..signs()
+    };
+
+    for signs in [heard, at_work] {
+        assert!(matches!(
+            patience::next(&limits(), &signs, Millis(3_900)),
+            Next::Wait(_)
+        ));
+        assert_eq!(
+            patience::next(&limits(), &signs, Millis(4_000)),
+            Next::Leave
+        );
+    }
+}
+
+/// A worker's silence is no reason to end an answer if nobody else can give it.
+#[test]
+fn without_another_attempt_only_the_deadline_ends_a_request() {
+    let stuck = Signs {
+        can_move: false,
+        state: Some(Asked::NoSign),
+        ..signs()
+    };
+
+    assert!(matches!(
+        patience::next(&limits(), &stuck, Millis(19_999)),
+        Next::Wait(_)
+    ));
+    assert_eq!(
+        patience::next(&limits(), &stuck, Millis(20_000)),
+        Next::TimedOut
+    );
+}
--- /dev/null
+++ b/src/router/tests/rollout.rs
@@ -0,0 +1,181 @@
+//! Roll-outs under a deadline and the sessions that they must not move.
+
+use std::rc::Rc;
+
+use crate::router::mix;
+use crate::router::rollout::{Answer, Group, Phase, Rollout};
+use crate::router::sessions::Sessions;
+use crate::units::Millis;
+
+const RAMP: Millis = Millis::from_secs(24);
+const EXPOSURE_PERMILLE: u64 = 150;
+const KIND: u64 = 1;
+
+fn rollout() -> Rollout {
+    Rollout::new(Rc::from("v2"), Millis(0), RAMP, EXPOSURE_PERMILLE)
+}
+
+/// Sends requests at a steady rate by the roll-out's own choice; `answer` is the new version's. Returns
+/// the requests that the new version got, all requests, and the decision.
+fn play(
+    rollout: &mut Rollout,
+    answer: impl Fn(u64, Millis) -> Answer,
+) -> (u64, u64, Option<Phase>) {
+    let (mut new, mut all) = (0, 0);
+    let mut now = Millis(0);
+    while now < RAMP {
+        // 26 requests a second, as one of four gateways sees them.
+        now = now + Millis(38);
+        all += 1;
+        let session = mix(all);
+        if rollout.group(session, now) == Group::New {
+            new += 1;
+            rollout.observe("v2", KIND, answer(new, now), now);
+        } else {
+            rollout.observe("v1", KIND, Answer::Good(Millis(100)), now);
+        }
+        if let Some(phase) = rollout.verdict(now) {
+            rollout.set_phase(phase);
+            return (new, all, Some(phase));
+        }
+    }
+    (new, all, None)
+}
+
+#[test]
+fn a_sound_version_is_complete_before_the_deadline() {
+    let mut rollout = rollout();
+
+    let (_, _, phase) = play(&mut rollout, |_, _| Answer::Good(Millis(110)));
+
+    assert_eq!(phase, Some(Phase::Complete));
+    assert_eq!(rollout.group(1, RAMP), Group::New);
+}
+
+/// Versions that fail, at once or late, and versions that are several times slower.
+#[test]
+fn a_bad_version_is_reverted_within_its_exposure() {
+    let late = Millis::from_secs(15);
+    let alternate = |n: u64| n.is_multiple_of(2);
+    let cases: [&dyn Fn(u64, Millis) -> Answer; 4] = [
+        &|n, _| {
+            if alternate(n) {
+                Answer::Bad
+            } else {
+                Answer::Good(Millis(100))
+            }
+        },
+        &|n, _| {
+            if n % 3 == 0 {
+                Answer::Bad
+            } else {
+                Answer::Good(Millis(100))
+            }
+        },
+        &|n, now| {
+            if now > late && alternate(n) {
+                Answer::Bad
+            } else {
+                Answer::Good(Millis(100))
+            }
+        },
+        &|n, _| Answer::Good(Millis(if alternate(n) { 800 } else { 100 })),
+    ];
+    for (case, answer) in cases.iter().enumerate() {
+        let mut rollout = rollout();
+
+        let (new, _, phase) = play(&mut rollout, answer);
+
+        let all = RAMP.0 / 38;
+        assert_eq!(phase, Some(Phase::Reverted), "case {case}");
+        assert!(
+            new <= all * EXPOSURE_PERMILLE / 1_000 + 7,
+            "case {case}: {new} of {all}"
+        );
+        assert_eq!(rollout.share_permille(RAMP), 0);
+        assert!(!rollout.can_fall_back(Group::Old));
+    }
+}
+
+/// A version that fails only under the whole load is stopped soon after all requests go there.
+#[test]
+fn a_version_that_fails_under_load_is_reverted() {
+    let mut rollout = rollout();
+    let shifted = Millis(RAMP.0 * 72 / 100);
+
+    let (new, _, phase) = play(&mut rollout, |n, now| {
+        if now > shifted && n.is_multiple_of(2) {
+            Answer::Bad
+        } else {
+            Answer::Good(Millis(100))
+        }
+    });
+
+    assert_eq!(phase, Some(Phase::Reverted));
+    assert!(new <= RAMP.0 / 38 * EXPOSURE_PERMILLE / 1_000 + 7);
+}
+
+/// An error rate that both versions share is no reason to stop.
+#[test]
+fn a_shared_error_rate_does_not_stop_a_rollout() {
+    let mut rollout = rollout();
+    let mut now = Millis(0);
+    for n in 0..400_u64 {
+        now = now + Millis(50);
+        let answer = if n.is_multiple_of(7) {
+            Answer::Bad
+        } else {
+            Answer::Good(Millis(100))
+        };
+        rollout.observe("v1", KIND, answer, now);
+        if n % 4 == 0 {
+            rollout.observe("v2", KIND, answer, now);
+        }
+        assert_ne!(rollout.verdict(now), Some(Phase::Reverted));
+    }
+}
+
+#[test]
+fn a_recorded_decision_holds_and_an_older_record_does_not_undo_a_stop() {
+    let mut rollout = rollout();
+    rollout.set_phase(Phase::Reverted);
+
+    rollout.set_phase(Phase::Active);
+    assert_eq!(rollout.phase(), Phase::Reverted);
+    rollout.set_phase(Phase::Complete);
+
+    assert_eq!(rollout.phase(), Phase::Complete);
+}
+
+#[test]
+fn gateways_agree_on_the_side_of_a_session() {
+    let (one, other) = (rollout(), rollout());
+    let now = Millis::from_secs(15);
+
+    let sides = (0..2_000).map(|session| (one.group(session, now), other.group(session, now)));
+
+    let sides: Vec<_> = sides.collect();
+    assert!(sides.iter().all(|(a, b)| a == b));
+    let new = sides.iter().filter(|(side, _)| *side == Group::New).count();
+    assert!((1..=2_000 * 150 / 1_000).contains(&new));
+}
+
+#[test]
+fn sessions_are_pinned_in_the_first_half_only() {
+    let rollout = rollout();
+
+    assert!(rollout.pins_sessions(Millis(RAMP.0 / 2)));
+    assert!(!rollout.pins_sessions(Millis(RAMP.0 * 6 / 10)));
+}
+
+#[test]
+fn a_session_keeps_its_side_until_it_is_over() {
+    let mut sessions = Sessions::default();
+    let span = Millis::from_secs(5);
+    sessions.note(1, Group::Old, Millis(0), span);
+    sessions.note(1, Group::Old, Millis(3_000), span);
+
+    assert_eq!(sessions.group(1, Millis(8_000), span), Some(Group::Old));
+    assert_eq!(sessions.group(1, Millis(8_001), span), None);
+    assert_eq!(sessions.group(2, Millis(0), span), None);
+}
--- /dev/null
+++ b/src/router/tests/routing.rs
@@ -0,0 +1,106 @@
+//! Routing table, API keys and their age.
+
+use std::rc::Rc;
+
+use crate::router::freshness::Freshness;
+use crate::router::table::{Account, ClientLimits, RequestKind, Route, RouteTable, Target};
+use crate::units::Millis;
+
+fn route(host: &str, prefix: &str) -> Rc<Route> {
+    Rc::new(Route {
+        name: format!("{host}{prefix}").into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RequestKind::Idempotent,
+        timeout: Millis(1_000),
+        goal: Millis(100),
+        priority: 1,
+        attempts: 2,
+        is_public: false,
+        has_prompts: false,
+        gap: Millis(0),
+        models: Vec::new(),
+        targets: vec![
+            Target {
+                service: "large".into(),
+                weight: 90,
+            },
+            Target {
+                service: "small".into(),
+                weight: 10,
+            },
+        ],
+    })
+}
+
+fn table(routes: Vec<Rc<Route>>) -> RouteTable {
+    let account = Rc::new(Account {
+        name: "shop".into(),
+        priority: None,
+    });
+    let keys = vec![("key-1".into(), account)];
+    RouteTable::new(1, routes, Vec::new(), Some(keys), ClientLimits::default())
+}
+
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    let routes = vec![
+        route("a.example", "/"),
+        route("a.example", "/x/"),
+        route("a.example", "/x/y/"),
+        route("b.example", "/x/y/z/"),
+    ];
+    let table = table(routes);
+    let name = |host, path| table.route(host, path).map(|r| r.name.to_string());
+
+    assert_eq!(
+        name("a.example", "/x/y/z/1").as_deref(),
+        Some("a.example/x/y/")
+    );
+    assert_eq!(name("a.example", "/x/q").as_deref(), Some("a.example/x/"));
+    assert_eq!(name("a.example", "/xy").as_deref(), Some("a.example/"));
+    assert_eq!(name("b.example", "/x/y/"), None);
+    assert_eq!(name("c.example", "/"), None);
+}
+
+#[test]
+fn services_get_their_weights() {
+    let route = route("a.example", "/");
+
+    let large = (0..1_000).filter(|&draw| route.service(draw).is_some_and(|s| &**s == "large"));
+
+    assert_eq!(large.count(), 900);
+}
+
+#[test]
+fn keys_are_known_exactly() {
+    let table = table(Vec::new());
+
+    assert_eq!(table.account("key-1").map(|a| &*a.name), Some("shop"));
+    assert_eq!(table.account("key-"), None);
+    assert!(table.has_accounts());
+}
+
+/// A revoked key must not work longer than allowed on a gateway without word from the store.
+#[test]
+fn keys_are_not_trusted_past_the_bound() {
+    let mut freshness = Freshness::new(Some(Millis(5_000)));
+    assert!(!freshness.is_trusted(Millis(0)));
+
+    freshness.confirm(Millis(1_000));
+    freshness.confirm(Millis(500));
+
+    assert!(freshness.is_trusted(Millis(5_000)));
+    assert!(!freshness.is_trusted(Millis(6_000)));
+    assert_eq!(freshness.age(Millis(3_000)), Some(Millis(2_000)));
+}
+
+#[test]
+fn keys_without_a_bound_are_trusted_once_known() {
+    let mut freshness = Freshness::new(None);
+    assert!(!freshness.is_trusted(Millis(0)));
+
+    freshness.confirm(Millis(0));
+
+    assert!(freshness.is_trusted(Millis::from_secs(3_600)));
+}
