Test forwarding against scripted upstreams

Cause: parsers, attempts, streams and the planned stop had no tests.

Change: a gateway on loopback with a store in memory and upstreams that follow a script; parsers are checked by properties on fixed seeds.

Ruled out: the paused clock for these tests, since sockets are real; no test asserts a time.

--- /dev/null
+++ b/src/forward/tests/fixture.rs
@@ -0,0 +1,312 @@
+//! A gateway on loopback with a store in memory and scripted upstreams.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::forward::follow::{Control, ControlError, Listing, Notice, RolloutWrite};
+use crate::forward::gateway::{Addresses, Gateway};
+use crate::forward::shared::{Policy, Shared};
+use crate::kv::LocalFuture;
+use crate::router::fleet::{Upstream, UpstreamState};
+use crate::router::retry::RetryBounds;
+use crate::router::table::{
+    Account, ClientLimits, RequestKind, Route, RouteTable, ServiceSettings, Target,
+};
+use crate::units::Millis;
+
+/// A store that lists what a test gives it and never changes.
+pub(super) struct FixedControl {
+    notices: RefCell<Vec<Notice>>,
+}
+
+impl Control for FixedControl {
+    fn list(&self) -> LocalFuture<'_, Result<Listing, ControlError>> {
+        let notices = self.notices.take();
+        Box::pin(async {
+            Ok(Listing {
+                notices,
+                revision: 1,
+            })
+        })
+    }
+
+    fn watch(&self, after: u64, wait: Millis) -> LocalFuture<'_, Result<Listing, ControlError>> {
+        Box::pin(async move {
+            actix_rt::time::sleep(wait.duration()).await;
+            Ok(Listing {
+                notices: Vec::new(),
+                revision: after,
+            })
+        })
+    }
+
+    fn write_rollout(&self, _write: RolloutWrite) -> LocalFuture<'_, Result<u64, ControlError>> {
+        Box::pin(async { Err(ControlError::Conflict) })
+    }
+}
+
+/// What a scripted upstream does with one request.
+#[derive(Debug, Clone)]
+pub(super) enum Act {
+    /// Writes these bytes, with `ID` replaced by the request's id, and keeps the connection.
+    Write(&'static str),
+    /// Writes them and closes.
+    WriteAndClose(&'static str),
+    /// Closes without an answer.
+    Close,
+    /// Answers nothing and keeps the connection.
+    Hang,
+}
+
+/// An upstream that follows a script and notes what it got.
+pub(super) struct Scripted {
+    pub(super) addr: SocketAddr,
+    pub(super) requests: Rc<RefCell<Vec<String>>>,
+    /// Connections that ended before their answer.
+    pub(super) left: Rc<RefCell<usize>>,
+}
+
+/// Starts an upstream; the last act is repeated.
+pub(super) async fn scripted(acts: Vec<Act>) -> Scripted {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("loopback can be bound");
+    let addr = listener.local_addr().expect("it is bound");
+    let requests: Rc<RefCell<Vec<String>>> = Rc::default();
+    let left: Rc<RefCell<usize>> = Rc::default();
+    let (noted, gone) = (Rc::clone(&requests), Rc::clone(&left));
+    actix_rt::spawn(async move {
+        let acts = Rc::new(acts);
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                return;
+            };
+            let (acts, noted, gone) = (Rc::clone(&acts), Rc::clone(&noted), Rc::clone(&gone));
+            actix_rt::spawn(follow_script(stream, acts, noted, gone));
+        }
+    });
+    Scripted {
+        addr,
+        requests,
+        left,
+    }
+}
+
+async fn follow_script(
+    mut stream: TcpStream,
+    acts: Rc<Vec<Act>>,
+    noted: Rc<RefCell<Vec<String>>>,
+    gone: Rc<RefCell<usize>>,
+) {
+    while let Some(text) = read_message(&mut stream).await {
+        let id = field(&text, "X-Fireflywind-Request-Id")
+            .unwrap_or_default()
+            .to_owned();
+        let at = noted.borrow().len();
+        noted.borrow_mut().push(text);
+        let act = acts
+            .get(at)
+            .or(acts.last())
+            .cloned()
+            .expect("a script has an act");
+        match act {
+            Act::Write(bytes) => {
+                if stream
+                    .write_all(bytes.replace("ID", &id).as_bytes())
+                    .await
+                    .is_err()
+                {
+                    return;
+                }
+            }
+            Act::WriteAndClose(bytes) => {
+                // The gateway may have left already.
+                let _ = stream.write_all(bytes.replace("ID", &id).as_bytes()).await;
+                return;
+            }
+            Act::Close => return,
+            Act::Hang => {
+                let mut rest = Vec::new();
+                // Ends when the gateway closes the connection.
+                let _ = stream.read_to_end(&mut rest).await;
+                *gone.borrow_mut() += 1;
+                return;
+            }
+        }
+    }
+}
+
+/// Reads a head and a body with a length; `None` at the end of the connection.
+pub(super) async fn read_message(stream: &mut TcpStream) -> Option<String> {
+    let mut text = Vec::new();
+    loop {
+        let whole = String::from_utf8_lossy(&text).into_owned();
+        if let Some(end) = whole.find("\r\n\r\n") {
+            let length: usize = field(&whole, "Content-Length")
+                .and_then(|v| v.parse().ok())
+                .unwrap_or(0);
+            let is_chunked = field(&whole, "Transfer-Encoding").is_some();
+            let is_whole = if is_chunked {
+                whole.ends_with("0\r\n\r\n")
+            } else {
+                whole.len() >= end + 4 + length
+            };
+            if is_whole {
+                return Some(whole);
+            }
+        }
+        let mut buf = [0; 4_096];
+        match stream.read(&mut buf).await {
+            Ok(length) if length > 0 => text.extend_from_slice(&buf[..length]),
+            _ if text.is_empty() => return None,
+            _ => return Some(String::from_utf8_lossy(&text).into_owned()),
+        }
+    }
+}
+
+/// Returns the value of a header field.
+pub(super) fn field<'a>(message: &'a str, name: &str) -> Option<&'a str> {
+    let head = message.split("\r\n\r\n").next()?;
+    head.split("\r\n").skip(1).find_map(|line| {
+        let (known, value) = line.split_once(':')?;
+        known.eq_ignore_ascii_case(name).then(|| value.trim())
+    })
+}
+
+/// Returns the status of a response, or 0.
+pub(super) fn status(response: &str) -> u16 {
+    let code = response.split(' ').nth(1);
+    code.and_then(|code| code.parse().ok()).unwrap_or(0)
+}
+
+/// Starts a gateway before upstreams; routes are `/safe/`, `/once/`, `/stream/` and `/model/`.
+pub(super) async fn gateway(upstreams: &[&Scripted]) -> Gateway {
+    let mut notices = vec![Notice::Table(Rc::new(table()))];
+    for (n, upstream) in upstreams.iter().enumerate() {
+        notices.push(Notice::Upstream(Upstream {
+            id: format!("u{n}").into(),
+            addr: upstream.addr,
+            service: "pool".into(),
+            data_centre: "a".into(),
+            version: "v1".into(),
+            slots: 8,
+            state: UpstreamState::Ready,
+            boot: 1,
+            seq: 1,
+            warm_up: Millis(0),
+        }));
+    }
+    let control = FixedControl {
+        notices: RefCell::new(notices),
+    };
+    let policy = Policy {
+        name: "gateway".into(),
+        data_centre: "a".into(),
+        retries: RetryBounds {
+            ratio: 1.0,
+            window: Millis::from_secs(10),
+            slack: 3_200,
+        },
+        key_revocation: Some(Millis::from_secs(5)),
+        exposure_permille: 100,
+        session_span: Millis::from_secs(5),
+        stop_grace: Millis::from_secs(8),
+    };
+    let shared = Shared::open(policy, Box::new(control));
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let addresses = Addresses {
+        listen: any,
+        ready: any,
+        admin: any,
+    };
+    let gateway = Gateway::bind(shared, addresses).expect("loopback can be bound");
+    while !is_ready(&gateway).await {
+        actix_rt::time::sleep(Millis(5).duration()).await;
+    }
+    gateway
+}
+
+/// Asks the gateway whether it is ready.
+pub(super) async fn is_ready(gateway: &Gateway) -> bool {
+    let mut stream = connect(gateway.addresses().ready).await;
+    let question = b"GET /api/readyz HTTP/1.1\r\nHost: a\r\n\r\n";
+    stream.write_all(question).await.expect("the gateway reads");
+    let answer = read_message(&mut stream).await;
+    answer.is_some_and(|answer| status(&answer) == 200)
+}
+
+pub(super) async fn connect(addr: SocketAddr) -> TcpStream {
+    TcpStream::connect(addr).await.expect("it listens")
+}
+
+/// Sends a request on a connection of its own and returns the answer.
+pub(super) async fn send(gateway: &Gateway, method: &str, path: &str, fields: &str) -> String {
+    let mut stream = connect(gateway.addresses().listen).await;
+    let message = message(method, path, fields);
+    stream
+        .write_all(message.as_bytes())
+        .await
+        .expect("the gateway reads");
+    read_message(&mut stream).await.unwrap_or_default()
+}
+
+/// Returns a request with an id, a valid key and a deadline.
+pub(super) fn message(method: &str, path: &str, fields: &str) -> String {
+    let body = if method == "POST" { "hello" } else { "" };
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Fireflywind-Request-Id: r1\r\n\
+         Authorization: Token key-1\r\nX-Fireflywind-Deadline-Ms: 3000\r\n{fields}\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+fn table() -> RouteTable {
+    let route = |name: &str, kind, models: &[&str]| {
+        Rc::new(Route {
+            name: name.into(),
+            host: "h.example".into(),
+            prefix: format!("/{name}/").into(),
+            kind,
+            timeout: Millis(3_000),
+            goal: Millis(400),
+            priority: 2,
+            attempts: 3,
+            is_public: name == "open",
+            has_prompts: !models.is_empty(),
+            gap: Millis(400),
+            models: models.iter().map(|m| Rc::from(*m)).collect(),
+            targets: vec![Target {
+                service: "pool".into(),
+                weight: 1,
+            }],
+        })
+    };
+    let routes = vec![
+        route("safe", RequestKind::Idempotent, &[]),
+        route("open", RequestKind::Idempotent, &[]),
+        route("once", RequestKind::AtMostOnce, &[]),
+        route("stream", RequestKind::ResumableStream, &[]),
+        route("model", RequestKind::ResumableStream, &["s", "m", "l"]),
+    ];
+    let services = vec![ServiceSettings {
+        name: "pool".into(),
+        max_connections: 100,
+        is_engine: false,
+    }];
+    let account = Rc::new(Account {
+        name: "shop".into(),
+        priority: None,
+    });
+    let keys = vec![(Rc::from("key-1"), account)];
+    RouteTable::new(1, routes, services, Some(keys), ClientLimits::default())
+}
+
+/// Runs a test on a runtime of its own; the sockets are real, so the clock is not paused.
+pub(super) fn run<F: Future>(test: F) -> F::Output {
+    actix_rt::System::new().block_on(test)
+}
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -1,1 +1,5 @@
-//! Tests of forwarding.
+//! Tests of forwarding: parsers by properties, the whole path against stand-ins on loopback.
+
+mod fixture;
+mod parsers;
+mod whole_path;
--- /dev/null
+++ b/src/forward/tests/parsers.rs
@@ -0,0 +1,223 @@
+//! Parsers of heads, bodies and events; bytes may arrive in any pieces.
+
+use bytes::BytesMut;
+
+use crate::fixtures;
+use crate::forward::body::{BadChunk, Decoder};
+use crate::forward::events::Events;
+use crate::forward::head::{self, Framing, HeadError};
+
+fn request(text: &str) -> Result<Option<head::RequestHead>, HeadError> {
+    head::take_request(&mut BytesMut::from(text))
+}
+
+#[test]
+fn a_request_head_is_taken_off_the_front() {
+    let mut buf = BytesMut::from(
+        "POST /a/b?c=d HTTP/1.1\r\nHost: X.example:80\r\nContent-Length: 3\r\n\r\nabcGET",
+    );
+
+    let head = head::take_request(&mut buf)
+        .expect("it is valid")
+        .expect("it is whole");
+
+    assert_eq!((head.path(), head.host().as_str()), ("/a/b", "x.example"));
+    assert_eq!(head.framing, Framing::Length(3));
+    assert!(head.keep_alive);
+    assert_eq!(&buf[..], b"abcGET");
+}
+
+/// Two readings of one message would allow to smuggle a request inside another one.
+#[test]
+fn ambiguous_requests_are_refused() {
+    let cases = [
+        (
+            "Host: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n",
+            HeadError::Framing,
+        ),
+        ("Host: a\r\nContent-Length: +1\r\n", HeadError::Framing),
+        ("Host: a\r\nContent-Length: 1,1\r\n", HeadError::Framing),
+        ("Host: a\r\nContent-Length:\r\n", HeadError::Framing),
+        (
+            "Host: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n",
+            HeadError::Framing,
+        ),
+        (
+            "Host: a\r\nTransfer-Encoding: gzip, chunked\r\n",
+            HeadError::Framing,
+        ),
+        (
+            "Host: a\r\nTransfer-Encoding: xchunked\r\n",
+            HeadError::Framing,
+        ),
+        (
+            "Host: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+            HeadError::Framing,
+        ),
+        ("Host: a\r\nHost: b\r\n", HeadError::Host),
+        ("Accept: a\r\n", HeadError::Host),
+        (
+            "Host: a\r\nTransfer-Encoding : chunked\r\n",
+            HeadError::Malformed,
+        ),
+        ("Host: a\r\nX: 1\r\n folded\r\n", HeadError::Malformed),
+        ("Host: a\r\nX: a\0b\r\n", HeadError::Malformed),
+    ];
+    for (fields, expected) in cases {
+        let text = format!("GET / HTTP/1.1\r\n{fields}\r\n");
+        assert_eq!(request(&text).err(), Some(expected), "{fields:?}");
+    }
+    let chunked_1_0 = "GET / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    assert_eq!(request(chunked_1_0).err(), Some(HeadError::Framing));
+}
+
+#[test]
+fn interim_responses_are_dropped() {
+    let mut buf =
+        BytesMut::from("HTTP/1.1 103 Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n\r\nrest");
+
+    let head = head::take_response(&mut buf, false)
+        .expect("it is valid")
+        .expect("it is whole");
+
+    assert_eq!((head.status, head.framing), (200, Framing::UntilClose));
+    assert!(!head.keep_alive);
+    assert_eq!(&buf[..], b"rest");
+}
+
+#[test]
+fn bytes_that_are_no_response_are_an_error() {
+    for text in [
+        "\0\x01\x02\x03garbage\r\n\r\n",
+        "GET / HTTP/1.1\r\n\r\n",
+        "HTTP/1.1 101 Switch\r\n\r\n",
+    ] {
+        assert!(head::take_response(&mut BytesMut::from(text), false).is_err());
+    }
+}
+
+fn decode(pieces: &[&[u8]]) -> Result<(Vec<u8>, bool, Vec<u8>), BadChunk> {
+    let mut decoder = Decoder::new(Framing::Chunked);
+    let (mut buf, mut out) = (BytesMut::new(), BytesMut::new());
+    for piece in pieces {
+        buf.extend_from_slice(piece);
+        decoder.decode(&mut buf, &mut out)?;
+    }
+    Ok((out.to_vec(), decoder.is_done(), buf.to_vec()))
+}
+
+#[test]
+fn chunks_are_decoded_with_extensions_and_trailers() {
+    let whole = decode(&[b"3;x=1\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\nNEXT"]);
+
+    assert_eq!(whole, Ok((b"abcde".to_vec(), true, b"NEXT".to_vec())));
+}
+
+#[test]
+fn invalid_chunks_are_refused() {
+    let cases: [&[u8]; 7] = [
+        b"3\nabc\r\n0\r\n\r\n",
+        b"\r\nabc",
+        b"-1\r\n",
+        b"0x3\r\nabc\r\n",
+        b"3\r\nabcd\r\n",
+        b"fffffffff\r\n",
+        b"3 \r;\r\nabc\r\n",
+    ];
+    for case in cases {
+        assert_eq!(
+            decode(&[case]),
+            Err(BadChunk),
+            "{}",
+            String::from_utf8_lossy(case)
+        );
+    }
+}
+
+/// However the bytes are cut, the decoded body is the same.
+#[test]
+fn chunks_may_arrive_in_any_pieces() {
+    fn property(body: Vec<Vec<u8>>, cuts: Vec<u8>) {
+        let chunks: Vec<_> = body.iter().filter(|c| !c.is_empty()).collect();
+        let mut wire = Vec::new();
+        for chunk in &chunks {
+            wire.extend_from_slice(format!("{:X}\r\n", chunk.len()).as_bytes());
+            wire.extend_from_slice(chunk);
+            wire.extend_from_slice(b"\r\n");
+        }
+        wire.extend_from_slice(b"0\r\n\r\n");
+        let pieces = cut(&wire, &cuts);
+        let expected = chunks.into_iter().flatten().copied().collect::<Vec<_>>();
+        assert_eq!(decode(&pieces), Ok((expected, true, Vec::new())));
+    }
+    fixtures::check(5, property as fn(Vec<Vec<u8>>, Vec<u8>));
+}
+
+fn cut<'a>(mut wire: &'a [u8], cuts: &[u8]) -> Vec<&'a [u8]> {
+    let mut pieces = Vec::new();
+    for length in cuts {
+        let (piece, rest) = wire.split_at(usize::from(*length % 16).min(wire.len()));
+        pieces.push(piece);
+        wire = rest;
+    }
+    pieces.push(wire);
+    pieces
+}
+
+/// Bytes of a stranger never panic a parser.
+#[test]
+fn any_bytes_are_parsed_or_refused() {
+    fn property(bytes: Vec<u8>) {
+        let mut buf = BytesMut::from(&bytes[..]);
+        let _ = head::take_request(&mut buf);
+        let mut buf = BytesMut::from(&bytes[..]);
+        let _ = head::take_response(&mut buf, false);
+        let _ = decode(&[&bytes]);
+        let mut events = Events::default();
+        events.input().extend_from_slice(&bytes);
+        let _ = events.take();
+    }
+    fixtures::check(6, property as fn(Vec<u8>));
+}
+
+#[test]
+fn only_whole_events_are_taken() {
+    let mut events = Events::default();
+    events
+        .input()
+        .extend_from_slice(b"id: 4\ndata: a\n\nid: 5\r\ndata: b\r\n\r\nid: 6\ndata");
+
+    let taken = events.take().expect("no event is too long");
+
+    assert_eq!(&taken[..], b"id: 4\ndata: a\n\nid: 5\r\ndata: b\r\n\r\n");
+    assert_eq!(events.last_id(), Some(5));
+    assert!(events.has_partial());
+    events.drop_partial();
+    events.input().extend_from_slice(b"id: 6\ndata: c\n\n");
+    assert_eq!(events.take().expect("no event is too long").len(), 15);
+    assert_eq!(events.last_id(), Some(6));
+}
+
+/// However a stream is cut, the events are the same and none is taken before it is whole.
+#[test]
+fn events_may_arrive_in_any_pieces() {
+    fn property(sizes: Vec<u8>, cuts: Vec<u8>) {
+        let mut wire = Vec::new();
+        for (id, size) in sizes.iter().enumerate() {
+            let data = "x".repeat(usize::from(*size));
+            wire.extend_from_slice(format!("id: {id}\ndata: {data}\n\n").as_bytes());
+        }
+        let (mut events, mut taken) = (Events::default(), Vec::new());
+        for piece in cut(&wire, &cuts) {
+            events.input().extend_from_slice(piece);
+            taken.extend_from_slice(&events.take().expect("no event is too long"));
+            assert!(taken.is_empty() || taken.ends_with(b"\n\n"));
+        }
+        assert_eq!(taken, wire);
+        assert_eq!(
+            events.last_id(),
+            sizes.len().checked_sub(1).map(|id| id as u64)
+        );
+    }
+    fixtures::check(8, property as fn(Vec<u8>, Vec<u8>));
+}
