--- /dev/null
+++ b/src/platform/tests/items.rs
@@ -0,0 +1,189 @@
+//! Decoding of items and settings. Items have several writers, so any of them may be unusable.
+
+use std::path::PathBuf;
+
+use crate::fixtures;
+use crate::forward::follow::Notice;
+use crate::platform::items::{decode, decode_removal, encode_status};
+use crate::platform::report;
+use crate::platform::settings::GatewaySettings;
+use crate::router::fleet::UpstreamState;
+use crate::router::rollout::Phase;
+use crate::router::table::RequestKind;
+use crate::units::Millis;
+
+const CONFIG: &str = r#"{"version":7,"routes":[
+    {"name":"r-1","host":"H.example","prefix":"/a/","type":"stream","timeoutMs":20000,"goalMs":2000,
+     "priority":1,"sizes":["s","m","l"],"split":[{"service":"x","weight":90},{"service":"y","weight":10}],
+     "attempts":3,"public":false,"sticky":true,"resumable":true,"gapAimMs":1200},
+    {"name":"r-2","host":"h.example","prefix":"/b/","type":"unsafe","timeoutMs":800,"service":"y",
+     "attempts":1,"public":true}],
+  "services":[{"name":"x","healthPath":"/healthz","maxConns":230,"engine":{"slots":32}},{"name":"y"}],
+  "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":300,"idleTimeoutMs":400},
+  "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":0}],"unknown":{}}"#;
+
+const UPSTREAM: &str = r#"{"service":"x","addr":"10.1.2.3:80","zone":"a","version":"v1","slots":32,
+  "state":"draining","coldLeftMs":12.5,"seq":4,"born":99,"unknown":1}"#;
+
+#[test]
+fn a_configuration_is_decoded_into_a_table() {
+    let notice = decode("op/config", CONFIG.as_bytes(), 1).expect("it is valid");
+
+    let Some(Notice::Table(table)) = notice else {
+        panic!("no table");
+    };
+    assert_eq!(table.version, 7);
+    let route = table.route("h.example", "/a/x").expect("it has the route");
+    assert_eq!(route.kind, RequestKind::ResumableStream);
+    assert_eq!(
+        (route.timeout, route.goal, route.gap),
+        (Millis(20_000), Millis(2_000), Millis(1_200))
+    );
+    assert_eq!(route.models.len(), 3);
+    assert!(route.has_prompts && !route.is_public);
+    let other = table.route("h.example", "/b/").expect("it has the route");
+    assert_eq!(
+        (other.kind, other.attempts, other.is_public),
+        (RequestKind::AtMostOnce, 1, true)
+    );
+    assert!(
+        table
+            .service("x")
+            .is_some_and(|s| s.is_engine && s.max_connections == 230)
+    );
+    assert!(table.service("y").is_some_and(|s| !s.is_engine));
+    assert_eq!(table.limits.idle_timeout, Millis(400));
+    assert_eq!(table.account("k2").map(|a| &*a.name), Some("t"));
+}
+
+#[test]
+fn a_configuration_without_tenants_needs_no_keys() {
+    let text = r#"{"version":1,"routes":[]}"#;
+
+    let notice = decode("op/config", text.as_bytes(), 1).expect("it is valid");
+
+    assert!(matches!(notice, Some(Notice::Table(table)) if !table.has_accounts()));
+}
+
+#[test]
+fn an_upstream_is_decoded() {
+    let notice = decode("servers/i-1", UPSTREAM.as_bytes(), 1).expect("it is valid");
+
+    let Some(Notice::Upstream(upstream)) = notice else {
+        panic!("no upstream");
+    };
+    assert_eq!(
+        (&*upstream.id, &*upstream.service, &*upstream.version),
+        ("i-1", "x", "v1")
+    );
+    assert_eq!(upstream.state, UpstreamState::Draining);
+    assert_eq!(
+        (upstream.boot, upstream.seq, upstream.warm_up),
+        (99, 4, Millis(12))
+    );
+}
+
+#[test]
+fn unusable_items_are_errors() {
+    let cases = [
+        ("op/config", "not json"),
+        ("op/config", r#"{"version":"7","routes":[]}"#),
+        ("op/config", r#"{"version":1,"routes":[{"name":"r"}]}"#),
+        ("servers/i", r#"{"service":"x"}"#),
+        ("servers/i", &*UPSTREAM.replace("draining", "asleep")),
+        (
+            "servers/i",
+            &*UPSTREAM.replace("\"slots\":32", "\"slots\":\"many\""),
+        ),
+        ("servers/i", &*UPSTREAM.replace("10.1.2.3:80", "nowhere")),
+        ("op/rollout/x", r#"{"service":"x","to":"v2","rampS":-1}"#),
+        ("status/rollout/x", r#"{"state":"asleep","to":"v2"}"#),
+    ];
+    for (key, value) in cases {
+        assert!(decode(key, value.as_bytes(), 1).is_err(), "{key} {value}");
+    }
+}
+
+#[test]
+fn keys_of_others_mean_nothing() {
+    assert!(matches!(decode("elsewhere/x", b"not json", 1), Ok(None)));
+    assert_eq!(decode_removal("elsewhere/x"), None);
+    assert_eq!(
+        decode_removal("servers/i-1"),
+        Some(Notice::UpstreamRemoved("i-1".into()))
+    );
+}
+
+/// Whatever a stranger writes, decoding ends with a notice or an error.
+#[test]
+fn any_bytes_are_decoded_or_refused() {
+    fn property(key: u8, bytes: Vec<u8>) {
+        let keys = [
+            "op/config",
+            "servers/i",
+            "op/rollout/x",
+            "status/rollout/x",
+            "fireflywind/rollout/x",
+        ];
+        let _ = decode(keys[usize::from(key) % keys.len()], &bytes, 1);
+        let _ = report::decode(&bytes);
+    }
+    fixtures::check(9, property as fn(u8, Vec<u8>));
+}
+
+#[test]
+fn a_written_status_is_read_back() {
+    for phase in [Phase::Active, Phase::Complete, Phase::Reverted] {
+        let text = encode_status("v2", phase);
+
+        let notice = decode("status/rollout/x", &text, 5).expect("it is valid");
+
+        assert!(matches!(
+            notice,
+            Some(Notice::RolloutPhase { to, phase: read, revision: 5, .. }) if &*to == "v2" && read == phase
+        ));
+    }
+}
+
+#[test]
+fn a_report_names_the_requests_that_run() {
+    let load = report::decode(br#"{"waiting":2,"running":1,"runs":[["r1",10,3,5]],"kvUsed":1}"#);
+
+    let load = load.expect("it is valid");
+    assert_eq!((load.waiting, load.running), (2, 1));
+    assert_eq!(load.ids, ["r1"]);
+}
+
+fn settings(text: &str) -> Result<GatewaySettings, String> {
+    let name = format!(
+        "fireflywind-{}-{:x}.json",
+        std::process::id(),
+        crate::ids::draw()
+    );
+    let path: PathBuf = std::env::temp_dir().join(name);
+    std::fs::write(&path, text).expect("the temporary directory can be written");
+    let result = GatewaySettings::read(&path).map_err(|error| error.to_string());
+    std::fs::remove_file(&path).expect("it was written");
+    result
+}
+
+const SETTINGS: &str = r#"{"name":"g","data_centre":"a","listen":"127.0.0.1:1","ready":"127.0.0.1:2",
+  "admin":"127.0.0.1:3","store":"127.0.0.1:4","key_revocation":"5000ms","exposure":0.15,"session_s":8.5,
+  "retries":{"ratio":0.9,"window_s":10,"slack":52},"stop_grace":"8s"}"#;
+
+#[test]
+fn settings_are_checked() {
+    let valid = settings(SETTINGS).expect("they are valid").policy();
+
+    assert_eq!(valid.session_span, Millis(8_500));
+    assert_eq!(valid.exposure_permille, 150);
+    assert_eq!(valid.retries.window, Millis(10_000));
+    for (from, to) in [
+        ("\"8s\"", "8"),
+        ("\"store\"", "\"stor\""),
+        ("127.0.0.1:1\"", "nowhere\""),
+    ] {
+        let error = settings(&SETTINGS.replace(from, to)).expect_err("they are invalid");
+        assert!(error.contains("line"), "{error}");
+    }
+}
--- /dev/null
+++ b/src/platform/tests/store.rs
@@ -0,0 +1,175 @@
+//! The client of the store against a stand-in that speaks its published protocol.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+use crate::forward::follow::{Control, ControlError, Notice, RolloutStart, RolloutWrite};
+use crate::platform::store::Store;
+use crate::router::rollout::Phase;
+use crate::units::Millis;
+
+/// Starts a store that gives these answers in turn, the last one for ever, and notes what it was asked.
+async fn store(answers: Vec<(u16, String)>) -> (SocketAddr, Rc<RefCell<Vec<String>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("loopback can be bound");
+    let addr = listener.local_addr().expect("it is bound");
+    let asked: Rc<RefCell<Vec<String>>> = Rc::default();
+    let noted = Rc::clone(&asked);
+    actix_rt::spawn(async move {
+        loop {
+            let Ok((mut stream, _)) = listener.accept().await else {
+                return;
+            };
+            let (answers, noted) = (answers.clone(), Rc::clone(&noted));
+            actix_rt::spawn(async move {
+                let mut buf = vec![0; 64 * 1024];
+                while let Ok(length) = stream.read(&mut buf).await {
+                    if length == 0 {
+                        return;
+                    }
+                    let text = String::from_utf8_lossy(&buf[..length]).into_owned();
+                    let at = noted.borrow().len().min(answers.len() - 1);
+                    noted.borrow_mut().push(text);
+                    let (status, body) = &answers[at];
+                    let answer = format!(
+                        "HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n{body}",
+                        body.len()
+                    );
+                    if stream.write_all(answer.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (addr, asked)
+}
+
+fn item(key: &str, value: &str) -> String {
+    format!(
+        r#"{{"key":"{key}","value":"{}","rev":3,"created":1,"lease":0}}"#,
+        BASE64.encode(value)
+    )
+}
+
+fn page(items: &[String], has_more: bool, revision: u64) -> (u16, String) {
+    let items = items.join(",");
+    let text = format!(r#"{{"items":[{items}],"hasMore":{has_more},"storeRevision":{revision}}}"#);
+    (200, text)
+}
+
+fn run<F: Future>(test: F) -> F::Output {
+    actix_rt::System::new().block_on(test)
+}
+
+#[test]
+fn a_list_reads_all_pages_and_goes_on_from_the_oldest_one() {
+    run(async {
+        let config = item("op/config", r#"{"version":1,"routes":[]}"#);
+        let bad = item("op/rollout/x", "not json");
+        let order = item("op/rollout/y", r#"{"service":"y","to":"v2","rampS":12}"#);
+        let answers = vec![
+            page(&[config], false, 10),
+            page(&[bad], true, 11),
+            page(&[order], false, 12),
+            page(&[], false, 13),
+        ];
+        let (addr, asked) = store(answers).await;
+
+        let listing = Store::open(addr).list().await.expect("the store answers");
+
+        assert_eq!(listing.revision, 10);
+        assert_eq!(listing.notices.len(), 2);
+        let asked = asked.borrow();
+        assert!(asked[2].starts_with("GET /api/kv-range?prefix=op/rollout/&after=op/rollout/x "));
+    });
+}
+
+#[test]
+fn a_watch_gives_changes_and_removals() {
+    run(async {
+        let change = item("op/rollout/y", r#"{"service":"y","to":"v2","rampS":12}"#);
+        let body = format!(
+            r#"{{"events":[{change},{{"key":"servers/i-1","rev":5,"tombstone":true}}],"storeRevision":7}}"#
+        );
+        let (addr, asked) = store(vec![(200, body)]).await;
+
+        let listing = Store::open(addr)
+            .watch(4, Millis(100))
+            .await
+            .expect("the store answers");
+
+        assert_eq!(listing.revision, 7);
+        assert!(matches!(&listing.notices[..],
+            [Notice::RolloutOrder { .. }, Notice::UpstreamRemoved(id)] if &**id == "i-1"));
+        assert!(asked.borrow()[0].starts_with("GET /api/kv-watch?prefix=&after=4&waitMs=100 "));
+    });
+}
+
+#[test]
+fn lost_history_conflicts_and_refusals_are_told_apart() {
+    run(async {
+        let (gone, _) = store(vec![(410, "{}".to_owned())]).await;
+        let (busy, _) = store(vec![(503, "{}".to_owned())]).await;
+        let (conflict, _) = store(vec![(412, "{\"items\":[]}".to_owned())]).await;
+
+        let watch = Store::open(gone).watch(4, Millis(0)).await;
+        let list = Store::open(busy).list().await;
+        let write = Store::open(conflict).write_rollout(write()).await;
+
+        assert_eq!(watch.err(), Some(ControlError::HistoryLost));
+        assert!(matches!(list.err(), Some(ControlError::Unavailable(_))));
+        assert_eq!(write.err(), Some(ControlError::Conflict));
+    });
+}
+
+fn write() -> RolloutWrite {
+    RolloutWrite {
+        service: "x".into(),
+        to: "v2".into(),
+        phase: Phase::Active,
+        revision: 3,
+        start: Some(RolloutStart {
+            to: "v2".to_owned(),
+            started_unix_ms: 1,
+        }),
+    }
+}
+
+/// Two gateways must not overwrite each other's decisions.
+#[test]
+fn a_state_is_written_only_over_the_known_one() {
+    run(async {
+        let (addr, asked) = store(vec![(200, r#"{"rev":9}"#.to_owned())]).await;
+
+        let revision = Store::open(addr).write_rollout(write()).await;
+
+        assert_eq!(revision, Ok(9));
+        let asked = asked.borrow();
+        assert!(asked[0].starts_with("POST /api/kv-txn "));
+        assert!(asked[0].contains(r#""precondition":[{"key":"status/rollout/x","rev":3}]"#));
+        assert!(asked[0].contains("fireflywind/rollout/x"));
+    });
+}
+
+#[test]
+fn a_store_that_is_down_is_an_error() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("loopback can be bound");
+        let addr = listener.local_addr().expect("it is bound");
+        drop(listener);
+
+        let list = Store::open(addr).list().await;
+
+        assert!(matches!(list, Err(ControlError::Unavailable(_))));
+    });
+}
