Divide the work of larger models into size classes

Change: up to four classes of prompt sizes with equal shares of the work (prompt tokens and, by a weight, output tokens); no classes before sizes are known, which are now learned from all prompts. A process beside each engine (fireflywind-beacon) tells its load, and the prefix's upstream is passed over by backlog. A request stays four times its goal at a busy engine.

--- /dev/null
+++ b/src/beacon/receiver.rs
@@ -0,0 +1,98 @@
+//! The gateway's side: subscribes at upstreams and takes in their loads.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+
+use actix_rt::time::sleep;
+use tokio::net::UdpSocket;
+
+use crate::forward::shared::Shared;
+use crate::units::Millis;
+
+use super::Datagram;
+
+/// Pause between two subscriptions.
+const SUBSCRIBE_PAUSE: Millis = Millis::from_secs(1);
+
+/// A bound socket for loads.
+#[derive(Debug)]
+pub struct Receiver {
+    socket: Rc<UdpSocket>,
+    /// Port of the processes beside upstreams.
+    port: u16,
+}
+
+impl Receiver {
+    /// Binds the address that loads are sent to.
+    ///
+    /// # Errors
+    /// If it cannot be bound.
+    pub async fn bind(listen: SocketAddr, port: u16) -> io::Result<Self> {
+        Ok(Self {
+            socket: Rc::new(UdpSocket::bind(listen).await?),
+            port,
+        })
+    }
+
+    /// Subscribes and takes in loads until it is dropped.
+    pub async fn run(self, shared: Rc<Shared>) {
+        tokio::join!(
+            subscribe(&self.socket, self.port, &shared),
+            take_in(&self.socket, &shared),
+        );
+    }
+}
+
+async fn subscribe(socket: &UdpSocket, port: u16, shared: &Shared) {
+    let bytes = Datagram::Subscribe.encode();
+    loop {
+        for ip in engine_ips(shared) {
+            if let Err(error) = socket.send_to(&bytes, (ip, port)).await {
+                log::debug!(event = "subscribe_failed", upstream:% = ip, error:% = error; "");
+            }
+        }
+        sleep(SUBSCRIBE_PAUSE.duration()).await;
+    }
+}
+
+fn engine_ips(shared: &Shared) -> Vec<IpAddr> {
+    let (table, fleet) = (shared.table.borrow(), shared.fleet.borrow());
+    let engines = fleet
+        .all()
+        .filter(|u| table.service(&u.service).is_some_and(|s| s.is_engine));
+    let mut ips: Vec<_> = engines.map(|u| u.addr.ip()).collect();
+    ips.sort_unstable();
+    ips.dedup();
+    ips
+}
+
+async fn take_in(socket: &UdpSocket, shared: &Shared) {
+    let mut buf = [0; 64];
+    loop {
+        match socket.recv_from(&mut buf).await {
+            Ok((length, from)) => {
+                if let Some(Datagram::Load(load)) = Datagram::decode(&buf[..length]) {
+                    shared.note_load(from.ip(), load);
+                }
+            }
+            Err(error) => {
+                // No process listens beside some upstream.
+                log::debug!(event = "receive_failed", error:% = error; "");
+                sleep(Millis(50).duration()).await;
+            }
+        }
+    }
+}
+
+impl Shared {
+    /// Takes in the load of the upstream at an address.
+    fn note_load(&self, ip: IpAddr, load: super::Load) {
+        let now = self.clock.now();
+        let fleet = self.fleet.borrow();
+        let mut health = self.health.borrow_mut();
+        for upstream in fleet.all().filter(|u| u.addr.ip() == ip) {
+            health.report(&upstream.id, upstream.boot, load, now);
+        }
+    }
+}
--- /dev/null
+++ b/src/beacon/sender.rs
@@ -0,0 +1,168 @@
+//! The process beside an upstream: reads its state and tells it to subscribers.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use actix_rt::task::JoinHandle;
+use actix_rt::time::{sleep, timeout};
+use tokio::net::UdpSocket;
+
+use crate::clock::Clock;
+use crate::forward::exchange;
+use crate::forward::pool::Conn;
+use crate::units::Millis;
+
+use super::{Datagram, Load};
+
+/// Pause between two looks at the upstream; its queue changes within tens of milliseconds, and each load
+/// costs every gateway a wake-up.
+const LOOK_PAUSE: Millis = Millis(150);
+
+/// Longest pause between two loads to a subscriber while nothing changes.
+const REPEAT: Millis = Millis(450);
+
+/// Time after which a subscription ends; gateways repeat it each second.
+const SUBSCRIPTION: Millis = Millis(3_500);
+
+/// Subscribers at most; the target has 410 gateways.
+const MAX_SUBSCRIBERS: usize = 1_024;
+
+/// Time for the upstream to tell its state.
+const REPORT_TIMEOUT: Millis = Millis(500);
+
+#[derive(Debug)]
+struct Subscriber {
+    addr: SocketAddr,
+    until: Millis,
+}
+
+/// A running sender.
+#[derive(Debug)]
+pub struct Sender {
+    tasks: [JoinHandle<()>; 2],
+    addr: SocketAddr,
+}
+
+impl Sender {
+    /// Binds `listen` and starts to watch the upstream.
+    ///
+    /// # Errors
+    /// If the address cannot be bound.
+    pub async fn bind(listen: SocketAddr, upstream: SocketAddr) -> io::Result<Self> {
+        let socket = Rc::new(UdpSocket::bind(listen).await?);
+        let addr = socket.local_addr()?;
+        let clock = Clock::start();
+        let subscribers: Rc<RefCell<Vec<Subscriber>>> = Rc::default();
+        let taking = take_subscriptions(Rc::clone(&socket), Rc::clone(&subscribers), clock);
+        let telling = tell(socket, subscribers, upstream, clock);
+        Ok(Self {
+            tasks: [actix_rt::spawn(taking), actix_rt::spawn(telling)],
+            addr,
+        })
+    }
+
+    /// Returns the bound address.
+    #[must_use]
+    pub const fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Stops.
+    pub fn stop(self) {
+        for task in self.tasks {
+            task.abort();
+        }
+    }
+}
+
+async fn take_subscriptions(
+    socket: Rc<UdpSocket>,
+    subscribers: Rc<RefCell<Vec<Subscriber>>>,
+    clock: Clock,
+) {
+    let mut buf = [0; 64];
+    loop {
+        let (length, addr) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(error) => {
+                // A subscriber's port is closed; its subscription ends by itself.
+                log::debug!(event = "receive_failed", error:% = error; "");
+                sleep(LOOK_PAUSE.duration()).await;
+                continue;
+            }
+        };
+        if Datagram::decode(&buf[..length]) != Some(Datagram::Subscribe) {
+            continue;
+        }
+        let until = clock.now() + SUBSCRIPTION;
+        let mut subscribers = subscribers.borrow_mut();
+        match subscribers.binary_search_by_key(&addr, |s| s.addr) {
+            Ok(at) => subscribers[at].until = until,
+            Err(at) if subscribers.len() < MAX_SUBSCRIBERS => {
+                log::info!(event = "subscribed", gateway:% = addr; "");
+                subscribers.insert(at, Subscriber { addr, until });
+            }
+            Err(_) => log::warn!(event = "too_many_subscribers", gateway:% = addr; ""),
+        }
+    }
+}
+
+async fn tell(
+    socket: Rc<UdpSocket>,
+    subscribers: Rc<RefCell<Vec<Subscriber>>>,
+    upstream: SocketAddr,
+    clock: Clock,
+) {
+    let (mut conn, mut told, mut told_at) = (None, None, Millis(0));
+    let mut is_known = true;
+    let mut seq = 0;
+    loop {
+        sleep(LOOK_PAUSE.duration()).await;
+        let now = clock.now();
+        subscribers.borrow_mut().retain(|s| s.until > now);
+        if subscribers.borrow().is_empty() {
+            continue;
+        }
+        let looked = timeout(REPORT_TIMEOUT.duration(), look(&mut conn, upstream)).await;
+        let load = looked.ok().flatten();
+        if load.is_some() != is_known {
+            is_known = load.is_some();
+            log::info!(event = "upstream_state", is_known = is_known; "");
+        }
+        let Some(load) = load else {
+            conn = None;
+            continue;
+        };
+        if told == Some(load) && now.since(told_at) < REPEAT {
+            continue;
+        }
+        (told, told_at) = (Some(load), now);
+        seq += 1;
+        let bytes = Datagram::Load(Load { seq, ..load }).encode();
+        let addrs: Vec<_> = subscribers.borrow().iter().map(|s| s.addr).collect();
+        for addr in addrs {
+            if let Err(error) = socket.send_to(&bytes, addr).await {
+                log::debug!(event = "send_failed", gateway:% = addr, error:% = error; "");
+            }
+        }
+    }
+}
+
+/// Reads the upstream's state on a kept connection.
+async fn look(kept: &mut Option<Conn>, upstream: SocketAddr) -> Option<Load> {
+    let mut conn = match kept.take() {
+        Some(conn) => conn,
+        None => exchange::connect(upstream).await.ok()?,
+    };
+    let (load, is_reusable) = exchange::fetch_report(&mut conn, upstream, true).await?;
+    *kept = is_reusable.then_some(conn);
+    let count = |count: u64| u16::try_from(count).unwrap_or(u16::MAX);
+    Some(Load {
+        seq: 0,
+        waiting: count(load.waiting),
+        starting: count(load.starting),
+        running: count(load.running),
+    })
+}
--- /dev/null
+++ b/src/beacon/tests.rs
@@ -0,0 +1,83 @@
+//! The datagrams, and a sender beside a stand-in engine.
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, UdpSocket};
+
+use super::sender::Sender;
+use super::{Datagram, Load};
+use crate::fixtures;
+
+#[test]
+fn datagrams_are_read_back_and_others_are_ignored() {
+    let load = Load {
+        seq: 7,
+        waiting: 1,
+        starting: 2,
+        running: 300,
+    };
+
+    for datagram in [Datagram::Subscribe, Datagram::Load(load)] {
+        let mut bytes = datagram.encode();
+        assert_eq!(Datagram::decode(&bytes), Some(datagram));
+        bytes.push(0);
+        assert_eq!(Datagram::decode(&bytes), None);
+    }
+}
+
+#[test]
+fn any_bytes_are_decoded_or_ignored() {
+    fn property(bytes: Vec<u8>) {
+        if let Some(datagram) = Datagram::decode(&bytes) {
+            assert_eq!(datagram.encode(), bytes);
+        }
+    }
+    fixtures::check(4, property as fn(Vec<u8>));
+}
+
+#[test]
+fn a_subscriber_is_told_the_load_of_the_engine() {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("loopback can be bound");
+        let engine = listener.local_addr().expect("it is bound");
+        actix_rt::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("the sender connects");
+            let mut buf = [0; 1_024];
+            while stream.read(&mut buf).await.is_ok_and(|length| length > 0) {
+                let body = r#"{"waiting":3,"running":2,"runs":[["a",9,0,5],["b",9,4,5]]}"#;
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                let answer = format!("{head}{body}");
+                stream
+                    .write_all(answer.as_bytes())
+                    .await
+                    .expect("the sender reads");
+            }
+        });
+        let any = "127.0.0.1:0".parse().expect("an address");
+        let sender = Sender::bind(any, engine)
+            .await
+            .expect("loopback can be bound");
+        let gateway = UdpSocket::bind(any).await.expect("loopback can be bound");
+
+        let subscription = Datagram::Subscribe.encode();
+        gateway
+            .send_to(&subscription, sender.addr())
+            .await
+            .expect("loopback takes it");
+        let mut buf = [0; 64];
+        let (length, _) = gateway.recv_from(&mut buf).await.expect("a load arrives");
+
+        let expected = Load {
+            seq: 1,
+            waiting: 3,
+            starting: 1,
+            running: 2,
+        };
+        assert_eq!(
+            Datagram::decode(&buf[..length]),
+            Some(Datagram::Load(expected))
+        );
+        sender.stop();
+    });
+}
--- /dev/null
+++ b/src/bin/fireflywind-beacon/main.rs
@@ -0,0 +1,51 @@
+//! Tells gateways the load of the model engine beside it.
+
+use std::process::ExitCode;
+
+use fireflywind::beacon::sender::Sender;
+use fireflywind::daemon::exit_codes::DaemonExit;
+use fireflywind::daemon::{self, StopSignals};
+use fireflywind::platform::settings::{BeaconSettings, load};
+use fireflywind::telemetry::buffered;
+
+const NAME: &str = "fireflywind-beacon";
+
+fn main() -> ExitCode {
+    let cfg: BeaconSettings = match load() {
+        Ok(cfg) => cfg,
+        Err(error) => {
+            eprintln!("{NAME}: {error}");
+            return DaemonExit::InvalidSettings.into();
+        }
+    };
+    let writer = match buffered::start(log::LevelFilter::Info) {
+        Ok(writer) => writer,
+        Err(error) => {
+            eprintln!("{NAME}: {error}");
+            return DaemonExit::CannotStart.into();
+        }
+    };
+    let exit = actix_rt::System::new().block_on(run(&cfg));
+    writer.close();
+    exit.into()
+}
+
+async fn run(cfg: &BeaconSettings) -> DaemonExit {
+    let signals = StopSignals::listen();
+    let sender = Sender::bind(cfg.listen, cfg.upstream).await;
+    match signals.and_then(|signals| Ok((signals, sender?))) {
+        Ok((signals, sender)) => {
+            log::info!(event = "start", name:% = cfg.name, version = env!("CARGO_PKG_VERSION"),
+                upstream:% = cfg.upstream; "");
+            let stop = async || {
+                sender.stop();
+                true
+            };
+            daemon::stop_on_signal(signals, stop).await
+        }
+        Err(error) => {
+            eprintln!("{NAME}: {}: {error}", cfg.listen);
+            DaemonExit::CannotStart
+        }
+    }
+}
--- a/src/bin/fireflywind-router/main.rs
+++ b/src/bin/fireflywind-router/main.rs
@@ -1,19 +1,21 @@
 //! Gateway for deployments whose platform keeps configuration and membership: talks straight to upstreams.
 
 use std::process::ExitCode;
+use std::rc::Rc;
 
+use fireflywind::beacon::receiver::Receiver;
 use fireflywind::daemon::exit_codes::DaemonExit;
 use fireflywind::daemon::{self, StopSignals};
 use fireflywind::forward::gateway::{Addresses, Gateway};
 use fireflywind::forward::shared::Shared;
-use fireflywind::platform::settings::GatewaySettings;
+use fireflywind::platform::settings::{GatewaySettings, load};
 use fireflywind::platform::store::Store;
 use fireflywind::telemetry::buffered;
 
 const NAME: &str = "fireflywind-router";
 
 fn main() -> ExitCode {
-    let cfg = match GatewaySettings::load() {
+    let cfg: GatewaySettings = match load() {
         Ok(cfg) => cfg,
         Err(error) => {
             eprintln!("{NAME}: {error}");
@@ -39,6 +41,14 @@
         ready: cfg.ready,
         admin: cfg.admin,
     };
+    let receiver = match Receiver::bind(cfg.loads, cfg.beacon_port).await {
+        Ok(receiver) => receiver,
+        Err(error) => {
+            eprintln!("{NAME}: {}: {error}", cfg.loads);
+            return DaemonExit::CannotStart;
+        }
+    };
+    actix_rt::spawn(receiver.run(Rc::clone(&shared)));
     let started = StopSignals::listen().and_then(|s| Ok((s, Gateway::bind(shared, addresses)?)));
     match started {
         Ok((signals, gateway)) => {
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -118,7 +118,7 @@
     if let Err(error) = exchange::send(&mut leg.conn, &message).await {
         return lost(shared, job, &leg, &ExchangeError::Broken(error));
     }
-    let pending = Pending::start(shared, upstream, job.prompt_tokens);
+    let pending = Pending::start(shared, upstream, job.size.prompt);
     let head = {
         let last = Cell::new(leg.sent);
         let silence = silence::wait(
@@ -174,7 +174,7 @@
 fn head_limits(shared: &Shared, job: &Job) -> Limits {
     let goal = job.route.goal.0;
     let (silent, busy) = if job.route.kind.is_stream() {
-        (Millis(goal * 5 / 10), Millis(goal * 2))
+        (Millis(goal * 5 / 10), Millis(goal * 4))
     } else {
         (Millis(goal * 2), Millis(goal * 3))
     };
--- a/src/forward/choose.rs
+++ b/src/forward/choose.rs
@@ -28,13 +28,15 @@
                 slots: u.slots,
                 in_flight: health.in_flight,
                 pending: health.pending,
+                starting: (health.recent_load(now)).map(|l| u64::from(l.waiting + l.starting)),
+                own_starting: health.starting,
                 failures: permille(health.failure_rate()),
                 is_ejected: health.is_ejected(now),
                 is_tried: tried.contains(&u.id),
             }
         })
         .collect();
-    pick::divide(&mut candidates, job.lane(shared));
+    pick::divide(&mut candidates, job.lane(&shared.sizes.borrow()));
     let affinity = job.affinity.map(|a| mix(a ^ job.model.unwrap_or(0) as u64));
     let (at, reason) = pick::pick(&candidates, affinity, shared.draw())?;
     let upstream = usable[at];
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -7,7 +7,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use crate::platform::headers;
+use crate::platform::{headers, report};
 
 use super::body::Decoder;
 use super::head::{self, Framing, ResponseHead};
@@ -161,3 +161,20 @@
         }
     }
 }
+
+/// Asks an engine for its state; tells whether the connection can be kept.
+pub async fn fetch_report(
+    conn: &mut Conn,
+    addr: SocketAddr,
+    keeps: bool,
+) -> Option<(report::EngineLoad, bool)> {
+    let connection = if keeps { "keep-alive" } else { "close" };
+    let target = report::TARGET;
+    let message =
+        format!("GET {target} HTTP/1.1\r\nHost: {addr}\r\nConnection: {connection}\r\n\r\n");
+    send(conn, message.as_bytes()).await.ok()?;
+    let head = next_head(conn, false).await.ok()?;
+    let body = read_whole(conn, &head).await.ok()?;
+    let load = report::decode(&body).filter(|_| head.status == 200)?;
+    Some((load, head.keep_alive && conn.buf.is_empty()))
+}
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -9,7 +9,8 @@
 use crate::router::fleet::Upstream;
 use crate::router::hash;
 use crate::router::patience::Limits;
-use crate::router::pick::{self, Lane};
+use crate::router::pick::Lane;
+use crate::router::sizes::{Size, SizeMix};
 use crate::router::table::{Account, Route, RouteTable};
 use crate::units::Millis;
 
@@ -31,8 +32,8 @@
     pub(super) id: Bytes,
     pub(super) affinity: Option<u64>,
     pub(super) session: u64,
-    /// Length of the prompt.
-    pub(super) prompt_tokens: u64,
+    /// Size of the prompt and of the expected output.
+    pub(super) size: Size,
     /// Index of the model; `None` if the client names it.
     pub(super) model: Option<usize>,
     /// Model whose answer was dropped last, and its confidence.
@@ -50,10 +51,16 @@
         table.service(&self.service).is_some_and(|s| s.is_engine)
     }
 
-    pub(super) fn lane(&self, shared: &Shared) -> Lane {
-        let sizes = shared.sizes.borrow();
-        let is_large = sizes.is_large(self.prompt_tokens, pick::LARGE_PROMPT_TOKENS);
-        Lane::of(self.model, is_large)
+    /// Returns the upstreams that the request prefers.
+    pub(super) const fn lane<'a>(&self, sizes: &'a SizeMix) -> Lane<'a> {
+        match self.model {
+            None => Lane::Any,
+            Some(0) => Lane::Small,
+            Some(_) => Lane::Large {
+                sizes,
+                prompt: self.size.prompt,
+            },
+        }
     }
 
     pub(super) fn watched<'a>(
@@ -90,12 +97,15 @@
     let patience = head.fields.number(headers::DEADLINE_MS);
     let patience = patience.map_or(route.timeout, |ms| Millis(ms).min(route.timeout));
     shared.with_budget(&service, |b| b.request(now));
+    if route.has_prompts {
+        shared.sizes.borrow_mut().observe(size(head));
+    }
     let parts = head.fields.text(headers::PROMPT_PARTS).unwrap_or_default();
     let chooses_model = !route.models.is_empty() && head.fields.get(headers::MODEL) == Some(b"*");
     Ok(Job {
         affinity: shared_part(parts).filter(|_| route.has_prompts),
         session: session(head, parts),
-        prompt_tokens: prompt_tokens(head),
+        size: size(head),
         model: chooses_model.then(Cascade::first),
         dropped: None,
         account,
@@ -147,11 +157,17 @@
     (!shared.is_empty()).then(|| hash(shared.trim().as_bytes()))
 }
 
-/// Returns the length of the prompt; the field holds it and the longest output.
-fn prompt_tokens(head: &RequestHead) -> u64 {
+/// Returns the size that the client gives; without an estimate, half of the longest output is expected.
+fn size(head: &RequestHead) -> Size {
     let text = head.fields.text(headers::TOKENS).unwrap_or_default();
-    let first = text.split(',').next().unwrap_or_default();
-    first.trim().parse().unwrap_or(0)
+    let mut numbers = text.split(',').map(|part| part.trim().parse().unwrap_or(0));
+    let prompt = numbers.next().unwrap_or(0);
+    let longest = numbers.next().unwrap_or(0);
+    let estimate = head.fields.number(headers::LENGTH_HINT);
+    Size {
+        prompt,
+        output: estimate.map_or(longest / 2, |hint| hint.min(longest)),
+    }
 }
 
 /// Returns the hash of the session, or of what is closest to it.
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -120,7 +120,6 @@
             AttemptEnd::Escalate(model, confidence) => {
                 job.dropped = job.model.map(|smaller| (smaller, confidence));
                 job.model = Some(model);
-                shared.sizes.borrow_mut().observe(job.prompt_tokens);
                 // The other model's upstreams are chosen afresh.
                 tried.clear();
                 attempts.note(Ended::Dropped);
--- a/src/forward/silence.rs
+++ b/src/forward/silence.rs
@@ -11,8 +11,6 @@
 use crate::units::Millis;
 
 use super::exchange;
-use super::head;
-use super::pool::Conn;
 use super::shared::Shared;
 
 /// Time for an engine to tell its state; it needs no slot for that.
@@ -85,21 +83,7 @@
 }
 
 async fn fetch(upstream: &Upstream) -> Option<report::EngineLoad> {
-    let mut conn: Conn = exchange::connect(upstream.addr).await.ok()?;
-    let message = format!(
-        "GET {} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n",
-        report::TARGET,
-        upstream.addr
-    );
-    exchange::send(&mut conn, message.as_bytes()).await.ok()?;
-    let head = loop {
-        if let Some(head) = head::take_response(&mut conn.buf, false).ok()? {
-            break head;
-        }
-        if !exchange::read_more(&mut conn).await.ok()? {
-            return None;
-        }
-    };
-    let body = exchange::read_whole(&mut conn, &head).await.ok()?;
-    report::decode(&body).filter(|_| head.status == 200)
+    let mut conn = exchange::connect(upstream.addr).await.ok()?;
+    let (load, _) = exchange::fetch_report(&mut conn, upstream.addr, false).await?;
+    Some(load)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! inputs, the time and random draws as arguments and perform no I/O, so that a decision can be replayed.
 
 pub mod agent;
+pub mod beacon;
 pub mod clock;
 pub mod daemon;
 pub mod demo;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -10,6 +10,8 @@
 pub const MODEL: &str = "X-Fireflywind-Model";
 /// Prompt tokens and the most output tokens.
 pub const TOKENS: &str = "X-Fireflywind-Tokens";
+/// The client's estimate of the output tokens.
+pub const LENGTH_HINT: &str = "X-Fireflywind-Length-Hint";
 /// Name of the client account, set by the gateway.
 pub const ACCOUNT: &str = "X-Fireflywind-Tenant";
 /// Id of the upstream that may run the request; any other answers 421.
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 
 use crate::forward::shared::Policy;
 use crate::router::retry::RetryBounds;
@@ -51,6 +52,10 @@
     pub ready: SocketAddr,
     /// Address of the metrics.
     pub admin: SocketAddr,
+    /// Address that takes the loads of engines.
+    pub loads: SocketAddr,
+    /// Port of the processes beside engines.
+    pub beacon_port: u16,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Time from SIGTERM to SIGKILL.
@@ -105,16 +110,37 @@
     5.0
 }
 
-impl GatewaySettings {
-    /// Reads the settings whose path the platform gives.
-    ///
-    /// # Errors
-    /// If there is no path, or the file cannot be read or holds no valid settings.
-    pub fn load() -> Result<Self, SettingsError> {
-        let path = std::env::var_os(PATH_VARIABLE).ok_or(SettingsError::NoPath)?;
-        Self::read(Path::new(&path))
-    }
+/// Settings of the process beside an engine, as the template `deploy/beacon.json` renders them.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BeaconSettings {
+    /// Name of the process.
+    pub name: Rc<str>,
+    /// Address that takes subscriptions.
+    pub listen: SocketAddr,
+    /// Address of the engine on the same VM.
+    pub upstream: SocketAddr,
+}
 
+/// Reads the settings whose path the platform gives.
+///
+/// # Errors
+/// If there is no path, or the file cannot be read or holds no valid settings.
+pub fn load<T: DeserializeOwned>() -> Result<T, SettingsError> {
+    let path = std::env::var_os(PATH_VARIABLE).ok_or(SettingsError::NoPath)?;
+    read(Path::new(&path))
+}
+
+/// Reads settings from a file.
+///
+/// # Errors
+/// If the file cannot be read or holds no valid settings.
+pub fn read<T: DeserializeOwned>(path: &Path) -> Result<T, SettingsError> {
+    let text = std::fs::read(path).map_err(|e| SettingsError::Unreadable(path.to_owned(), e))?;
+    serde_json::from_slice(&text).map_err(|e| SettingsError::Invalid(path.to_owned(), e))
+}
+
+impl GatewaySettings {
     /// Returns what binds the gateway's decisions.
     #[must_use]
     #[expect(
@@ -133,15 +159,4 @@
             stop_grace: self.stop_grace,
         }
     }
-
-    /// Reads settings from a file.
-    ///
-    /// # Errors
-    /// If the file cannot be read or holds no valid settings.
-    pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read(path)
-            .map_err(|error| SettingsError::Unreadable(path.to_owned(), error))?;
-        serde_json::from_slice(&text)
-            .map_err(|error| SettingsError::Invalid(path.to_owned(), error))
-    }
 }
--- a/src/router/health.rs
+++ b/src/router/health.rs
@@ -5,6 +5,7 @@
 
 use std::rc::Rc;
 
+use crate::beacon::Load;
 use crate::units::Millis;
 
 /// First time that an upstream is left out after it failed; it doubles up to [`LONGEST_EJECTION`].
@@ -22,6 +23,9 @@
 /// Share of failures above which an upstream is ejected; usual errors of services are below it.
 const EJECTION_RATE: f64 = 0.3;
 
+/// Age at which a reported load says nothing any more; it is told at least each 450 ms.
+pub const REPORT_AGE: Millis = Millis(1_200);
+
 /// How an attempt at an upstream ended, as far as the upstream's health is concerned.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Seen {
@@ -58,8 +62,12 @@
     boot: u64,
     /// Requests of this gateway that are in flight there.
     pub in_flight: u32,
+    /// Requests of this gateway whose answers have not begun.
+    pub starting: u64,
     /// Prompt tokens of this gateway's requests whose answers have not begun.
     pub pending: u64,
+    /// Load that the process beside it told last, and when.
+    pub reported: Option<(Load, Millis)>,
     /// When any byte last came from it.
     pub heard: Millis,
     outcomes: f64,
@@ -75,7 +83,9 @@
             id,
             boot,
             in_flight: 0,
+            starting: 0,
             pending: 0,
+            reported: None,
             heard: Millis(0),
             outcomes: 0.0,
             failures: 0.0,
@@ -103,6 +113,13 @@
         self.failures / self.outcomes.max(1.0)
     }
 
+    /// Returns the load that was told within [`REPORT_AGE`].
+    #[must_use]
+    pub fn recent_load(&self, now: Millis) -> Option<Load> {
+        let (load, at) = self.reported?;
+        (now.since(at) <= REPORT_AGE).then_some(load)
+    }
+
     /// Tells whether the upstream is left out now.
     #[must_use]
     pub fn is_ejected(&self, now: Millis) -> bool {
@@ -175,7 +192,9 @@
 
     /// Counts prompt tokens that an upstream has to read.
     pub fn add_pending(&mut self, id: &Rc<str>, boot: u64, tokens: u64, now: Millis) {
-        self.entry(id, boot, now).pending += tokens;
+        let entry = self.entry(id, boot, now);
+        entry.pending += tokens;
+        entry.starting += 1;
     }
 
     /// Counts prompt tokens that an upstream has read, or need not read any more.
@@ -183,6 +202,18 @@
         let entry = self.entry(id, boot, now);
         if entry.boot == boot {
             entry.pending = entry.pending.saturating_sub(tokens);
+            entry.starting = entry.starting.saturating_sub(1);
+        }
+    }
+
+    /// Takes in a load; an older one that arrives late is ignored.
+    pub fn report(&mut self, id: &Rc<str>, boot: u64, load: Load, now: Millis) {
+        let entry = self.entry(id, boot, now);
+        let is_late = entry.reported.is_some_and(|(known, at)| {
+            now.since(at) < REPORT_AGE && load.seq.wrapping_sub(known.seq) > u32::MAX / 2
+        });
+        if entry.boot == boot && !is_late {
+            entry.reported = Some((load, now));
         }
     }
 
--- a/src/router/pick.rs
+++ b/src/router/pick.rs
@@ -5,6 +5,8 @@
 //! gateways use the same hash and agree without messages. Requests without a prefix go where the fewest
 //! of this gateway are in flight, the own data centre first.
 
+use super::sizes::SizeMix;
+
 /// Load above the mean at which a prefix's preferred upstream is passed over, in percent.
 const BOUND_PERCENT: u64 = 130;
 
@@ -15,14 +17,13 @@
 ///
 /// Long prompts on a large model hold up every token of the requests beside them. The smallest model takes
 /// about a fifth of the work and answers first, so it has upstreams of its own.
-const SMALL_MODEL_PERCENT: usize = 25;
+const SMALL_MODEL_PERCENT: usize = 20;
 
-/// Part of the upstreams that serves the largest prompts on larger models, in percent.
-const LARGE_PROMPT_PERCENT: usize = 40;
+/// Fewest upstreams of a size class; with fewer, a class waits for one of them while others are idle.
+const MIN_CLASS: usize = 4;
 
-/// Part of the tokens of larger models that the largest prompts make up, in percent; it is the part that
-/// [`LARGE_PROMPT_PERCENT`] is of the upstreams of larger models.
-pub const LARGE_PROMPT_TOKENS: u32 = 45;
+/// Most size classes.
+const MAX_CLASSES: usize = 4;
 
 /// Unread prompt tokens above the mean at which a prefix's preferred upstream is passed over.
 const PENDING_SLACK: u64 = 2_048;
@@ -46,6 +47,10 @@
     pub in_flight: u32,
     /// Prompt tokens of this gateway's requests whose answers have not begun there.
     pub pending: u64,
+    /// Requests of all gateways there that have made no output, if it told its load.
+    pub starting: Option<u64>,
+    /// Requests of this gateway there that have made no output.
+    pub own_starting: u64,
     /// Share of recent failures, in permille.
     pub failures: u32,
     /// Whether it is ejected; used only if all are.
@@ -71,6 +76,8 @@
 pub enum Reason {
     /// It likely holds the prompt's prefix.
     Prefix,
+    /// It likely holds the prefix, and its reported backlog is short.
+    Backlog,
     /// It has the least load.
     Load,
     /// All sound ones were tried or ejected.
@@ -83,54 +90,53 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Prefix => "prefix",
+            Self::Backlog => "backlog",
             Self::Load => "load",
             Self::LastChoice => "last_choice",
         }
     }
 }
 
-/// Which models' upstreams an attempt prefers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Lane {
+/// Which upstreams an attempt prefers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Lane<'a> {
     /// All upstreams.
     Any,
     /// Those of the smallest model.
     Small,
-    /// Those of the larger models.
-    Large,
-    /// Those of the largest prompts on larger models.
-    LargePrompt,
-}
-
-impl Lane {
-    /// Returns the lane of a model by its index, smallest first.
-    #[must_use]
-    pub const fn of(model: Option<usize>, has_large_prompt: bool) -> Self {
-        match model {
-            None => Self::Any,
-            Some(0) => Self::Small,
-            Some(_) if has_large_prompt => Self::LargePrompt,
-            Some(_) => Self::Large,
-        }
-    }
+    /// Those of larger models for prompts of a size.
+    Large {
+        /// Recent prompts of larger models.
+        sizes: &'a SizeMix,
+        /// Tokens of the prompt.
+        prompt: u64,
+    },
 }
 
 /// Marks the upstreams outside a lane as tried, as long as the lane has one that can be used.
 ///
 /// The division follows the order of the hashes, so all gateways agree on it.
-pub fn divide(candidates: &mut [Candidate], lane: Lane) {
+pub fn divide(candidates: &mut [Candidate], lane: Lane<'_>) {
     if lane == Lane::Any || candidates.len() < MIN_DIVIDED {
         return;
     }
     let mut order: Vec<_> = (0..candidates.len()).collect();
     order.sort_by_key(|&at| candidates[at].hash);
-    let part = |percent: usize| (order.len() * percent / 100).max(1);
-    let small = part(SMALL_MODEL_PERCENT);
-    let large = small + part(LARGE_PROMPT_PERCENT);
+    let small = (order.len() * SMALL_MODEL_PERCENT / 100).max(1);
+    let large = order.len() - small;
     let own = match lane {
+        Lane::Any => 0..order.len(),
         Lane::Small => 0..small,
-        Lane::LargePrompt => small..large,
-        Lane::Any | Lane::Large => large..order.len(),
+        Lane::Large { sizes, prompt } => {
+            let classes = (large / MIN_CLASS).clamp(1, MAX_CLASSES);
+            match sizes.class(prompt, classes) {
+                // Guesses of many starting gateways would meet at the same few upstreams.
+                None => small..order.len(),
+                Some(class) => {
+                    small + large * class / classes..small + large * (class + 1) / classes
+                }
+            }
+        }
     };
     if order[own.clone()]
         .iter()
@@ -151,6 +157,11 @@
             .or_else(|| least_loaded(candidates, draw, |_| true))
             .map(|at| (at, Reason::LastChoice));
     }
+    if let Some(affinity) = affinity
+        && let Some(at) = by_backlog(candidates, affinity)
+    {
+        return Some((at, Reason::Backlog));
+    }
     if let Some(affinity) = affinity
         && let Some(at) = preferred(candidates, affinity, good)
     {
@@ -159,6 +170,47 @@
     least_loaded(candidates, draw, Candidate::is_good).map(|at| (at, Reason::Load))
 }
 
+/// Prompt tokens that a request of another gateway is taken to have, about the mean of long prompts.
+const OTHERS_TOKENS: u64 = 6_000;
+
+/// Prompt tokens that a request counts for which already makes output.
+const RUNNING_TOKENS: u64 = 150;
+
+/// Backlog above the least one at which a prefix's preferred upstream is passed over, in prompt tokens; to
+/// read a shared prefix again costs about as much.
+const BACKLOG_SLACK: u64 = 4_500;
+
+impl Candidate {
+    /// Returns the prompt tokens that are to be read before a new request, if the upstream told its load.
+    fn backlog(&self) -> Option<u64> {
+        let starting = self.starting?;
+        // The own requests since the report are in `pending`, but not in the report.
+        let others = starting.saturating_sub(self.own_starting);
+        let running = u64::from(self.in_flight) * RUNNING_TOKENS;
+        Some(self.pending + others * OTHERS_TOKENS + running)
+    }
+}
+
+/// Returns the upstream by reported backlogs: the first one in the prefix's order that is not much above
+/// the least. `None` if too few upstreams tell their load.
+fn by_backlog(candidates: &[Candidate], affinity: u64) -> Option<usize> {
+    let good = || (0..candidates.len()).filter(|&at| candidates[at].is_good());
+    let known = good()
+        .filter(|&at| candidates[at].starting.is_some())
+        .count();
+    if known * 2 < good().count() {
+        return None;
+    }
+    let least = good().filter_map(|at| candidates[at].backlog()).min()?;
+    let is_open = |at: &usize| {
+        let backlog = candidates[*at].backlog();
+        backlog.is_some_and(|backlog| backlog <= least + BACKLOG_SLACK)
+    };
+    good()
+        .filter(is_open)
+        .max_by_key(|&at| super::mix(affinity ^ candidates[at].hash))
+}
+
 /// Returns the first upstream in the prefix's order whose load is within the bound.
 fn preferred(candidates: &[Candidate], affinity: u64, good: u64) -> Option<usize> {
     let total: u64 = (candidates.iter().filter(|c| c.is_good()))
--- a/src/router/sizes.rs
+++ b/src/router/sizes.rs
@@ -1,8 +1,8 @@
-//! Where prompts begin to be large.
+//! Classes of prompt sizes with equal shares of the work.
 //!
-//! Answers the pattern of heavy-tailed prompts: one that takes seconds to read holds up every request
-//! behind it. Size-interval assignment gives the largest prompts upstreams of their own. The border is
-//! where the prompts above it make up a given part of all tokens, so both sides are about equally busy.
+//! Answers the pattern of heavy-tailed prompts: one that takes seconds to read holds up every request and
+//! every running stream beside it. Size-interval assignment gives each class of sizes upstreams of its own;
+//! the borders are where the classes make up equal shares of the recent work, so all are equally busy.
 
 /// Buckets for each doubling of the size.
 const STEPS: u32 = 4;
@@ -13,13 +13,35 @@
 /// Weight that remains of all earlier prompts after each new one; about the last 500 count.
 const KEEP: f64 = 0.998;
 
-/// Prompts that are needed before a border is drawn.
+/// Prompts that are needed before borders are drawn.
 const MIN_WEIGHT: f64 = 30.0;
 
-/// Recent prompt sizes, as a decayed histogram of tokens.
-#[derive(Debug, Clone)]
+/// Prompt tokens that one output token costs as much as: outputs are made one step at a time, but for a
+/// whole batch.
+const OUTPUT_WEIGHT: u64 = 4;
+
+/// Size of a request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Size {
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Expected tokens of the output.
+    pub output: u64,
+}
+
+impl Size {
+    /// Returns the work in prompt tokens.
+    #[must_use]
+    pub const fn work(self) -> u64 {
+        self.prompt
+            .saturating_add(self.output.saturating_mul(OUTPUT_WEIGHT))
+    }
+}
+
+/// Recent work by prompt size, as a decayed histogram.
+#[derive(Debug, Clone, PartialEq)]
 pub struct SizeMix {
-    tokens: [f64; BUCKETS],
+    work: [f64; BUCKETS],
     total: f64,
     weight: f64,
 }
@@ -27,7 +49,7 @@
 impl Default for SizeMix {
     fn default() -> Self {
         Self {
-            tokens: [0.0; BUCKETS],
+            work: [0.0; BUCKETS],
             total: 0.0,
             weight: 0.0,
         }
@@ -35,26 +57,36 @@
 }
 
 impl SizeMix {
-    /// Takes in the size of a prompt, in tokens.
+    /// Takes in a request.
     #[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52")]
-    pub fn observe(&mut self, tokens: u64) {
-        for bucket in &mut self.tokens {
+    pub fn observe(&mut self, size: Size) {
+        for bucket in &mut self.work {
             *bucket *= KEEP;
         }
-        let size = tokens as f64;
-        self.tokens[bucket(tokens)] += size;
-        self.total = self.total * KEEP + size;
+        let work = size.work() as f64;
+        self.work[bucket(size.prompt)] += work;
+        self.total = self.total * KEEP + work;
         self.weight = self.weight * KEEP + 1.0;
     }
 
-    /// Tells whether a prompt belongs to the largest ones, which make up `percent` of all tokens.
+    /// Returns the class of a prompt among `classes`, 0 for the smallest prompts; `None` before enough
+    /// prompts are known to draw borders.
     #[must_use]
-    pub fn is_large(&self, tokens: u64, percent: u32) -> bool {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "there are few classes"
+    )]
+    pub fn class(&self, prompt: u64, classes: usize) -> Option<usize> {
         if self.weight < MIN_WEIGHT {
-            return false;
+            return None;
         }
-        let above: f64 = self.tokens[bucket(tokens)..].iter().sum();
-        above * 100.0 <= self.total * f64::from(percent)
+        let at = bucket(prompt);
+        let below: f64 = self.work[..at].iter().sum();
+        let middle = below + self.work[at] / 2.0;
+        let class = (middle / self.total * classes as f64) as usize;
+        Some(class.min(classes.saturating_sub(1)))
     }
 }
 
