Compare slow answers of both versions, ask the store less often

Change: failed and slow answers are counted apart and for both versions, by route, model and length of the prompt. A watch waits as long as keys stay trusted, its quiet answer confirms the time at which the store gave it, and changes of 300 ms come with one call.

Ruled out: waiting longer without that confirmation, since a key could outlive its revocation.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -9,11 +9,11 @@
 use crate::router::attempt::Ended;
 use crate::router::cascade::{Opinion, Verdict};
 use crate::router::fleet::Upstream;
+use crate::router::hash;
 use crate::router::health::Seen;
 use crate::router::patience::Limits;
 use crate::router::rollout::Answer;
 use crate::router::table::RequestKind;
-use crate::router::{hash, mix};
 use crate::units::Millis;
 
 use super::client::{After, ClientConn, Incoming};
@@ -198,7 +198,9 @@
 }
 
 fn observe_version(shared: &Shared, job: &Job, upstream: &Upstream, answer: Answer) {
-    let kind = mix(hash(job.route.name.as_bytes()) ^ job.model.unwrap_or(0) as u64);
+    // Times of prompts of about the same length on the same model are alike.
+    let length = u64::from(job.size.prompt.max(1).ilog2());
+    let kind = hash(job.route.name.as_bytes()) ^ (length << 8 | job.model.unwrap_or(0) as u64);
     let now = shared.clock.now();
     if let Some(rollout) = shared.rollouts.borrow_mut().get_mut(&job.service) {
         rollout.observe(&upstream.version, kind, answer, now);
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -17,8 +17,9 @@
 
 use super::shared::Shared;
 
-/// Longest wait of one watch call; an answer at least this often confirms that API keys are current.
-const WATCH_WAIT: Millis = Millis(1_500);
+/// Pause after changes, so that one call brings several of them. A configuration has two seconds to be in
+/// force, and a leaving upstream takes requests for two more.
+const CHANGES_PAUSE: Millis = Millis(300);
 
 /// Shortest and longest pause after a failed call to the store.
 const RETRY_PAUSE: (Millis, Millis) = (Millis(100), Millis(600));
@@ -27,8 +28,8 @@
 /// need up to two seconds to be back.
 const AFTER_OUTAGE: Millis = Millis(2_500);
 
-/// Time without an answer of the store from which it counts as having been away.
-const OUTAGE: Millis = Millis(2_200);
+/// Age of the view from which the store counts as having been away, whatever the calls said.
+const OUTAGE: Millis = Millis(4_000);
 
 /// When a roll-out started, as recorded by the first gateway that saw its order.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -142,19 +143,29 @@
     let mut revision = None;
     loop {
         let asked = shared.clock.now();
+        let wait = shared.freshness.borrow().next_wait(asked);
         let result = match revision {
             None => shared.control.list().await,
-            Some(after) => shared.control.watch(after, WATCH_WAIT).await,
+            Some(after) => shared.control.watch(after, wait).await,
         };
         let now = shared.clock.now();
         match result {
             Ok(listing) => {
-                note_contact(&shared, asked, now, failures);
+                note_contact(&shared, now, failures);
                 failures = 0;
+                let is_quiet = revision.is_some() && listing.notices.is_empty();
+                if is_quiet {
+                    (shared.freshness.borrow_mut()).confirm_quiet(asked, wait, now);
+                } else {
+                    shared.freshness.borrow_mut().confirm(asked);
+                }
                 take_in(&shared, listing.notices, revision.is_none(), now);
                 // The history never goes back.
                 revision =
                     Some(revision.map_or(listing.revision, |r: u64| r.max(listing.revision)));
+                if !is_quiet {
+                    actix_rt::time::sleep(CHANGES_PAUSE.duration()).await;
+                }
             }
             Err(ControlError::HistoryLost) => {
                 log::warn!(event = "store_history_lost", revision = revision.unwrap_or(0); "");
@@ -176,15 +187,10 @@
     }
 }
 
-/// Notes an answer of the store; a call that was sent at `asked` shows the state of then or later.
-fn note_contact(shared: &Shared, asked: Millis, now: Millis, failures: u32) {
-    let mut freshness = shared.freshness.borrow_mut();
-    let silence = freshness.age(now);
-    // A watch without changes is answered with the state at its end, but it may have been held up on
-    // its way back, so only the time of the question is sure.
-    freshness.confirm(asked);
-    drop(freshness);
-    let was_away = failures > 0 || silence.is_some_and(|s| s > OUTAGE + WATCH_WAIT);
+/// Notes an answer of the store.
+fn note_contact(shared: &Shared, now: Millis, failures: u32) {
+    let silence = shared.freshness.borrow().age(now);
+    let was_away = failures > 0 || silence.is_some_and(|s| s > OUTAGE);
     if was_away {
         shared.outage_until.set(now + AFTER_OUTAGE);
         let silence = silence.map_or(0, |s| s.0);
@@ -461,9 +467,10 @@
     }
     let mut rollouts = shared.rollouts.borrow_mut();
     if let Some(rollout) = rollouts.get_mut(&write.service) {
-        let [new_bad, new, old_bad, old] = rollout.evidence();
+        let [new_failed, new_slow, new, old_failed, old_slow, old] = rollout.evidence();
         log::warn!(event = "rollout_stopped", service:% = write.service, to:% = write.to,
-            new_bad = new_bad, new = new, old_bad = old_bad, old = old; "");
+            new_failed = new_failed, new_slow = new_slow, new = new, old_failed = old_failed,
+            old_slow = old_slow, old = old; "");
         rollout.set_phase(Phase::Reverted);
     }
 }
--- a/src/router/freshness.rs
+++ b/src/router/freshness.rs
@@ -10,6 +10,17 @@
 /// The rest covers the way of a request from the client to the gateway and on to the upstream.
 const TRUST_PERCENT: u64 = 90;
 
+/// Part of the allowed time within which the next answer of the store is to come, in percent; the rest
+/// is for a call that fails and its repetition.
+const ASK_PERCENT: u64 = 66;
+
+/// Shortest and longest wait of one watch call.
+const WAIT: (Millis, Millis) = (Millis(200), Millis(10_000));
+
+/// Time for which a watch may be deaf: the store may hold changes back for a second before it tells that
+/// its history is lost.
+const DEAF: Millis = Millis(1_000);
+
 /// Age of the routing table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Freshness {
@@ -33,6 +44,30 @@
         self.confirmed = self.confirmed.max(Some(at));
     }
 
+    /// Notes an answer without changes to a watch that was sent at `asked` and came at `now`.
+    ///
+    /// The store answers it at the end of `wait`, so the table was current then, unless the watch was deaf.
+    pub fn confirm_quiet(&mut self, asked: Millis, wait: Millis, now: Millis) {
+        let has_waited = now.since(asked) >= wait;
+        let waited = if has_waited {
+            wait.since(DEAF)
+        } else {
+            Millis(0)
+        };
+        self.confirm(asked + waited);
+    }
+
+    /// Returns how long the next watch may wait, so that keys stay trusted.
+    #[must_use]
+    pub fn next_wait(&self, now: Millis) -> Millis {
+        let Some(bound) = self.bound else {
+            return WAIT.1;
+        };
+        let age = self.age(now).unwrap_or_default();
+        let wait = Millis(bound.0 * ASK_PERCENT / 100).since(age);
+        wait.clamp(WAIT.0, WAIT.1)
+    }
+
     /// Returns the time since the table was last known to be current.
     #[must_use]
     pub fn age(&self, now: Millis) -> Option<Millis> {
--- a/src/router/rollout.rs
+++ b/src/router/rollout.rs
@@ -30,14 +30,18 @@
 /// Bad answers that a stop needs at least.
 const MIN_BAD: f64 = 3.0;
 
-/// Rate of bad answers above the old version's that stops the roll-out.
-const EXCESS: f64 = 0.15;
+/// Rate of failed answers above the old version's that stops the roll-out.
+const EXCESS_FAILED: f64 = 0.15;
+
+/// Rate of slow answers above the old version's that stops the roll-out. A sound version has more slow
+/// answers than the old one when all requests move there, since its upstreams have no prompts cached.
+const EXCESS_SLOW: f64 = 0.25;
 
 /// Answers that the old version needs before its mean time counts.
 const MIN_SAMPLES: f64 = 8.0;
 
 /// Times the old version's mean at which an answer counts as slow.
-const SLOW_FACTOR: f64 = 3.5;
+const SLOW_FACTOR: f64 = 4.0;
 
 /// Time to the first byte below which no answer counts as slow.
 const SLOW_FLOOR: Millis = Millis(60);
@@ -77,25 +81,40 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Tally {
     total: f64,
-    bad: f64,
+    failed: f64,
+    slow: f64,
     updated: Millis,
 }
 
+/// How an answer counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mark {
+    Sound,
+    Failed,
+    Slow,
+}
+
 impl Tally {
     #[expect(
         clippy::cast_precision_loss,
         reason = "spans of a process's life are far below 2^52 ms"
     )]
-    fn add(&mut self, is_bad: bool, now: Millis) {
+    fn add(&mut self, mark: Mark, now: Millis) {
         let halvings = now.since(self.updated).0 as f64 / HALF_LIFE.0 as f64;
         let keep = 0.5_f64.powf(halvings);
         self.total = self.total * keep + 1.0;
-        self.bad = self.bad * keep + f64::from(u8::from(is_bad));
+        self.failed = self.failed * keep + f64::from(u8::from(mark == Mark::Failed));
+        self.slow = self.slow * keep + f64::from(u8::from(mark == Mark::Slow));
         self.updated = now;
     }
 
-    fn rate(&self) -> f64 {
-        self.bad / self.total.max(1.0)
+    /// Tells whether this version is worse than the old one.
+    fn is_worse(&self, old: &Self) -> bool {
+        let exceeds = |count: f64, old_count: f64, excess: f64| {
+            let (rate, old_rate) = (count / self.total.max(1.0), old_count / old.total.max(1.0));
+            count >= MIN_BAD && rate > old_rate * 1.5 + excess
+        };
+        exceeds(self.failed, old.failed, EXCESS_FAILED) || exceeds(self.slow, old.slow, EXCESS_SLOW)
     }
 }
 
@@ -202,14 +221,15 @@
     /// Takes in an answer; `kind` names the kind of request, whose usual times are alike.
     pub fn observe(&mut self, version: &str, kind: u64, answer: Answer, now: Millis) {
         let is_new = version == self.to.as_ref();
-        let is_bad = match answer {
-            Answer::Bad => true,
-            Answer::Good(first_byte) => is_new && self.is_slow(kind, first_byte),
+        let mark = match answer {
+            Answer::Bad => Mark::Failed,
+            Answer::Good(first_byte) if self.is_slow(kind, first_byte) => Mark::Slow,
+            Answer::Good(_) => Mark::Sound,
         };
         if is_new {
-            self.new.add(is_bad, now);
+            self.new.add(mark, now);
         } else {
-            self.old.add(is_bad, now);
+            self.old.add(mark, now);
             if let Answer::Good(first_byte) = answer {
                 self.learn(kind, first_byte);
             }
@@ -222,17 +242,19 @@
         if self.phase != Phase::Active {
             return None;
         }
-        let is_bad = self.new.bad >= MIN_BAD && self.new.rate() > self.old.rate() * 1.5 + EXCESS;
-        if is_bad {
+        if self.new.is_worse(&self.old) {
             return Some(Phase::Reverted);
         }
         self.is_past(COMPLETE_AT, now).then_some(Phase::Complete)
     }
 
-    /// Returns weighted bad answers and answers of the new and the old version, for logs.
+    /// Returns weighted failed, slow and all answers of the new and then of the old version, for logs.
     #[must_use]
-    pub const fn evidence(&self) -> [f64; 4] {
-        [self.new.bad, self.new.total, self.old.bad, self.old.total]
+    pub const fn evidence(&self) -> [f64; 6] {
+        let (new, old) = (&self.new, &self.old);
+        [
+            new.failed, new.slow, new.total, old.failed, old.slow, old.total,
+        ]
     }
 
     fn is_past(&self, percent: u64, now: Millis) -> bool {
--- a/src/router/tests/rollout.rs
+++ b/src/router/tests/rollout.rs
@@ -135,6 +135,18 @@
     }
 }
 
+/// A sound version without cached prompts answers a sixth of its requests slowly once all move there.
+#[test]
+fn a_cold_version_is_not_reverted() {
+    let mut rollout = rollout();
+
+    let (_, _, phase) = play(&mut rollout, |n, _| {
+        Answer::Good(Millis(if n.is_multiple_of(6) { 500 } else { 110 }))
+    });
+
+    assert_eq!(phase, Some(Phase::Complete));
+}
+
 #[test]
 fn a_recorded_decision_holds_and_an_older_record_does_not_undo_a_stop() {
     let mut rollout = rollout();
--- a/src/router/tests/routing.rs
+++ b/src/router/tests/routing.rs
@@ -104,3 +104,33 @@
 
     assert!(freshness.is_trusted(Millis::from_secs(3_600)));
 }
+
+/// Pattern: a quiet store. One call in two seconds keeps the keys trusted.
+#[test]
+fn quiet_watches_keep_keys_trusted_with_few_calls() {
+    let mut freshness = Freshness::new(Some(Millis(5_000)));
+    let (mut now, mut calls) = (Millis(0), 0);
+    freshness.confirm(now);
+
+    while now < Millis(60_000) {
+        let (asked, wait) = (now, freshness.next_wait(now));
+        now = now + wait + Millis(5);
+        assert!(freshness.is_trusted(now));
+        freshness.confirm_quiet(asked, wait, now);
+        calls += 1;
+    }
+
+    assert!(calls <= 60_000 / 2_000);
+}
+
+/// A watch that is answered early says nothing about the time after it was asked.
+#[test]
+fn an_early_answer_confirms_only_the_time_of_the_question() {
+    let mut freshness = Freshness::new(Some(Millis(5_000)));
+
+    freshness.confirm_quiet(Millis(100), Millis(2_000), Millis(1_500));
+    assert_eq!(freshness.age(Millis(1_500)), Some(Millis(1_400)));
+    freshness.confirm_quiet(Millis(2_000), Millis(2_000), Millis(4_010));
+
+    assert_eq!(freshness.age(Millis(4_010)), Some(Millis(1_010)));
+}
