Reload settings on SIGHUP and when the file changes

Change: both programs listen for SIGHUP, read the settings again and put changed bounds and the store's address into force; settings that cannot be used are reported and the known ones stay.

Ruled out: ignoring the signal, since bounds may change.

--- a/src/bin/fireflywind-beacon/main.rs
+++ b/src/bin/fireflywind-beacon/main.rs
@@ -4,6 +4,7 @@
 
 use fireflywind::beacon::sender::Sender;
 use fireflywind::daemon::exit_codes::DaemonExit;
+use fireflywind::daemon::reload::Reloads;
 use fireflywind::daemon::{self, StopSignals};
 use fireflywind::platform::settings::{BeaconSettings, load};
 use fireflywind::telemetry::buffered;
@@ -31,6 +32,16 @@
 }
 
 async fn run(cfg: &BeaconSettings) -> DaemonExit {
+    match Reloads::listen() {
+        // Other addresses need a new start; the platform starts a process that ends.
+        Ok(reloads) => {
+            actix_rt::spawn(reloads.run(cfg.clone(), load, |_: &BeaconSettings| {}));
+        }
+        Err(error) => {
+            eprintln!("{NAME}: {error}");
+            return DaemonExit::CannotStart;
+        }
+    }
     let signals = StopSignals::listen();
     let sender = Sender::bind(cfg.listen, cfg.upstream).await;
     match signals.and_then(|signals| Ok((signals, sender?))) {
--- a/src/bin/fireflywind-router/main.rs
+++ b/src/bin/fireflywind-router/main.rs
@@ -5,6 +5,7 @@
 
 use fireflywind::beacon::receiver::Receiver;
 use fireflywind::daemon::exit_codes::DaemonExit;
+use fireflywind::daemon::reload::Reloads;
 use fireflywind::daemon::{self, StopSignals};
 use fireflywind::forward::gateway::{Addresses, Gateway};
 use fireflywind::forward::shared::Shared;
@@ -35,7 +36,22 @@
 }
 
 async fn run(cfg: &GatewaySettings) -> DaemonExit {
-    let shared = Shared::open(cfg.policy(), Box::new(Store::open(cfg.store)));
+    let store = Rc::new(Store::open(cfg.store));
+    let shared = Shared::open(cfg.policy(), Box::new(Rc::clone(&store)));
+    match Reloads::listen() {
+        Ok(reloads) => {
+            let shared = Rc::clone(&shared);
+            let apply = move |cfg: &GatewaySettings| {
+                store.set_addr(cfg.store);
+                shared.set_policy(cfg.policy());
+            };
+            actix_rt::spawn(reloads.run(cfg.clone(), load, apply));
+        }
+        Err(error) => {
+            eprintln!("{NAME}: {error}");
+            return DaemonExit::CannotStart;
+        }
+    }
     let addresses = Addresses {
         listen: cfg.listen,
         ready: cfg.ready,
@@ -53,7 +69,8 @@
     match started {
         Ok((signals, gateway)) => {
             log::info!(event = "start", name:% = cfg.name, version = env!("CARGO_PKG_VERSION"),
-                listen:% = cfg.listen, data_centre:% = cfg.data_centre; "");
+                listen:% = gateway.addresses().listen,
+                ready:% = gateway.addresses().ready, admin:% = gateway.addresses().admin, data_centre:% = cfg.data_centre; "");
             daemon::stop_on_signal(signals, || gateway.stop()).await
         }
         Err(error) => {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! What the gateway's and the agent's programs share: command line, settings, logs and signals.
 
 pub mod exit_codes;
+pub mod reload;
 
 use std::ffi::OsString;
 use std::io;
--- /dev/null
+++ b/src/daemon/reload.rs
@@ -0,0 +1,54 @@
+//! Settings that change while a process runs.
+
+use std::fmt::Display;
+use std::io;
+use std::time::Duration;
+
+use actix_rt::time::timeout;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Pause between two looks at the settings without a signal; they may change without one.
+const LOOK_PAUSE: Duration = Duration::from_secs(5);
+
+/// Listens for SIGHUP, which would end the process otherwise.
+#[derive(Debug)]
+pub struct Reloads {
+    hangups: Signal,
+}
+
+impl Reloads {
+    /// Starts to listen.
+    ///
+    /// # Errors
+    /// The error of the operating system.
+    pub fn listen() -> io::Result<Self> {
+        Ok(Self {
+            hangups: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Reads the settings after each signal and from time to time, and applies those that have changed.
+    /// Settings that cannot be used are reported; the known ones stay in force.
+    pub async fn run<T: PartialEq, E: Display>(
+        mut self,
+        mut known: T,
+        read: impl Fn() -> Result<T, E>,
+        apply: impl Fn(&T),
+    ) {
+        loop {
+            let is_signal = timeout(LOOK_PAUSE, self.hangups.recv()).await.is_ok();
+            match read() {
+                Ok(settings) if settings != known => {
+                    log::info!(event = "reload", changed = true, signal = is_signal; "");
+                    apply(&settings);
+                    known = settings;
+                }
+                Ok(_) if is_signal => {
+                    log::info!(event = "reload", changed = false, signal = true; "")
+                }
+                Ok(_) => {}
+                Err(error) => log::warn!(event = "reload_failed", error:% = error; ""),
+            }
+        }
+    }
+}
--- a/src/forward/choose.rs
+++ b/src/forward/choose.rs
@@ -17,6 +17,7 @@
     let fleet = shared.fleet.borrow();
     let ready: Vec<_> = fleet.ready(&job.service).collect();
     let usable = of_group(shared, job, ready, now);
+    let policy = shared.policy();
     let mut health = shared.health.borrow_mut();
     let mut candidates: Vec<_> = usable
         .iter()
@@ -24,7 +25,7 @@
             let health = health.entry(&u.id, u.boot, now);
             Candidate {
                 hash: hash(u.id.as_bytes()),
-                is_local: u.data_centre == shared.policy.data_centre,
+                is_local: u.data_centre == policy.data_centre,
                 slots: u.slots,
                 in_flight: health.in_flight,
                 pending: health.pending,
@@ -54,7 +55,7 @@
     ready: Vec<&'a Rc<Upstream>>,
     now: Millis,
 ) -> Vec<&'a Rc<Upstream>> {
-    let span = shared.policy.session_span;
+    let span = shared.policy().session_span;
     let mut sessions = shared.sessions.borrow_mut();
     let rollouts = shared.rollouts.borrow();
     let Some(rollout) = rollouts.get(&job.service).filter(|r| !r.to.is_empty()) else {
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -279,6 +279,11 @@
         }
     }
 
+    /// Sets the share of requests that may reach a bad version; it holds for later orders.
+    pub const fn set_exposure(&mut self, exposure_permille: u64) {
+        self.exposure_permille = exposure_permille;
+    }
+
     /// Returns the roll-out of a service.
     #[must_use]
     pub fn get(&self, service: &str) -> Option<&Rollout> {
--- a/src/forward/gateway.rs
+++ b/src/forward/gateway.rs
@@ -95,7 +95,7 @@
         let shared = &self.shared;
         shared.is_stopping.set(true);
         let started = shared.clock.now();
-        let latest = started + shared.policy.stop_grace.since(STOP_MARGIN);
+        let latest = started + shared.policy().stop_grace.since(STOP_MARGIN);
         let still_accepting = STILL_ACCEPTING.min(latest.since(started));
         sleep(still_accepting.duration()).await;
         self.accepting.abort();
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -43,8 +43,8 @@
 
 /// State of a gateway.
 pub struct Shared {
-    /// Settings.
-    pub policy: Policy,
+    /// Settings in force.
+    pub policy: RefCell<Rc<Policy>>,
     /// Runtime clock.
     pub clock: Clock,
     /// The store.
@@ -102,7 +102,7 @@
         let freshness = Freshness::new(policy.key_revocation);
         let rollouts = Rollouts::new(policy.exposure_permille);
         Rc::new(Self {
-            policy,
+            policy: RefCell::new(Rc::new(policy)),
             clock: Clock::start(),
             control,
             metrics: Metrics::open(),
@@ -127,6 +127,22 @@
         })
     }
 
+    /// Returns the settings in force.
+    #[must_use]
+    pub fn policy(&self) -> Rc<Policy> {
+        Rc::clone(&self.policy.borrow())
+    }
+
+    /// Puts changed settings into force.
+    pub fn set_policy(&self, policy: Policy) {
+        self.freshness.borrow_mut().set_bound(policy.key_revocation);
+        for (_, budget) in self.budgets.borrow_mut().iter_mut() {
+            budget.set_bounds(policy.retries);
+        }
+        (self.rollouts.borrow_mut()).set_exposure(policy.exposure_permille);
+        *self.policy.borrow_mut() = Rc::new(policy);
+    }
+
     /// Returns a random number; for spreading, not for secrets.
     pub fn draw(&self) -> u64 {
         let next = self.random.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
@@ -160,7 +176,7 @@
     pub fn with_budget<T>(&self, service: &Rc<str>, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
         f(entry(&mut budgets, service, || {
-            RetryBudget::new(self.policy.retries)
+            RetryBudget::new(self.policy().retries)
         }))
     }
 
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -39,7 +39,7 @@
 impl std::error::Error for SettingsError {}
 
 /// Settings of a gateway on the platform.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct GatewaySettings {
     /// Name of the gateway.
@@ -74,7 +74,7 @@
 }
 
 /// Bounds of retries.
-#[derive(Debug, Clone, Copy, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Retries {
     /// Sends beyond the first one for each request.
@@ -111,7 +111,7 @@
 }
 
 /// Settings of the process beside an engine, as the template `deploy/beacon.json` renders them.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct BeaconSettings {
     /// Name of the process.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,8 +1,9 @@
 //! Client of the platform's store.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt::Write as _;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
@@ -31,10 +32,10 @@
 /// Connection to the store, with one kept connection for each use.
 #[derive(Debug)]
 pub struct Store {
-    addr: SocketAddr,
+    addr: Cell<SocketAddr>,
     reads: RefCell<Option<Conn>>,
     writes: RefCell<Option<Conn>>,
-    is_slow: std::cell::Cell<bool>,
+    is_slow: Cell<bool>,
 }
 
 #[derive(Deserialize)]
@@ -80,10 +81,18 @@
     #[must_use]
     pub const fn open(addr: SocketAddr) -> Self {
         Self {
-            addr,
+            addr: Cell::new(addr),
             reads: RefCell::new(None),
             writes: RefCell::new(None),
-            is_slow: std::cell::Cell::new(false),
+            is_slow: Cell::new(false),
+        }
+    }
+
+    /// Moves to another address; kept connections are closed.
+    pub fn set_addr(&self, addr: SocketAddr) {
+        if self.addr.replace(addr) != addr {
+            self.reads.take();
+            self.writes.take();
         }
     }
 
@@ -136,9 +145,12 @@
         let text = |error: std::io::Error| error.to_string();
         let mut conn = match conn {
             Some(conn) => conn,
-            None => exchange::connect(self.addr).await.map_err(text)?,
+            None => exchange::connect(self.addr.get()).await.map_err(text)?,
         };
-        let mut message = format!("{method} {target} HTTP/1.1\r\nHost: {}\r\n", self.addr);
+        let mut message = format!(
+            "{method} {target} HTTP/1.1\r\nHost: {}\r\n",
+            self.addr.get()
+        );
         if !body.is_empty() {
             message.push_str("Content-Type: application/json\r\n");
         }
@@ -213,7 +225,7 @@
     }
 }
 
-impl Control for Store {
+impl Control for Rc<Store> {
     fn list(&self) -> LocalFuture<'_, Result<Listing, ControlError>> {
         Box::pin(async {
             let mut listing = Listing {
--- a/src/platform/tests/store.rs
+++ b/src/platform/tests/store.rs
@@ -83,7 +83,10 @@
         ];
         let (addr, asked) = store(answers).await;
 
-        let listing = Store::open(addr).list().await.expect("the store answers");
+        let listing = Rc::new(Store::open(addr))
+            .list()
+            .await
+            .expect("the store answers");
 
         assert_eq!(listing.revision, 10);
         assert_eq!(listing.notices.len(), 2);
@@ -101,7 +104,7 @@
         );
         let (addr, asked) = store(vec![(200, body)]).await;
 
-        let listing = Store::open(addr)
+        let listing = Rc::new(Store::open(addr))
             .watch(4, Millis(100))
             .await
             .expect("the store answers");
@@ -120,9 +123,9 @@
         let (busy, _) = store(vec![(503, "{}".to_owned())]).await;
         let (conflict, _) = store(vec![(412, "{\"items\":[]}".to_owned())]).await;
 
-        let watch = Store::open(gone).watch(4, Millis(0)).await;
-        let list = Store::open(busy).list().await;
-        let write = Store::open(conflict).write_rollout(write()).await;
+        let watch = Rc::new(Store::open(gone)).watch(4, Millis(0)).await;
+        let list = Rc::new(Store::open(busy)).list().await;
+        let write = Rc::new(Store::open(conflict)).write_rollout(write()).await;
 
         assert_eq!(watch.err(), Some(ControlError::HistoryLost));
         assert!(matches!(list.err(), Some(ControlError::Unavailable(_))));
@@ -149,7 +152,7 @@
     run(async {
         let (addr, asked) = store(vec![(200, r#"{"rev":9}"#.to_owned())]).await;
 
-        let revision = Store::open(addr).write_rollout(write()).await;
+        let revision = Rc::new(Store::open(addr)).write_rollout(write()).await;
 
         assert_eq!(revision, Ok(9));
         let asked = asked.borrow();
@@ -168,7 +171,7 @@
         let addr = listener.local_addr().expect("it is bound");
         drop(listener);
 
-        let list = Store::open(addr).list().await;
+        let list = Rc::new(Store::open(addr)).list().await;
 
         assert!(matches!(list, Err(ControlError::Unavailable(_))));
     });
--- a/src/router/freshness.rs
+++ b/src/router/freshness.rs
@@ -39,6 +39,11 @@
         }
     }
 
+    /// Sets the longest time that a revoked key may work.
+    pub const fn set_bound(&mut self, bound: Option<Millis>) {
+        self.bound = bound;
+    }
+
     /// Notes that the table was current at `at`, a time at or before the store's answer.
     pub fn confirm(&mut self, at: Millis) {
         self.confirmed = self.confirmed.max(Some(at));
--- a/src/router/retry.rs
+++ b/src/router/retry.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Sets the figures that bound retries.
+    pub const fn set_bounds(&mut self, bounds: RetryBounds) {
+        self.bounds = bounds;
+    }
+
     /// Counts a request.
     pub fn request(&mut self, now: Millis) {
         self.slot(now).requests += 1;
