Let a busy lane spill into the others

Change: a lane has a cost in work instead of a border; with reported loads a request goes where its wait and that cost are least. Work is counted in prompt tokens of the largest model by the models' prices, and the smallest model's part is rounded up.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -54,23 +54,23 @@
     }
 }
 
-/// Prompt tokens that an upstream has to read, for as long as this lives.
+/// Work that waits at an upstream, for as long as this lives.
 struct Pending<'a> {
     shared: &'a Shared,
     upstream: &'a Upstream,
-    tokens: u64,
+    work: u64,
 }
 
 impl<'a> Pending<'a> {
-    fn start(shared: &'a Shared, upstream: &'a Upstream, tokens: u64) -> Self {
+    fn start(shared: &'a Shared, upstream: &'a Upstream, work: u64) -> Self {
         let now = shared.clock.now();
         let mut health = shared.health.borrow_mut();
-        health.add_pending(&upstream.id, upstream.boot, tokens, now);
+        health.add_pending(&upstream.id, upstream.boot, work, now);
         drop(health);
         Self {
             shared,
             upstream,
-            tokens,
+            work,
         }
     }
 }
@@ -79,7 +79,7 @@
     fn drop(&mut self) {
         let now = self.shared.clock.now();
         let mut health = self.shared.health.borrow_mut();
-        health.end_pending(&self.upstream.id, self.upstream.boot, self.tokens, now);
+        health.end_pending(&self.upstream.id, self.upstream.boot, self.work, now);
     }
 }
 
@@ -118,7 +118,7 @@
     if let Err(error) = exchange::send(&mut leg.conn, &message).await {
         return lost(shared, job, &leg, &ExchangeError::Broken(error));
     }
-    let pending = Pending::start(shared, upstream, job.size.prompt);
+    let pending = Pending::start(shared, upstream, job.work(shared));
     let head = {
         let last = Cell::new(leg.sent);
         let silence = silence::wait(
--- a/src/forward/choose.rs
+++ b/src/forward/choose.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use crate::router::fleet::Upstream;
-use crate::router::pick::{self, Candidate};
+use crate::router::pick::{self, Candidate, Wanted};
 use crate::router::rollout::Group;
 use crate::router::{hash, mix};
 use crate::units::Millis;
@@ -31,6 +31,9 @@
                 pending: health.pending,
                 starting: (health.recent_load(now)).map(|l| u64::from(l.waiting + l.starting)),
                 own_starting: health.starting,
+                running: (health.recent_load(now)).map_or(0, |l| u64::from(l.running)),
+                lane_cost: 0,
+                serves_small: false,
                 failures: permille(health.failure_rate()),
                 is_ejected: health.is_ejected(now),
                 is_tried: tried.contains(&u.id),
@@ -39,7 +42,11 @@
         .collect();
     pick::divide(&mut candidates, job.lane(&shared.sizes.borrow()));
     let affinity = job.affinity.map(|a| mix(a ^ job.model.unwrap_or(0) as u64));
-    let (at, reason) = pick::pick(&candidates, affinity, shared.draw())?;
+    let wanted = Wanted {
+        affinity,
+        token_permille: job.token_permille(shared),
+    };
+    let (at, reason) = pick::pick(&candidates, wanted, shared.draw())?;
     let upstream = usable[at];
     log::info!(event = "pick", request:% = String::from_utf8_lossy(&job.id), upstream:% = upstream.id,
         session:% = format_args!("{:x}", job.session), version:% = upstream.version, reason = reason.name(), of = candidates.len(),
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -41,7 +41,7 @@
 }
 
 /// One thing that the store says.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Notice {
     /// A configuration.
     Table(Rc<RouteTable>),
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -51,6 +51,20 @@
         table.service(&self.service).is_some_and(|s| s.is_engine)
     }
 
+    /// Returns the work of a prompt token on the request's model, in permille of the largest model's.
+    pub(super) fn token_permille(&self, shared: &Shared) -> u64 {
+        let table = shared.table.borrow();
+        let model = self.model.and_then(|at| self.route.models.get(at));
+        let service = table.service(&self.service);
+        let permille = model.zip(service).and_then(|(m, s)| s.work_permille(m));
+        permille.unwrap_or(1_000)
+    }
+
+    /// Returns the work of the prompt, in prompt tokens of the largest model.
+    pub(super) fn work(&self, shared: &Shared) -> u64 {
+        self.size.prompt * self.token_permille(shared) / 1_000
+    }
+
     /// Returns the upstreams that the request prefers.
     pub(super) const fn lane<'a>(&self, sizes: &'a SizeMix) -> Lane<'a> {
         match self.model {
--- a/src/forward/tests/fixture.rs
+++ b/src/forward/tests/fixture.rs
@@ -297,6 +297,7 @@
         name: "pool".into(),
         max_connections: 100,
         is_engine: false,
+        model_prices: Vec::new(),
     }];
     let account = Rc::new(Account {
         name: "shop".into(),
--- a/src/platform/items.rs
+++ b/src/platform/items.rs
@@ -246,7 +246,20 @@
     name: String,
     #[serde(rename = "maxConns", default)]
     max_connections: u32,
-    engine: Option<Value>,
+    engine: Option<Engine>,
+}
+
+#[derive(Deserialize)]
+struct Engine {
+    #[serde(default)]
+    models: Vec<Model>,
+}
+
+#[derive(Deserialize)]
+struct Model {
+    name: String,
+    #[serde(default)]
+    cost: f64,
 }
 
 #[derive(Deserialize)]
@@ -277,11 +290,7 @@
     let config: Config = serde_json::from_slice(value)?;
     let routes = config.routes.into_iter().map(route);
     let routes = routes.collect::<Result<Vec<_>, _>>()?;
-    let services = config.services.into_iter().map(|s| ServiceSettings {
-        name: s.name.into(),
-        max_connections: s.max_connections,
-        is_engine: s.engine.is_some(),
-    });
+    let services = config.services.into_iter().map(service);
     let limits = config.limits.map(|l| ClientLimits {
         head_bytes: l.head_bytes,
         body_bytes: l.body_bytes,
@@ -308,6 +317,20 @@
     ))
 }
 
+fn service(raw: Service) -> ServiceSettings {
+    let is_engine = raw.engine.is_some();
+    let models = raw.engine.map(|e| e.models).unwrap_or_default();
+    let prices = models.into_iter().map(|m| (Rc::from(m.name), m.cost));
+    let mut model_prices: Vec<_> = prices.collect();
+    model_prices.sort_by(|a: &(Rc<str>, f64), b| a.0.cmp(&b.0));
+    ServiceSettings {
+        name: raw.name.into(),
+        max_connections: raw.max_connections,
+        is_engine,
+        model_prices,
+    }
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/src/router/pick.rs
+++ b/src/router/pick.rs
@@ -19,6 +19,14 @@
 /// about a fifth of the work and answers first, so it has upstreams of its own.
 const SMALL_MODEL_PERCENT: usize = 20;
 
+/// Work that a request waits for in its own lane before it goes to another one, in prompt tokens of the
+/// largest model; about a fifth of a second.
+const OTHER_LANE_COST: u64 = 6_000;
+
+/// The same for requests of larger models that would go to the lane of the smallest one, where every
+/// request begins.
+const SMALL_LANE_COST: u64 = 20_000;
+
 /// Fewest upstreams of a size class; with fewer, a class waits for one of them while others are idle.
 const MIN_CLASS: usize = 4;
 
@@ -45,12 +53,19 @@
     pub slots: u32,
     /// Requests of this gateway that are in flight there.
     pub in_flight: u32,
-    /// Prompt tokens of this gateway's requests whose answers have not begun there.
+    /// Work of this gateway's requests whose answers have not begun there, in prompt tokens of the largest
+    /// model.
     pub pending: u64,
     /// Requests of all gateways there that have made no output, if it told its load.
     pub starting: Option<u64>,
     /// Requests of this gateway there that have made no output.
     pub own_starting: u64,
+    /// Requests of all gateways there that have a slot, if it told its load.
+    pub running: u64,
+    /// Work that a place in another lane is worth avoiding; zero in the request's own lane.
+    pub lane_cost: u64,
+    /// Whether it is in the lane of the smallest model.
+    pub serves_small: bool,
     /// Share of recent failures, in permille.
     pub failures: u32,
     /// Whether it is ejected; used only if all are.
@@ -113,7 +128,7 @@
     },
 }
 
-/// Marks the upstreams outside a lane as tried, as long as the lane has one that can be used.
+/// Gives each upstream its lane's cost for a request; zero inside the request's own lane.
 ///
 /// The division follows the order of the hashes, so all gateways agree on it.
 pub fn divide(candidates: &mut [Candidate], lane: Lane<'_>) {
@@ -122,7 +137,7 @@
     }
     let mut order: Vec<_> = (0..candidates.len()).collect();
     order.sort_by_key(|&at| candidates[at].hash);
-    let small = (order.len() * SMALL_MODEL_PERCENT / 100).max(1);
+    let small = (order.len() * SMALL_MODEL_PERCENT).div_ceil(100);
     let large = order.len() - small;
     let own = match lane {
         Lane::Any => 0..order.len(),
@@ -138,62 +153,93 @@
             }
         }
     };
-    if order[own.clone()]
-        .iter()
-        .any(|&at| candidates[at].is_good())
-    {
-        for (rank, at) in order.into_iter().enumerate() {
-            candidates[at].is_tried |= !own.contains(&rank);
-        }
+    for (rank, at) in order.into_iter().enumerate() {
+        let candidate = &mut candidates[at];
+        candidate.serves_small = rank < small;
+        candidate.lane_cost = match rank {
+            rank if own.contains(&rank) => 0,
+            rank if rank < small => SMALL_LANE_COST,
+            _ => OTHER_LANE_COST,
+        };
     }
 }
 
-/// Returns the index of the upstream to use; `affinity` is the hash of the shared prefix.
+/// Leaves out the upstreams of other lanes, as long as the own one has a sound upstream.
+fn stay_in_lane(candidates: &[Candidate]) -> Vec<Candidate> {
+    let has_own = candidates.iter().any(|c| c.is_good() && c.lane_cost == 0);
+    let mut own = candidates.to_vec();
+    for candidate in &mut own {
+        candidate.is_tried |= has_own && candidate.lane_cost > 0;
+    }
+    own
+}
+
+/// Request that an upstream is chosen for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Wanted {
+    /// Hash of the shared prefix.
+    pub affinity: Option<u64>,
+    /// Work of one prompt token on the request's model, in permille of the largest model's.
+    pub token_permille: u64,
+}
+
+/// Returns the index of the upstream to use.
 #[must_use]
-pub fn pick(candidates: &[Candidate], affinity: Option<u64>, draw: u64) -> Option<(usize, Reason)> {
+pub fn pick(candidates: &[Candidate], wanted: Wanted, draw: u64) -> Option<(usize, Reason)> {
     let good = candidates.iter().filter(|c| c.is_good()).count() as u64;
     if good == 0 {
         return least_loaded(candidates, draw, |c| !c.is_tried)
             .or_else(|| least_loaded(candidates, draw, |_| true))
             .map(|at| (at, Reason::LastChoice));
     }
-    if let Some(affinity) = affinity
-        && let Some(at) = by_backlog(candidates, affinity)
+    if let Some(affinity) = wanted.affinity
+        && let Some(at) = by_backlog(candidates, affinity, wanted.token_permille)
     {
         return Some((at, Reason::Backlog));
     }
-    if let Some(affinity) = affinity
-        && let Some(at) = preferred(candidates, affinity, good)
+    let own = stay_in_lane(candidates);
+    if let Some(affinity) = wanted.affinity
+        && let Some(at) = preferred(&own, affinity)
     {
         return Some((at, Reason::Prefix));
     }
-    least_loaded(candidates, draw, Candidate::is_good).map(|at| (at, Reason::Load))
+    least_loaded(&own, draw, Candidate::is_good).map(|at| (at, Reason::Load))
 }
 
 /// Prompt tokens that a request of another gateway is taken to have, about the mean of long prompts.
 const OTHERS_TOKENS: u64 = 6_000;
 
-/// Prompt tokens that a request counts for which already makes output.
-const RUNNING_TOKENS: u64 = 150;
+/// Work that a request counts for which already makes output.
+const RUNNING_WORK: u64 = 150;
+
+/// Part of a large model's work that a request of the smallest one takes, in permille.
+const SMALL_PERMILLE: u64 = 100;
 
-/// Backlog above the least one at which a prefix's preferred upstream is passed over, in prompt tokens; to
-/// read a shared prefix again costs about as much.
+/// Backlog above the least one at which a prefix's preferred upstream is passed over, in prompt tokens of
+/// the request's model; to read a shared prefix again costs about as much.
 const BACKLOG_SLACK: u64 = 4_500;
 
 impl Candidate {
-    /// Returns the prompt tokens that are to be read before a new request, if the upstream told its load.
+    /// Returns the work before a new request, in prompt tokens of the largest model, if the upstream told
+    /// its load.
     fn backlog(&self) -> Option<u64> {
         let starting = self.starting?;
         // The own requests since the report are in `pending`, but not in the report.
-        let others = starting.saturating_sub(self.own_starting);
-        let running = u64::from(self.in_flight) * RUNNING_TOKENS;
-        Some(self.pending + others * OTHERS_TOKENS + running)
+        let others = starting.saturating_sub(self.own_starting) * OTHERS_TOKENS;
+        let running = self.running.max(u64::from(self.in_flight)) * RUNNING_WORK;
+        let unknown = others + running;
+        let unknown = if self.serves_small {
+            unknown * SMALL_PERMILLE / 1_000
+        } else {
+            unknown
+        };
+        Some(self.pending + unknown + self.lane_cost)
     }
 }
 
 /// Returns the upstream by reported backlogs: the first one in the prefix's order that is not much above
 /// the least. `None` if too few upstreams tell their load.
-fn by_backlog(candidates: &[Candidate], affinity: u64) -> Option<usize> {
+fn by_backlog(candidates: &[Candidate], affinity: u64, token_permille: u64) -> Option<usize> {
     let good = || (0..candidates.len()).filter(|&at| candidates[at].is_good());
     let known = good()
         .filter(|&at| candidates[at].starting.is_some())
@@ -202,9 +248,10 @@
         return None;
     }
     let least = good().filter_map(|at| candidates[at].backlog()).min()?;
+    let slack = BACKLOG_SLACK * token_permille / 1_000;
     let is_open = |at: &usize| {
         let backlog = candidates[*at].backlog();
-        backlog.is_some_and(|backlog| backlog <= least + BACKLOG_SLACK)
+        backlog.is_some_and(|backlog| backlog <= least + slack)
     };
     good()
         .filter(is_open)
@@ -212,7 +259,8 @@
 }
 
 /// Returns the first upstream in the prefix's order whose load is within the bound.
-fn preferred(candidates: &[Candidate], affinity: u64, good: u64) -> Option<usize> {
+fn preferred(candidates: &[Candidate], affinity: u64) -> Option<usize> {
+    let good = candidates.iter().filter(|c| c.is_good()).count().max(1) as u64;
     let total: u64 = (candidates.iter().filter(|c| c.is_good()))
         .map(|c| u64::from(c.in_flight))
         .sum();
--- a/src/router/table.rs
+++ b/src/router/table.rs
@@ -88,7 +88,7 @@
 }
 
 /// A service's settings.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ServiceSettings {
     /// Name of the service.
     pub name: Rc<str>,
@@ -96,6 +96,26 @@
     pub max_connections: u32,
     /// Whether its upstreams are model engines.
     pub is_engine: bool,
+    /// Price of each model's tokens, in any unit, sorted by name.
+    pub model_prices: Vec<(Rc<str>, f64)>,
+}
+
+impl ServiceSettings {
+    /// Returns the work of a model's token in permille of the dearest model's; prices follow the work.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a float cast saturates at the limits"
+    )]
+    pub fn work_permille(&self, model: &str) -> Option<u64> {
+        let found = (self.model_prices).binary_search_by(|(name, _)| name.as_ref().cmp(model));
+        let price = self.model_prices[found.ok()?].1;
+        let dearest = (self.model_prices.iter())
+            .map(|(_, p)| *p)
+            .fold(0.0, f64::max);
+        (dearest > 0.0).then(|| (price / dearest * 1_000.0).round().clamp(0.0, 1_000.0) as u64)
+    }
 }
 
 /// The client account of an API key.
@@ -133,7 +153,7 @@
 }
 
 /// One version of the configuration.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct RouteTable {
     /// Version; it only grows.
     pub version: u64,
