Tell upstreams that left from entries that lapsed, soften the lanes

An upstream that does not read blocked a send without a time-out. Lanes held large prompts in line while others had room.

Change: only removals within a second of the store's return are lapses, and their grace ends 1.8 s after that return. Sending is watched like reading. A place in another lane costs 4,000 tokens, less than the slack of a prefix, and the smallest model has 24% of the upstreams. Retry-After is spread.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -115,9 +115,6 @@
         Err(end) => return end,
     };
     let message = encode(shared, req, job, upstream, relay);
-    if let Err(error) = exchange::send(&mut leg.conn, &message).await {
-        return lost(shared, job, &leg, &ExchangeError::Broken(error));
-    }
     let pending = Pending::start(shared, upstream, job.work(shared));
     let head = {
         let last = Cell::new(leg.sent);
@@ -125,10 +122,14 @@
             job.watched(shared, upstream, head_limits(shared, job), can_move),
             &last,
         );
-        let read = exchange::read_head(&mut leg.conn, &job.id, job.to_head);
+        // Sending is watched too: an upstream that does not read blocks it.
+        let exchanged = async {
+            exchange::send(&mut leg.conn, &message).await?;
+            exchange::read_head(&mut leg.conn, &job.id, job.to_head).await
+        };
         tokio::select! {
             biased;
-            head = read => head,
+            head = exchanged => head,
             () = client.closed() => return AttemptEnd::ClientGone,
             silence = silence => return silent(shared, job, upstream, leg.sent, silence),
         }
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -24,10 +24,6 @@
 /// Shortest and longest pause after a failed call to the store.
 const RETRY_PAUSE: (Millis, Millis) = (Millis(100), Millis(600));
 
-/// How long the first changes after an outage count as its consequence: upstreams whose entries lapsed
-/// need up to two seconds to be back.
-const AFTER_OUTAGE: Millis = Millis(2_500);
-
 /// Age of the view from which the store counts as having been away, whatever the calls said.
 const OUTAGE: Millis = Millis(4_000);
 
@@ -192,14 +188,14 @@
     let silence = shared.freshness.borrow().age(now);
     let was_away = failures > 0 || silence.is_some_and(|s| s > OUTAGE);
     if was_away {
-        shared.outage_until.set(now + AFTER_OUTAGE);
+        shared.lapses.borrow_mut().regained(now);
         let silence = silence.map_or(0, |s| s.0);
         log::info!(event = "store_regained", silence_ms = silence, failures = failures; "");
     }
 }
 
 fn take_in(shared: &Rc<Shared>, notices: Vec<Notice>, is_list: bool, now: Millis) {
-    let after_outage = now < shared.outage_until.get();
+    let grace = shared.lapses.borrow().grace(now);
     let mut upstreams = Vec::new();
     for notice in notices {
         match notice {
@@ -209,7 +205,7 @@
                 shared.note_change(change);
             }
             Notice::UpstreamRemoved(id) => {
-                let change = shared.fleet.borrow_mut().remove(&id, now, after_outage);
+                let change = shared.fleet.borrow_mut().remove(&id, grace);
                 shared.note_change(change);
             }
             Notice::Table(table) => shared.set_table(table),
@@ -232,7 +228,7 @@
         }
     }
     if is_list {
-        let changes = (shared.fleet.borrow_mut()).replace(upstreams, now, after_outage);
+        let changes = (shared.fleet.borrow_mut()).replace(upstreams, grace);
         for change in changes {
             shared.note_change(Some(change));
         }
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -20,8 +20,9 @@
 /// Time that must be left for another attempt.
 const MIN_LEFT: Millis = Millis(20);
 
-/// Pause before a retry if no upstream is known, as long as time is left.
-const NO_UPSTREAM_RETRY: Millis = Millis(400);
+/// Shortest time after which a client may come back; up to the same again is added at random, so that
+/// clients that were refused together do not come back together.
+const COME_BACK: Millis = Millis(400);
 
 enum Outcome {
     /// The answer was delivered.
@@ -94,13 +95,40 @@
     loop {
         let now = shared.clock.now();
         if now + MIN_LEFT >= job.deadline {
-            return give_up(client, failure, &attempts, job, "deadline", &relay).await;
+            return give_up(
+                shared.draw() % COME_BACK.0,
+                client,
+                failure,
+                &attempts,
+                job,
+                "deadline",
+                &relay,
+            )
+            .await;
         }
         if !attempts.can_send() || (needs_budget && !take_budget(shared, job)) {
-            return give_up(client, failure, &attempts, job, "attempts_used", &relay).await;
+            return give_up(
+                shared.draw() % COME_BACK.0,
+                client,
+                failure,
+                &attempts,
+                job,
+                "attempts_used",
+                &relay,
+            )
+            .await;
         }
         let Some(upstream) = choose(shared, job, &tried) else {
-            return give_up(client, failure, &attempts, job, "no_upstream", &relay).await;
+            return give_up(
+                shared.draw() % COME_BACK.0,
+                client,
+                failure,
+                &attempts,
+                job,
+                "no_upstream",
+                &relay,
+            )
+            .await;
         };
         tried.push(Rc::clone(&upstream.id));
         let can_move = attempts.can_escalate();
@@ -133,13 +161,23 @@
                 if may_have_run {
                     attempts.note(Ended::Lost);
                 }
-                return give_up(client, failure, &attempts, job, "timeout", &relay).await;
+                return give_up(
+                    shared.draw() % COME_BACK.0,
+                    client,
+                    failure,
+                    &attempts,
+                    job,
+                    "timeout",
+                    &relay,
+                )
+                .await;
             }
         }
     }
 }
 
 async fn give_up(
+    jitter: u64,
     client: &mut ClientConn,
     failure: Option<(Box<ResponseHead>, Bytes)>,
     attempts: &Attempts,
@@ -158,7 +196,7 @@
         };
     }
     Outcome::Own(match attempts.promise() {
-        Promise::NotRun => not_run(reason, NO_UPSTREAM_RETRY.0),
+        Promise::NotRun => not_run(reason, COME_BACK.0 + jitter),
         Promise::Unknown if reason == "timeout" || reason == "deadline" => {
             OwnReply::new(504, "timeout")
         }
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -9,7 +9,7 @@
 use crate::clock::Clock;
 use crate::ids;
 use crate::router::cascade::Cascade;
-use crate::router::fleet::Fleet;
+use crate::router::fleet::{Fleet, Lapses};
 use crate::router::freshness::Freshness;
 use crate::router::health::HealthTable;
 use crate::router::retry::{RetryBounds, RetryBudget};
@@ -69,8 +69,8 @@
     pub rollouts: RefCell<Rollouts>,
     /// Age of the API keys.
     pub freshness: RefCell<Freshness>,
-    /// Until when changes of the registry count as the consequence of an outage.
-    pub outage_until: Cell<Millis>,
+    /// Which removals an outage of the store caused.
+    pub lapses: RefCell<Lapses>,
     /// Whether everything was read from the store once.
     pub is_loaded: Cell<bool>,
     /// Whether the gateway is to stop.
@@ -115,7 +115,7 @@
             pool: RefCell::default(),
             rollouts: RefCell::new(rollouts),
             freshness: RefCell::new(freshness),
-            outage_until: Cell::default(),
+            lapses: RefCell::default(),
             is_loaded: Cell::default(),
             is_stopping: Cell::default(),
             close_idle: Notify::new(),
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -10,8 +10,32 @@
 
 /// How long an entry that lapsed during an outage of the store is still used after the store's return.
 ///
-/// The registry promises that live upstreams are back within about two seconds.
-const LAPSE_GRACE: Millis = Millis(2_000);
+/// Live upstreams are back within about two seconds, and one that has left gets nothing two seconds after
+/// its removal was seen; the rest is for the way of a request.
+const LAPSE_GRACE: Millis = Millis(1_800);
+
+/// Time after the store's return in which removals count as lapses; later ones are upstreams that left.
+const LAPSE_WINDOW: Millis = Millis(1_000);
+
+/// Tells removals that an outage of the store caused from upstreams that left.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Lapses {
+    regained: Option<Millis>,
+}
+
+impl Lapses {
+    /// Notes that the store was away and is back.
+    pub const fn regained(&mut self, now: Millis) {
+        self.regained = Some(now);
+    }
+
+    /// Returns until when an entry that is removed now is still used; `None` if it is gone.
+    #[must_use]
+    pub fn grace(&self, now: Millis) -> Option<Millis> {
+        let regained = self.regained?;
+        (now.since(regained) <= LAPSE_WINDOW).then(|| regained + LAPSE_GRACE)
+    }
+}
 
 /// Whether an upstream takes new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -113,13 +137,13 @@
         }
     }
 
-    /// Takes in that an entry was removed; `after_outage` tells that the store was away just before.
-    pub fn remove(&mut self, id: &str, now: Millis, after_outage: bool) -> Option<Change> {
+    /// Takes in that an entry was removed; `grace` is until when it is used if it has only lapsed.
+    pub fn remove(&mut self, id: &str, grace: Option<Millis>) -> Option<Change> {
         let at = self.find(id).ok()?;
         let member = &mut self.members[at];
         let upstream = Rc::clone(&member.upstream);
-        if after_outage && upstream.state == UpstreamState::Ready {
-            member.missing_until.get_or_insert(now + LAPSE_GRACE);
+        if let Some(until) = grace.filter(|_| upstream.state == UpstreamState::Ready) {
+            member.missing_until.get_or_insert(until);
             return Some(Change::Missing(upstream));
         }
         self.members.remove(at);
@@ -127,19 +151,14 @@
     }
 
     /// Replaces the registry by a full list; entries that are not in it count as removed.
-    pub fn replace(
-        &mut self,
-        listed: Vec<Upstream>,
-        now: Millis,
-        after_outage: bool,
-    ) -> Vec<Change> {
+    pub fn replace(&mut self, listed: Vec<Upstream>, grace: Option<Millis>) -> Vec<Change> {
         let mut ids: Vec<_> = listed.iter().map(|u| Rc::clone(&u.id)).collect();
         ids.sort();
         let known = self.members.iter().map(|m| Rc::clone(&m.upstream.id));
         let missing: Vec<_> = known.filter(|id| ids.binary_search(id).is_err()).collect();
         let removed = missing
             .iter()
-            .filter_map(|id| self.remove(id, now, after_outage))
+            .filter_map(|id| self.remove(id, grace))
             .collect::<Vec<_>>();
         let put = listed.into_iter().filter_map(|u| self.put(u));
         removed.into_iter().chain(put.collect::<Vec<_>>()).collect()
--- a/src/router/pick.rs
+++ b/src/router/pick.rs
@@ -17,11 +17,12 @@
 ///
 /// Long prompts on a large model hold up every token of the requests beside them. The smallest model takes
 /// about a fifth of the work and answers first, so it has upstreams of its own.
-const SMALL_MODEL_PERCENT: usize = 20;
+const SMALL_MODEL_PERCENT: usize = 24;
 
 /// Work that a request waits for in its own lane before it goes to another one, in prompt tokens of the
-/// largest model; about a fifth of a second.
-const OTHER_LANE_COST: u64 = 6_000;
+/// largest model; about a seventh of a second. It is less than [`BACKLOG_SLACK`], so that on idle upstreams
+/// the prefix decides.
+const OTHER_LANE_COST: u64 = 4_000;
 
 /// The same for requests of larger models that would go to the lane of the smallest one, where every
 /// request begins.
@@ -139,27 +140,24 @@
     order.sort_by_key(|&at| candidates[at].hash);
     let small = (order.len() * SMALL_MODEL_PERCENT).div_ceil(100);
     let large = order.len() - small;
+    let classes = (large / MIN_CLASS).clamp(1, MAX_CLASSES);
     let own = match lane {
-        Lane::Any => 0..order.len(),
-        Lane::Small => 0..small,
-        Lane::Large { sizes, prompt } => {
-            let classes = (large / MIN_CLASS).clamp(1, MAX_CLASSES);
-            match sizes.class(prompt, classes) {
-                // Guesses of many starting gateways would meet at the same few upstreams.
-                None => small..order.len(),
-                Some(class) => {
-                    small + large * class / classes..small + large * (class + 1) / classes
-                }
-            }
-        }
+        // Guesses of many starting gateways would meet at the same few upstreams.
+        Lane::Any | Lane::Small => None,
+        Lane::Large { sizes, prompt } => sizes.class(prompt, classes),
     };
     for (rank, at) in order.into_iter().enumerate() {
         let candidate = &mut candidates[at];
         candidate.serves_small = rank < small;
-        candidate.lane_cost = match rank {
-            rank if own.contains(&rank) => 0,
-            rank if rank < small => SMALL_LANE_COST,
-            _ => OTHER_LANE_COST,
+        candidate.lane_cost = match (lane, rank.checked_sub(small)) {
+            (Lane::Any, _) | (Lane::Small, None) => 0,
+            (Lane::Small, Some(_)) => OTHER_LANE_COST,
+            (Lane::Large { .. }, None) => SMALL_LANE_COST,
+            (Lane::Large { .. }, Some(rank)) => {
+                let class = rank * classes / large.max(1);
+                let is_own = own.is_none_or(|own| own == class);
+                if is_own { 0 } else { OTHER_LANE_COST }
+            }
         };
     }
 }
