--- a/src/beacon/tests.rs
+++ b/src/beacon/tests.rs
@@ -26,6 +26,10 @@
 
 #[test]
 fn any_bytes_are_decoded_or_ignored() {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck passes its values by value"
+    )]
     fn property(bytes: Vec<u8>) {
         if let Some(datagram) = Datagram::decode(&bytes) {
             assert_eq!(datagram.encode(), bytes);
--- a/src/daemon/reload.rs
+++ b/src/daemon/reload.rs
@@ -44,10 +44,12 @@
                     known = settings;
                 }
                 Ok(_) if is_signal => {
-                    log::info!(event = "reload", changed = false, signal = true; "")
+                    log::info!(event = "reload", changed = false, signal = true; "");
                 }
                 Ok(_) => {}
-                Err(error) => log::warn!(event = "reload_failed", error:% = error; ""),
+                Err(error) => {
+                    log::warn!(event = "reload_failed", error:% = error; "");
+                }
             }
         }
     }
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -335,7 +335,7 @@
     let body = match body {
         Ok(body) => body,
         Err(error) => {
-            observe_version(shared, job, &leg.upstream, Answer::Bad);
+            observe_version(shared, job, &leg.upstream, Answer::Broken);
             return lost(shared, job, &leg, &error);
         }
     };
@@ -359,7 +359,7 @@
     }
     if head.status >= 500 {
         observe(shared, &upstream, Seen::Error, "error");
-        observe_version(shared, job, &upstream, Answer::Bad);
+        observe_version(shared, job, &upstream, Answer::Failed);
         if job.route.kind.is_repeatable() && can_move {
             return AttemptEnd::Failure(Box::new(head), body);
         }
@@ -466,7 +466,7 @@
         }
         RelayEnd::ClientGone => AttemptEnd::ClientGone,
         RelayEnd::Lost(error) => {
-            observe_version(shared, job, &leg.upstream, Answer::Bad);
+            observe_version(shared, job, &leg.upstream, Answer::Broken);
             lost_midway(shared, job, &leg, &error)
         }
         RelayEnd::Silent(Silence::TimedOut) => AttemptEnd::TimedOut { may_have_run: true },
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -430,14 +430,14 @@
 }
 
 /// Pause between two looks at whether a roll-out is due for a decision.
-const DECISION_PAUSE: Millis = Millis(200);
+const DECISION_PAUSE: Millis = Millis(100);
 
 /// Records decisions on roll-outs until the task is dropped.
 pub async fn decide_rollouts(shared: Rc<Shared>) {
     loop {
         actix_rt::time::sleep(DECISION_PAUSE.duration()).await;
         // Gateways look at different times, so that one of them writes and the others read.
-        let jitter = Millis(shared.draw() % 100);
+        let jitter = Millis(shared.draw() % 50);
         actix_rt::time::sleep(jitter.duration()).await;
         let (now, unix) = (shared.clock.now(), shared.clock.unix());
         let due = shared.rollouts.borrow_mut().due(now, unix);
@@ -468,10 +468,9 @@
     }
     let mut rollouts = shared.rollouts.borrow_mut();
     if let Some(rollout) = rollouts.get_mut(&write.service) {
-        let [new_failed, new_slow, new, old_failed, old_slow, old] = rollout.evidence();
+        let [new, old] = rollout.evidence();
         log::warn!(event = "rollout_stopped", service:% = write.service, to:% = write.to,
-            new_failed = new_failed, new_slow = new_slow, new = new, old_failed = old_failed,
-            old_slow = old_slow, old = old; "");
+            new_failed_broken_slow_all:? = new, old_failed_broken_slow_all:? = old; "");
         rollout.set_phase(Phase::Reverted);
     }
 }
--- a/src/platform/tests/items.rs
+++ b/src/platform/tests/items.rs
@@ -121,6 +121,10 @@
 /// Whatever a stranger writes, decoding ends with a notice or an error.
 #[test]
 fn any_bytes_are_decoded_or_refused() {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck passes its values by value"
+    )]
     fn property(key: u8, bytes: Vec<u8>) {
         let keys = [
             "op/config",
--- a/src/router/pick.rs
+++ b/src/router/pick.rs
@@ -44,6 +44,10 @@
 const DISTANCE: u64 = 120;
 
 /// One upstream that may take the attempt.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "they are independent facts about one upstream"
+)]
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Candidate {
     /// Hash of its id.
--- a/src/router/rollout.rs
+++ b/src/router/rollout.rs
@@ -24,14 +24,29 @@
 /// Part of the time for which the canary share holds, in percent.
 const CANARY_UNTIL: u64 = 72;
 
+/// Share of sessions after the canary share and before all of them, in permille: a version that fails only
+/// under load shows it before it has the whole load.
+const STEP_PERMILLE: u64 = 300;
+
+/// Part of the time for which that share holds, in percent.
+const STEP_UNTIL: u64 = 80;
+
 /// Part of the time at which the roll-out is completed, in percent.
 const COMPLETE_AT: u64 = 92;
 
 /// Bad answers that a stop needs at least.
 const MIN_BAD: f64 = 3.0;
 
-/// Rate of failed answers above the old version's that stops the roll-out.
-const EXCESS_FAILED: f64 = 0.15;
+/// Standard deviations of the failed answers that the old version's rate explains, above which a roll-out
+/// is stopped.
+const DEVIATIONS: f64 = 3.0;
+
+/// Failed answers and answers that are added to the old version's, since it may have failed none.
+const PRIOR: (f64, f64) = (0.2, 20.0);
+
+/// Rate of broken answers above the old version's that stops the roll-out. A sound version whose upstream
+/// crashes breaks several at once.
+const EXCESS_BROKEN: f64 = 0.15;
 
 /// Rate of slow answers above the old version's that stops the roll-out. A sound version has more slow
 /// answers than the old one when all requests move there, since its upstreams have no prompts cached.
@@ -74,14 +89,17 @@
 pub enum Answer {
     /// With success, its first byte after this time.
     Good(Millis),
-    /// With an error of its own, or with an answer that broke off.
-    Bad,
+    /// With an error of its own.
+    Failed,
+    /// With an answer that broke off.
+    Broken,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
 struct Tally {
     total: f64,
     failed: f64,
+    broken: f64,
     slow: f64,
     updated: Millis,
 }
@@ -91,6 +109,7 @@
 enum Mark {
     Sound,
     Failed,
+    Broken,
     Slow,
 }
 
@@ -104,6 +123,7 @@
         let keep = 0.5_f64.powf(halvings);
         self.total = self.total * keep + 1.0;
         self.failed = self.failed * keep + f64::from(u8::from(mark == Mark::Failed));
+        self.broken = self.broken * keep + f64::from(u8::from(mark == Mark::Broken));
         self.slow = self.slow * keep + f64::from(u8::from(mark == Mark::Slow));
         self.updated = now;
     }
@@ -114,7 +134,13 @@
             let (rate, old_rate) = (count / self.total.max(1.0), old_count / old.total.max(1.0));
             count >= MIN_BAD && rate > old_rate * 1.5 + excess
         };
-        exceeds(self.failed, old.failed, EXCESS_FAILED) || exceeds(self.slow, old.slow, EXCESS_SLOW)
+        let old_rate = (old.failed + PRIOR.0) / (old.total + PRIOR.1);
+        let expected = self.total * old_rate;
+        let fails = self.failed >= MIN_BAD
+            && self.failed >= expected + DEVIATIONS * (expected + 1.0).sqrt();
+        fails
+            || exceeds(self.broken, old.broken, EXCESS_BROKEN)
+            || exceeds(self.slow, old.slow, EXCESS_SLOW)
     }
 }
 
@@ -182,7 +208,8 @@
         match self.phase {
             Phase::Complete => 1_000,
             Phase::Reverted => 0,
-            Phase::Active if self.is_past(CANARY_UNTIL, now) => 1_000,
+            Phase::Active if self.is_past(STEP_UNTIL, now) => 1_000,
+            Phase::Active if self.is_past(CANARY_UNTIL, now) => STEP_PERMILLE,
             Phase::Active if self.pins_sessions(now) => {
                 self.exposure_permille * FIRST_PERCENT / 100
             }
@@ -222,7 +249,8 @@
     pub fn observe(&mut self, version: &str, kind: u64, answer: Answer, now: Millis) {
         let is_new = version == self.to.as_ref();
         let mark = match answer {
-            Answer::Bad => Mark::Failed,
+            Answer::Failed => Mark::Failed,
+            Answer::Broken => Mark::Broken,
             Answer::Good(first_byte) if self.is_slow(kind, first_byte) => Mark::Slow,
             Answer::Good(_) => Mark::Sound,
         };
@@ -248,12 +276,14 @@
         self.is_past(COMPLETE_AT, now).then_some(Phase::Complete)
     }
 
-    /// Returns weighted failed, slow and all answers of the new and then of the old version, for logs.
+    /// Returns weighted failed, broken, slow and all answers of the new and then of the old version, for
+    /// logs.
     #[must_use]
-    pub const fn evidence(&self) -> [f64; 6] {
+    pub const fn evidence(&self) -> [[f64; 4]; 2] {
         let (new, old) = (&self.new, &self.old);
         [
-            new.failed, new.slow, new.total, old.failed, old.slow, old.total,
+            [new.failed, new.broken, new.slow, new.total],
+            [old.failed, old.broken, old.slow, old.total],
         ]
     }
 
