Give up a request in one place, start both programs alike

Cause: the last reading found four copies of the call that gives a request up, and two programs that read their settings and start their log by the same lines.

Change: the loop over attempts ends with a reason, and the request is given up after it; daemon::run_on_platform starts router and beacon.

Ruled out: merging the daemons' two starts (settings from an argument and from the platform), since their checks differ.

--- a/src/bin/fireflywind-beacon/main.rs
+++ b/src/bin/fireflywind-beacon/main.rs
@@ -7,28 +7,11 @@
 use fireflywind::daemon::reload::Reloads;
 use fireflywind::daemon::{self, StopSignals};
 use fireflywind::platform::settings::{BeaconSettings, load};
-use fireflywind::telemetry::buffered;
 
 const NAME: &str = "fireflywind-beacon";
 
 fn main() -> ExitCode {
-    let cfg: BeaconSettings = match load() {
-        Ok(cfg) => cfg,
-        Err(error) => {
-            eprintln!("{NAME}: {error}");
-            return DaemonExit::InvalidSettings.into();
-        }
-    };
-    let writer = match buffered::start(log::LevelFilter::Info) {
-        Ok(writer) => writer,
-        Err(error) => {
-            eprintln!("{NAME}: {error}");
-            return DaemonExit::CannotStart.into();
-        }
-    };
-    let exit = actix_rt::System::new().block_on(run(&cfg));
-    writer.close();
-    exit.into()
+    daemon::run_on_platform(NAME, load, run)
 }
 
 async fn run(cfg: &BeaconSettings) -> DaemonExit {
--- a/src/bin/fireflywind-router/main.rs
+++ b/src/bin/fireflywind-router/main.rs
@@ -11,28 +11,11 @@
 use fireflywind::forward::shared::Shared;
 use fireflywind::platform::settings::{GatewaySettings, load};
 use fireflywind::platform::store::Store;
-use fireflywind::telemetry::buffered;
 
 const NAME: &str = "fireflywind-router";
 
 fn main() -> ExitCode {
-    let cfg: GatewaySettings = match load() {
-        Ok(cfg) => cfg,
-        Err(error) => {
-            eprintln!("{NAME}: {error}");
-            return DaemonExit::InvalidSettings.into();
-        }
-    };
-    let writer = match buffered::start(log::LevelFilter::Info) {
-        Ok(writer) => writer,
-        Err(error) => {
-            eprintln!("{NAME}: {error}");
-            return DaemonExit::CannotStart.into();
-        }
-    };
-    let exit = actix_rt::System::new().block_on(run(&cfg));
-    writer.close();
-    exit.into()
+    daemon::run_on_platform(NAME, load, run)
 }
 
 async fn run(cfg: &GatewaySettings) -> DaemonExit {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::settings::{self, LoadError};
 use crate::sheet::finding::Finding;
-use crate::telemetry::logging;
+use crate::telemetry::{buffered, logging};
 
 use exit_codes::DaemonExit;
 
@@ -80,6 +80,31 @@
     run(&cfg).into()
 }
 
+/// Runs a program whose settings the platform names: reads them, starts the log and the runtime.
+pub fn run_on_platform<T, E: std::fmt::Display>(
+    name: &str,
+    load: impl FnOnce() -> Result<T, E>,
+    run: impl AsyncFnOnce(&T) -> DaemonExit,
+) -> ExitCode {
+    let cfg = match load() {
+        Ok(cfg) => cfg,
+        Err(error) => {
+            eprintln!("{name}: {error}");
+            return DaemonExit::InvalidSettings.into();
+        }
+    };
+    let writer = match buffered::start(log::LevelFilter::Info) {
+        Ok(writer) => writer,
+        Err(error) => {
+            eprintln!("{name}: {error}");
+            return DaemonExit::CannotStart.into();
+        }
+    };
+    let exit = actix_rt::System::new().block_on(run(&cfg));
+    writer.close();
+    exit.into()
+}
+
 fn help(program: Program) -> String {
     let Program { name, about } = program;
     let codes: Vec<_> = DaemonExit::ALL
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -92,43 +92,16 @@
     let mut failure: Option<(Box<ResponseHead>, Bytes)> = None;
     let mut relay = Relay::new(job.resume_after);
     let mut needs_budget = false;
-    loop {
+    let reason = loop {
         let now = shared.clock.now();
         if now + MIN_LEFT >= job.deadline {
-            return give_up(
-                shared.draw() % COME_BACK.0,
-                client,
-                failure,
-                &attempts,
-                job,
-                "deadline",
-                &relay,
-            )
-            .await;
+            break "deadline";
         }
         if !attempts.can_send() || (needs_budget && !take_budget(shared, job)) {
-            return give_up(
-                shared.draw() % COME_BACK.0,
-                client,
-                failure,
-                &attempts,
-                job,
-                "attempts_used",
-                &relay,
-            )
-            .await;
+            break "attempts_used";
         }
         let Some(upstream) = choose(shared, job, &tried) else {
-            return give_up(
-                shared.draw() % COME_BACK.0,
-                client,
-                failure,
-                &attempts,
-                job,
-                "no_upstream",
-                &relay,
-            )
-            .await;
+            break "no_upstream";
         };
         tried.push(Rc::clone(&upstream.id));
         let can_move = attempts.can_escalate();
@@ -161,19 +134,12 @@
                 if may_have_run {
                     attempts.note(Ended::Lost);
                 }
-                return give_up(
-                    shared.draw() % COME_BACK.0,
-                    client,
-                    failure,
-                    &attempts,
-                    job,
-                    "timeout",
-                    &relay,
-                )
-                .await;
+                break "timeout";
             }
         }
-    }
+    };
+    let jitter = shared.draw() % COME_BACK.0;
+    give_up(jitter, client, failure, &attempts, job, reason, &relay).await
 }
 
 async fn give_up(
