Find a version that fails under load before it has the whole load

Cause: a version that fails only under load failed nothing at the canary share, and got all requests from 80% of the time on.

Change: from 72% of the time the new version's share (16% of the sessions) goes to so few of its upstreams that each has up to twice its usual load. Failed answers count there, slow ones don't: such an upstream is slow by itself. All requests move 6.3% before the end and the roll-out is completed 3.9% before it, so a version that is never found keeps its exposure, also with a burst at the worst moment. Broken answers within 500 ms count once: at smaller shares a crash of one upstream looked like a bad version (a_crash_of_an_upstream_does_not_stop_a_rollout was red for that).

Ruled out: later steps alone.

Tests: a_bad_version_that_never_shows_it_stays_within_its_exposure and every_exposure_leaves_time_to_complete were red on the code before. a_trial_finds_a_version_that_fails_under_load and slow_answers_under_trial_do_not_stop_a_rollout came with the trial.

--- a/src/forward/choose.rs
+++ b/src/forward/choose.rs
@@ -78,7 +78,11 @@
         let of_group = ready.iter().filter(|u| (u.version == rollout.to) == is_new);
         of_group.copied().collect::<Vec<_>>()
     };
-    let own = in_group(group);
+    let mut own = in_group(group);
+    if group == Group::New {
+        own.sort_by_cached_key(|u| hash(u.id.as_bytes()));
+        own.truncate(rollout.upstreams_in_use(own.len(), now));
+    }
     match group {
         _ if !own.is_empty() || !rollout.can_fall_back(group) => own,
         Group::New => in_group(Group::Old),
--- a/src/router/rollout.rs
+++ b/src/router/rollout.rs
@@ -3,6 +3,7 @@
 //! A small, constant share of the sessions goes to the new version until most of the time is over. Every
 //! gateway judges the new version by its own requests and stops the roll-out alone. If the version is
 //! sound, all requests go there, the old upstreams finish what they have, and the roll-out is completed.
+//! The steps are so late that a version which is never found bad stays within the allowed exposure.
 //! The platform runs its own deadline and stops the old upstreams, which sets this apart from the product's
 //! [`crate::rollout::RolloutGuard`].
 
@@ -14,25 +15,29 @@
 /// when the roll-out starts may stay with their version for that time, and not every gateway knows them.
 const FIRST_PERCENT: u64 = 15;
 
-/// Part of the allowed exposure that is used after the first half, in percent; the rest is kept for the
-/// time until a stop is known everywhere.
+/// Part of the allowed exposure that is used after the first half, in percent.
 const CANARY_PERCENT: u64 = 45;
 
 /// Part of the time in which sessions stay with their version, in percent.
 const PINNED_UNTIL: u64 = 52;
 
-/// Part of the time for which the canary share holds, in percent.
-const CANARY_UNTIL: u64 = 72;
+/// Part of the time from which the new version is under trial, in percent: few of its upstreams get all its
+/// requests. A version that fails only under load shows it there before it has the whole load.
+const TRIAL_FROM: u64 = 72;
 
-/// Share of sessions after the canary share and before all of them, in permille: a version that fails only
-/// under load shows it before it has the whole load.
-const STEP_PERMILLE: u64 = 300;
+/// Share of sessions under trial, in percent of the allowed exposure.
+const TRIAL_PERCENT: u64 = 110;
 
-/// Part of the time for which that share holds, in percent.
-const STEP_UNTIL: u64 = 80;
+/// Highest load of an upstream under trial, in percent of its usual one.
+const TRIAL_LOAD_PERCENT: u64 = 200;
 
-/// Part of the time at which the roll-out is completed, in percent.
-const COMPLETE_AT: u64 = 92;
+/// Rest of the time at which all sessions move, in percent of the exposure. A version whose faults never
+/// show has all requests for this part; the steps before use less than half of the exposure.
+const FULL_REST_PERCENT: u64 = 42;
+
+/// Rest of the time at which the roll-out is completed, in percent of the exposure: about a second of the
+/// usual 20 s, in which the record is written.
+const COMPLETE_REST_PERCENT: u64 = 26;
 
 /// Bad answers that a stop needs at least.
 const MIN_BAD: f64 = 3.0;
@@ -44,10 +49,12 @@
 /// Failed answers and answers that are added to the old version's, since it may have failed none.
 const PRIOR: (f64, f64) = (0.2, 20.0);
 
-/// Rate of broken answers above the old version's that stops the roll-out. A sound version whose upstream
-/// crashes breaks several at once.
+/// Rate of broken answers above the old version's that stops the roll-out.
 const EXCESS_BROKEN: f64 = 0.15;
 
+/// Time in which broken answers count once: an upstream of a sound version that crashes breaks several.
+const CRASH_SPAN: Millis = Millis(500);
+
 /// Rate of slow answers above the old version's that stops the roll-out. A sound version has more slow
 /// answers than the old one when all requests move there, since its upstreams have no prompts cached.
 const EXCESS_SLOW: f64 = 0.25;
@@ -102,6 +109,8 @@
     broken: f64,
     slow: f64,
     updated: Millis,
+    /// When the last broken answer was counted.
+    broke: Option<Millis>,
 }
 
 /// How an answer counts.
@@ -119,6 +128,12 @@
         reason = "spans of a process's life are far below 2^52 ms"
     )]
     fn add(&mut self, mark: Mark, now: Millis) {
+        if mark == Mark::Broken {
+            if self.broke.is_some_and(|at| now.since(at) < CRASH_SPAN) {
+                return;
+            }
+            self.broke = Some(now);
+        }
         let halvings = now.since(self.updated).0 as f64 / HALF_LIFE.0 as f64;
         let keep = 0.5_f64.powf(halvings);
         self.total = self.total * keep + 1.0;
@@ -208,11 +223,13 @@
         match self.phase {
             Phase::Complete => 1_000,
             Phase::Reverted => 0,
-            Phase::Active if self.is_past(STEP_UNTIL, now) => 1_000,
-            Phase::Active if self.is_past(CANARY_UNTIL, now) => STEP_PERMILLE,
             Phase::Active if self.pins_sessions(now) => {
                 self.exposure_permille * FIRST_PERCENT / 100
             }
+            Phase::Active if self.is_within_rest(FULL_REST_PERCENT, now) => 1_000,
+            Phase::Active if self.is_trial(now) => {
+                (self.exposure_permille * TRIAL_PERCENT / 100).min(1_000)
+            }
             Phase::Active => self.exposure_permille * CANARY_PERCENT / 100,
         }
     }
@@ -220,7 +237,7 @@
     /// Tells whether a session must stay with the version that it used before.
     #[must_use]
     pub fn pins_sessions(&self, now: Millis) -> bool {
-        self.phase == Phase::Active && !self.is_past(PINNED_UNTIL, now)
+        self.phase == Phase::Active && now.since(self.started).0 * 100 < self.ramp.0 * PINNED_UNTIL
     }
 
     /// Returns where a session belongs; all gateways agree on it without messages.
@@ -233,6 +250,17 @@
         }
     }
 
+    /// Returns how many of the new version's upstreams take its requests, of `count` that are ready.
+    #[must_use]
+    pub fn upstreams_in_use(&self, count: usize, now: Millis) -> usize {
+        if !self.is_trial(now) {
+            return count;
+        }
+        let share = self.share_permille(now) * count as u64;
+        let in_use = share.div_ceil(TRIAL_LOAD_PERCENT * 10).max(1);
+        usize::try_from(in_use).map_or(count, |n| n.min(count))
+    }
+
     /// Tells whether upstreams of the other group may be used if one's own has none.
     #[must_use]
     pub fn can_fall_back(&self, from: Group) -> bool {
@@ -251,6 +279,8 @@
         let mark = match answer {
             Answer::Failed => Mark::Failed,
             Answer::Broken => Mark::Broken,
+            // An upstream under trial has a high load and requests of all sizes: it is slow by itself.
+            Answer::Good(_) if is_new && self.is_trial(now) => Mark::Sound,
             Answer::Good(first_byte) if self.is_slow(kind, first_byte) => Mark::Slow,
             Answer::Good(_) => Mark::Sound,
         };
@@ -273,7 +303,7 @@
         if self.new.is_worse(&self.old) {
             return Some(Phase::Reverted);
         }
-        self.is_past(COMPLETE_AT, now).then_some(Phase::Complete)
+        (self.is_within_rest(COMPLETE_REST_PERCENT, now)).then_some(Phase::Complete)
     }
 
     /// Returns weighted failed, broken, slow and all answers of the new and then of the old version, for
@@ -287,8 +317,18 @@
         ]
     }
 
-    fn is_past(&self, percent: u64, now: Millis) -> bool {
-        now.since(self.started).0 * 100 >= self.ramp.0 * percent
+    /// Tells whether few upstreams of the new version are under trial.
+    fn is_trial(&self, now: Millis) -> bool {
+        let spent = now.since(self.started).0 * 100;
+        self.phase == Phase::Active
+            && spent >= self.ramp.0 * TRIAL_FROM
+            && !self.is_within_rest(FULL_REST_PERCENT, now)
+    }
+
+    /// Tells whether the time that is left is at most this part of the exposure, as a share of the whole time.
+    fn is_within_rest(&self, percent: u64, now: Millis) -> bool {
+        let left = self.ramp.since(now.since(self.started));
+        left.0 * 100_000 <= self.ramp.0 * self.exposure_permille * percent
     }
 
     #[expect(
--- a/src/router/tests/rollout.rs
+++ b/src/router/tests/rollout.rs
@@ -120,6 +120,84 @@
     }
 }
 
+/// A version whose faults never show, since no load is high enough for them, is taken for sound. It must stay
+/// within its exposure all the same, also if a burst comes at the worst moment.
+#[test]
+fn a_bad_version_that_never_shows_it_stays_within_its_exposure() {
+    const BURST: Millis = Millis::from_secs(5);
+    const BURST_PERCENT: u64 = 150;
+    for burst_at in (0..RAMP.0).step_by(500).map(Millis) {
+        let rollout = rollout();
+        let (mut new, mut all) = (0, 0);
+        for tick in (0..RAMP.0).step_by(10).map(Millis) {
+            let in_burst = tick >= burst_at && tick < burst_at + BURST;
+            let requests = if in_burst { BURST_PERCENT } else { 100 };
+            new += requests * rollout.share_permille(tick) / 1_000;
+            all += requests;
+        }
+
+        let allowed = all * EXPOSURE_PERMILLE / 1_000;
+        assert!(new <= allowed, "burst at {burst_at:?}: {new} of {allowed}");
+    }
+}
+
+/// The last steps follow from the exposure, whatever it is.
+#[test]
+fn every_exposure_leaves_time_to_complete() {
+    for exposure in [30, 80, 150, 300, 1_000] {
+        let rollout = Rollout::new(Rc::from("v2"), Millis(0), RAMP, exposure);
+        let share = |percent: u64| rollout.share_permille(Millis(RAMP.0 * percent / 100));
+
+        let sum: u64 = (0..1_000)
+            .map(|n| rollout.share_permille(Millis(RAMP.0 * n / 1_000)))
+            .sum();
+
+        assert!(sum <= exposure * 1_000, "exposure {exposure}: {sum}");
+        assert!((0..100).all(|percent| share(percent) <= share(percent + 1)));
+        assert_eq!(rollout.verdict(RAMP), Some(Phase::Complete));
+        assert_eq!(rollout.share_permille(RAMP), 1_000);
+    }
+}
+
+/// A version that fails half of its requests wherever an upstream has more than its usual load. The trial
+/// brings that load while most sessions stay with the old version.
+#[test]
+fn a_trial_finds_a_version_that_fails_under_load() {
+    const UPSTREAMS: usize = 18;
+    let mut rollout = rollout();
+
+    let shares = rollout.clone();
+
+    let (new, all, phase) = play(&mut rollout, |n, now| {
+        let in_use = shares.upstreams_in_use(UPSTREAMS, now) as u64;
+        let load_percent = shares.share_permille(now) * UPSTREAMS as u64 / in_use / 10;
+        assert!(load_percent <= 200, "an upstream gets {load_percent}%");
+        if load_percent > 100 && n.is_multiple_of(2) {
+            Answer::Failed
+        } else {
+            Answer::Good(Millis(100))
+        }
+    });
+
+    assert_eq!(phase, Some(Phase::Reverted));
+    assert!(new <= all * EXPOSURE_PERMILLE / 1_000, "{new} of {all}");
+}
+
+/// An upstream under trial answers slowly, since it has more than its usual load: that says nothing about
+/// its version.
+#[test]
+fn slow_answers_under_trial_do_not_stop_a_rollout() {
+    let mut rollout = rollout();
+    let shares = rollout.clone();
+
+    let (_, _, phase) = play(&mut rollout, |_, now| {
+        let is_trial = shares.upstreams_in_use(18, now) < 18;
+        Answer::Good(Millis(if is_trial { 900 } else { 110 }))
+    });
+
+    assert_eq!(phase, Some(Phase::Complete));
+}
+
 /// A crash of one of its upstreams breaks several answers of a sound version at once.
 #[test]
 fn a_crash_of_an_upstream_does_not_stop_a_rollout() {
