Soak the gateways with random faults, start a roll-out when it was ordered

The soak runs two real gateways as processes against a store, upstreams and clients on loopback. Signals freeze, kill, stop and hang up the processes; proxies hold back, delay, cut one way or reset the connections to store and upstreams; the store refuses and loses its history; upstreams fail, cut, are full, mute, crash, drain; keys change. It judges what clients and upstreams see: answers, order of events, runs per request, truth of refusals, accounts and keys, recovery. Two short seeds run with the tests; SOAK_SEEDS and SOAK_SECONDS run it by hand.

Change: after a gap an order counts from the gap's middle, and the record of the start holds that time.

--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -147,15 +147,19 @@
         let now = shared.clock.now();
         match result {
             Ok(listing) => {
-                note_contact(&shared, now, failures);
-                failures = 0;
+                let silence = shared.freshness.borrow().age(now);
+                note_contact(&shared, silence, failures, now);
                 let is_quiet = revision.is_some() && listing.notices.is_empty();
                 if is_quiet {
                     (shared.freshness.borrow_mut()).confirm_quiet(asked, wait, now);
                 } else {
                     shared.freshness.borrow_mut().confirm(asked);
                 }
-                take_in(&shared, listing.notices, revision.is_none(), now);
+                // A watch tells of a change at once; after a gap nobody knows when it was made.
+                let gap = silence.filter(|_| failures > 0 || revision.is_none());
+                let made = middle_of(gap, now);
+                failures = 0;
+                take_in(&shared, listing.notices, revision.is_none(), now, made);
                 // The history never goes back.
                 revision =
                     Some(revision.map_or(listing.revision, |r: u64| r.max(listing.revision)));
@@ -184,8 +188,7 @@
 }
 
 /// Notes an answer of the store.
-fn note_contact(shared: &Shared, now: Millis, failures: u32) {
-    let silence = shared.freshness.borrow().age(now);
+fn note_contact(shared: &Shared, silence: Option<Millis>, failures: u32, now: Millis) {
     let was_away = failures > 0 || silence.is_some_and(|s| s > OUTAGE);
     if was_away {
         shared.lapses.borrow_mut().regained(now);
@@ -194,7 +197,14 @@
     }
 }
 
-fn take_in(shared: &Rc<Shared>, notices: Vec<Notice>, is_list: bool, now: Millis) {
+/// Returns the middle of a gap that ends now, the best guess for the time of a change within it.
+fn middle_of(gap: Option<Millis>, now: Millis) -> Millis {
+    let gap = gap.map_or(0, |g| g.0.min(OUTAGE.0));
+    Millis(now.0.saturating_sub(gap / 2))
+}
+
+/// Takes in what the store said; `made` is when changes were made, as far as is known.
+fn take_in(shared: &Rc<Shared>, notices: Vec<Notice>, is_list: bool, now: Millis, made: Millis) {
     let grace = shared.lapses.borrow().grace(now);
     let mut upstreams = Vec::new();
     for notice in notices {
@@ -210,7 +220,7 @@
             }
             Notice::Table(table) => shared.set_table(table),
             Notice::RolloutOrder { service, to, ramp } => {
-                shared.rollouts.borrow_mut().order(&service, to, ramp, now);
+                shared.rollouts.borrow_mut().order(&service, to, ramp, made);
             }
             Notice::RolloutRemoved(service) => shared.rollouts.borrow_mut().remove(&service),
             Notice::RolloutPhase {
@@ -393,7 +403,7 @@
             known.is_writing = true;
             let start = known.recorded.is_none().then(|| RolloutStart {
                 to: known.rollout.to.to_string(),
-                started_unix_ms: unix.0,
+                started_unix_ms: unix.since(now.since(known.rollout.started())).0,
             });
             Some(RolloutWrite {
                 service: Rc::clone(&known.service),
--- a/src/forward/tests/fixture.rs
+++ b/src/forward/tests/fixture.rs
@@ -203,7 +203,23 @@
     let control = FixedControl {
         notices: RefCell::new(notices),
     };
-    let policy = Policy {
+    let shared = Shared::open(policy(), Box::new(control));
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let addresses = Addresses {
+        listen: any,
+        ready: any,
+        admin: any,
+    };
+    let gateway = Gateway::bind(shared, addresses).expect("loopback can be bound");
+    while !is_ready(&gateway).await {
+        actix_rt::time::sleep(Millis(5).duration()).await;
+    }
+    gateway
+}
+
+/// Returns the bounds of a small deployment.
+pub(super) fn policy() -> Policy {
+    Policy {
         name: "gateway".into(),
         data_centre: "a".into(),
         retries: RetryBounds {
@@ -215,19 +231,7 @@
         exposure_permille: 100,
         session_span: Millis::from_secs(5),
         stop_grace: Millis::from_secs(8),
-    };
-    let shared = Shared::open(policy, Box::new(control));
-    let any = "127.0.0.1:0".parse().expect("an address");
-    let addresses = Addresses {
-        listen: any,
-        ready: any,
-        admin: any,
-    };
-    let gateway = Gateway::bind(shared, addresses).expect("loopback can be bound");
-    while !is_ready(&gateway).await {
-        actix_rt::time::sleep(Millis(5).duration()).await;
     }
-    gateway
 }
 
 /// Asks the gateway whether it is ready.
--- a/src/router/rollout.rs
+++ b/src/router/rollout.rs
@@ -36,8 +36,8 @@
 const FULL_REST_PERCENT: u64 = 42;
 
 /// Rest of the time at which the roll-out is completed, in percent of the exposure: about a second of the
-/// usual 20 s, in which the record is written.
-const COMPLETE_REST_PERCENT: u64 = 26;
+/// usual 24 s, in which the record is written.
+const COMPLETE_REST_PERCENT: u64 = 32;
 
 /// Bad answers that a stop needs at least.
 const MIN_BAD: f64 = 3.0;
@@ -206,6 +206,12 @@
         }
     }
 
+    /// Returns when it started.
+    #[must_use]
+    pub const fn started(&self) -> Millis {
+        self.started
+    }
+
     /// Moves the start, as another gateway has recorded it.
     pub fn set_start(&mut self, started: Millis) {
         self.started = started;
--- /dev/null
+++ b/tests/soak/main.rs
@@ -0,0 +1,58 @@
+//! A randomized fault soak of the real gateways.
+//!
+//! Several gateways, a store, upstreams and clients run as separate processes or threads on loopback. Faults are
+//! injected from outside: signals to the processes, and proxies that hold back, delay or reset what passes.
+//! Only what clients and upstreams see is judged.
+//!
+//! `SOAK_SEEDS=1..50 SOAK_SECONDS=20 cargo test --release --test soak -- --nocapture` runs it by hand.
+
+mod client;
+mod draw;
+mod faults;
+mod gateway;
+mod ledger;
+mod proxy;
+mod store;
+mod upstream;
+mod wire;
+mod world;
+
+use std::time::Duration;
+
+use world::World;
+
+/// Seeds of every CI run.
+const SEEDS: std::ops::Range<u64> = 1..3;
+
+/// Time for which faults are injected in a CI run.
+const SPAN: Duration = Duration::from_secs(4);
+
+fn seeds() -> std::ops::Range<u64> {
+    let Ok(text) = std::env::var("SOAK_SEEDS") else {
+        return SEEDS;
+    };
+    let (from, to) = text.split_once("..").unwrap_or((&text, &text));
+    let number = |text: &str| text.parse::<u64>().expect("SOAK_SEEDS is FROM..TO");
+    number(from)..number(to) + 1
+}
+
+fn span() -> Duration {
+    let seconds = std::env::var("SOAK_SECONDS").ok();
+    seconds.map_or(SPAN, |s| {
+        Duration::from_secs(s.parse().expect("SOAK_SECONDS is a number"))
+    })
+}
+
+#[test]
+fn promises_hold_under_random_faults() {
+    let mut failed = Vec::new();
+    for seed in seeds() {
+        let world = World::start(seed);
+        let report = world.run(span());
+        println!("seed {seed}: {report}");
+        if !report.findings.is_empty() {
+            failed.push(seed);
+        }
+    }
+    assert!(failed.is_empty(), "seeds with findings: {failed:?}");
+}
--- /dev/null
+++ b/tests/soak/upstream.rs
@@ -0,0 +1,200 @@
+//! A stand-in for an upstream, which notes what it runs and can misbehave.
+
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use fireflywind::router::hash;
+use serde_json::{Value, json};
+
+use crate::ledger::{EVENTS, Kind, Ledger};
+use crate::proxy::Proxy;
+use crate::wire::{Channel, Message};
+
+/// How an upstream behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Mood {
+    /// As it should.
+    Sound,
+    /// Half of its answers are errors of its own.
+    Failing,
+    /// It refuses everything as full.
+    Full,
+    /// A third of its answers break off.
+    Cutting,
+    /// It runs requests and doesn't answer.
+    Mute,
+    /// Its process has ended.
+    Dead,
+}
+
+impl Mood {
+    const fn from(byte: u8) -> Self {
+        match byte {
+            1 => Self::Failing,
+            2 => Self::Full,
+            3 => Self::Cutting,
+            4 => Self::Mute,
+            5 => Self::Dead,
+            _ => Self::Sound,
+        }
+    }
+}
+
+const WORK: Duration = Duration::from_millis(10);
+const EVENT_PAUSE: Duration = Duration::from_millis(15);
+
+/// Longest time that a mute upstream keeps a connection.
+const MUTE: Duration = Duration::from_secs(3);
+
+/// A running upstream.
+#[derive(Debug, Clone)]
+pub struct Upstream {
+    /// Id in the store.
+    pub id: Arc<str>,
+    /// What stands between it and the gateways.
+    pub proxy: Proxy,
+    mood: Arc<AtomicU8>,
+    ledger: Arc<Ledger>,
+}
+
+impl Upstream {
+    /// Starts an upstream.
+    pub fn start(id: &str, ledger: Arc<Ledger>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+        let addr = listener.local_addr().expect("the listener is bound");
+        let upstream = Self {
+            id: Arc::from(id),
+            proxy: Proxy::start(addr),
+            mood: Arc::default(),
+            ledger,
+        };
+        let running = upstream.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let running = running.clone();
+                thread::spawn(move || running.serve(stream));
+            }
+        });
+        upstream
+    }
+
+    /// Sets how it behaves from now on.
+    pub fn set(&self, mood: Mood) {
+        self.mood.store(mood as u8, Ordering::SeqCst);
+    }
+
+    /// Returns its entry in the store.
+    pub fn entry(&self, state: &str, seq: u64) -> Value {
+        json!({"service": "s", "addr": self.proxy.addr.to_string(), "zone": "a", "version": "v1", "slots": 64,
+            "state": state, "coldLeftMs": 0, "seq": seq, "born": 1})
+    }
+
+    fn mood(&self) -> Mood {
+        Mood::from(self.mood.load(Ordering::SeqCst))
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let mut channel = Channel::new(stream);
+        while let Ok(mut message) = channel.read_head() {
+            let is_read = channel.read_body(&mut message, |_| true).is_ok();
+            if !is_read || self.mood() == Mood::Dead || !self.answer(&mut channel, &message) {
+                return;
+            }
+        }
+    }
+
+    /// Answers a request; `false` ends the connection.
+    fn answer(&self, channel: &mut Channel, message: &Message) -> bool {
+        let id = message
+            .field("x-fireflywind-request-id")
+            .unwrap_or("-")
+            .to_owned();
+        let refuse = |channel: &mut Channel, status: u16| {
+            let text = format!(
+                "HTTP/1.1 {status} X\r\nX-Fireflywind-Request-Id: {id}\r\nX-Fireflywind-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+            );
+            channel.write(text.as_bytes()).is_ok()
+        };
+        if message.field("x-fireflywind-expect-instance") != Some(&*self.id) {
+            return refuse(channel, 421);
+        }
+        if self.mood() == Mood::Full {
+            return refuse(channel, 503);
+        }
+        self.ledger.run(&self.id, message);
+        let luck = hash(format!("{id}{}", self.id).as_bytes()) % 6;
+        match self.mood() {
+            Mood::Dead => return false,
+            Mood::Mute => {
+                thread::sleep(MUTE);
+                return false;
+            }
+            Mood::Failing if luck < 3 => {
+                let head = self.head(500, &id);
+                let text = format!("{head}Content-Length: 5\r\n\r\nerror");
+                return channel.write(text.as_bytes()).is_ok();
+            }
+            Mood::Sound | Mood::Failing | Mood::Full | Mood::Cutting => {}
+        }
+        thread::sleep(WORK);
+        let is_cut = self.mood() == Mood::Cutting && luck < 2;
+        if message.word(1).starts_with(Kind::Generation.prefix()) {
+            return self.stream(channel, message, &id, is_cut);
+        }
+        let body = whole_body(&id);
+        let head = self.head(200, &id);
+        let mut text = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
+        if is_cut {
+            text.truncate(text.len() - body.len() / 2);
+        }
+        channel.write(text.as_bytes()).is_ok() && !is_cut
+    }
+
+    fn stream(&self, channel: &mut Channel, message: &Message, id: &str, is_cut: bool) -> bool {
+        let after = message.field("last-event-id").and_then(|t| t.parse().ok());
+        let confidence = hash(id.as_bytes()) % 100;
+        let head = self.head(200, id);
+        let text = format!(
+            "{head}X-Fireflywind-Confidence: {confidence}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        if channel.write(text.as_bytes()).is_err() {
+            return false;
+        }
+        for number in after.unwrap_or(0) + 1..=EVENTS {
+            let event = event(id, number);
+            if is_cut && number == EVENTS / 2 || self.mood() == Mood::Dead {
+                // Cut in the middle of an event.
+                let text = format!("{:x}\r\n{}", event.len(), &event[..event.len() / 2]);
+                let _ = channel.write(text.as_bytes());
+                return false;
+            }
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            if channel.write(chunk.as_bytes()).is_err() {
+                return false;
+            }
+            thread::sleep(EVENT_PAUSE);
+        }
+        channel.write(b"0\r\n\r\n").is_ok()
+    }
+
+    fn head(&self, status: u16, id: &str) -> String {
+        format!(
+            "HTTP/1.1 {status} X\r\nX-Fireflywind-Request-Id: {id}\r\nX-Fireflywind-Server-Stamp: {}.{id}\r\n",
+            self.id
+        )
+    }
+}
+
+/// The body of a plain answer.
+pub fn whole_body(id: &str) -> String {
+    id.repeat(20)
+}
+
+/// One event of a stream.
+pub fn event(id: &str, number: u64) -> String {
+    format!("id: {number}\ndata: {id} {number}\n\n")
+}
