Ask a larger model only while its answer is likely on time

The first bytes there took 1.4 s in the middle (goal 1.5 s), and as many chats were late by a pause over 1.2 s as by their first byte. The smallest model's upstreams were idle outside the bursts.

Change: the confidence from which an answer is delivered falls from 60 to 45 with the chance that a larger model's answer comes after the goal. The chance follows from the backlogs of the chosen upstreams and from what backlogs have cost (router/lateness). 18% of the upstreams serve the smallest model instead of 24%. The log line `pick` has the backlog, `confidence` the chance, and `outcome` the first byte and the longest pause.

Tests: a_doubtful_answer_is_delivered_if_a_better_one_would_be_late (red with the threshold fixed), the_chance_to_be_late_follows_the_backlog.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -16,6 +16,7 @@
 use crate::router::table::RequestKind;
 use crate::units::Millis;
 
+use super::choose::Choice;
 use super::client::{After, ClientConn, Incoming};
 use super::exchange::{self, ExchangeError};
 use super::head::ResponseHead;
@@ -42,6 +43,8 @@
 /// An upstream that was chosen, and the connection to it.
 struct Leg {
     upstream: Rc<Upstream>,
+    /// Work before the request when the upstream was chosen.
+    backlog: Option<u64>,
     conn: Conn,
     sent: Millis,
 }
@@ -106,11 +109,12 @@
     client: &mut ClientConn,
     req: &Incoming,
     job: &Job,
-    upstream: &Rc<Upstream>,
+    choice: &Choice,
     relay: &mut Relay,
     can_move: bool,
 ) -> AttemptEnd {
-    let mut leg = match open_leg(shared, job, upstream).await {
+    let upstream = &choice.upstream;
+    let mut leg = match open_leg(shared, job, choice).await {
         Ok(leg) => leg,
         Err(end) => return end,
     };
@@ -144,7 +148,8 @@
 }
 
 /// Takes a kept connection or opens one.
-async fn open_leg(shared: &Shared, job: &Job, upstream: &Rc<Upstream>) -> Result<Leg, AttemptEnd> {
+async fn open_leg(shared: &Shared, job: &Job, choice: &Choice) -> Result<Leg, AttemptEnd> {
+    let upstream = &choice.upstream;
     let now = shared.clock.now();
     let max_idle = match job.route.kind {
         RequestKind::AtMostOnce | RequestKind::Stream => FRESH_IDLE,
@@ -166,6 +171,7 @@
     };
     Ok(Leg {
         upstream: Rc::clone(upstream),
+        backlog: choice.backlog,
         conn,
         sent: shared.clock.now(),
     })
@@ -285,8 +291,7 @@
         field(headers::MODEL, job.route.models[model].as_bytes());
     }
     if job.route.has_prompts {
-        let account = job.account.as_ref().and_then(|a| a.priority);
-        let priority = account.unwrap_or(job.route.priority).min(9);
+        let priority = job.priority().min(9);
         field(headers::ENGINE_PRIORITY, priority.to_string().as_bytes());
     }
     if let Some(id) = relay.last_id() {
@@ -424,12 +429,17 @@
     let first_byte = shared.clock.now().since(leg.sent);
     observe(shared, &leg.upstream, Seen::Answer, "stream");
     observe_version(shared, job, &leg.upstream, Answer::Good(first_byte));
+    if let Some(backlog) = leg.backlog.filter(|_| job.asks_larger()) {
+        let work = backlog + job.work(shared);
+        shared.with_lateness(&job.service, |l| l.observe_first_byte(work, first_byte));
+    }
     if let Some(model) = job.model.filter(|_| !relay.has_begun()) {
         let opinion = Opinion {
             model,
             models: job.route.models.len(),
             confidence: (head.fields.number(headers::CONFIDENCE)).and_then(|c| c.try_into().ok()),
             can_send: can_move,
+            late: chance_late(shared, job),
         };
         let verdict = shared.with_cascade(&job.route.name, |cascade| {
             if let (Some(earlier), Some(confidence)) = (job.dropped, opinion.confidence) {
@@ -439,7 +449,7 @@
         });
         log::info!(event = "confidence", request:% = String::from_utf8_lossy(&job.id), model = model,
             confidence = opinion.confidence.map_or(-1, i32::from), verdict:? = verdict,
-            first_byte_ms = first_byte.0; "");
+            first_byte_ms = first_byte.0, chance_late:? = opinion.late; "");
         if let Verdict::Escalate(larger) = verdict
             && take_budget(shared, job)
         {
@@ -477,6 +487,13 @@
     }
 }
 
+/// Returns the chance that an answer of the largest model would come after the route's goal.
+fn chance_late(shared: &Shared, job: &Job) -> f64 {
+    let now = shared.clock.now();
+    let left = (job.arrived + job.route.goal).since(now);
+    shared.with_lateness(&job.service, |l| l.chance(job.size.prompt, left, now))
+}
+
 fn lost_midway(shared: &Shared, job: &Job, leg: &Leg, error: &ExchangeError) -> AttemptEnd {
     observe(shared, &leg.upstream, Seen::Broken, error.name());
     log::info!(event = "stream_lost", request:% = String::from_utf8_lossy(&job.id),
--- a/src/forward/choose.rs
+++ b/src/forward/choose.rs
@@ -11,8 +11,16 @@
 use super::job::Job;
 use super::shared::Shared;
 
+/// The upstream of an attempt.
+#[derive(Debug)]
+pub(super) struct Choice {
+    pub(super) upstream: Rc<Upstream>,
+    /// Work before the request there, in prompt tokens of the largest model, if it told its load.
+    pub(super) backlog: Option<u64>,
+}
+
 /// Chooses the upstream of an attempt.
-pub(super) fn choose(shared: &Shared, job: &Job, tried: &[Rc<str>]) -> Option<Rc<Upstream>> {
+pub(super) fn choose(shared: &Shared, job: &Job, tried: &[Rc<str>]) -> Option<Choice> {
     let now = shared.clock.now();
     let fleet = shared.fleet.borrow();
     let ready: Vec<_> = fleet.ready(&job.service).collect();
@@ -48,11 +56,18 @@
     };
     let (at, reason) = pick::pick(&candidates, wanted, shared.draw())?;
     let upstream = usable[at];
+    let backlog = candidates[at].backlog();
+    if let Some(backlog) = backlog.filter(|_| job.asks_larger()) {
+        shared.with_lateness(&job.service, |l| l.observe_backlog(backlog, now));
+    }
     log::info!(event = "pick", request:% = String::from_utf8_lossy(&job.id), upstream:% = upstream.id,
         session:% = format_args!("{:x}", job.session), version:% = upstream.version, reason = reason.name(), of = candidates.len(),
-        in_flight = candidates[at].in_flight, attempt = tried.len(), model = job.model.unwrap_or(0),
+        in_flight = candidates[at].in_flight, backlog:? = backlog, attempt = tried.len(), model = job.model.unwrap_or(0),
         table = shared.table.borrow().version; "");
-    Some(Rc::clone(upstream))
+    Some(Choice {
+        upstream: Rc::clone(upstream),
+        backlog,
+    })
 }
 
 /// Returns the upstreams of the versions that the request may run on.
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -1,5 +1,6 @@
 //! A request as it is to be served: route, client account, deadline and what its prompt says.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -42,6 +43,10 @@
     pub(super) keep_alive: bool,
     /// Last event that the client has.
     pub(super) resume_after: Option<u64>,
+    /// Time from the arrival to the first byte of a stream.
+    pub(super) first_byte: Cell<Option<Millis>>,
+    /// Longest pause between two parts of a stream.
+    pub(super) longest_pause: Cell<Millis>,
 }
 
 impl Job {
@@ -65,6 +70,17 @@
         self.size.prompt * self.token_permille(shared) / 1_000
     }
 
+    /// Tells whether a larger model than the smallest one is asked.
+    pub(super) fn asks_larger(&self) -> bool {
+        self.model.is_some_and(|model| model > 0)
+    }
+
+    /// Returns the urgency of the request; 0 is the highest.
+    pub(super) fn priority(&self) -> u8 {
+        let account = self.account.as_ref().and_then(|a| a.priority);
+        account.unwrap_or(self.route.priority)
+    }
+
     /// Returns the upstreams that the request prefers.
     pub(super) const fn lane<'a>(&self, sizes: &'a SizeMix) -> Lane<'a> {
         match self.model {
@@ -130,6 +146,8 @@
         to_head: head.method.as_ref() == b"HEAD",
         keep_alive: true,
         resume_after: head.fields.number(headers::LAST_EVENT_ID),
+        first_byte: Cell::default(),
+        longest_pause: Cell::default(),
         route,
     })
 }
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -77,8 +77,12 @@
         .map_or("-", |a| &a.name);
     let seconds = std::time::Duration::from_millis(took.0).as_secs_f64();
     shared.metrics.request(account, route, reason, seconds);
+    let first_byte = job
+        .and_then(|j| j.first_byte.get())
+        .map_or(-1, |m| i128::from(m.0));
+    let pause = job.map_or(Millis(0), |j| j.longest_pause.get());
     log::info!(event = "outcome", request = id, route = route, account = account, status = status,
-        reason = reason, took_ms = took.0; "");
+        reason = reason, took_ms = took.0, first_byte_ms = first_byte, longest_pause_ms = pause.0; "");
 }
 
 async fn attempts(
@@ -100,13 +104,14 @@
         if !attempts.can_send() || (needs_budget && !take_budget(shared, job)) {
             break "attempts_used";
         }
-        let Some(upstream) = choose(shared, job, &tried) else {
+        let Some(choice) = choose(shared, job, &tried) else {
             break "no_upstream";
         };
+        let upstream = &choice.upstream;
         tried.push(Rc::clone(&upstream.id));
         let can_move = attempts.can_escalate();
         (shared.health.borrow_mut()).start(&upstream.id, upstream.boot, now);
-        let end = attempt(shared, client, req, job, &upstream, &mut relay, can_move).await;
+        let end = attempt(shared, client, req, job, &choice, &mut relay, can_move).await;
         let now = shared.clock.now();
         (shared.health.borrow_mut()).end(&upstream.id, upstream.boot, now);
         needs_budget = true;
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -12,6 +12,7 @@
 use crate::router::fleet::{Fleet, Lapses};
 use crate::router::freshness::Freshness;
 use crate::router::health::HealthTable;
+use crate::router::lateness::Lateness;
 use crate::router::retry::{RetryBounds, RetryBudget};
 use crate::router::sessions::Sessions;
 use crate::router::sizes::SizeMix;
@@ -84,6 +85,7 @@
     /// Requests that are being served.
     pub in_flight: Cell<usize>,
     budgets: RefCell<Vec<(Rc<str>, RetryBudget)>>,
+    lateness: RefCell<Vec<(Rc<str>, Lateness)>>,
     random: Cell<u64>,
 }
 
@@ -123,6 +125,7 @@
             open_connections: Cell::default(),
             in_flight: Cell::default(),
             budgets: RefCell::default(),
+            lateness: RefCell::default(),
             random: Cell::new(ids::draw()),
         })
     }
@@ -180,6 +183,12 @@
         }))
     }
 
+    /// Calls `f` with the waits of a service's larger models.
+    pub fn with_lateness<T>(&self, service: &Rc<str>, f: impl FnOnce(&mut Lateness) -> T) -> T {
+        let mut lateness = self.lateness.borrow_mut();
+        f(entry(&mut lateness, service, Lateness::default))
+    }
+
     /// Calls `f` with the cascade of a route.
     pub fn with_cascade<T>(&self, route: &Rc<str>, f: impl FnOnce(&mut Cascade) -> T) -> T {
         let mut cascades = self.cascades.borrow_mut();
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -130,7 +130,8 @@
                 return RelayEnd::ClientGone;
             }
             let now = shared.clock.now();
-            last.set(now);
+            let pause = now.since(last.replace(now));
+            job.longest_pause.set(job.longest_pause.get().max(pause));
             (shared.health.borrow_mut()).hear(&upstream.id, upstream.boot, now);
         }
         if decoder.is_done() {
@@ -173,6 +174,7 @@
 
 fn note_first_byte(shared: &Shared, job: &Job) {
     let waited = shared.clock.now().since(job.arrived);
+    job.first_byte.set(Some(waited));
     let seconds = waited.duration().as_secs_f64();
     shared.metrics.first_byte("-", &job.route.name, seconds);
 }
--- a/src/router/cascade.rs
+++ b/src/router/cascade.rs
@@ -9,6 +9,10 @@
 /// a larger model costs about an eighth of a long answer's worth.
 const ACCEPT: u8 = 60;
 
+/// The same if a larger model's answer would come too late for sure. A late answer has about three tenths
+/// of its value, and as many of the answers at 45 are good enough.
+const ACCEPT_LATE: u8 = 45;
+
 /// Gain of the next larger model that is assumed before any request went through both, in points of
 /// confidence.
 const ASSUMED_GAIN: f64 = 14.0;
@@ -20,7 +24,7 @@
 const KEEP: f64 = 0.98;
 
 /// What is known when a model has begun to answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Opinion {
     /// Index of the model, smallest first.
     pub model: usize,
@@ -30,6 +34,8 @@
     pub confidence: Option<u8>,
     /// Whether attempts, budget and time allow one more send.
     pub can_send: bool,
+    /// Chance that a larger model's answer would come too late, 0 to 1.
+    pub late: f64,
 }
 
 /// What to do with an answer.
@@ -67,7 +73,8 @@
     #[must_use]
     pub fn judge(&self, opinion: Opinion) -> Verdict {
         let last = opinion.models.saturating_sub(1);
-        let Some(confidence) = opinion.confidence.filter(|c| *c < ACCEPT) else {
+        let accept = f64::from(ACCEPT) - f64::from(ACCEPT - ACCEPT_LATE) * opinion.late;
+        let Some(confidence) = opinion.confidence.filter(|c| f64::from(*c) < accept) else {
             return Verdict::Deliver;
         };
         if !opinion.can_send || opinion.model >= last {
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod freshness;
 pub mod health;
+pub mod lateness;
 pub mod patience;
 pub mod pick;
 pub mod retry;
--- a/src/router/pick.rs
+++ b/src/router/pick.rs
@@ -17,7 +17,7 @@
 ///
 /// Long prompts on a large model hold up every token of the requests beside them. The smallest model takes
 /// about a fifth of the work and answers first, so it has upstreams of its own.
-const SMALL_MODEL_PERCENT: usize = 24;
+const SMALL_MODEL_PERCENT: usize = 18;
 
 /// Work that a request waits for in its own lane before it goes to another one, in prompt tokens of the
 /// largest model; about a seventh of a second. It is less than [`BACKLOG_SLACK`], so that on idle upstreams
@@ -222,9 +222,15 @@
 const BACKLOG_SLACK: u64 = 4_500;
 
 impl Candidate {
+    /// Returns the work before a new request, with the cost of leaving its lane, if the upstream told its load.
+    fn detour(&self) -> Option<u64> {
+        Some(self.backlog()? + self.lane_cost)
+    }
+
     /// Returns the work before a new request, in prompt tokens of the largest model, if the upstream told
     /// its load.
-    fn backlog(&self) -> Option<u64> {
+    #[must_use]
+    pub fn backlog(&self) -> Option<u64> {
         let starting = self.starting?;
         // The own requests since the report are in `pending`, but not in the report.
         let others = starting.saturating_sub(self.own_starting) * OTHERS_TOKENS;
@@ -235,7 +241,7 @@
         } else {
             unknown
         };
-        Some(self.pending + unknown + self.lane_cost)
+        Some(self.pending + unknown)
     }
 }
 
@@ -249,11 +255,11 @@
     if known * 2 < good().count() {
         return None;
     }
-    let least = good().filter_map(|at| candidates[at].backlog()).min()?;
+    let least = good().filter_map(|at| candidates[at].detour()).min()?;
     let slack = BACKLOG_SLACK * token_permille / 1_000;
     let is_open = |at: &usize| {
-        let backlog = candidates[*at].backlog();
-        backlog.is_some_and(|backlog| backlog <= least + slack)
+        let detour = candidates[*at].detour();
+        detour.is_some_and(|detour| detour <= least + slack)
     };
     good()
         .filter(is_open)
--- a/src/router/tests/load.rs
+++ b/src/router/tests/load.rs
@@ -2,6 +2,7 @@
 
 use crate::fixtures;
 use crate::router::cascade::{Cascade, Opinion, Verdict};
+use crate::router::lateness::Lateness;
 use crate::router::pick::{self, Candidate, Lane, Reason, Wanted};
 use crate::router::retry::{RetryBounds, RetryBudget};
 use crate::router::sizes::{Size, SizeMix};
@@ -257,6 +258,7 @@
         models: 3,
         confidence: Some(confidence),
         can_send: true,
+        late: 0.0,
     }
 }
 
@@ -330,3 +332,46 @@
     }
     fixtures::check(11, property as fn(Vec<(u8, u8, bool)>));
 }
+
+/// Near capacity an answer of the largest model that comes too late for sure is worth as much as a doubtful
+/// one of the smallest model now.
+#[test]
+fn a_doubtful_answer_is_delivered_if_a_better_one_would_be_late() {
+    let cascade = Cascade::default();
+    let at = |confidence: u8, late: f64| {
+        cascade.judge(Opinion {
+            late,
+            ..opinion(0, confidence)
+        })
+    };
+
+    assert!(matches!(at(55, 0.0), Verdict::Escalate(_)));
+    assert_eq!(at(55, 0.5), Verdict::Deliver);
+    assert!(matches!(at(48, 0.5), Verdict::Escalate(_)));
+    assert_eq!(at(48, 1.0), Verdict::Deliver);
+    assert!(matches!(at(40, 1.0), Verdict::Escalate(_)));
+}
+
+/// Backlogs of a burst make late answers likely, less so for a route with more time, and not after the burst.
+#[test]
+fn the_chance_to_be_late_follows_the_backlog() {
+    let mut lateness = Lateness::default();
+    let now = Millis::from_secs(10);
+    let goal = Millis(1_500);
+    let calm = lateness.chance(800, goal, now);
+    for n in 0..40 {
+        lateness.observe_backlog(30_000, now + Millis(n * 20));
+        lateness.observe_first_byte(30_000, Millis(3_000));
+    }
+    let now = now + Millis(800);
+
+    let chance = lateness.chance(800, goal, now);
+    let patient = lateness.chance(800, Millis(6_000), now);
+    let over = lateness.chance(800, Millis(0), now);
+
+    assert!(calm < 1e-9, "{calm}");
+    assert!(chance > 0.5, "{chance}");
+    assert!(patient < 0.25, "{patient}");
+    assert!(over > 0.999, "{over}");
+    assert!(lateness.chance(800, goal, now + Millis::from_secs(2)) < 1e-9);
+}
