Call the store less often

All 27 gateways wrote each state of a roll-out, and again every 100 to 150 ms until their watch told them that another one had; and a watch that tells of a change was asked again after 300 ms, while upstreams join and leave.

Change: a state that all gateways come to is written after a random pause of up to 250 ms, and not at all if it is known by then; after a conflict a gateway waits 600 ms. A stop is still written at once. Changes come in batches of 450 ms (a configuration has two seconds to be in force).

Test: a_write_is_withdrawn_if_another_gateway_was_first.

--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -19,7 +19,7 @@
 
 /// Pause after changes, so that one call brings several of them. A configuration has two seconds to be in
 /// force, and a leaving upstream takes requests for two more.
-const CHANGES_PAUSE: Millis = Millis(300);
+const CHANGES_PAUSE: Millis = Millis(450);
 
 /// Shortest and longest pause after a failed call to the store.
 const RETRY_PAUSE: (Millis, Millis) = (Millis(100), Millis(600));
@@ -416,6 +416,19 @@
         due.collect()
     }
 
+    /// Withdraws a write whose record has changed meanwhile; returns whether it has.
+    pub fn withdraw(&mut self, write: &RolloutWrite) -> bool {
+        let Ok(at) = self.find(&write.service) else {
+            return true;
+        };
+        let known = &mut self.known[at];
+        let has_changed = known.revision != write.revision || known.rollout.to != write.to;
+        if has_changed {
+            known.is_writing = false;
+        }
+        has_changed
+    }
+
     /// Notes how a write ended.
     pub fn written(&mut self, write: &RolloutWrite, result: &Result<u64, ControlError>) {
         let Ok(at) = self.find(&write.service) else {
@@ -442,19 +455,30 @@
 /// Pause between two looks at whether a roll-out is due for a decision.
 const DECISION_PAUSE: Millis = Millis(100);
 
+/// Longest random pause before a state is written that all gateways come to at the same time, so that one of
+/// them writes and the others read; a stop is written at once.
+const SPREAD: Millis = Millis(250);
+
+/// Pause after another gateway has changed a record, until the change is known here.
+const CONFLICT_PAUSE: Millis = Millis(600);
+
 /// Records decisions on roll-outs until the task is dropped.
 pub async fn decide_rollouts(shared: Rc<Shared>) {
     loop {
         actix_rt::time::sleep(DECISION_PAUSE.duration()).await;
-        // Gateways look at different times, so that one of them writes and the others read.
-        let jitter = Millis(shared.draw() % 50);
-        actix_rt::time::sleep(jitter.duration()).await;
         let (now, unix) = (shared.clock.now(), shared.clock.unix());
         let due = shared.rollouts.borrow_mut().due(now, unix);
         for write in due {
             apply_at_once(&shared, &write);
             let shared = Rc::clone(&shared);
             actix_rt::spawn(async move {
+                if write.phase != Phase::Reverted {
+                    let pause = Millis(shared.draw() % SPREAD.0);
+                    actix_rt::time::sleep(pause.duration()).await;
+                    if shared.rollouts.borrow_mut().withdraw(&write) {
+                        return;
+                    }
+                }
                 let result = shared.control.write_rollout(write.clone()).await;
                 let outcome = match &result {
                     Ok(_) => "written".to_owned(),
@@ -462,8 +486,12 @@
                 };
                 log::info!(event = "rollout_write", service:% = write.service, to:% = write.to,
                     phase:? = write.phase, replaces = write.revision, outcome:% = outcome; "");
-                if result.is_err() {
-                    actix_rt::time::sleep(DECISION_PAUSE.duration()).await;
+                match &result {
+                    Ok(_) => {}
+                    Err(ControlError::Conflict) => {
+                        actix_rt::time::sleep(CONFLICT_PAUSE.duration()).await;
+                    }
+                    Err(_) => actix_rt::time::sleep(DECISION_PAUSE.duration()).await,
                 }
                 shared.rollouts.borrow_mut().written(&write, &result);
             });
--- a/src/forward/tests/follow.rs
+++ b/src/forward/tests/follow.rs
@@ -6,10 +6,11 @@
 use super::fixture::policy;
 use crate::fixtures::run_paused;
 use crate::forward::follow::{
-    self, Control, ControlError, Listing, Notice, RolloutWrite, decide_rollouts,
+    self, Control, ControlError, Listing, Notice, RolloutWrite, Rollouts, decide_rollouts,
 };
 use crate::forward::shared::Shared;
 use crate::kv::LocalFuture;
+use crate::router::rollout::Phase;
 use crate::units::Millis;
 
 const GAP: Millis = Millis(2_000);
@@ -56,6 +57,28 @@
     }
 }
 
+/// One of several gateways writes a state; the others see it before their turn.
+#[test]
+fn a_write_is_withdrawn_if_another_gateway_was_first() {
+    let mut rollouts = Rollouts::new(150);
+    let (service, to): (Rc<str>, Rc<str>) = ("pool".into(), "v2".into());
+    rollouts.order(&service, Rc::clone(&to), Millis::from_secs(24), Millis(0));
+    let due = rollouts.due(Millis(10), Millis(10));
+
+    let is_withdrawn_early = rollouts.withdraw(&due[0]);
+    rollouts.set_phase(&service, &to, Phase::Active, 7);
+    let is_withdrawn = rollouts.withdraw(&due[0]);
+
+    assert!(!is_withdrawn_early && is_withdrawn);
+    assert!(rollouts.due(Millis(20), Millis(20)).is_empty());
+    let complete = rollouts.due(Millis::from_secs(24), Millis::from_secs(24));
+    assert_eq!(complete.len(), 1);
+    assert_eq!(
+        (complete[0].phase, complete[0].revision),
+        (Phase::Complete, 7)
+    );
+}
+
 /// A deadline runs from the order, not from the moment at which a gateway hears of it.
 #[test]
 fn a_rollout_ordered_in_a_gap_starts_in_its_middle() {
