Let requests that an upstream under trial refused go to the others

When it was full, each further attempt of a request met the same upstream, and the request was refused.

Change: after an attempt that failed, all upstreams of the version may take the request. A completion that waits for its turn to be written is withdrawn if the version is found bad meanwhile. The longest gap of which the middle is taken has a constant of its own.

Tests: a_request_that_an_upstream_under_trial_refused_may_go_to_the_others, a_completion_is_withdrawn_if_the_version_is_found_bad (both came with the change, not seen red).

--- a/src/forward/choose.rs
+++ b/src/forward/choose.rs
@@ -24,7 +24,7 @@
     let now = shared.clock.now();
     let fleet = shared.fleet.borrow();
     let ready: Vec<_> = fleet.ready(&job.service).collect();
-    let usable = of_group(shared, job, ready, now);
+    let usable = of_group(shared, job, ready, tried.len(), now);
     let policy = shared.policy();
     let mut health = shared.health.borrow_mut();
     let mut candidates: Vec<_> = usable
@@ -70,11 +70,12 @@
     })
 }
 
-/// Returns the upstreams of the versions that the request may run on.
+/// Returns the upstreams of the versions that the request may run on, after `tried` attempts.
 fn of_group<'a>(
     shared: &Shared,
     job: &Job,
     ready: Vec<&'a Rc<Upstream>>,
+    tried: usize,
     now: Millis,
 ) -> Vec<&'a Rc<Upstream>> {
     let span = shared.policy().session_span;
@@ -96,7 +97,7 @@
     let mut own = in_group(group);
     if group == Group::New {
         own.sort_by_cached_key(|u| hash(u.id.as_bytes()));
-        own.truncate(rollout.upstreams_in_use(own.len(), now));
+        own.truncate(rollout.upstreams_in_use(own.len(), tried, now));
     }
     match group {
         _ if !own.is_empty() || !rollout.can_fall_back(group) => own,
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -197,9 +197,12 @@
     }
 }
 
+/// Longest gap of which the middle is taken, so that the guess is wrong by two seconds at most.
+const LONGEST_GAP: Millis = Millis(4_000);
+
 /// Returns the middle of a gap that ends now, the best guess for the time of a change within it.
 fn middle_of(gap: Option<Millis>, now: Millis) -> Millis {
-    let gap = gap.map_or(0, |g| g.0.min(OUTAGE.0));
+    let gap = gap.map_or(0, |g| g.0.min(LONGEST_GAP.0));
     Millis(now.0.saturating_sub(gap / 2))
 }
 
@@ -416,17 +419,18 @@
         due.collect()
     }
 
-    /// Withdraws a write whose record has changed meanwhile; returns whether it has.
-    pub fn withdraw(&mut self, write: &RolloutWrite) -> bool {
+    /// Withdraws a write if its record has changed meanwhile, or the version was found bad; returns whether.
+    pub fn withdraw(&mut self, write: &RolloutWrite, now: Millis) -> bool {
         let Ok(at) = self.find(&write.service) else {
             return true;
         };
         let known = &mut self.known[at];
         let has_changed = known.revision != write.revision || known.rollout.to != write.to;
-        if has_changed {
+        let is_bad = known.rollout.verdict(now) == Some(Phase::Reverted);
+        if has_changed || is_bad {
             known.is_writing = false;
         }
-        has_changed
+        has_changed || is_bad
     }
 
     /// Notes how a write ended.
@@ -475,7 +479,8 @@
                 if write.phase != Phase::Reverted {
                     let pause = Millis(shared.draw() % SPREAD.0);
                     actix_rt::time::sleep(pause.duration()).await;
-                    if shared.rollouts.borrow_mut().withdraw(&write) {
+                    let now = shared.clock.now();
+                    if shared.rollouts.borrow_mut().withdraw(&write, now) {
                         return;
                     }
                 }
--- a/src/forward/tests/follow.rs
+++ b/src/forward/tests/follow.rs
@@ -10,7 +10,7 @@
 };
 use crate::forward::shared::Shared;
 use crate::kv::LocalFuture;
-use crate::router::rollout::Phase;
+use crate::router::rollout::{Answer, Phase};
 use crate::units::Millis;
 
 const GAP: Millis = Millis(2_000);
@@ -65,9 +65,9 @@
     rollouts.order(&service, Rc::clone(&to), Millis::from_secs(24), Millis(0));
     let due = rollouts.due(Millis(10), Millis(10));
 
-    let is_withdrawn_early = rollouts.withdraw(&due[0]);
+    let is_withdrawn_early = rollouts.withdraw(&due[0], Millis(20));
     rollouts.set_phase(&service, &to, Phase::Active, 7);
-    let is_withdrawn = rollouts.withdraw(&due[0]);
+    let is_withdrawn = rollouts.withdraw(&due[0], Millis(20));
 
     assert!(!is_withdrawn_early && is_withdrawn);
     assert!(rollouts.due(Millis(20), Millis(20)).is_empty());
@@ -79,6 +79,26 @@
     );
 }
 
+/// A version that is found bad just before its completion is written is not completed.
+#[test]
+fn a_completion_is_withdrawn_if_the_version_is_found_bad() {
+    let mut rollouts = Rollouts::new(150);
+    let (service, to): (Rc<str>, Rc<str>) = ("pool".into(), "v2".into());
+    let end = Millis::from_secs(24);
+    rollouts.order(&service, Rc::clone(&to), end, Millis(0));
+    rollouts.set_phase(&service, &to, Phase::Active, 7);
+    let complete = rollouts.due(end, end);
+    for _ in 0..10 {
+        let rollout = rollouts.get_mut("pool").expect("it was ordered");
+        rollout.observe("v2", 1, Answer::Failed, end);
+    }
+
+    let is_withdrawn = rollouts.withdraw(&complete[0], end);
+
+    assert!(is_withdrawn);
+    assert_eq!(rollouts.due(end, end)[0].phase, Phase::Reverted);
+}
+
 /// A deadline runs from the order, not from the moment at which a gateway hears of it.
 #[test]
 fn a_rollout_ordered_in_a_gap_starts_in_its_middle() {
--- a/src/router/rollout.rs
+++ b/src/router/rollout.rs
@@ -256,10 +256,11 @@
         }
     }
 
-    /// Returns how many of the new version's upstreams take its requests, of `count` that are ready.
+    /// Returns how many of the new version's upstreams take a request, of `count` that are ready; after an
+    /// attempt that failed, all of them.
     #[must_use]
-    pub fn upstreams_in_use(&self, count: usize, now: Millis) -> usize {
-        if !self.is_trial(now) {
+    pub fn upstreams_in_use(&self, count: usize, tried: usize, now: Millis) -> usize {
+        if tried > 0 || !self.is_trial(now) {
             return count;
         }
         let share = self.share_permille(now) * count as u64;
--- a/src/router/tests/rollout.rs
+++ b/src/router/tests/rollout.rs
@@ -169,7 +169,7 @@
     let shares = rollout.clone();
 
     let (new, all, phase) = play(&mut rollout, |n, now| {
-        let in_use = shares.upstreams_in_use(UPSTREAMS, now) as u64;
+        let in_use = shares.upstreams_in_use(UPSTREAMS, 0, now) as u64;
         let load_percent = shares.share_permille(now) * UPSTREAMS as u64 / in_use / 10;
         assert!(load_percent <= 200, "an upstream gets {load_percent}%");
         if load_percent > 100 && n.is_multiple_of(2) {
@@ -183,6 +183,16 @@
     assert!(new <= all * EXPOSURE_PERMILLE / 1_000, "{new} of {all}");
 }
 
+/// An upstream under trial may be full; its requests have the version's other upstreams left.
+#[test]
+fn a_request_that_an_upstream_under_trial_refused_may_go_to_the_others() {
+    let rollout = rollout();
+    let trial = Millis(RAMP.0 * 80 / 100);
+
+    assert!(rollout.upstreams_in_use(18, 0, trial) < 18);
+    assert_eq!(rollout.upstreams_in_use(18, 1, trial), 18);
+}
+
 /// An upstream under trial answers slowly, since it has more than its usual load: that says nothing about
 /// its version.
 #[test]
@@ -191,7 +201,7 @@
     let shares = rollout.clone();
 
     let (_, _, phase) = play(&mut rollout, |_, now| {
-        let is_trial = shares.upstreams_in_use(18, now) < 18;
+        let is_trial = shares.upstreams_in_use(18, 0, now) < 18;
         Answer::Good(Millis(if is_trial { 900 } else { 110 }))
     });
 
