Let clients of a starting gateway wait for its first list

Cause: the platform sends connections to a process within milliseconds of its start when its data centre has no other.

Change: connections are accepted once the first list has come, or after 400 ms; until then they wait in the backlog.

Test: clients_wait_for_the_first_word_from_the_store was red before (503).

--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -247,6 +247,7 @@
         }
     }
     shared.is_loaded.set(true);
+    shared.loaded.notify_one();
 }
 
 fn expire(shared: &Shared) {
--- a/src/forward/gateway.rs
+++ b/src/forward/gateway.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use actix_rt::task::JoinHandle;
-use actix_rt::time::sleep;
+use actix_rt::time::{sleep, timeout};
 use bytes::{BufMut, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -121,6 +121,11 @@
 }
 
 async fn accept(shared: Rc<Shared>, listener: TcpListener) {
+    // Clients of a process that has just started wait in the backlog rather than be refused.
+    let patience = shared.policy().start_patience.duration();
+    if timeout(patience, shared.loaded.notified()).await.is_err() {
+        log::warn!(event = "start_without_store"; "");
+    }
     loop {
         match listener.accept().await {
             Ok((stream, _peer)) => {
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -40,6 +40,8 @@
     pub session_span: Millis,
     /// Time from the request to stop until the process is killed.
     pub stop_grace: Millis,
+    /// Longest time after the start for which clients wait for the first word from the store.
+    pub start_patience: Millis,
 }
 
 /// State of a gateway.
@@ -74,6 +76,8 @@
     pub lapses: RefCell<Lapses>,
     /// Whether everything was read from the store once.
     pub is_loaded: Cell<bool>,
+    /// Tells that everything was read.
+    pub loaded: Notify,
     /// Whether the gateway is to stop.
     pub is_stopping: Cell<bool>,
     /// Closes client connections that carry no request, near the end of a stop.
@@ -119,6 +123,7 @@
             freshness: RefCell::new(freshness),
             lapses: RefCell::default(),
             is_loaded: Cell::default(),
+            loaded: Notify::new(),
             is_stopping: Cell::default(),
             close_idle: Notify::new(),
             is_closing: Cell::default(),
--- a/src/forward/tests/fixture.rs
+++ b/src/forward/tests/fixture.rs
@@ -203,6 +203,15 @@
     let control = FixedControl {
         notices: RefCell::new(notices),
     };
+    let gateway = start(control);
+    while !is_ready(&gateway).await {
+        actix_rt::time::sleep(Millis(5).duration()).await;
+    }
+    gateway
+}
+
+/// Starts a gateway that follows a store.
+pub(super) fn start(control: impl Control + 'static) -> Gateway {
     let shared = Shared::open(policy(), Box::new(control));
     let any = "127.0.0.1:0".parse().expect("an address");
     let addresses = Addresses {
@@ -210,11 +219,7 @@
         ready: any,
         admin: any,
     };
-    let gateway = Gateway::bind(shared, addresses).expect("loopback can be bound");
-    while !is_ready(&gateway).await {
-        actix_rt::time::sleep(Millis(5).duration()).await;
-    }
-    gateway
+    Gateway::bind(shared, addresses).expect("loopback can be bound")
 }
 
 /// Returns the bounds of a small deployment.
@@ -231,6 +236,7 @@
         exposure_permille: 100,
         session_span: Millis::from_secs(5),
         stop_grace: Millis::from_secs(8),
+        start_patience: Millis::from_secs(60),
     }
 }
 
@@ -269,7 +275,7 @@
     )
 }
 
-fn table() -> RouteTable {
+pub(super) fn table() -> RouteTable {
     let route = |name: &str, kind, models: &[&str]| {
         Rc::new(Route {
             name: name.into(),
--- a/src/forward/tests/follow.rs
+++ b/src/forward/tests/follow.rs
@@ -3,7 +3,10 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use super::fixture::policy;
+use tokio::io::AsyncWriteExt as _;
+use tokio::sync::Notify;
+
+use super::fixture::{connect, message, policy, read_message, start, status, table};
 use crate::fixtures::run_paused;
 use crate::forward::follow::{
     self, Control, ControlError, Listing, Notice, RolloutWrite, Rollouts, decide_rollouts,
@@ -57,6 +60,60 @@
     }
 }
 
+/// A store whose first list waits until a test lets it go.
+struct HeldControl {
+    go: Rc<Notify>,
+}
+
+impl Control for HeldControl {
+    fn list(&self) -> LocalFuture<'_, Result<Listing, ControlError>> {
+        Box::pin(async {
+            self.go.notified().await;
+            Ok(Listing {
+                notices: vec![Notice::Table(Rc::new(table()))],
+                revision: 1,
+            })
+        })
+    }
+
+    fn watch(&self, after: u64, wait: Millis) -> LocalFuture<'_, Result<Listing, ControlError>> {
+        Box::pin(async move {
+            actix_rt::time::sleep(wait.duration()).await;
+            Ok(Listing {
+                notices: Vec::new(),
+                revision: after,
+            })
+        })
+    }
+
+    fn write_rollout(&self, _write: RolloutWrite) -> LocalFuture<'_, Result<u64, ControlError>> {
+        Box::pin(async { Err(ControlError::Conflict) })
+    }
+}
+
+/// The platform may send clients to a process that has just started.
+#[test]
+fn clients_wait_for_the_first_word_from_the_store() {
+    actix_rt::System::new().block_on(async {
+        let go = Rc::new(Notify::new());
+        let gateway = start(HeldControl { go: Rc::clone(&go) });
+        let mut stream = connect(gateway.addresses().listen).await;
+        let request = message("GET", "/nowhere/", "");
+        stream
+            .write_all(request.as_bytes())
+            .await
+            .expect("it is connected");
+        for _ in 0..20 {
+            tokio::task::yield_now().await;
+        }
+
+        go.notify_one();
+        let answer = read_message(&mut stream).await.expect("an answer");
+
+        assert_eq!(status(&answer), 404, "{answer}");
+    });
+}
+
 /// One of several gateways writes a state; the others see it before their turn.
 #[test]
 fn a_write_is_withdrawn_if_another_gateway_was_first() {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -102,6 +102,10 @@
     }
 }
 
+/// Longest time after the start for which clients wait for the first word from the store: five reads of some
+/// milliseconds, and less than the second after which clients give up a connection.
+const START_PATIENCE: Millis = Millis(400);
+
 const fn default_exposure() -> f64 {
     0.1
 }
@@ -157,6 +161,7 @@
             exposure_permille: (self.exposure.clamp(0.0, 1.0) * 1_000.0) as u64,
             session_span: Millis((self.session_s.max(0.0) * 1_000.0) as u64),
             stop_grace: self.stop_grace,
+            start_patience: START_PATIENCE,
         }
     }
 }
