Judge slow versions under trial, at the usual load of an upstream

With few requests on its upstreams it is about as fast as the old one; under trial slow answers were not counted, and all requests move only 1.5% of the time before completion.

Change: slow answers count under trial. Until all requests move, 10 in 100 more slow answers than the old version's stop the roll-out; after that 25 in 100, as before.

Tests: very_slow_answers_under_trial_stop_a_rollout was red before. Replaced, since the traces showed the cases as wrong or too wide: slow_answers_under_trial_do_not_stop_a_rollout (nine times slower under trial is a bad version; now three times), a_cold_version_is_not_reverted (cold answers begin when all requests move, as its comment says), a_trial_finds_a_version_that_fails_under_load (at the usual load).

Each gateway judges by about twenty requests; to pool them is the next thing to do.

--- a/src/router/rollout.rs
+++ b/src/router/rollout.rs
@@ -26,14 +26,15 @@
 const TRIAL_FROM: u64 = 72;
 
 /// Share of sessions under trial, in percent of the allowed exposure.
-const TRIAL_PERCENT: u64 = 110;
+const TRIAL_PERCENT: u64 = 100;
 
-/// Highest load of an upstream under trial, in percent of its usual one.
-const TRIAL_LOAD_PERCENT: u64 = 200;
+/// Highest load of an upstream under trial, in percent of its usual one. At twice the load sound versions look
+/// like slow ones.
+const TRIAL_LOAD_PERCENT: u64 = 100;
 
 /// Rest of the time at which all sessions move, in percent of the exposure. A version whose faults never
 /// show has all requests for this part; the steps before use less than half of the exposure.
-const FULL_REST_PERCENT: u64 = 42;
+const FULL_REST_PERCENT: u64 = 44;
 
 /// Rest of the time at which the roll-out is completed, in percent of the exposure: about a second of the
 /// usual 24 s, in which the record is written.
@@ -59,6 +60,10 @@
 /// answers than the old one when all requests move there, since its upstreams have no prompts cached.
 const EXCESS_SLOW: f64 = 0.25;
 
+/// The same while few requests go to the new version: its upstreams have their prompts cached by then, and a
+/// stop without need costs less than a slow version that is completed.
+const EXCESS_SLOW_EARLY: f64 = 0.1;
+
 /// Answers that the old version needs before its mean time counts.
 const MIN_SAMPLES: f64 = 8.0;
 
@@ -144,7 +149,7 @@
     }
 
     /// Tells whether this version is worse than the old one.
-    fn is_worse(&self, old: &Self) -> bool {
+    fn is_worse(&self, old: &Self, excess_slow: f64) -> bool {
         let exceeds = |count: f64, old_count: f64, excess: f64| {
             let (rate, old_rate) = (count / self.total.max(1.0), old_count / old.total.max(1.0));
             count >= MIN_BAD && rate > old_rate * 1.5 + excess
@@ -155,7 +160,7 @@
             && self.failed >= expected + DEVIATIONS * (expected + 1.0).sqrt();
         fails
             || exceeds(self.broken, old.broken, EXCESS_BROKEN)
-            || exceeds(self.slow, old.slow, EXCESS_SLOW)
+            || exceeds(self.slow, old.slow, excess_slow)
     }
 }
 
@@ -286,8 +291,6 @@
         let mark = match answer {
             Answer::Failed => Mark::Failed,
             Answer::Broken => Mark::Broken,
-            // An upstream under trial has a high load and requests of all sizes: it is slow by itself.
-            Answer::Good(_) if is_new && self.is_trial(now) => Mark::Sound,
             Answer::Good(first_byte) if self.is_slow(kind, first_byte) => Mark::Slow,
             Answer::Good(_) => Mark::Sound,
         };
@@ -307,7 +310,12 @@
         if self.phase != Phase::Active {
             return None;
         }
-        if self.new.is_worse(&self.old) {
+        let excess_slow = if self.share_permille(now) == 1_000 {
+            EXCESS_SLOW
+        } else {
+            EXCESS_SLOW_EARLY
+        };
+        if self.new.is_worse(&self.old, excess_slow) {
             return Some(Phase::Reverted);
         }
         (self.is_within_rest(COMPLETE_REST_PERCENT, now)).then_some(Phase::Complete)
