Send no session to a new version in the first half of a roll-out

Traced: four sessions that one gateway had sent to the old version, before the order or while the new one had no upstream, came to other gateways within 8.5 s and were sent to the new version there.

Change: the new version gets no session in the first half, in which sessions keep their version. The small share of before brought seven requests a gateway.

Test: no_session_moves_in_the_first_half (not run on the code before).

--- a/src/router/rollout.rs
+++ b/src/router/rollout.rs
@@ -1,6 +1,6 @@
 //! Roll-out of a new version of a service under a deadline.
 //!
-//! A small, constant share of the sessions goes to the new version until most of the time is over. Every
+//! After the first half a small share of the sessions goes to the new version until most of the time is over. Every
 //! gateway judges the new version by its own requests and stops the roll-out alone. If the version is
 //! sound, all requests go there, the old upstreams finish what they have, and the roll-out is completed.
 //! The steps are so late that a version which is never found bad stays within the allowed exposure.
@@ -11,10 +11,6 @@
 
 use crate::units::Millis;
 
-/// Part of the allowed exposure that is used in the first half, in percent. Sessions that are under way
-/// when the roll-out starts may stay with their version for that time, and not every gateway knows them.
-const FIRST_PERCENT: u64 = 15;
-
 /// Part of the allowed exposure that is used after the first half, in percent.
 const CANARY_PERCENT: u64 = 45;
 
@@ -234,9 +230,8 @@
         match self.phase {
             Phase::Complete => 1_000,
             Phase::Reverted => 0,
-            Phase::Active if self.pins_sessions(now) => {
-                self.exposure_permille * FIRST_PERCENT / 100
-            }
+            // Sessions that are under way may be known to other gateways only.
+            Phase::Active if self.pins_sessions(now) => 0,
             Phase::Active if self.is_within_rest(FULL_REST_PERCENT, now) => 1_000,
             Phase::Active if self.is_trial(now) => {
                 (self.exposure_permille * TRIAL_PERCENT / 100).min(1_000)
--- a/src/router/tests/rollout.rs
+++ b/src/router/tests/rollout.rs
@@ -300,6 +300,16 @@
     assert!((1..=2_000 * 150 / 1_000).contains(&new));
 }
 
+/// A session that another gateway has sent to the old version must not move to the new one.
+#[test]
+fn no_session_moves_in_the_first_half() {
+    let rollout = rollout();
+
+    let mut sessions = (0..2_000).map(|session| rollout.group(session, Millis(RAMP.0 / 2)));
+
+    assert!(sessions.all(|group| group == Group::Old));
+}
+
 #[test]
 fn sessions_are_pinned_in_the_first_half_only() {
     let rollout = rollout();
