Say each thing once in the gateway, take work off the hot path

- Whether an answer closes its connection was decided in three places and turned into `After` in three; `Shared::closes` and `After::answer` do it.
The job takes `keep_alive` from the head rather than having it overwritten.
- `AttemptEnd::TimedOut` had a flag that was always set.
`Attempts::count` was not called.
- The entry of a roll-out was written out twice (`Known::new`), and its caller had to know that an entry without an order has an empty version (`Rollouts::get`).
- The two accept loops are one.
- After a roll-out was completed, each request sorted all upstreams by the hash of their ids, though only a trial leaves some out.
The kind of a request was hashed for each answer, also without a roll-out.

No figures: the choice and the answers are the same, and processor time was not measured again.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -99,9 +99,8 @@
     Escalate(usize, u8),
     /// An upstream's failure, to be delivered if nothing better follows.
     Failure(Box<ResponseHead>, Bytes),
-    TimedOut {
-        may_have_run: bool,
-    },
+    /// The request's time is over; the upstream may have run it.
+    TimedOut,
 }
 
 pub(super) async fn attempt(
@@ -205,13 +204,14 @@
 }
 
 fn observe_version(shared: &Shared, job: &Job, upstream: &Upstream, answer: Answer) {
+    let mut rollouts = shared.rollouts.borrow_mut();
+    let Some(rollout) = rollouts.get_mut(&job.service) else {
+        return;
+    };
     // Times of prompts of about the same length on the same model are alike.
     let length = u64::from(job.size.prompt.max(1).ilog2());
     let kind = hash(job.route.name.as_bytes()) ^ (length << 8 | job.model.unwrap_or(0) as u64);
-    let now = shared.clock.now();
-    if let Some(rollout) = shared.rollouts.borrow_mut().get_mut(&job.service) {
-        rollout.observe(&upstream.version, kind, answer, now);
-    }
+    rollout.observe(&upstream.version, kind, answer, shared.clock.now());
 }
 
 pub(super) fn take_budget(shared: &Shared, job: &Job) -> bool {
@@ -248,7 +248,7 @@
             observe(shared, upstream, Seen::Silent, "silent");
             AttemptEnd::Retry(Ended::Lost)
         }
-        Silence::TimedOut => AttemptEnd::TimedOut { may_have_run: true },
+        Silence::TimedOut => AttemptEnd::TimedOut,
     }
 }
 
@@ -372,7 +372,7 @@
         observe(shared, &upstream, Seen::Answer, "answer");
         observe_version(shared, job, &upstream, Answer::Good(first_byte));
     }
-    let closes = !job.keep_alive || shared.is_stopping.get();
+    let closes = shared.closes(job.keep_alive);
     deliver(client, job, &head, &body, closes).await
 }
 
@@ -407,11 +407,7 @@
     match client.write(&out).await {
         Ok(()) => AttemptEnd::Delivered {
             status: head.status,
-            after: if closes {
-                After::Close
-            } else {
-                After::KeepAlive
-            },
+            after: After::answer(closes),
         },
         Err(_) => AttemptEnd::ClientGone,
     }
@@ -457,7 +453,7 @@
             return AttemptEnd::Escalate(larger, confidence);
         }
     }
-    let closes = !job.keep_alive || shared.is_stopping.get();
+    let closes = shared.closes(job.keep_alive);
     let upstream = Rc::clone(&leg.upstream);
     let watched = job.watched(shared, &upstream, stream::limits(shared, job), can_move);
     let end = stream::relay(watched, client, job, &mut leg.conn, &head, relay, closes).await;
@@ -467,11 +463,7 @@
             keep(shared, leg, &head);
             AttemptEnd::Delivered {
                 status,
-                after: if closes {
-                    After::Close
-                } else {
-                    After::KeepAlive
-                },
+                after: After::answer(closes),
             }
         }
         RelayEnd::ClientGone => AttemptEnd::ClientGone,
@@ -479,7 +471,7 @@
             observe_version(shared, job, &leg.upstream, Answer::Broken);
             lost_midway(shared, job, &leg, &error)
         }
-        RelayEnd::Silent(Silence::TimedOut) => AttemptEnd::TimedOut { may_have_run: true },
+        RelayEnd::Silent(Silence::TimedOut) => AttemptEnd::TimedOut,
         RelayEnd::Silent(Silence::Leave) => {
             observe(shared, &leg.upstream, Seen::Silent, "gap");
             lost_midway(shared, job, &leg, &ExchangeError::Garbled("gap"))
--- a/src/forward/choose.rs
+++ b/src/forward/choose.rs
@@ -81,7 +81,7 @@
     let span = shared.policy().session_span;
     let mut sessions = shared.sessions.borrow_mut();
     let rollouts = shared.rollouts.borrow();
-    let Some(rollout) = rollouts.get(&job.service).filter(|r| !r.to.is_empty()) else {
+    let Some(rollout) = rollouts.get(&job.service) else {
         sessions.note(job.session, Group::Old, now, span);
         return ready;
     };
@@ -95,9 +95,10 @@
         of_group.copied().collect::<Vec<_>>()
     };
     let mut own = in_group(group);
-    if group == Group::New {
+    let in_use = rollout.upstreams_in_use(own.len(), tried, now);
+    if group == Group::New && in_use < own.len() {
         own.sort_by_cached_key(|u| hash(u.id.as_bytes()));
-        own.truncate(rollout.upstreams_in_use(own.len(), tried, now));
+        own.truncate(in_use);
     }
     match group {
         _ if !own.is_empty() || !rollout.can_fall_back(group) => own,
--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -37,6 +37,14 @@
     Close,
 }
 
+impl After {
+    /// Returns what follows an answer, given whether it announced the close.
+    #[must_use]
+    pub const fn answer(closes: bool) -> Self {
+        if closes { Self::Close } else { Self::KeepAlive }
+    }
+}
+
 /// A request that was read whole.
 #[derive(Debug)]
 pub struct Incoming {
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -294,10 +294,11 @@
         self.exposure_permille = exposure_permille;
     }
 
-    /// Returns the roll-out of a service.
+    /// Returns the roll-out of a service that was ordered.
     #[must_use]
     pub fn get(&self, service: &str) -> Option<&Rollout> {
-        self.find(service).map(|at| &self.known[at].rollout).ok()
+        let known = &self.known[self.find(service).ok()?];
+        known.is_ordered().then_some(&known.rollout)
     }
 
     /// Returns the roll-out of a service, to observe answers.
@@ -324,17 +325,7 @@
                     known.rollout.set_phase(phase);
                 }
             }
-            Err(at) => self.known.insert(
-                at,
-                Known {
-                    service: Rc::clone(service),
-                    rollout,
-                    revision: 0,
-                    recorded: None,
-                    is_writing: false,
-                    early: None,
-                },
-            ),
+            Err(at) => self.known.insert(at, Known::new(service, rollout)),
         }
     }
 
@@ -352,17 +343,7 @@
             Err(at) => {
                 // The order arrives later in the same list.
                 let rollout = Rollout::new(Rc::from(""), Millis(0), Millis(0), 0);
-                self.known.insert(
-                    at,
-                    Known {
-                        service: Rc::clone(service),
-                        rollout,
-                        revision: 0,
-                        recorded: None,
-                        is_writing: false,
-                        early: None,
-                    },
-                );
+                self.known.insert(at, Known::new(service, rollout));
                 at
             }
         };
@@ -452,6 +433,17 @@
 }
 
 impl Known {
+    fn new(service: &Rc<str>, rollout: Rollout) -> Self {
+        Self {
+            service: Rc::clone(service),
+            rollout,
+            revision: 0,
+            recorded: None,
+            is_writing: false,
+            early: None,
+        }
+    }
+
     fn is_ordered(&self) -> bool {
         !self.rollout.to.is_empty()
     }
--- a/src/forward/gateway.rs
+++ b/src/forward/gateway.rs
@@ -126,31 +126,35 @@
     if timeout(patience, shared.loaded.notified()).await.is_err() {
         log::warn!(event = "start_without_store"; "");
     }
-    loop {
-        match listener.accept().await {
-            Ok((stream, _peer)) => {
-                if let Err(error) = stream.set_nodelay(true) {
-                    log::debug!(event = "client_socket", error:% = error; "");
-                }
-                actix_rt::spawn(client::serve(Rc::clone(&shared), stream));
-            }
-            Err(error) => {
-                // Usually too many open files; connections end meanwhile.
-                log::warn!(event = "accept_failed", error:% = error; "");
-                sleep(STOP_POLL.duration()).await;
-            }
+    let serve = |stream: TcpStream| {
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!(event = "client_socket", error:% = error; "");
         }
-    }
+        client::serve(Rc::clone(&shared), stream)
+    };
+    accept_each(&listener, serve).await;
 }
 
 /// Answers questions about readiness and metrics, one a connection or several.
 async fn answer_questions(shared: Rc<Shared>, listener: TcpListener) {
+    accept_each(&listener, |stream| {
+        answer_question(Rc::clone(&shared), stream)
+    })
+    .await;
+}
+
+/// Starts a task for each connection.
+async fn accept_each<F>(listener: &TcpListener, serve: impl Fn(TcpStream) -> F)
+where
+    F: Future<Output = ()> + 'static,
+{
     loop {
         match listener.accept().await {
             Ok((stream, _peer)) => {
-                actix_rt::spawn(answer_question(Rc::clone(&shared), stream));
+                actix_rt::spawn(serve(stream));
             }
             Err(error) => {
+                // Usually too many open files; connections end meanwhile.
                 log::warn!(event = "accept_failed", error:% = error; "");
                 sleep(STOP_POLL.duration()).await;
             }
@@ -161,7 +165,7 @@
 async fn answer_question(shared: Rc<Shared>, mut stream: TcpStream) {
     let mut buf = BytesMut::new();
     loop {
-        let read = actix_rt::time::timeout(QUESTION_TIMEOUT.duration(), stream.read_buf(&mut buf));
+        let read = timeout(QUESTION_TIMEOUT.duration(), stream.read_buf(&mut buf));
         match read.await {
             Ok(Ok(length)) if length > 0 && buf.len() <= 8 * 1024 => {}
             _ => return,
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -144,7 +144,7 @@
         deadline: req.arrived + patience,
         id: Bytes::copy_from_slice(head.fields.get(headers::REQUEST_ID).unwrap_or_default()),
         to_head: head.method.as_ref() == b"HEAD",
-        keep_alive: true,
+        keep_alive: head.keep_alive,
         resume_after: head.fields.number(headers::LAST_EVENT_ID),
         first_byte: Cell::default(),
         longest_pause: Cell::default(),
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -37,11 +37,9 @@
 
 /// Serves one request.
 pub async fn serve(shared: &Rc<Shared>, client: &mut ClientConn, req: Incoming) -> After {
-    let keep_alive = req.head.keep_alive && !shared.is_stopping.get();
     let to_head = req.head.method.as_ref() == b"HEAD";
     let (outcome, job) = match admit(shared, &req) {
         Ok(mut job) => {
-            job.keep_alive = keep_alive;
             let outcome = attempts(shared, client, &req, &mut job).await;
             (outcome, Some(job))
         }
@@ -53,14 +51,10 @@
         Outcome::Broken => (After::Close, 0, "broken_off"),
         Outcome::Own(reply) => {
             let mut out = BytesMut::new();
-            let closes = !keep_alive || shared.is_stopping.get();
+            let closes = shared.closes(req.head.keep_alive);
             reply.write(&mut out, closes, to_head);
             let is_written = client.write(&out).await.is_ok();
-            let after = if closes || !is_written {
-                After::Close
-            } else {
-                After::KeepAlive
-            };
+            let after = After::answer(closes || !is_written);
             (after, reply.status, reply.reason)
         }
     };
@@ -135,10 +129,8 @@
                 attempts.note(Ended::Failed);
                 failure = Some((head, body));
             }
-            AttemptEnd::TimedOut { may_have_run } => {
-                if may_have_run {
-                    attempts.note(Ended::Lost);
-                }
+            AttemptEnd::TimedOut => {
+                attempts.note(Ended::Lost);
                 break "timeout";
             }
         }
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -151,6 +151,12 @@
         *self.policy.borrow_mut() = Rc::new(policy);
     }
 
+    /// Tells whether an answer announces the close of its connection; `keep_alive` is what the client wants.
+    #[must_use]
+    pub const fn closes(&self, keep_alive: bool) -> bool {
+        !keep_alive || self.is_stopping.get()
+    }
+
     /// Returns a random number; for spreading, not for secrets.
     pub fn draw(&self) -> u64 {
         let next = self.random.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/src/router/attempt.rs
+++ b/src/router/attempt.rs
@@ -73,12 +73,6 @@
         self.kind.is_repeatable() && self.ran + 1 < self.allowed
     }
 
-    /// Returns the number of sends that are over.
-    #[must_use]
-    pub const fn count(&self) -> u32 {
-        self.ran + self.refused
-    }
-
     /// Returns what may be promised if the request is given up now.
     #[must_use]
     pub const fn promise(&self) -> Promise {
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -102,17 +102,17 @@
 impl Fleet {
     /// Takes in a report of an upstream.
     pub fn put(&mut self, mut reported: Upstream) -> Option<Change> {
-        let found = self.find(&reported.id);
-        let Ok(at) = found else {
-            let upstream = Rc::new(reported);
-            self.members.insert(
-                found.unwrap_or_else(|at| at),
-                Member {
+        let at = match self.find(&reported.id) {
+            Ok(at) => at,
+            Err(at) => {
+                let upstream = Rc::new(reported);
+                let member = Member {
                     upstream: Rc::clone(&upstream),
                     missing_until: None,
-                },
-            );
-            return Some(Change::Joined(upstream));
+                };
+                self.members.insert(at, member);
+                return Some(Change::Joined(upstream));
+            }
         };
         let member = &mut self.members[at];
         let known = &member.upstream;
