Start the router program in tests through one fixture

- The router's process test and the soak each wrote its settings, spawned it, sent signals and ended it; tests/router/process.rs does it for both.
- A gateway test had its own copy of the fixture's store; it wraps it now.
- Two process tests built the same site behind a forwarder (`Site::with_proxied_engine`).
- In the soak, the ways of a proxy and the moods of an upstream were turned into bytes and back by tables; due faults were moved out by partitioning into two lists; a result of `wait` was used by nobody.

--- a/src/forward/tests/fixture.rs
+++ b/src/forward/tests/fixture.rs
@@ -23,6 +23,14 @@
     notices: RefCell<Vec<Notice>>,
 }
 
+impl FixedControl {
+    pub(super) const fn open(notices: Vec<Notice>) -> Self {
+        Self {
+            notices: RefCell::new(notices),
+        }
+    }
+}
+
 impl Control for FixedControl {
     fn list(&self) -> LocalFuture<'_, Result<Listing, ControlError>> {
         let notices = self.notices.take();
@@ -200,10 +208,7 @@
             warm_up: Millis(0),
         }));
     }
-    let control = FixedControl {
-        notices: RefCell::new(notices),
-    };
-    let gateway = start(control);
+    let gateway = start(FixedControl::open(notices));
     while !is_ready(&gateway).await {
         actix_rt::time::sleep(Millis(5).duration()).await;
     }
--- a/src/forward/tests/follow.rs
+++ b/src/forward/tests/follow.rs
@@ -6,7 +6,7 @@
 use tokio::io::AsyncWriteExt as _;
 use tokio::sync::Notify;
 
-use super::fixture::{connect, message, policy, read_message, start, status, table};
+use super::fixture::{FixedControl, connect, message, policy, read_message, start, status, table};
 use crate::fixtures::run_paused;
 use crate::forward::follow::{
     self, Control, ControlError, Listing, Notice, RolloutWrite, Rollouts, decide_rollouts,
@@ -63,31 +63,23 @@
 /// A store whose first list waits until a test lets it go.
 struct HeldControl {
     go: Rc<Notify>,
+    then: FixedControl,
 }
 
 impl Control for HeldControl {
     fn list(&self) -> LocalFuture<'_, Result<Listing, ControlError>> {
         Box::pin(async {
             self.go.notified().await;
-            Ok(Listing {
-                notices: vec![Notice::Table(Rc::new(table()))],
-                revision: 1,
-            })
+            self.then.list().await
         })
     }
 
     fn watch(&self, after: u64, wait: Millis) -> LocalFuture<'_, Result<Listing, ControlError>> {
-        Box::pin(async move {
-            actix_rt::time::sleep(wait.duration()).await;
-            Ok(Listing {
-                notices: Vec::new(),
-                revision: after,
-            })
-        })
+        self.then.watch(after, wait)
     }
 
-    fn write_rollout(&self, _write: RolloutWrite) -> LocalFuture<'_, Result<u64, ControlError>> {
-        Box::pin(async { Err(ControlError::Conflict) })
+    fn write_rollout(&self, write: RolloutWrite) -> LocalFuture<'_, Result<u64, ControlError>> {
+        self.then.write_rollout(write)
     }
 }
 
@@ -96,7 +88,10 @@
 fn clients_wait_for_the_first_word_from_the_store() {
     actix_rt::System::new().block_on(async {
         let go = Rc::new(Notify::new());
-        let gateway = start(HeldControl { go: Rc::clone(&go) });
+        let gateway = start(HeldControl {
+            go: Rc::clone(&go),
+            then: FixedControl::open(vec![Notice::Table(Rc::new(table()))]),
+        });
         let mut stream = connect(gateway.addresses().listen).await;
         let request = message("GET", "/nowhere/", "");
         stream
--- a/tests/processes/double_faults.rs
+++ b/tests/processes/double_faults.rs
@@ -279,14 +279,7 @@
 // withdrawn meanwhile, although its gateway has given it up.
 #[test]
 fn requests_that_waited_at_a_stopped_agent_do_not_run_on_a_withdrawn_version() {
-    let mut site = Site::start("stalled");
-    site.add_engine("engine-a", "dc-a", &["small/v1", "large/v1"]);
-    let proxy = Proxy::start(site.upstreams[0].agent.addr);
-    site.upstreams[0].reached_at = Some(proxy.addr);
-    site.add_service("orders-a", "dc-a", "orders");
-    site.add_gateway("gateway-a", "dc-a");
-    site.apply(&site.sheet());
-    site.wait_ready(0, 2);
+    let (site, proxy) = Site::with_proxied_engine("stalled");
     site.upstreams[0].agent.signal("STOP");
     let before = proxy.forwarded();
 
--- a/tests/processes/faults.rs
+++ b/tests/processes/faults.rs
@@ -3,7 +3,6 @@
 use serde_json::json;
 
 use crate::fixture::{Site, new_key, prompt, text, wait_for};
-use crate::proxy::Proxy;
 
 // Guards against a second run of an order that is sent again through another gateway after its own was killed.
 #[test]
@@ -190,14 +189,7 @@
 // Guards against an answer that stops for ever, or loses or repeats bytes, when its connection goes silent.
 #[test]
 fn a_connection_that_goes_silent_in_mid_stream_is_replaced() {
-    let mut site = Site::start("silent");
-    site.add_engine("engine-a", "dc-a", &["small/v1", "large/v1"]);
-    let proxy = Proxy::start(site.upstreams[0].agent.addr);
-    site.upstreams[0].reached_at = Some(proxy.addr);
-    site.add_service("orders-a", "dc-a", "orders");
-    site.add_gateway("gateway-a", "dc-a");
-    site.apply(&site.sheet());
-    site.wait_ready(0, 2);
+    let (site, proxy) = Site::with_proxied_engine("silent");
     let text = "silent [[tokens=60]] [[delay=50]]";
     let mut body = prompt("large/v1", text);
     body["stream"] = json!(true);
--- a/tests/processes/fixture.rs
+++ b/tests/processes/fixture.rs
@@ -20,6 +20,8 @@
 use fireflywind::upstream::exchange::{Request, send};
 use serde_json::{Value, json};
 
+use crate::proxy::Proxy;
+
 /// One generous deadline for everything that a test waits for.
 const DEADLINE: Duration = Duration::from_mins(1);
 
@@ -296,6 +298,20 @@
         site
     }
 
+    /// Starts a site of one engine, whose agent is reached through a forwarder, an order service and a gateway
+    /// with a sheet in force.
+    pub fn with_proxied_engine(test: &str) -> (Self, Proxy) {
+        let mut site = Self::start(test);
+        site.add_engine("engine-a", "dc-a", &["small/v1", "large/v1"]);
+        let proxy = Proxy::start(site.upstreams[0].agent.addr);
+        site.upstreams[0].reached_at = Some(proxy.addr);
+        site.add_service("orders-a", "dc-a", "orders");
+        site.add_gateway("gateway-a", "dc-a");
+        site.apply(&site.sheet());
+        site.wait_ready(0, 2);
+        (site, proxy)
+    }
+
     /// Starts an engine and its agent.
     pub fn add_engine(&mut self, name: &str, data_centre: &str, versions: &[&str]) {
         let process = standin("engine", &[]);
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -1,11 +1,14 @@
 //! The real program of the platform's gateway, against a stand-in for the store.
 
+mod process;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, ChildStdout, Command, Stdio};
+use std::process::{ChildStdout, Command};
 use std::time::{Duration, Instant};
 
+use process::{Process, settings, value};
+
 /// Longest wait for a condition; a loaded machine needs far less.
 const DEADLINE: Duration = Duration::from_mins(1);
 
@@ -47,30 +50,19 @@
 }
 
 struct Router {
-    child: Child,
+    process: Process,
     lines: BufReader<ChildStdout>,
-    settings: PathBuf,
 }
 
 impl Router {
     fn start(store: SocketAddr) -> Self {
-        let settings = std::env::temp_dir().join(format!(
+        let path = std::env::temp_dir().join(format!(
             "fireflywind-router-{}-{}.json",
             std::process::id(),
             store.port()
         ));
-        write_settings(&settings, store, "8s");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_fireflywind-router"))
-            .env("FIREFLYWIND_NODE_FILE", &settings)
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the program starts");
-        let lines = BufReader::new(child.stdout.take().expect("it is piped"));
-        Self {
-            child,
-            lines,
-            settings,
-        }
+        let (process, lines) = Process::start(path, &settings_text(store, "8s"));
+        Self { process, lines }
     }
 
     /// Returns the next log line of an event.
@@ -90,39 +82,13 @@
         }
         panic!("no event={event}");
     }
-
-    fn signal(&self, signal: &str) {
-        let id = self.child.id().to_string();
-        let status = Command::new("kill").args([signal, &id]).status();
-        assert!(status.is_ok_and(|s| s.success()));
-    }
 }
 
-impl Drop for Router {
-    fn drop(&mut self) {
-        // The process may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.settings);
-    }
-}
-
-fn write_settings(path: &PathBuf, store: SocketAddr, stop_grace: &str) {
-    let any = "127.0.0.1:0";
-    let text = format!(
-        r#"{{"name":"g","data_centre":"a","listen":"{any}","ready":"{any}","admin":"{any}","loads":"{any}",
-        "beacon_port":1,"store":"{store}","retries":{{"ratio":0.9,"window_s":10,"slack":52}},
-        "stop_grace":"{stop_grace}"}}"#
+fn settings_text(store: SocketAddr, stop_grace: &str) -> String {
+    let bounds = format!(
+        r#""retries":{{"ratio":0.9,"window_s":10,"slack":52}},"stop_grace":"{stop_grace}""#
     );
-    std::fs::write(path, text).expect("the temporary directory can be written");
-}
-
-fn value<'a>(line: &'a str, key: &str) -> &'a str {
-    let start = line
-        .find(&format!(" {key}="))
-        .expect("the line has the key");
-    let value = &line[start + key.len() + 2..];
-    value.split_whitespace().next().expect("it has a value")
+    settings("g", store, &bounds)
 }
 
 fn get(addr: &str, path: &str) -> String {
@@ -147,21 +113,22 @@
         std::thread::sleep(Duration::from_millis(20));
     }
 
-    router.signal("-HUP");
+    router.process.signal("-HUP");
     let unchanged = router.line("reload");
-    write_settings(&router.settings, store, "1s");
-    router.signal("-HUP");
+    std::fs::write(&router.process.settings, settings_text(store, "1s"))
+        .expect("it can be written");
+    router.process.signal("-HUP");
     let changed = router.line("reload");
-    std::fs::write(&router.settings, "{").expect("it can be written");
-    router.signal("-HUP");
+    std::fs::write(&router.process.settings, "{").expect("it can be written");
+    router.process.signal("-HUP");
     let failed = router.line("reload_failed");
 
     assert!(unchanged.contains("changed=false") && changed.contains("changed=true"));
     assert!(failed.contains("EOF"));
     assert!(get(admin, "/metrics").contains("fireflywind_value"));
-    router.signal("-TERM");
+    router.process.signal("-TERM");
     router.line("stop_requested");
-    let status = router.child.wait().expect("it ends");
+    let status = router.process.child.wait().expect("it ends");
     assert_eq!(status.code(), Some(0));
 }
 
--- a/tests/soak/gateway.rs
+++ b/tests/soak/gateway.rs
@@ -3,12 +3,12 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::ChildStdout;
 use std::sync::mpsc;
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::process::{Process, settings, value};
 use crate::wire::Channel;
 
 /// Longest wait for a process to start or to end; a loaded machine needs far less.
@@ -20,27 +20,15 @@
     /// Address for clients.
     pub listen: SocketAddr,
     ready: SocketAddr,
-    child: Child,
-    settings: PathBuf,
+    process: Process,
 }
 
 impl Gateway {
     /// Starts a gateway that logs to a file.
     pub fn start(name: &str, store: SocketAddr, dir: &std::path::Path) -> Self {
-        let settings = dir.join(format!("{name}.json"));
-        let any = "127.0.0.1:0";
-        let text = format!(
-            r#"{{"name":"{name}","data_centre":"a","listen":"{any}","ready":"{any}","admin":"{any}","loads":"{any}",
-            "beacon_port":1,"store":"{store}","retries":{{"ratio":0.9,"window_s":10,"slack":200}},
-            "key_revocation":"5s","stop_grace":"3s"}}"#
-        );
-        std::fs::write(&settings, text).expect("the directory can be written");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_fireflywind-router"))
-            .env("FIREFLYWIND_NODE_FILE", &settings)
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the program starts");
-        let lines = BufReader::new(child.stdout.take().expect("it is piped"));
+        let bounds = r#""retries":{"ratio":0.9,"window_s":10,"slack":200},"key_revocation":"5s","stop_grace":"3s""#;
+        let text = settings(name, store, bounds);
+        let (process, lines) = Process::start(dir.join(format!("{name}.json")), &text);
         let log = File::create(dir.join(format!("{name}.log"))).expect("it can be created");
         let (tx, rx) = mpsc::channel();
         thread::spawn(move || copy_lines(lines, log, &tx));
@@ -48,8 +36,7 @@
         Self {
             listen: address(&start, "listen"),
             ready: address(&start, "ready"),
-            child,
-            settings,
+            process,
         }
     }
 
@@ -67,17 +54,15 @@
 
     /// Sends a signal to this process.
     pub fn signal(&self, signal: &str) {
-        let id = self.child.id().to_string();
-        let status = Command::new("kill").args([signal, &id]).status();
-        assert!(status.is_ok_and(|s| s.success()));
+        self.process.signal(signal);
     }
 
-    /// Waits until the process has ended; returns whether it ended by itself with success.
-    pub fn wait(&mut self) -> bool {
+    /// Waits until the process has ended.
+    pub fn wait(&mut self) {
         let started = Instant::now();
         while started.elapsed() < DEADLINE {
-            if let Some(status) = self.child.try_wait().expect("it is a child") {
-                return status.success();
+            if (self.process.child.try_wait().expect("it is a child")).is_some() {
+                return;
             }
             thread::sleep(Duration::from_millis(5));
         }
@@ -85,20 +70,7 @@
     }
 }
 
-impl Drop for Gateway {
-    fn drop(&mut self) {
-        // The process may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.settings);
-    }
-}
-
-fn copy_lines(
-    lines: BufReader<std::process::ChildStdout>,
-    mut log: File,
-    start: &mpsc::Sender<String>,
-) {
+fn copy_lines(lines: BufReader<ChildStdout>, mut log: File, start: &mpsc::Sender<String>) {
     for line in lines.lines().map_while(Result::ok) {
         if line.contains(" event=start ") {
             // Nobody waits for it a second time.
@@ -111,8 +83,5 @@
 }
 
 fn address(line: &str, key: &str) -> SocketAddr {
-    let mut words = line.split_whitespace();
-    let found = words.find_map(|w| w.strip_prefix(&format!("{key}=")));
-    let found = found.and_then(|text| text.trim_matches('"').parse().ok());
-    found.expect("the line has the address")
+    value(line, key).parse().expect("it is an address")
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -11,6 +11,8 @@
 mod faults;
 mod gateway;
 mod ledger;
+#[path = "../router/process.rs"]
+mod process;
 mod proxy;
 mod store;
 mod upstream;
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -2,16 +2,15 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
 /// How bytes pass.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[repr(u8)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Way {
     /// At once.
+    #[default]
     Open,
     /// Some 80 ms later.
     Delayed,
@@ -21,17 +20,6 @@
     Half,
 }
 
-impl Way {
-    const fn from(byte: u8) -> Self {
-        match byte {
-            1 => Self::Delayed,
-            2 => Self::Silent,
-            3 => Self::Half,
-            _ => Self::Open,
-        }
-    }
-}
-
 const DELAY: Duration = Duration::from_millis(80);
 const POLL: Duration = Duration::from_millis(5);
 
@@ -43,7 +31,7 @@
 pub struct Proxy {
     /// Address that forwards.
     pub addr: SocketAddr,
-    way: Arc<AtomicU8>,
+    way: Arc<Mutex<Way>>,
     open: Arc<Mutex<Vec<TcpStream>>>,
 }
 
@@ -68,7 +56,7 @@
 
     /// Sets how bytes pass from now on.
     pub fn set(&self, way: Way) {
-        self.way.store(way as u8, Ordering::SeqCst);
+        *(self.way.lock()).expect("no thread panics while it holds this") = way;
     }
 
     /// Closes all open connections.
@@ -84,7 +72,7 @@
     }
 
     fn way(&self) -> Way {
-        Way::from(self.way.load(Ordering::SeqCst))
+        *(self.way.lock()).expect("no thread panics while it holds this")
     }
 
     fn connect(&self, client: TcpStream, to: SocketAddr) {
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -1,8 +1,7 @@
 //! A stand-in for an upstream, which notes what it runs and can misbehave.
 
 use std::net::{TcpListener, TcpStream};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -14,10 +13,10 @@
 use crate::wire::{Channel, Message};
 
 /// How an upstream behaves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[repr(u8)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Mood {
     /// As it should.
+    #[default]
     Sound,
     /// Half of its answers are errors of its own.
     Failing,
@@ -31,19 +30,6 @@
     Dead,
 }
 
-impl Mood {
-    const fn from(byte: u8) -> Self {
-        match byte {
-            1 => Self::Failing,
-            2 => Self::Full,
-            3 => Self::Cutting,
-            4 => Self::Mute,
-            5 => Self::Dead,
-            _ => Self::Sound,
-        }
-    }
-}
-
 const WORK: Duration = Duration::from_millis(10);
 const EVENT_PAUSE: Duration = Duration::from_millis(15);
 
@@ -57,7 +43,7 @@
     pub id: Arc<str>,
     /// What stands between it and the gateways.
     pub proxy: Proxy,
-    mood: Arc<AtomicU8>,
+    mood: Arc<Mutex<Mood>>,
     ledger: Arc<Ledger>,
 }
 
@@ -84,7 +70,7 @@
 
     /// Sets how it behaves from now on.
     pub fn set(&self, mood: Mood) {
-        self.mood.store(mood as u8, Ordering::SeqCst);
+        *(self.mood.lock()).expect("no thread panics while it holds this") = mood;
     }
 
     /// Returns its entry in the store.
@@ -94,7 +80,7 @@
     }
 
     fn mood(&self) -> Mood {
-        Mood::from(self.mood.load(Ordering::SeqCst))
+        *(self.mood.lock()).expect("no thread panics while it holds this")
     }
 
     fn serve(&self, stream: TcpStream) {
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -255,10 +255,7 @@
     }
 
     fn end_faults(&mut self, now: Instant) {
-        let (over, active) = self.active.drain(..).partition(|(_, until)| *until <= now);
-        self.active = active;
-        let over: Vec<(Fault, Instant)> = over;
-        for (fault, _) in over {
+        for (fault, _) in self.active.extract_if(.., |(_, until)| *until <= now) {
             match fault {
                 Fault::Freeze(at) => self.gateways[at].signal("-CONT"),
                 Fault::StoreBusy => self.store.set_busy(false),
@@ -268,10 +265,7 @@
                 _ => {}
             }
         }
-        let (gone, leaving) = self.leaving.drain(..).partition(|(_, until)| *until <= now);
-        self.leaving = leaving;
-        let gone: Vec<(Arc<str>, Instant)> = gone;
-        for (id, _) in gone {
+        for (id, _) in self.leaving.extract_if(.., |(_, until)| *until <= now) {
             self.store.remove(&format!("servers/{id}"));
         }
     }
