Listen for signals where both platform programs start

The router and the beacon each listened for stops and reloads and reported the failure; `run_on_platform` does it once and hands both over.

--- a/src/bin/fireflywind-beacon/main.rs
+++ b/src/bin/fireflywind-beacon/main.rs
@@ -14,21 +14,11 @@
     daemon::run_on_platform(NAME, load, run)
 }
 
-async fn run(cfg: &BeaconSettings) -> DaemonExit {
-    match Reloads::listen() {
-        // Other addresses need a new start; the platform starts a process that ends.
-        Ok(reloads) => {
-            actix_rt::spawn(reloads.run(cfg.clone(), load, |_: &BeaconSettings| {}));
-        }
-        Err(error) => {
-            eprintln!("{NAME}: {error}");
-            return DaemonExit::CannotStart;
-        }
-    }
-    let signals = StopSignals::listen();
-    let sender = Sender::bind(cfg.listen, cfg.upstream).await;
-    match signals.and_then(|signals| Ok((signals, sender?))) {
-        Ok((signals, sender)) => {
+async fn run(cfg: &BeaconSettings, signals: StopSignals, reloads: Reloads) -> DaemonExit {
+    // Other addresses need a new start; the platform starts a process that ends.
+    actix_rt::spawn(reloads.run(cfg.clone(), load, |_: &BeaconSettings| {}));
+    match Sender::bind(cfg.listen, cfg.upstream).await {
+        Ok(sender) => {
             log::info!(event = "start", name:% = cfg.name, version = env!("CARGO_PKG_VERSION"),
                 upstream:% = cfg.upstream; "");
             let stop = async || {
--- a/src/bin/fireflywind-router/main.rs
+++ b/src/bin/fireflywind-router/main.rs
@@ -18,23 +18,15 @@
     daemon::run_on_platform(NAME, load, run)
 }
 
-async fn run(cfg: &GatewaySettings) -> DaemonExit {
+async fn run(cfg: &GatewaySettings, signals: StopSignals, reloads: Reloads) -> DaemonExit {
     let store = Rc::new(Store::open(cfg.store));
     let shared = Shared::open(cfg.policy(), Box::new(Rc::clone(&store)));
-    match Reloads::listen() {
-        Ok(reloads) => {
-            let shared = Rc::clone(&shared);
-            let apply = move |cfg: &GatewaySettings| {
-                store.set_addr(cfg.store);
-                shared.set_policy(cfg.policy());
-            };
-            actix_rt::spawn(reloads.run(cfg.clone(), load, apply));
-        }
-        Err(error) => {
-            eprintln!("{NAME}: {error}");
-            return DaemonExit::CannotStart;
-        }
-    }
+    let reloaded = Rc::clone(&shared);
+    let apply = move |cfg: &GatewaySettings| {
+        store.set_addr(cfg.store);
+        reloaded.set_policy(cfg.policy());
+    };
+    actix_rt::spawn(reloads.run(cfg.clone(), load, apply));
     let addresses = Addresses {
         listen: cfg.listen,
         ready: cfg.ready,
@@ -48,9 +40,8 @@
         }
     };
     actix_rt::spawn(receiver.run(Rc::clone(&shared)));
-    let started = StopSignals::listen().and_then(|s| Ok((s, Gateway::bind(shared, addresses)?)));
-    match started {
-        Ok((signals, gateway)) => {
+    match Gateway::bind(shared, addresses) {
+        Ok(gateway) => {
             log::info!(event = "start", name:% = cfg.name, version = env!("CARGO_PKG_VERSION"),
                 listen:% = gateway.addresses().listen,
                 ready:% = gateway.addresses().ready, admin:% = gateway.addresses().admin, data_centre:% = cfg.data_centre; "");
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -16,6 +16,7 @@
 use crate::telemetry::{buffered, logging};
 
 use exit_codes::DaemonExit;
+use reload::Reloads;
 
 /// What a daemon's command line asks for.
 #[derive(Debug, PartialEq, Eq)]
@@ -80,11 +81,11 @@
     run(&cfg).into()
 }
 
-/// Runs a program whose settings the platform names: reads them, starts the log and the runtime.
+/// Runs a program whose settings the platform names: reads them, starts the log, the runtime and the signals.
 pub fn run_on_platform<T, E: std::fmt::Display>(
     name: &str,
     load: impl FnOnce() -> Result<T, E>,
-    run: impl AsyncFnOnce(&T) -> DaemonExit,
+    run: impl AsyncFnOnce(&T, StopSignals, Reloads) -> DaemonExit,
 ) -> ExitCode {
     let cfg = match load() {
         Ok(cfg) => cfg,
@@ -100,7 +101,15 @@
             return DaemonExit::CannotStart.into();
         }
     };
-    let exit = actix_rt::System::new().block_on(run(&cfg));
+    let exit = actix_rt::System::new().block_on(async {
+        match StopSignals::listen().and_then(|s| Ok((s, Reloads::listen()?))) {
+            Ok((signals, reloads)) => run(&cfg, signals, reloads).await,
+            Err(error) => {
+                eprintln!("{name}: {error}");
+                DaemonExit::CannotStart
+            }
+        }
+    });
     writer.close();
     exit.into()
 }
