Show how long the store's word that an upstream leaves takes to its last request

Callers saw nothing; the operators could not tell from a log whether a late request to a leaving upstream was caused by a late word, by a grace for lapsed entries or by a request already on its way. New: word_age_ms on each change of the registry, sent_to_leaving for each such request, departure with the time of the last one, store_call_failed with the time taken, timer_late for a starved process, and a histogram. No decision changes.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -119,6 +119,7 @@
     };
     let message = encode(shared, req, job, upstream, relay);
     let pending = Pending::start(shared, upstream, job.work(shared));
+    note_send(shared, job, upstream);
     let head = {
         let last = Cell::new(leg.sent);
         let silence = silence::wait(
@@ -146,6 +147,19 @@
     answer(shared, client, job, leg, head, relay, can_move).await
 }
 
+/// Logs a request that is sent to an upstream that leaves.
+fn note_send(shared: &Shared, job: &Job, upstream: &Upstream) {
+    let now = shared.clock.now();
+    let mut departures = shared.departures.borrow_mut();
+    let Some(departure) = departures.sent(&upstream.id, upstream.boot, now) else {
+        return;
+    };
+    shared.metrics.event("sent_to_leaving");
+    log::warn!(event = "sent_to_leaving", request:% = String::from_utf8_lossy(&job.id), upstream:% = upstream.id,
+        word = departure.word.name(), since_word_ms = now.since(departure.told).0,
+        word_age_ms = departure.word_age.0; "");
+}
+
 /// Takes a kept connection or opens one.
 async fn open_leg(shared: &Shared, job: &Job, choice: &Choice) -> Result<Leg, AttemptEnd> {
     let upstream = &choice.upstream;
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -10,7 +10,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::kv::LocalFuture;
-use crate::router::fleet::{Change, Upstream};
+use crate::router::departures::Word;
+use crate::router::fleet::{Change, Upstream, UpstreamState};
 use crate::router::rollout::{Phase, Rollout};
 use crate::router::table::RouteTable;
 use crate::units::Millis;
@@ -148,6 +149,7 @@
         match result {
             Ok(listing) => {
                 let silence = shared.freshness.borrow().age(now);
+                let word_age = silence.unwrap_or_default();
                 note_contact(&shared, silence, failures, now);
                 let is_quiet = revision.is_some() && listing.notices.is_empty();
                 if is_quiet {
@@ -159,7 +161,13 @@
                 let gap = silence.filter(|_| failures > 0 || revision.is_none());
                 let made = middle_of(gap, now);
                 failures = 0;
-                take_in(&shared, listing.notices, revision.is_none(), now, made);
+                let answer = Answer {
+                    notices: listing.notices,
+                    is_list: revision.is_none(),
+                    made,
+                    word_age,
+                };
+                take_in(&shared, answer, now);
                 // The history never goes back.
                 revision =
                     Some(revision.map_or(listing.revision, |r: u64| r.max(listing.revision)));
@@ -177,6 +185,8 @@
                 if failures == 1 {
                     log::warn!(event = "store_lost", error:% = error; "");
                 }
+                log::info!(event = "store_call_failed", error:% = error, failures = failures,
+                    took_ms = now.since(asked).0, wait_ms = wait.0, view_age_ms = age(&shared, now).0; "");
                 let pause = RETRY_PAUSE.0.0 << failures.min(3);
                 let jitter = shared.draw() % 100;
                 let pause = Millis(pause.min(RETRY_PAUSE.1.0) + jitter);
@@ -206,20 +216,43 @@
     Millis(now.0.saturating_sub(gap / 2))
 }
 
-/// Takes in what the store said; `made` is when changes were made, as far as is known.
-fn take_in(shared: &Rc<Shared>, notices: Vec<Notice>, is_list: bool, now: Millis, made: Millis) {
+/// What an answer of the store holds.
+struct Answer {
+    notices: Vec<Notice>,
+    /// Whether it is everything, rather than what has changed.
+    is_list: bool,
+    /// When changes were made, as far as is known.
+    made: Millis,
+    /// Longest time for which the store may have known the changes.
+    word_age: Millis,
+}
+
+/// Takes in what the store said.
+fn take_in(shared: &Rc<Shared>, answer: Answer, now: Millis) {
+    let Answer {
+        notices,
+        is_list,
+        made,
+        word_age,
+    } = answer;
     let grace = shared.lapses.borrow().grace(now);
     let mut upstreams = Vec::new();
     for notice in notices {
+        if let Notice::Upstream(upstream) = &notice
+            && upstream.state == UpstreamState::Ready
+        {
+            let mut departures = shared.departures.borrow_mut();
+            departures.back(&upstream.id, upstream.boot);
+        }
         match notice {
             Notice::Upstream(upstream) if is_list => upstreams.push(upstream),
             Notice::Upstream(upstream) => {
                 let change = shared.fleet.borrow_mut().put(upstream);
-                shared.note_change(change);
+                shared.note_change(change, word_age);
             }
             Notice::UpstreamRemoved(id) => {
                 let change = shared.fleet.borrow_mut().remove(&id, grace);
-                shared.note_change(change);
+                shared.note_change(change, word_age);
             }
             Notice::Table(table) => shared.set_table(table),
             Notice::RolloutOrder { service, to, ramp } => {
@@ -243,18 +276,23 @@
     if is_list {
         let changes = (shared.fleet.borrow_mut()).replace(upstreams, grace);
         for change in changes {
-            shared.note_change(Some(change));
+            shared.note_change(Some(change), word_age);
         }
     }
     shared.is_loaded.set(true);
     shared.loaded.notify_one();
 }
 
+/// Returns the time for which the store may know something that is not known here.
+fn age(shared: &Shared, now: Millis) -> Millis {
+    shared.freshness.borrow().age(now).unwrap_or_default()
+}
+
 fn expire(shared: &Shared) {
     let now = shared.clock.now();
     let gone = shared.fleet.borrow_mut().expire(now);
     for change in gone {
-        shared.note_change(Some(change));
+        shared.note_change(Some(change), Millis(0));
     }
 }
 
@@ -513,7 +551,9 @@
 
 impl Shared {
     /// Logs a change of the fleet and drops what belongs to an upstream that left.
-    pub(super) fn note_change(&self, change: Option<Change>) {
+    ///
+    /// `word_age` is the longest time for which the store may have known it.
+    pub(super) fn note_change(&self, change: Option<Change>, word_age: Millis) {
         let Some(change) = change else {
             return;
         };
@@ -525,7 +565,27 @@
             Change::Outdated(u) => ("outdated", u),
         };
         log::info!(event = "upstream", change = what, upstream:% = upstream.id, addr:% = upstream.addr,
-            service:% = upstream.service, version:% = upstream.version, boot = upstream.boot, seq = upstream.seq; "");
+            service:% = upstream.service, version:% = upstream.version, boot = upstream.boot, seq = upstream.seq, word_age_ms = word_age.0; "");
+        let word = match &change {
+            Change::Joined(_) | Change::Outdated(_) => None,
+            Change::Draining(_) => Some(Word::Draining),
+            Change::Gone(_) => Some(Word::Gone),
+            Change::Missing(_) => Some(Word::Missing),
+        };
+        if let Some(word) = word {
+            let now = self.clock.now();
+            let is_first = (self.departures.borrow_mut()).tell(
+                &upstream.id,
+                upstream.boot,
+                word,
+                now,
+                word_age,
+            );
+            if is_first {
+                self.metrics
+                    .word_age(word.name(), word_age.duration().as_secs_f64());
+            }
+        }
         if matches!(change, Change::Gone(_) | Change::Draining(_)) {
             self.pool.borrow_mut().forget(&upstream.id);
         }
--- a/src/forward/gateway.rs
+++ b/src/forward/gateway.rs
@@ -31,6 +31,9 @@
 /// Pause between two passes over idle connections and forgotten upstreams.
 const UPKEEP_PAUSE: Millis = Millis(1_000);
 
+/// Lateness of a timer that is logged: a tenth of the shortest time in which a change is to be in force.
+const LATE_TIMER: Millis = Millis(200);
+
 /// Longest time for a question on the readiness or metrics address.
 const QUESTION_TIMEOUT: Millis = Millis(2_000);
 
@@ -195,6 +198,15 @@
     }
 }
 
+/// Notes by how much a timer was late, which is the time that a request waits for the processor.
+fn note_lateness(shared: &Shared, late: Millis) {
+    let value = i64::try_from(late.0).unwrap_or(i64::MAX);
+    shared.metrics.value("timer_late_ms", value);
+    if late >= LATE_TIMER {
+        log::warn!(event = "timer_late", late_ms = late.0; "");
+    }
+}
+
 fn metrics(shared: &Shared) -> String {
     let value = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
     let metrics = &shared.metrics;
@@ -214,8 +226,19 @@
 
 async fn upkeep(shared: Rc<Shared>) {
     loop {
+        let due = shared.clock.now() + UPKEEP_PAUSE;
         sleep(UPKEEP_PAUSE.duration()).await;
-        shared.pool.borrow_mut().expire(shared.clock.now());
+        let now = shared.clock.now();
+        note_lateness(&shared, now.since(due));
+        for departure in shared.departures.borrow_mut().take_due(now) {
+            let last_send = departure
+                .last_send
+                .map_or(-1, |at| i128::from(at.since(departure.told).0));
+            log::info!(event = "departure", upstream:% = departure.upstream, boot = departure.boot,
+                word = departure.word.name(), word_age_ms = departure.word_age.0, sends = departure.sends,
+                last_send_ms = last_send; "");
+        }
+        shared.pool.borrow_mut().expire(now);
         let fleet = shared.fleet.borrow();
         (shared.health.borrow_mut()).retain(|id, boot| fleet.is_present(id, boot));
     }
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -9,6 +9,7 @@
 use crate::clock::Clock;
 use crate::ids;
 use crate::router::cascade::Cascade;
+use crate::router::departures::Departures;
 use crate::router::fleet::{Fleet, Lapses};
 use crate::router::freshness::Freshness;
 use crate::router::health::HealthTable;
@@ -74,6 +75,8 @@
     pub freshness: RefCell<Freshness>,
     /// Which removals an outage of the store caused.
     pub lapses: RefCell<Lapses>,
+    /// Upstreams that leave, with the requests that were sent to them since.
+    pub departures: RefCell<Departures>,
     /// Whether everything was read from the store once.
     pub is_loaded: Cell<bool>,
     /// Tells that everything was read.
@@ -122,6 +125,7 @@
             rollouts: RefCell::new(rollouts),
             freshness: RefCell::new(freshness),
             lapses: RefCell::default(),
+            departures: RefCell::default(),
             is_loaded: Cell::default(),
             loaded: Notify::new(),
             is_stopping: Cell::default(),
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod attempt;
 pub mod cascade;
+pub mod departures;
 pub mod fleet;
 pub mod freshness;
 pub mod health;
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the router's decisions; none needs a network.
 
+mod departures;
 mod fleet;
 mod load;
 mod outcome;
