--- /dev/null
+++ b/src/forward/tests/leaving.rs
@@ -0,0 +1,184 @@
+//! From the store's word that an upstream leaves to its last request.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use super::fixture::{policy, table};
+use crate::fixtures::run_paused;
+use crate::forward::follow::{self, Control, ControlError, Listing, Notice, RolloutWrite};
+use crate::forward::shared::{Policy, Shared};
+use crate::kv::LocalFuture;
+use crate::router::fleet::{Upstream, UpstreamState};
+use crate::units::Millis;
+
+/// Time from the store's word after which an upstream that leaves gets no request; the shortest bound of the
+/// deployments.
+const DRAIN_BOUND: Millis = Millis(2_000);
+
+/// Time after which a gateway whose connections went silent has to be current again; the shortest bound of the
+/// deployments.
+const CATCH_UP_BOUND: Millis = Millis(3_000);
+
+/// Time for an answer beyond the wait of a watch, as the client of the store has it.
+const ANSWER_TIME: Millis = Millis(700);
+
+/// What the store does with one watch call.
+enum Step {
+    /// Fails after a time.
+    Fail(Millis),
+    /// Never answers.
+    Silence,
+    /// Tells changes after a time.
+    Say(Millis, Vec<Notice>),
+}
+
+/// A store that lists two upstreams, follows a script, and is quiet from then on.
+struct ScriptedControl {
+    steps: RefCell<VecDeque<Step>>,
+}
+
+impl Control for ScriptedControl {
+    fn list(&self) -> LocalFuture<'_, Result<Listing, ControlError>> {
+        Box::pin(async {
+            Ok(Listing {
+                notices: vec![
+                    Notice::Table(Rc::new(table())),
+                    Notice::Upstream(upstream("leaves", UpstreamState::Ready, 1)),
+                    Notice::Upstream(upstream("stays", UpstreamState::Ready, 1)),
+                ],
+                revision: 1,
+            })
+        })
+    }
+
+    fn watch(&self, after: u64, wait: Millis) -> LocalFuture<'_, Result<Listing, ControlError>> {
+        let step = self.steps.borrow_mut().pop_front();
+        Box::pin(async move {
+            let (pause, result) = match step {
+                Some(Step::Fail(pause)) => (pause, Err(unavailable())),
+                Some(Step::Silence) => (wait + ANSWER_TIME, Err(unavailable())),
+                Some(Step::Say(pause, notices)) => (pause, Ok(listing(notices, after + 1))),
+                None => (wait, Ok(listing(Vec::new(), after))),
+            };
+            actix_rt::time::sleep(pause.duration()).await;
+            result
+        })
+    }
+
+    fn write_rollout(&self, _write: RolloutWrite) -> LocalFuture<'_, Result<u64, ControlError>> {
+        Box::pin(async { Err(ControlError::Conflict) })
+    }
+}
+
+fn unavailable() -> ControlError {
+    ControlError::Unavailable("no answer".to_owned())
+}
+
+fn listing(notices: Vec<Notice>, revision: u64) -> Listing {
+    Listing { notices, revision }
+}
+
+fn upstream(id: &str, state: UpstreamState, seq: u64) -> Upstream {
+    Upstream {
+        id: id.into(),
+        addr: "127.0.0.1:1".parse().expect("an address"),
+        service: "pool".into(),
+        data_centre: "a".into(),
+        version: "v1".into(),
+        slots: 8,
+        state,
+        boot: 1,
+        seq,
+        warm_up: Millis(0),
+    }
+}
+
+fn removal() -> Vec<Notice> {
+    vec![Notice::UpstreamRemoved("leaves".into())]
+}
+
+fn follow(policy: Policy, steps: Vec<Step>) -> Rc<Shared> {
+    let control = ScriptedControl {
+        steps: RefCell::new(steps.into()),
+    };
+    let shared = Shared::open(policy, Box::new(control));
+    actix_rt::spawn(follow::run(Rc::clone(&shared)));
+    shared
+}
+
+/// Returns the upstreams that may get a request now.
+fn usable(shared: &Shared) -> Vec<String> {
+    let fleet = shared.fleet.borrow();
+    fleet.ready("pool").map(|u| u.id.to_string()).collect()
+}
+
+async fn sleep_until(shared: &Shared, at: Millis) {
+    let left = at.since(shared.clock.now());
+    actix_rt::time::sleep(left.duration()).await;
+}
+
+/// A removal was taken for a lapse because one call of this gateway had failed, and the upstream, which was
+/// leaving, got requests for seconds.
+#[test]
+fn an_upstream_that_is_removed_after_one_lost_call_leaves_at_once() {
+    run_paused(async {
+        let steps = vec![Step::Fail(Millis(500)), Step::Say(Millis(100), removal())];
+        let shared = follow(policy(), steps);
+
+        // The list, its pause, the lost call, the pause after it, and the answer.
+        sleep_until(&shared, Millis(1_600)).await;
+
+        assert_eq!(usable(&shared), ["stays"]);
+    });
+}
+
+/// The grace of an entry that had lapsed ended only with the store's next answer.
+#[test]
+fn a_lapsed_entry_is_dropped_without_another_word_from_the_store() {
+    run_paused(async {
+        let outage = (0..8).map(|_| Step::Fail(Millis(100)));
+        let steps = outage.chain([Step::Say(Millis(0), removal())]).collect();
+        let shared = follow(policy(), steps);
+        while shared
+            .departures
+            .borrow_mut()
+            .sent("leaves", 1, Millis(0))
+            .is_none()
+        {
+            actix_rt::time::sleep(Millis(10).duration()).await;
+        }
+        let told = shared.clock.now();
+        assert_eq!(usable(&shared), ["leaves", "stays"]);
+
+        sleep_until(&shared, told + DRAIN_BOUND).await;
+
+        assert_eq!(usable(&shared), ["stays"]);
+    });
+}
+
+/// A watch on a connection that had gone silent hid for seconds that an upstream was leaving.
+#[test]
+fn a_silent_watch_hides_a_leaving_upstream_for_no_longer_than_the_gateway_may_take_to_catch_up() {
+    for key_revocation in [Some(Millis(5_000)), None] {
+        run_paused(async {
+            let draining = upstream("leaves", UpstreamState::Draining, 2);
+            let steps = vec![
+                Step::Silence,
+                Step::Say(Millis(0), vec![Notice::Upstream(draining)]),
+            ];
+            let policy = Policy {
+                key_revocation,
+                ..policy()
+            };
+            let shared = follow(policy, steps);
+            // The watch begins after the list and its pause, and is silent from then on.
+            sleep_until(&shared, Millis(450)).await;
+            let silent_since = shared.clock.now();
+
+            sleep_until(&shared, silent_since + CATCH_UP_BOUND).await;
+
+            assert_eq!(usable(&shared), ["stays"], "keys within {key_revocation:?}");
+        });
+    }
+}
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -2,5 +2,6 @@
 
 mod fixture;
 mod follow;
+mod leaving;
 mod parsers;
 mod whole_path;
