Take a removal for a lapse only after an outage that can cause one

Callers: requests reached an upstream that was leaving (DRAIN), up to 2.5 s after its removal had been taken in. Cause: any failed call of a gateway, such as one connection reset, counted as an outage of the store, so that removals in the next second were taken for entries that had lapsed and were used on. Ruled out: a late word (all gateways within 0.9 s), requests on their way (3 ms), timers (0.3 s). Change: entries lapse after three heartbeats, so an outage shorter than one cannot explain a removal; its length runs from the moment at which the watch broke, or from the start of a call that was never answered. The interval is a setting, filled in by the platform. The view's age no longer counts as an outage.

--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -25,9 +25,6 @@
 /// Shortest and longest pause after a failed call to the store.
 const RETRY_PAUSE: (Millis, Millis) = (Millis(100), Millis(600));
 
-/// Age of the view from which the store counts as having been away, whatever the calls said.
-const OUTAGE: Millis = Millis(4_000);
-
 /// When a roll-out started, as recorded by the first gateway that saw its order.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutStart {
@@ -181,6 +178,10 @@
             }
             Err(error) => {
                 failures += 1;
+                // A watch that breaks before its time was sound until then.
+                let was_sound = revision.is_some() && now.since(asked) < wait;
+                let away_since = if was_sound { now } else { asked };
+                shared.lapses.borrow_mut().failed(away_since);
                 shared.metrics.event("store_call_failed");
                 if failures == 1 {
                     log::warn!(event = "store_lost", error:% = error; "");
@@ -199,11 +200,9 @@
 
 /// Notes an answer of the store.
 fn note_contact(shared: &Shared, silence: Option<Millis>, failures: u32, now: Millis) {
-    let was_away = failures > 0 || silence.is_some_and(|s| s > OUTAGE);
-    if was_away {
-        shared.lapses.borrow_mut().regained(now);
+    if let Some(away) = shared.lapses.borrow_mut().answered(now) {
         let silence = silence.map_or(0, |s| s.0);
-        log::info!(event = "store_regained", silence_ms = silence, failures = failures; "");
+        log::info!(event = "store_regained", silence_ms = silence, away_ms = away.0, failures = failures; "");
     }
 }
 
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -41,6 +41,8 @@
     pub session_span: Millis,
     /// Time from the request to stop until the process is killed.
     pub stop_grace: Millis,
+    /// Interval in which upstreams renew their entries in the store.
+    pub heartbeat: Millis,
     /// Longest time after the start for which clients wait for the first word from the store.
     pub start_patience: Millis,
 }
@@ -109,6 +111,7 @@
     #[must_use]
     pub fn open(policy: Policy, control: Box<dyn Control>) -> Rc<Self> {
         let freshness = Freshness::new(policy.key_revocation);
+        let lapses = Lapses::new(policy.heartbeat);
         let rollouts = Rollouts::new(policy.exposure_permille);
         Rc::new(Self {
             policy: RefCell::new(Rc::new(policy)),
@@ -124,7 +127,7 @@
             pool: RefCell::default(),
             rollouts: RefCell::new(rollouts),
             freshness: RefCell::new(freshness),
-            lapses: RefCell::default(),
+            lapses: RefCell::new(lapses),
             departures: RefCell::default(),
             is_loaded: Cell::default(),
             loaded: Notify::new(),
@@ -148,6 +151,7 @@
     /// Puts changed settings into force.
     pub fn set_policy(&self, policy: Policy) {
         self.freshness.borrow_mut().set_bound(policy.key_revocation);
+        self.lapses.borrow_mut().set_heartbeat(policy.heartbeat);
         for (_, budget) in self.budgets.borrow_mut().iter_mut() {
             budget.set_bounds(policy.retries);
         }
--- a/src/forward/tests/fixture.rs
+++ b/src/forward/tests/fixture.rs
@@ -241,6 +241,7 @@
         exposure_permille: 100,
         session_span: Millis::from_secs(5),
         stop_grace: Millis::from_secs(8),
+        heartbeat: Millis(1_200),
         start_patience: Millis::from_secs(60),
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -63,6 +63,9 @@
     /// Longest time that a revoked API key may work; absent if keys are trusted without a limit.
     #[serde(default)]
     pub key_revocation: Option<Millis>,
+    /// Interval in which upstreams renew their entries in the store.
+    #[serde(default = "default_heartbeat")]
+    pub heartbeat: Millis,
     /// Bounds of retries.
     pub retries: Retries,
     /// Share of a service's requests that may reach a bad version.
@@ -110,6 +113,10 @@
     0.1
 }
 
+const fn default_heartbeat() -> Millis {
+    Millis(1_200)
+}
+
 const fn default_session() -> f64 {
     5.0
 }
@@ -161,6 +168,7 @@
             exposure_permille: (self.exposure.clamp(0.0, 1.0) * 1_000.0) as u64,
             session_span: Millis((self.session_s.max(0.0) * 1_000.0) as u64),
             stop_grace: self.stop_grace,
+            heartbeat: self.heartbeat,
             start_patience: START_PATIENCE,
         }
     }
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -8,32 +8,66 @@
 
 use crate::units::Millis;
 
-/// How long an entry that lapsed during an outage of the store is still used after the store's return.
-///
-/// Live upstreams are back within about two seconds, and one that has left gets nothing two seconds after
-/// its removal was seen; the rest is for the way of a request.
+/// How long an entry that lapsed during an outage of the store is still used after the store's return; live
+/// upstreams are back within about two seconds.
 const LAPSE_GRACE: Millis = Millis(1_800);
 
 /// Time after the store's return in which removals count as lapses; later ones are upstreams that left.
 const LAPSE_WINDOW: Millis = Millis(1_000);
 
 /// Tells removals that an outage of the store caused from upstreams that left.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+///
+/// A single call that fails is no outage: connections break while the store is sound.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Lapses {
-    regained: Option<Millis>,
+    /// Interval in which upstreams renew their entries. A shorter outage costs one renewal at most, and an
+    /// entry lapses after three.
+    heartbeat: Millis,
+    away_since: Option<Millis>,
+    outage: Option<Outage>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Outage {
+    began: Millis,
+    /// When the store answered again.
+    ended: Millis,
 }
 
 impl Lapses {
-    /// Notes that the store was away and is back.
-    pub const fn regained(&mut self, now: Millis) {
-        self.regained = Some(now);
+    /// Starts without an outage.
+    #[must_use]
+    pub const fn new(heartbeat: Millis) -> Self {
+        Self {
+            heartbeat,
+            away_since: None,
+            outage: None,
+        }
+    }
+
+    /// Sets the interval in which upstreams renew their entries.
+    pub const fn set_heartbeat(&mut self, heartbeat: Millis) {
+        self.heartbeat = heartbeat;
+    }
+
+    /// Notes a call that failed, and since when the store may have been away.
+    pub fn failed(&mut self, since: Millis) {
+        self.away_since.get_or_insert(since);
+    }
+
+    /// Notes an answer; returns for how long the store may have been away before it.
+    pub fn answered(&mut self, now: Millis) -> Option<Millis> {
+        let began = self.away_since.take()?;
+        self.outage = Some(Outage { began, ended: now });
+        Some(now.since(began))
     }
 
     /// Returns until when an entry that is removed now is still used; `None` if it is gone.
     #[must_use]
     pub fn grace(&self, now: Millis) -> Option<Millis> {
-        let regained = self.regained?;
-        (now.since(regained) <= LAPSE_WINDOW).then(|| regained + LAPSE_GRACE)
+        let Outage { began, ended } = self.outage?;
+        let can_lapse = ended.since(began) >= self.heartbeat;
+        (can_lapse && now.since(ended) <= LAPSE_WINDOW).then(|| ended + LAPSE_GRACE)
     }
 }
 
--- a/src/router/tests/fleet.rs
+++ b/src/router/tests/fleet.rs
@@ -102,10 +102,11 @@
 /// An upstream that leaves some time after an outage must get nothing two seconds after its removal.
 #[test]
 fn a_removal_some_time_after_an_outage_is_no_lapse() {
-    let mut lapses = Lapses::default();
+    let mut lapses = Lapses::new(Millis(1_200));
     assert_eq!(lapses.grace(Millis(0)), None);
 
-    lapses.regained(Millis(10_000));
+    lapses.failed(Millis(6_000));
+    lapses.answered(Millis(10_000));
 
     let at_once = lapses.grace(Millis(10_000));
     assert!(at_once.is_some_and(|until| until < Millis(12_000)));
@@ -113,6 +114,19 @@
     assert_eq!(lapses.grace(Millis(11_750)), None);
 }
 
+/// One lost call while the store is sound must not make a removal a lapse.
+#[test]
+fn an_outage_shorter_than_a_heartbeat_explains_no_removal() {
+    let mut lapses = Lapses::new(Millis(1_200));
+    lapses.failed(Millis(5_000));
+    lapses.failed(Millis(5_900));
+
+    let away = lapses.answered(Millis(6_199));
+
+    assert_eq!(away, Some(Millis(1_199)));
+    assert_eq!(lapses.grace(Millis(6_199)), None);
+}
+
 /// Whatever the order and the gaps, an upstream that was seen draining never takes requests again in the
 /// same boot, and the newest boot decides.
 #[test]
