End the grace of a lapsed entry at its time, not at the store's next answer

Callers: requests reached an upstream that had left (DRAIN): with a grace of 1.8 s the last one was sent 2,485 ms after the removal was taken in. New: a_missing_entry_takes_no_request_after_its_grace.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -396,10 +396,14 @@
     if !head.keep_alive || !conn.buf.is_empty() {
         return;
     }
-    if !shared.fleet.borrow().is_ready(&upstream.id, upstream.boot) {
+    let now = shared.clock.now();
+    if !shared
+        .fleet
+        .borrow()
+        .is_ready(&upstream.id, upstream.boot, now)
+    {
         return;
     }
-    let now = shared.clock.now();
     (shared.pool.borrow_mut()).put(&upstream.id, upstream.boot, upstream.addr, conn, now);
 }
 
--- a/src/forward/choose.rs
+++ b/src/forward/choose.rs
@@ -23,7 +23,7 @@
 pub(super) fn choose(shared: &Shared, job: &Job, tried: &[Rc<str>]) -> Option<Choice> {
     let now = shared.clock.now();
     let fleet = shared.fleet.borrow();
-    let ready: Vec<_> = fleet.ready(&job.service).collect();
+    let ready: Vec<_> = fleet.ready(&job.service, now).collect();
     let usable = of_group(shared, job, ready, tried.len(), now);
     let policy = shared.policy();
     let mut health = shared.health.borrow_mut();
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -194,7 +194,6 @@
                 actix_rt::time::sleep(pause.duration()).await;
             }
         }
-        expire(&shared);
     }
 }
 
@@ -287,8 +286,8 @@
     shared.freshness.borrow().age(now).unwrap_or_default()
 }
 
-fn expire(shared: &Shared) {
-    let now = shared.clock.now();
+/// Drops upstreams whose grace is over.
+pub(super) fn expire(shared: &Shared, now: Millis) {
     let gone = shared.fleet.borrow_mut().expire(now);
     for change in gone {
         shared.note_change(Some(change), Millis(0));
--- a/src/forward/gateway.rs
+++ b/src/forward/gateway.rs
@@ -238,6 +238,7 @@
                 word = departure.word.name(), word_age_ms = departure.word_age.0, sends = departure.sends,
                 last_send_ms = last_send; "");
         }
+        follow::expire(&shared, now);
         shared.pool.borrow_mut().expire(now);
         let fleet = shared.fleet.borrow();
         (shared.health.borrow_mut()).retain(|id, boot| fleet.is_present(id, boot));
--- a/src/forward/tests/leaving.rs
+++ b/src/forward/tests/leaving.rs
@@ -110,7 +110,8 @@
 /// Returns the upstreams that may get a request now.
 fn usable(shared: &Shared) -> Vec<String> {
     let fleet = shared.fleet.borrow();
-    fleet.ready("pool").map(|u| u.id.to_string()).collect()
+    let now = shared.clock.now();
+    fleet.ready("pool", now).map(|u| u.id.to_string()).collect()
 }
 
 async fn sleep_until(shared: &Shared, at: Millis) {
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -127,6 +127,16 @@
     Outdated(Rc<Upstream>),
 }
 
+impl Member {
+    fn is_present(&self, now: Millis) -> bool {
+        self.missing_until.is_none_or(|until| now < until)
+    }
+
+    fn is_ready(&self, now: Millis) -> bool {
+        self.upstream.state == UpstreamState::Ready && self.is_present(now)
+    }
+}
+
 /// All registered upstreams, sorted by id.
 #[derive(Debug, Clone, Default)]
 pub struct Fleet {
@@ -202,19 +212,24 @@
     pub fn expire(&mut self, now: Millis) -> Vec<Change> {
         let mut gone = Vec::new();
         self.members.retain(|m| {
-            let is_gone = m.missing_until.is_some_and(|until| until <= now);
-            if is_gone {
+            let is_present = m.is_present(now);
+            if !is_present {
                 gone.push(Change::Gone(Rc::clone(&m.upstream)));
             }
-            !is_gone
+            is_present
         });
         gone
     }
 
-    /// Returns the upstreams of a service that may get new requests, by id.
-    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Rc<Upstream>> {
-        self.all()
-            .filter(move |u| u.service.as_ref() == service && u.state == UpstreamState::Ready)
+    /// Returns the upstreams of a service that may get new requests now, by id.
+    pub fn ready<'a>(
+        &'a self,
+        service: &'a str,
+        now: Millis,
+    ) -> impl Iterator<Item = &'a Rc<Upstream>> {
+        let ready = self.members.iter().filter(move |m| m.is_ready(now));
+        let upstreams = ready.map(|m| &m.upstream);
+        upstreams.filter(move |u| u.service.as_ref() == service)
     }
 
     /// Returns all upstreams, by id.
@@ -224,10 +239,10 @@
 
     /// Tells whether the same process still takes requests.
     #[must_use]
-    pub fn is_ready(&self, id: &str, boot: u64) -> bool {
+    pub fn is_ready(&self, id: &str, boot: u64, now: Millis) -> bool {
         self.find(id).is_ok_and(|at| {
-            let upstream = &self.members[at].upstream;
-            upstream.boot == boot && upstream.state == UpstreamState::Ready
+            let member = &self.members[at];
+            member.upstream.boot == boot && member.is_ready(now)
         })
     }
 
--- a/src/router/tests/fleet.rs
+++ b/src/router/tests/fleet.rs
@@ -7,6 +7,9 @@
 use crate::router::health::{HealthTable, Seen};
 use crate::units::Millis;
 
+/// A time at which no grace is over.
+const NOW: Millis = Millis(0);
+
 fn upstream(id: &str, boot: u64, seq: u64, state: UpstreamState) -> Upstream {
     Upstream {
         id: id.into(),
@@ -31,7 +34,7 @@
 }
 
 fn ids(fleet: &Fleet) -> Vec<String> {
-    fleet.ready("pool").map(|u| u.id.to_string()).collect()
+    fleet.ready("pool", NOW).map(|u| u.id.to_string()).collect()
 }
 
 #[test]
@@ -65,8 +68,8 @@
     let change = fleet.put(ready("u", 2, 0));
 
     assert!(matches!(change, Some(Change::Joined(_))));
-    assert!(fleet.is_ready("u", 2));
-    assert!(!fleet.is_ready("u", 1));
+    assert!(fleet.is_ready("u", 2, NOW));
+    assert!(!fleet.is_ready("u", 1, NOW));
 }
 
 #[test]
@@ -99,6 +102,18 @@
     assert_eq!(ids(&fleet), ["back"]);
 }
 
+/// A grace ends at its time, also if nobody has looked at the fleet since.
+#[test]
+fn a_missing_entry_takes_no_request_after_its_grace() {
+    let mut fleet = Fleet::default();
+    fleet.put(ready("u", 1, 1));
+    fleet.remove("u", Some(Millis(2_000)));
+
+    assert!(fleet.is_ready("u", 1, Millis(1_999)));
+    assert!(!fleet.is_ready("u", 1, Millis(2_000)));
+    assert_eq!(fleet.ready("pool", Millis(2_000)).count(), 0);
+}
+
 /// An upstream that leaves some time after an outage must get nothing two seconds after its removal.
 #[test]
 fn a_removal_some_time_after_an_outage_is_no_lapse() {
@@ -153,7 +168,7 @@
                 drained.push(shown.boot);
             }
             assert_eq!(shown.boot, newest);
-            assert!(!drained.contains(&newest) || !fleet.is_ready("u", newest));
+            assert!(!drained.contains(&newest) || !fleet.is_ready("u", newest, NOW));
         }
     }
     fixtures::check(7, property as fn(Vec<(bool, u8, u8, bool)>));
