Look again at the upstream after a connection was opened

Cause: the choice was made before the connection was opened and not looked at again. Change: an attempt whose upstream leaves meanwhile is withdrawn before a byte is sent, and another upstream is chosen. Before: a_request_is_not_sent_to_an_upstream_that_began_to_leave_while_the_connection_was_opened got 200 from the leaving upstream; now it gets 503 as there is no other one.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -180,6 +180,16 @@
             observe(shared, upstream, Seen::Silent, "connect");
             return Err(AttemptEnd::Retry(Ended::NotSent));
         };
+        let now = shared.clock.now();
+        if !shared
+            .fleet
+            .borrow()
+            .is_ready(&upstream.id, upstream.boot, now)
+        {
+            log::info!(event = "attempt_withdrawn", request:% = String::from_utf8_lossy(&job.id),
+                upstream:% = upstream.id; "");
+            return Err(AttemptEnd::Retry(Ended::NotSent));
+        }
         conn
     };
     Ok(Leg {
--- a/src/forward/tests/fixture.rs
+++ b/src/forward/tests/fixture.rs
@@ -193,31 +193,44 @@
 
 /// Starts a gateway before upstreams; routes are `/safe/`, `/once/`, `/stream/` and `/model/`.
 pub(super) async fn gateway(upstreams: &[&Scripted]) -> Gateway {
-    let mut notices = vec![Notice::Table(Rc::new(table()))];
-    for (n, upstream) in upstreams.iter().enumerate() {
-        notices.push(Notice::Upstream(Upstream {
-            id: format!("u{n}").into(),
-            addr: upstream.addr,
-            service: "pool".into(),
-            data_centre: "a".into(),
-            version: "v1".into(),
-            slots: 8,
-            state: UpstreamState::Ready,
-            boot: 1,
-            seq: 1,
-            warm_up: Millis(0),
-        }));
-    }
-    let gateway = start(FixedControl::open(notices));
+    let gateway = start(FixedControl::open(notices(upstreams)));
     while !is_ready(&gateway).await {
         actix_rt::time::sleep(Millis(5).duration()).await;
     }
     gateway
 }
 
+/// Returns what the store says of upstreams, which are named `u0`, `u1` and so on.
+pub(super) fn notices(upstreams: &[&Scripted]) -> Vec<Notice> {
+    let upstreams = upstreams.iter().enumerate();
+    let upstreams = upstreams.map(|(n, upstream)| Notice::Upstream(registered(n, upstream.addr)));
+    let table = Notice::Table(Rc::new(table()));
+    std::iter::once(table).chain(upstreams).collect()
+}
+
+/// Returns the entry of an upstream that takes requests.
+pub(super) fn registered(n: usize, addr: SocketAddr) -> Upstream {
+    Upstream {
+        id: format!("u{n}").into(),
+        addr,
+        service: "pool".into(),
+        data_centre: "a".into(),
+        version: "v1".into(),
+        slots: 8,
+        state: UpstreamState::Ready,
+        boot: 1,
+        seq: 1,
+        warm_up: Millis(0),
+    }
+}
+
 /// Starts a gateway that follows a store.
 pub(super) fn start(control: impl Control + 'static) -> Gateway {
-    let shared = Shared::open(policy(), Box::new(control));
+    serve(Shared::open(policy(), Box::new(control)))
+}
+
+/// Starts a gateway with a state that a test can look at.
+pub(super) fn serve(shared: Rc<Shared>) -> Gateway {
     let any = "127.0.0.1:0".parse().expect("an address");
     let addresses = Addresses {
         listen: any,
--- a/src/forward/tests/leaving.rs
+++ b/src/forward/tests/leaving.rs
@@ -3,8 +3,11 @@
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
+use std::task::Poll;
 
-use super::fixture::{policy, table};
+use super::fixture::{
+    self, Act, FixedControl, notices, policy, registered, scripted, send, serve, status, table,
+};
 use crate::fixtures::run_paused;
 use crate::forward::follow::{self, Control, ControlError, Listing, Notice, RolloutWrite};
 use crate::forward::shared::{Policy, Shared};
@@ -80,17 +83,12 @@
 }
 
 fn upstream(id: &str, state: UpstreamState, seq: u64) -> Upstream {
+    let addr = "127.0.0.1:1".parse().expect("an address");
     Upstream {
         id: id.into(),
-        addr: "127.0.0.1:1".parse().expect("an address"),
-        service: "pool".into(),
-        data_centre: "a".into(),
-        version: "v1".into(),
-        slots: 8,
         state,
-        boot: 1,
         seq,
-        warm_up: Millis(0),
+        ..registered(0, addr)
     }
 }
 
@@ -183,3 +181,43 @@
         });
     }
 }
+
+/// Waits without giving the sockets a turn, until a gateway has begun to open a connection.
+async fn connecting(shared: &Shared) {
+    std::future::poll_fn(|cx| {
+        let is_connecting = shared.metrics.text().contains("upstream_connection");
+        if is_connecting {
+            return Poll::Ready(());
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
+/// A request that had chosen an upstream was sent to it although the upstream began to leave while the
+/// connection was opened.
+#[test]
+fn a_request_is_not_sent_to_an_upstream_that_began_to_leave_while_the_connection_was_opened() {
+    fixture::run(async {
+        const OK: &str = "HTTP/1.1 200 OK\r\nX-Fireflywind-Request-Id: ID\r\n\
+                          X-Fireflywind-Server-Stamp: s1\r\nContent-Length: 2\r\n\r\nok";
+        let leaves = scripted(vec![Act::Write(OK)]).await;
+        let control = FixedControl::open(notices(&[&leaves]));
+        let shared = Shared::open(policy(), Box::new(control));
+        let gateway = serve(Rc::clone(&shared));
+        let addr = leaves.addr;
+        let leaving = Rc::clone(&shared);
+        actix_rt::spawn(async move {
+            connecting(&leaving).await;
+            let mut draining = registered(0, addr);
+            draining.state = UpstreamState::Draining;
+            leaving.fleet.borrow_mut().put(draining);
+        });
+
+        let answer = send(&gateway, "POST", "/once/", "").await;
+
+        assert_eq!(status(&answer), 503, "{answer}");
+        assert!(leaves.requests.borrow().is_empty());
+    });
+}
