Let a watch of the store wait no longer than a gateway may take to catch up

Callers: an upstream that was leaving could get requests for up to 4.1 s (DRAIN) from a gateway whose connection to the store had gone silent. Cause: a watch is given up 0.7 s after its wait, and the wait followed only from how long keys may be trusted: up to 3.3 s, and 10 s where they are trusted without a limit. Change: the wait leaves room in that time for the late answer, the pause and the next call. It is a setting, filled in by the platform. The test of few calls now names the deployment with room (4 s) and keeps its bound. New: a_watch_leaves_time_to_catch_up.

--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -41,6 +41,8 @@
     pub session_span: Millis,
     /// Time from the request to stop until the process is killed.
     pub stop_grace: Millis,
+    /// Time in which the gateway is to know again what the store says after its connections have gone silent.
+    pub catch_up: Millis,
     /// Interval in which upstreams renew their entries in the store.
     pub heartbeat: Millis,
     /// Longest time after the start for which clients wait for the first word from the store.
@@ -110,7 +112,7 @@
     /// Starts with an empty view.
     #[must_use]
     pub fn open(policy: Policy, control: Box<dyn Control>) -> Rc<Self> {
-        let freshness = Freshness::new(policy.key_revocation);
+        let freshness = Freshness::new(policy.key_revocation, policy.catch_up);
         let lapses = Lapses::new(policy.heartbeat);
         let rollouts = Rollouts::new(policy.exposure_permille);
         Rc::new(Self {
@@ -150,7 +152,7 @@
 
     /// Puts changed settings into force.
     pub fn set_policy(&self, policy: Policy) {
-        self.freshness.borrow_mut().set_bound(policy.key_revocation);
+        (self.freshness.borrow_mut()).set_bounds(policy.key_revocation, policy.catch_up);
         self.lapses.borrow_mut().set_heartbeat(policy.heartbeat);
         for (_, budget) in self.budgets.borrow_mut().iter_mut() {
             budget.set_bounds(policy.retries);
--- a/src/forward/tests/fixture.rs
+++ b/src/forward/tests/fixture.rs
@@ -254,6 +254,7 @@
         exposure_permille: 100,
         session_span: Millis::from_secs(5),
         stop_grace: Millis::from_secs(8),
+        catch_up: Millis(3_000),
         heartbeat: Millis(1_200),
         start_patience: Millis::from_secs(60),
     }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -63,6 +63,9 @@
     /// Longest time that a revoked API key may work; absent if keys are trusted without a limit.
     #[serde(default)]
     pub key_revocation: Option<Millis>,
+    /// Time in which the gateway is to know again what the store says after its connections have gone silent.
+    #[serde(default = "default_catch_up")]
+    pub catch_up: Millis,
     /// Interval in which upstreams renew their entries in the store.
     #[serde(default = "default_heartbeat")]
     pub heartbeat: Millis,
@@ -113,6 +116,10 @@
     0.1
 }
 
+const fn default_catch_up() -> Millis {
+    Millis(3_000)
+}
+
 const fn default_heartbeat() -> Millis {
     Millis(1_200)
 }
@@ -168,6 +175,7 @@
             exposure_permille: (self.exposure.clamp(0.0, 1.0) * 1_000.0) as u64,
             session_span: Millis((self.session_s.max(0.0) * 1_000.0) as u64),
             stop_grace: self.stop_grace,
+            catch_up: self.catch_up,
             heartbeat: self.heartbeat,
             start_patience: START_PATIENCE,
         }
--- a/src/platform/tests/items.rs
+++ b/src/platform/tests/items.rs
@@ -178,7 +178,7 @@
 }
 
 const SETTINGS: &str = r#"{"name":"g","data_centre":"a","listen":"127.0.0.1:1","ready":"127.0.0.1:2",
-  "admin":"127.0.0.1:3","loads":"127.0.0.1:5","beacon_port":6,"store":"127.0.0.1:4","key_revocation":"5000ms","exposure":0.15,"session_s":8.5,
+  "admin":"127.0.0.1:3","loads":"127.0.0.1:5","beacon_port":6,"store":"127.0.0.1:4","key_revocation":"5000ms","exposure":0.15,"session_s":8.5,"catch_up":"4000ms",
   "retries":{"ratio":0.9,"window_s":10,"slack":52},"stop_grace":"8s"}"#;
 
 #[test]
@@ -188,6 +188,8 @@
     assert_eq!(valid.session_span, Millis(8_500));
     assert_eq!(valid.exposure_permille, 150);
     assert_eq!(valid.retries.window, Millis(10_000));
+    assert_eq!(valid.catch_up, Millis(4_000));
+    assert_eq!(valid.heartbeat, Millis(1_200));
     for (from, to) in [
         ("\"8s\"", "8"),
         ("\"store\"", "\"stor\""),
--- a/src/router/freshness.rs
+++ b/src/router/freshness.rs
@@ -1,7 +1,8 @@
-//! How long API keys may be trusted without word from the store.
+//! How long API keys may be trusted without word from the store, and how long one call may wait for it.
 //!
 //! A key that was taken away must not work for longer than the deployment allows, also on a gateway that
 //! is cut off. A gateway therefore trusts its table only for some time after the store has confirmed it.
+//! A call whose connection has gone silent hides every change until it is given up.
 
 use crate::units::Millis;
 
@@ -14,8 +15,12 @@
 /// is for a call that fails and its repetition.
 const ASK_PERCENT: u64 = 66;
 
-/// Shortest and longest wait of one watch call.
-const WAIT: (Millis, Millis) = (Millis(200), Millis(10_000));
+/// Shortest wait of one watch call.
+const SHORTEST_WAIT: Millis = Millis(200);
+
+/// Part of the time to catch up after a watch has ended that is left for its late answer (700 ms), the pause after
+/// a failed call (300 ms) and the next call on a new connection.
+const NEXT_CALL: Millis = Millis(1_300);
 
 /// Time for which a watch may be deaf: the store may hold changes back for a second before it tells that
 /// its history is lost.
@@ -25,23 +30,27 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Freshness {
     bound: Option<Millis>,
+    catch_up: Millis,
     confirmed: Option<Millis>,
 }
 
 impl Freshness {
     /// Starts without a confirmed table; `bound` is the longest time that a revoked key may work, or
-    /// `None` if keys are trusted without a limit.
+    /// `None` if keys are trusted without a limit. `catch_up` is the time in which a gateway is to know
+    /// again what the store says after its connections have gone silent.
     #[must_use]
-    pub const fn new(bound: Option<Millis>) -> Self {
+    pub const fn new(bound: Option<Millis>, catch_up: Millis) -> Self {
         Self {
             bound,
+            catch_up,
             confirmed: None,
         }
     }
 
-    /// Sets the longest time that a revoked key may work.
-    pub const fn set_bound(&mut self, bound: Option<Millis>) {
+    /// Sets the longest time that a revoked key may work, and the time to catch up.
+    pub const fn set_bounds(&mut self, bound: Option<Millis>, catch_up: Millis) {
         self.bound = bound;
+        self.catch_up = catch_up;
     }
 
     /// Notes that the table was current at `at`, a time at or before the store's answer.
@@ -62,15 +71,19 @@
         self.confirm(asked + waited);
     }
 
-    /// Returns how long the next watch may wait, so that keys stay trusted.
+    /// Returns how long the next watch may wait, so that keys stay trusted and a silent connection is left in
+    /// time.
     #[must_use]
     pub fn next_wait(&self, now: Millis) -> Millis {
-        let Some(bound) = self.bound else {
-            return WAIT.1;
+        let longest = self.catch_up.since(NEXT_CALL);
+        let wait = match self.bound {
+            Some(bound) => {
+                let age = self.age(now).unwrap_or_default();
+                Millis(bound.0 * ASK_PERCENT / 100).since(age).min(longest)
+            }
+            None => longest,
         };
-        let age = self.age(now).unwrap_or_default();
-        let wait = Millis(bound.0 * ASK_PERCENT / 100).since(age);
-        wait.clamp(WAIT.0, WAIT.1)
+        wait.max(SHORTEST_WAIT)
     }
 
     /// Returns the time since the table was last known to be current.
--- a/src/router/tests/routing.rs
+++ b/src/router/tests/routing.rs
@@ -81,10 +81,13 @@
     assert!(table.has_accounts());
 }
 
+/// Time to catch up of a deployment that leaves room for quiet watches.
+const CATCH_UP: Millis = Millis(4_000);
+
 /// A revoked key must not work longer than allowed on a gateway without word from the store.
 #[test]
 fn keys_are_not_trusted_past_the_bound() {
-    let mut freshness = Freshness::new(Some(Millis(5_000)));
+    let mut freshness = Freshness::new(Some(Millis(5_000)), CATCH_UP);
     assert!(!freshness.is_trusted(Millis(0)));
 
     freshness.confirm(Millis(1_000));
@@ -97,7 +100,7 @@
 
 #[test]
 fn keys_without_a_bound_are_trusted_once_known() {
-    let mut freshness = Freshness::new(None);
+    let mut freshness = Freshness::new(None, CATCH_UP);
     assert!(!freshness.is_trusted(Millis(0)));
 
     freshness.confirm(Millis(0));
@@ -108,7 +111,7 @@
 /// Pattern: a quiet store. One call in two seconds keeps the keys trusted.
 #[test]
 fn quiet_watches_keep_keys_trusted_with_few_calls() {
-    let mut freshness = Freshness::new(Some(Millis(5_000)));
+    let mut freshness = Freshness::new(Some(Millis(5_000)), CATCH_UP);
     let (mut now, mut calls) = (Millis(0), 0);
     freshness.confirm(now);
 
@@ -123,10 +126,23 @@
     assert!(calls <= 60_000 / 2_000);
 }
 
+/// A watch whose connection has gone silent must be given up in time for another call, whatever the keys allow.
+#[test]
+fn a_watch_leaves_time_to_catch_up() {
+    for bound in [None, Some(Millis(5_000)), Some(Millis(60_000))] {
+        let mut freshness = Freshness::new(bound, Millis(3_000));
+        freshness.confirm(Millis(0));
+
+        let wait = freshness.next_wait(Millis(0));
+
+        assert!(wait <= Millis(3_000 - 700 - 300), "{bound:?}: {wait}");
+    }
+}
+
 /// A watch that is answered early says nothing about the time after it was asked.
 #[test]
 fn an_early_answer_confirms_only_the_time_of_the_question() {
-    let mut freshness = Freshness::new(Some(Millis(5_000)));
+    let mut freshness = Freshness::new(Some(Millis(5_000)), CATCH_UP);
 
     freshness.confirm_quiet(Millis(100), Millis(2_000), Millis(1_500));
     assert_eq!(freshness.age(Millis(1_500)), Some(Millis(1_400)));
