Give up an answer of the store by its silence, not by its length

A call had 0.7 s (1.5 s after a failed one) for its whole answer. Change: the time counts to the head of the answer and between its parts; 5 s in all. Before: an_answer_that_keeps_arriving_is_read_to_its_end failed with no answer in time; now it passes.

--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -136,28 +136,64 @@
     }
 }
 
+/// A body that is read to its end before it is used.
+#[derive(Debug)]
+pub struct WholeBody {
+    decoder: Decoder,
+    bytes: BytesMut,
+}
+
+impl WholeBody {
+    /// Starts the body that follows a head.
+    #[must_use]
+    pub fn new(head: &ResponseHead) -> Self {
+        Self {
+            decoder: Decoder::new(head.framing),
+            bytes: BytesMut::new(),
+        }
+    }
+
+    /// Takes what has arrived; the body, if that is all of it.
+    ///
+    /// # Errors
+    /// If it is not valid or too long.
+    pub fn take(&mut self, conn: &mut Conn) -> Result<Option<Bytes>, ExchangeError> {
+        (self.decoder.decode(&mut conn.buf, &mut self.bytes))
+            .map_err(|_chunk| ExchangeError::Garbled("invalid chunk"))?;
+        if self.decoder.is_done() {
+            return Ok(Some(self.bytes.split().freeze()));
+        }
+        if self.bytes.len() > MAX_WHOLE {
+            return Err(ExchangeError::Garbled("answer too long"));
+        }
+        Ok(None)
+    }
+
+    /// Ends with the connection.
+    ///
+    /// # Errors
+    /// If the body was cut off.
+    pub fn end(self) -> Result<Bytes, ExchangeError> {
+        if self.decoder.ends_with_close() {
+            Ok(self.bytes.freeze())
+        } else {
+            Err(ExchangeError::Closed)
+        }
+    }
+}
+
 /// Reads the whole body of an answer.
 ///
 /// # Errors
 /// If it is cut off, not valid or too long.
 pub async fn read_whole(conn: &mut Conn, head: &ResponseHead) -> Result<Bytes, ExchangeError> {
-    let mut decoder = Decoder::new(head.framing);
-    let mut body = BytesMut::new();
+    let mut body = WholeBody::new(head);
     loop {
-        (decoder.decode(&mut conn.buf, &mut body))
-            .map_err(|_chunk| ExchangeError::Garbled("invalid chunk"))?;
-        if decoder.is_done() {
-            return Ok(body.freeze());
-        }
-        if body.len() > MAX_WHOLE {
-            return Err(ExchangeError::Garbled("answer too long"));
+        if let Some(whole) = body.take(conn)? {
+            return Ok(whole);
         }
         if !read_more(conn).await? {
-            return if decoder.ends_with_close() {
-                Ok(body.freeze())
-            } else {
-                Err(ExchangeError::Closed)
-            };
+            return body.end();
         }
     }
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -11,22 +11,27 @@
 use serde::Deserialize;
 use serde_json::json;
 
-use crate::forward::exchange;
+use crate::forward::exchange::{self, WholeBody};
 use crate::forward::follow::{Control, ControlError, Listing, RolloutWrite};
-use crate::forward::head;
+use crate::forward::head::{self, ResponseHead};
 use crate::forward::pool::Conn;
 use crate::kv::LocalFuture;
 use crate::units::Millis;
 
 use super::items;
 
-/// Time for an answer, beyond the time that a watch waits; the store answers in milliseconds when sound.
+/// Time for the head of an answer, beyond the time that a watch waits, and for each further part of it; the store
+/// answers in milliseconds when sound.
 const ANSWER_TIMEOUT: Millis = Millis(700);
 
 /// Time for an answer to the next call after failed ones, for a slow store. A store that was silent swallows the
 /// call; the next one must bring the changes within three seconds of its return.
 const SLOW_ANSWER_TIMEOUT: Millis = Millis(1_500);
 
+/// Longest time for a whole answer that keeps arriving: some configurations of the largest size, 1 MB, on a link of
+/// 10 Mbit/s.
+const LONGEST_ANSWER: Millis = Millis(5_000);
+
 /// Largest head of an answer, in bytes.
 const MAX_HEAD: usize = 16 * 1024;
 
@@ -115,15 +120,9 @@
         } else {
             ANSWER_TIMEOUT
         };
-        let exchanged = actix_rt::time::timeout(
-            (wait + timeout).duration(),
-            self.exchange(conn, method, target, body),
-        );
-        let result = match exchanged.await {
-            Err(_elapsed) => Err("no answer in time".to_owned()),
-            Ok(result) => result,
-        };
-        match result {
+        let exchanged = self.exchange(conn, method, target, body, (wait + timeout, timeout));
+        let exchanged = within(wait + LONGEST_ANSWER, exchanged).await;
+        match exchanged.and_then(|result| result) {
             Ok((status, body, conn)) => {
                 *kept.borrow_mut() = conn;
                 self.is_slow.set(false);
@@ -136,13 +135,43 @@
         }
     }
 
+    /// Calls the store; `limits` are the times to the head of the answer and between its parts.
     async fn exchange(
         &self,
         conn: Option<Conn>,
         method: &str,
         target: &str,
         body: &[u8],
+        limits: (Millis, Millis),
     ) -> Result<(u16, Bytes, Option<Conn>), String> {
+        let (to_head, between_parts) = limits;
+        let asked = self.ask(conn, method, target, body);
+        let (mut conn, head) = within(to_head, asked).await??;
+        let mut whole = WholeBody::new(&head);
+        let body = loop {
+            match whole.take(&mut conn) {
+                Ok(Some(body)) => break Ok(body),
+                Ok(None) => {}
+                Err(error) => break Err(error),
+            }
+            let read = within(between_parts, exchange::read_more(&mut conn)).await?;
+            if !read.map_err(|error| error.to_string())? {
+                break whole.end();
+            }
+        };
+        let body = body.map_err(|error| error.name().to_owned())?;
+        let keep = head.keep_alive && conn.buf.is_empty();
+        Ok((head.status, body, keep.then_some(conn)))
+    }
+
+    /// Sends a call and reads the head of its answer.
+    async fn ask(
+        &self,
+        conn: Option<Conn>,
+        method: &str,
+        target: &str,
+        body: &[u8],
+    ) -> Result<(Conn, ResponseHead), String> {
         let text = |error: std::io::Error| error.to_string();
         let mut conn = match conn {
             Some(conn) => conn,
@@ -160,9 +189,9 @@
         let mut message = message.into_bytes();
         message.extend_from_slice(body);
         exchange::send(&mut conn, &message).await.map_err(text)?;
-        let head = loop {
+        loop {
             match head::take_response(&mut conn.buf, false) {
-                Ok(Some(head)) => break head,
+                Ok(Some(head)) => return Ok((conn, head)),
                 Ok(None) if conn.buf.len() > MAX_HEAD => return Err("endless head".to_owned()),
                 Ok(None) => {}
                 Err(error) => return Err(error.to_string()),
@@ -170,11 +199,7 @@
             if !exchange::read_more(&mut conn).await.map_err(text)? {
                 return Err("closed before an answer".to_owned());
             }
-        };
-        let body = exchange::read_whole(&mut conn, &head).await;
-        let body = body.map_err(|error| error.name().to_owned())?;
-        let keep = head.keep_alive && conn.buf.is_empty();
-        Ok((head.status, body, keep.then_some(conn)))
+        }
     }
 
     async fn range(&self, prefix: &str, listing: &mut Listing) -> Result<(), ControlError> {
@@ -295,6 +320,12 @@
     }
 }
 
+/// Waits for a future for a time.
+async fn within<T>(limit: Millis, future: impl Future<Output = T>) -> Result<T, String> {
+    let result = actix_rt::time::timeout(limit.duration(), future).await;
+    result.map_err(|_elapsed| "no answer in time".to_owned())
+}
+
 /// Escapes a value of a query.
 fn escape(text: &str) -> String {
     let mut out = String::with_capacity(text.len());
--- a/src/platform/tests/store.rs
+++ b/src/platform/tests/store.rs
@@ -146,6 +146,51 @@
     }
 }
 
+/// Starts a store that answers each call with an empty page, the first time in small parts with pauses.
+async fn slow_store(parts: usize, pause: Millis) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("loopback can be bound");
+    let addr = listener.local_addr().expect("it is bound");
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("the client connects");
+        let mut buf = vec![0; 64 * 1024];
+        let mut is_first = true;
+        while stream.read(&mut buf).await.is_ok_and(|length| length > 0) {
+            let parts = if is_first { parts } else { 1 };
+            is_first = false;
+            let (_, page) = page(&[], false, 7);
+            let padding = " ".repeat(1_000);
+            let length = page.len() + parts * padding.len();
+            let head = format!("HTTP/1.1 200 X\r\nContent-Length: {length}\r\n\r\n{page}");
+            stream.write_all(head.as_bytes()).await.expect("it reads");
+            for _ in 0..parts {
+                if parts > 1 {
+                    actix_rt::time::sleep(pause.duration()).await;
+                }
+                stream
+                    .write_all(padding.as_bytes())
+                    .await
+                    .expect("it reads");
+            }
+        }
+    });
+    addr
+}
+
+/// A large configuration on a slow link took longer than the time for an answer, at each try, so that the
+/// gateway learnt of no change any more.
+#[test]
+fn an_answer_that_keeps_arriving_is_read_to_its_end() {
+    run(async {
+        let addr = slow_store(12, Millis(100)).await;
+
+        let listing = Rc::new(Store::open(addr)).list().await;
+
+        assert_eq!(listing.map(|l| l.revision), Ok(7));
+    });
+}
+
 /// Two gateways must not overwrite each other's decisions.
 #[test]
 fn a_state_is_written_only_over_the_known_one() {
