Measure the grace of a lapsed entry from the store's earliest return

Cause: the grace ran from the first good call, and a silent call hides the store's return for up to 2.4 s. Change: it ends 200 ms before the gateway has to be current again, counted from the failed call that the store may have come back after; after a refused call that is its end, after a silent one its start. The test of the window notes a failed call just before the store's return, as there is one in practice; its assertions are unchanged.

--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -180,8 +180,8 @@
                 failures += 1;
                 // A watch that breaks before its time was sound until then.
                 let was_sound = revision.is_some() && now.since(asked) < wait;
-                let away_since = if was_sound { now } else { asked };
-                shared.lapses.borrow_mut().failed(away_since);
+                let failed_at = if was_sound { now } else { asked };
+                shared.lapses.borrow_mut().failed(failed_at);
                 shared.metrics.event("store_call_failed");
                 if failures == 1 {
                     log::warn!(event = "store_lost", error:% = error; "");
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -113,7 +113,7 @@
     #[must_use]
     pub fn open(policy: Policy, control: Box<dyn Control>) -> Rc<Self> {
         let freshness = Freshness::new(policy.key_revocation, policy.catch_up);
-        let lapses = Lapses::new(policy.heartbeat);
+        let lapses = Lapses::new(policy.heartbeat, policy.catch_up);
         let rollouts = Rollouts::new(policy.exposure_permille);
         Rc::new(Self {
             policy: RefCell::new(Rc::new(policy)),
@@ -153,7 +153,7 @@
     /// Puts changed settings into force.
     pub fn set_policy(&self, policy: Policy) {
         (self.freshness.borrow_mut()).set_bounds(policy.key_revocation, policy.catch_up);
-        self.lapses.borrow_mut().set_heartbeat(policy.heartbeat);
+        (self.lapses.borrow_mut()).set_bounds(policy.heartbeat, policy.catch_up);
         for (_, budget) in self.budgets.borrow_mut().iter_mut() {
             budget.set_bounds(policy.retries);
         }
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -15,6 +15,9 @@
 /// Time after the store's return in which removals count as lapses; later ones are upstreams that left.
 const LAPSE_WINDOW: Millis = Millis(1_000);
 
+/// Part of the time to catch up that is left after a grace, for requests on their way.
+const SEND_MARGIN: Millis = Millis(200);
+
 /// Tells removals that an outage of the store caused from upstreams that left.
 ///
 /// A single call that fails is no outage: connections break while the store is sound.
@@ -23,13 +26,22 @@
     /// Interval in which upstreams renew their entries. A shorter outage costs one renewal at most, and an
     /// entry lapses after three.
     heartbeat: Millis,
-    away_since: Option<Millis>,
+    /// Time in which a gateway is to know again what the store says after it was cut off.
+    catch_up: Millis,
+    away: Option<Away>,
     outage: Option<Outage>,
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Away {
+    since: Millis,
+    /// When the store may have been back at the earliest.
+    back_after: Millis,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Outage {
-    began: Millis,
+    away: Away,
     /// When the store answered again.
     ended: Millis,
 }
@@ -37,37 +49,45 @@
 impl Lapses {
     /// Starts without an outage.
     #[must_use]
-    pub const fn new(heartbeat: Millis) -> Self {
+    pub const fn new(heartbeat: Millis, catch_up: Millis) -> Self {
         Self {
             heartbeat,
-            away_since: None,
+            catch_up,
+            away: None,
             outage: None,
         }
     }
 
-    /// Sets the interval in which upstreams renew their entries.
-    pub const fn set_heartbeat(&mut self, heartbeat: Millis) {
+    /// Sets the interval in which upstreams renew their entries, and the time to catch up.
+    pub const fn set_bounds(&mut self, heartbeat: Millis, catch_up: Millis) {
         self.heartbeat = heartbeat;
+        self.catch_up = catch_up;
     }
 
-    /// Notes a call that failed, and since when the store may have been away.
-    pub fn failed(&mut self, since: Millis) {
-        self.away_since.get_or_insert(since);
+    /// Notes a call that failed; `at` is when it was refused or, if it got no answer, when it was sent.
+    pub fn failed(&mut self, at: Millis) {
+        let since = self.away.map_or(at, |away| away.since);
+        self.away = Some(Away {
+            since,
+            back_after: at,
+        });
     }
 
     /// Notes an answer; returns for how long the store may have been away before it.
     pub fn answered(&mut self, now: Millis) -> Option<Millis> {
-        let began = self.away_since.take()?;
-        self.outage = Some(Outage { began, ended: now });
-        Some(now.since(began))
+        let away = self.away.take()?;
+        self.outage = Some(Outage { away, ended: now });
+        Some(now.since(away.since))
     }
 
     /// Returns until when an entry that is removed now is still used; `None` if it is gone.
     #[must_use]
     pub fn grace(&self, now: Millis) -> Option<Millis> {
-        let Outage { began, ended } = self.outage?;
-        let can_lapse = ended.since(began) >= self.heartbeat;
-        (can_lapse && now.since(ended) <= LAPSE_WINDOW).then(|| ended + LAPSE_GRACE)
+        let Outage { away, ended } = self.outage?;
+        let can_lapse = ended.since(away.since) >= self.heartbeat;
+        let latest = away.back_after + self.catch_up.since(SEND_MARGIN);
+        let until = latest.min(ended + LAPSE_GRACE);
+        (can_lapse && now.since(ended) <= LAPSE_WINDOW && now < until).then_some(until)
     }
 }
 
--- a/src/router/tests/fleet.rs
+++ b/src/router/tests/fleet.rs
@@ -117,10 +117,11 @@
 /// An upstream that leaves some time after an outage must get nothing two seconds after its removal.
 #[test]
 fn a_removal_some_time_after_an_outage_is_no_lapse() {
-    let mut lapses = Lapses::new(Millis(1_200));
+    let mut lapses = Lapses::new(Millis(1_200), Millis(3_000));
     assert_eq!(lapses.grace(Millis(0)), None);
 
     lapses.failed(Millis(6_000));
+    lapses.failed(Millis(9_900));
     lapses.answered(Millis(10_000));
 
     let at_once = lapses.grace(Millis(10_000));
@@ -132,7 +133,7 @@
 /// One lost call while the store is sound must not make a removal a lapse.
 #[test]
 fn an_outage_shorter_than_a_heartbeat_explains_no_removal() {
-    let mut lapses = Lapses::new(Millis(1_200));
+    let mut lapses = Lapses::new(Millis(1_200), Millis(3_000));
     lapses.failed(Millis(5_000));
     lapses.failed(Millis(5_900));
 
@@ -142,6 +143,23 @@
     assert_eq!(lapses.grace(Millis(6_199)), None);
 }
 
+/// A gateway that found the store again only after its silent call had ended gave a full grace from then on, and
+/// used an upstream that had left for longer than a gateway may take to catch up.
+#[test]
+fn a_grace_ends_before_the_gateway_has_to_be_current() {
+    let mut lapses = Lapses::new(Millis(1_200), Millis(3_000));
+    lapses.failed(Millis(4_000));
+    lapses.failed(Millis(8_000));
+
+    lapses.answered(Millis(10_300));
+
+    let until = lapses.grace(Millis(10_300)).expect("an outage was noted");
+    assert!(until < Millis(8_000 + 3_000), "{until}");
+    lapses.failed(Millis(12_000));
+    lapses.answered(Millis(15_100));
+    assert_eq!(lapses.grace(Millis(15_100)), None);
+}
+
 /// Whatever the order and the gaps, an upstream that was seen draining never takes requests again in the
 /// same boot, and the newest boot decides.
 #[test]
