Give up answers without end in a head or a body

What callers would see: an upstream in trouble can send bytes that are no answer until the connection is closed. Change: interim heads count to the limit of a head (64 KiB); an answer is held up to 4 MiB, all answers together up to 32 MiB, and framing may take as much again; stray answers are not held; an event has at most 64 KiB, and a stream without a further event ends after 128 KiB, so that a resumable one goes on elsewhere; a report has at most 256 KiB. The store's answers keep 16 MiB. fireflywind_value{name="held_bytes"} shows what is held. The clients of the product's own agents (src/upstream) bound heads, bodies and events already; no test was added there.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -353,7 +353,7 @@
             job.watched(shared, &upstream, head_limits(shared, job), can_move),
             &last,
         );
-        let read = exchange::read_whole(&mut leg.conn, &head);
+        let read = exchange::read_whole(&mut leg.conn, &head, &shared.held_bytes);
         tokio::select! {
             biased;
             body = read => body,
--- a/src/forward/events.rs
+++ b/src/forward/events.rs
@@ -6,7 +6,7 @@
 use bytes::BytesMut;
 
 /// Longest event, in bytes.
-const MAX_EVENT: usize = 256 * 1024;
+const MAX_EVENT: usize = 64 * 1024;
 
 /// An event is longer than allowed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -1,5 +1,6 @@
 //! One exchange with an upstream: connect, send, read the head of the answer.
 
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 
@@ -17,11 +18,17 @@
 const READ_SIZE: usize = 16 * 1024;
 
 /// Largest answer that is held whole before it is passed on, in bytes.
-const MAX_WHOLE: usize = 16 * 1024 * 1024;
+const MAX_WHOLE: usize = 4 * 1024 * 1024;
 
-/// Largest head of a response, in bytes.
+/// Bytes that all answers that are held whole may take; a fifth of the memory of a small gateway.
+const MAX_HELD: usize = 32 * 1024 * 1024;
+
+/// Largest head of a response with the interim ones before it, in bytes.
 const MAX_RESPONSE_HEAD: usize = 64 * 1024;
 
+/// Largest report of an engine, in bytes.
+const MAX_REPORT: usize = 256 * 1024;
+
 /// Answers to other requests that are read over before the connection is given up.
 const MAX_STRAY: usize = 2;
 
@@ -79,7 +86,10 @@
         conn.stream.readable().await?;
         conn.buf.reserve(READ_SIZE);
         match conn.stream.try_read_buf(&mut conn.buf) {
-            Ok(length) => return Ok(length > 0),
+            Ok(length) => {
+                conn.received += length;
+                return Ok(length > 0);
+            }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
             Err(error) => return Err(error),
         }
@@ -104,9 +114,7 @@
             // Refusals need not carry the id; a success must.
             None if !is_success || id.is_empty() => return Ok(head),
             _ if head.framing == Framing::UntilClose => break,
-            _ => {
-                read_whole(conn, &head).await?;
-            }
+            _ => read_over(conn, &head).await?,
         }
     }
     Err(ExchangeError::Garbled("answer to another request"))
@@ -120,11 +128,16 @@
     Ok(head)
 }
 
-async fn next_head(conn: &mut Conn, to_head: bool) -> Result<ResponseHead, ExchangeError> {
+/// Reads the next head; interim ones are read over.
+///
+/// # Errors
+/// If the connection ends, or the bytes are no head.
+pub async fn next_head(conn: &mut Conn, to_head: bool) -> Result<ResponseHead, ExchangeError> {
+    let start = conn.received - conn.buf.len();
     loop {
         match head::take_response(&mut conn.buf, to_head) {
             Ok(Some(head)) => return Ok(head),
-            Ok(None) if conn.buf.len() > MAX_RESPONSE_HEAD => {
+            Ok(None) if conn.received - start > MAX_RESPONSE_HEAD => {
                 return Err(ExchangeError::Garbled("endless head"));
             }
             Ok(None) => {}
@@ -141,15 +154,20 @@
 pub struct WholeBody {
     decoder: Decoder,
     bytes: BytesMut,
+    max: usize,
+    /// Bytes of the connection before the body.
+    start: usize,
 }
 
 impl WholeBody {
-    /// Starts the body that follows a head.
+    /// Starts the body that follows a head, of at most `max` bytes.
     #[must_use]
-    pub fn new(head: &ResponseHead) -> Self {
+    pub fn new(conn: &Conn, head: &ResponseHead, max: usize) -> Self {
         Self {
             decoder: Decoder::new(head.framing),
             bytes: BytesMut::new(),
+            max,
+            start: conn.received - conn.buf.len(),
         }
     }
 
@@ -163,7 +181,9 @@
         if self.decoder.is_done() {
             return Ok(Some(self.bytes.split().freeze()));
         }
-        if self.bytes.len() > MAX_WHOLE {
+        // The framing of chunks takes as much as the body at most.
+        let received = conn.received - self.start;
+        if self.bytes.len() > self.max || received > 2 * self.max {
             return Err(ExchangeError::Garbled("answer too long"));
         }
         Ok(None)
@@ -182,12 +202,66 @@
     }
 }
 
-/// Reads the whole body of an answer.
+/// Bytes that one answer takes of what all answers may take.
+struct Held<'a> {
+    all: &'a Cell<usize>,
+    own: usize,
+}
+
+impl Held<'_> {
+    fn set(&mut self, own: usize) -> Result<(), ExchangeError> {
+        self.all.update(|all| all - self.own + own);
+        self.own = own;
+        if self.all.get() > MAX_HELD {
+            return Err(ExchangeError::Garbled("answers too long"));
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.all.update(|all| all - self.own);
+    }
+}
+
+/// Reads the whole body of an answer; `all` counts the bytes of all answers that are being read.
 ///
 /// # Errors
 /// If it is cut off, not valid or too long.
-pub async fn read_whole(conn: &mut Conn, head: &ResponseHead) -> Result<Bytes, ExchangeError> {
-    let mut body = WholeBody::new(head);
+pub async fn read_whole(
+    conn: &mut Conn,
+    head: &ResponseHead,
+    all: &Cell<usize>,
+) -> Result<Bytes, ExchangeError> {
+    let mut body = WholeBody::new(conn, head, MAX_WHOLE);
+    let mut share = Held { all, own: 0 };
+    loop {
+        if let Some(whole) = body.take(conn)? {
+            return Ok(whole);
+        }
+        share.set(body.bytes.len())?;
+        if !read_more(conn).await? {
+            return body.end();
+        }
+    }
+}
+
+/// Reads over the body of an answer that nobody waits for.
+async fn read_over(conn: &mut Conn, head: &ResponseHead) -> Result<(), ExchangeError> {
+    let mut body = WholeBody::new(conn, head, MAX_WHOLE);
+    while body.take(conn)?.is_none() {
+        body.bytes.clear();
+        if !read_more(conn).await? {
+            return Err(ExchangeError::Closed);
+        }
+    }
+    Ok(())
+}
+
+/// Reads the report of an engine.
+async fn read_report(conn: &mut Conn, head: &ResponseHead) -> Result<Bytes, ExchangeError> {
+    let mut body = WholeBody::new(conn, head, MAX_REPORT);
     loop {
         if let Some(whole) = body.take(conn)? {
             return Ok(whole);
@@ -210,7 +284,7 @@
         format!("GET {target} HTTP/1.1\r\nHost: {addr}\r\nConnection: {connection}\r\n\r\n");
     send(conn, message.as_bytes()).await.ok()?;
     let head = next_head(conn, false).await.ok()?;
-    let body = read_whole(conn, &head).await.ok()?;
+    let body = read_report(conn, &head).await.ok()?;
     let load = report::decode(&body).filter(|_| head.status == 200)?;
     Some((load, head.keep_alive && conn.buf.is_empty()))
 }
--- a/src/forward/gateway.rs
+++ b/src/forward/gateway.rs
@@ -211,6 +211,7 @@
     let value = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
     let metrics = &shared.metrics;
     metrics.value("in_flight", value(shared.in_flight.get()));
+    metrics.value("held_bytes", value(shared.held_bytes.get()));
     metrics.value("connections", value(shared.open_connections.get()));
     let version = shared.table.borrow().version;
     metrics.value(
--- a/src/forward/pool.rs
+++ b/src/forward/pool.rs
@@ -25,6 +25,8 @@
     pub stream: TcpStream,
     /// Bytes that were read and not yet used.
     pub buf: BytesMut,
+    /// Bytes that were read so far.
+    pub received: usize,
     /// Whether it has carried a request before.
     pub is_reused: bool,
     /// Longest idle time that the upstream allows.
@@ -42,6 +44,7 @@
         Ok(Self {
             stream,
             buf: BytesMut::new(),
+            received: 0,
             is_reused: false,
             idle_limit: DEFAULT_IDLE,
             idle_since: Millis(0),
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -93,6 +93,8 @@
     pub is_closing: Cell<bool>,
     /// Client connections that are open.
     pub open_connections: Cell<usize>,
+    /// Bytes of answers that are held until they are whole.
+    pub held_bytes: Cell<usize>,
     /// Requests that are being served.
     pub in_flight: Cell<usize>,
     budgets: RefCell<Vec<(Rc<str>, RetryBudget)>>,
@@ -137,6 +139,7 @@
             close_idle: Notify::new(),
             is_closing: Cell::default(),
             open_connections: Cell::default(),
+            held_bytes: Cell::default(),
             in_flight: Cell::default(),
             budgets: RefCell::default(),
             lateness: RefCell::default(),
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -27,6 +27,9 @@
 /// tokens of a stream, and going on elsewhere would add to the load.
 const BUSY_PERCENT: u64 = 300;
 
+/// Bytes without a further event after which a stream is given up: the longest event and as much for its framing.
+const MAX_WITHOUT_EVENT: usize = 128 * 1024;
+
 /// Longest pause if the route gives none.
 const DEFAULT_GAP: Millis = Millis(2_000);
 
@@ -104,6 +107,7 @@
     let last = Cell::new(shared.clock.now());
     let silence = silence::wait(watched, &last);
     tokio::pin!(silence);
+    let mut last_event = (relay.last_id(), conn.received);
     loop {
         if let Err(_chunk) = decoder.decode(&mut conn.buf, relay.events.input()) {
             return RelayEnd::Lost(ExchangeError::Garbled("invalid chunk"));
@@ -137,6 +141,11 @@
         if decoder.is_done() {
             return RelayEnd::Complete;
         }
+        if relay.last_id() != last_event.0 {
+            last_event = (relay.last_id(), conn.received);
+        } else if conn.received - last_event.1 > MAX_WITHOUT_EVENT {
+            return RelayEnd::Lost(ExchangeError::Garbled("bytes without an event"));
+        }
         let read = tokio::select! {
             biased;
             read = exchange::read_more(conn) => read,
--- /dev/null
+++ b/src/forward/tests/endless.rs
@@ -0,0 +1,199 @@
+//! Upstreams whose bytes do not end until the gateway closes the connection.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+
+use super::fixture::{
+    self, FixedControl, field, policy, read_message, registered, send, serve, status, table,
+};
+use crate::forward::follow::Notice;
+use crate::forward::shared::Shared;
+
+/// Bytes that a gateway may take of one answer that is none; the largest answer that is held whole is 4 MiB, and
+/// the sockets' buffers hold some more.
+const MAX_TAKEN: usize = 12 * 1024 * 1024;
+
+const HEAD: &str =
+    "HTTP/1.1 200 OK\r\nX-Fireflywind-Request-Id: ID\r\nX-Fireflywind-Server-Stamp: s1\r\n";
+
+/// An upstream that repeats bytes without end.
+struct Endless {
+    addr: SocketAddr,
+    /// Bytes that were written on the connection that took most.
+    taken: Rc<Cell<usize>>,
+    /// Connections that the gateway has closed.
+    closed: Rc<Cell<usize>>,
+}
+
+/// Starts an upstream that answers each request with `head`, and then `bytes` again and again.
+async fn endless(head: String, bytes: &'static str) -> Endless {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("loopback can be bound");
+    let upstream = Endless {
+        addr: listener.local_addr().expect("it is bound"),
+        taken: Rc::default(),
+        closed: Rc::default(),
+    };
+    let (taken, closed) = (Rc::clone(&upstream.taken), Rc::clone(&upstream.closed));
+    actix_rt::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (taken, closed) = (Rc::clone(&taken), Rc::clone(&closed));
+            let head = head.clone();
+            actix_rt::spawn(async move {
+                let written = pour(stream, &head, bytes).await;
+                taken.set(taken.get().max(written));
+                closed.update(|n| n + 1);
+            });
+        }
+    });
+    upstream
+}
+
+/// Writes until the connection is closed; returns how much was taken.
+async fn pour(mut stream: TcpStream, head: &str, bytes: &str) -> usize {
+    let Some(request) = read_message(&mut stream).await else {
+        return 0;
+    };
+    let id = field(&request, "X-Fireflywind-Request-Id").unwrap_or_default();
+    let mut written = 0;
+    let mut part = head.replace("ID", id).into_bytes();
+    let rest = bytes.repeat(4_096 / bytes.len() + 1).into_bytes();
+    while stream.write_all(&part).await.is_ok() {
+        written += part.len();
+        part.clone_from(&rest);
+    }
+    written
+}
+
+/// Starts a gateway before these upstreams.
+async fn before(addrs: &[SocketAddr]) -> (Rc<Shared>, crate::forward::gateway::Gateway) {
+    let upstreams = addrs.iter().enumerate();
+    let upstreams = upstreams.map(|(n, addr)| Notice::Upstream(registered(n, *addr)));
+    let notices = std::iter::once(Notice::Table(Rc::new(table()))).chain(upstreams);
+    let control = FixedControl::open(notices.collect());
+    let shared = Shared::open(policy(), Box::new(control));
+    let gateway = serve(Rc::clone(&shared));
+    while !fixture::is_ready(&gateway).await {
+        tokio::task::yield_now().await;
+    }
+    (shared, gateway)
+}
+
+/// Sends one request that may run once and waits until the upstream's connection is closed.
+async fn answer_of(path: &str, head: &str, bytes: &'static str) -> (String, usize) {
+    let upstream = endless(head.to_owned(), bytes).await;
+    let (_shared, gateway) = before(&[upstream.addr]).await;
+    let answer = send(&gateway, "POST", path, "").await;
+    while upstream.closed.get() == 0 {
+        tokio::task::yield_now().await;
+    }
+    (answer, upstream.taken.get())
+}
+
+/// Interim heads were read over without a limit, so that one connection kept the process busy until the
+/// request's deadline.
+#[test]
+fn interim_heads_without_end_are_given_up() {
+    fixture::run(async {
+        let (answer, taken) = answer_of("/once/", "", "HTTP/1.1 100 Continue\r\n\r\n").await;
+
+        assert_eq!(status(&answer), 502, "{answer}");
+        assert!(taken <= MAX_TAKEN, "{taken} bytes");
+    });
+}
+
+/// A head without end must cost neither memory nor the request's whole time.
+#[test]
+fn a_head_without_end_is_given_up() {
+    fixture::run(async {
+        let (answer, taken) = answer_of("/once/", HEAD, "X-More: 1234567890\r\n").await;
+
+        assert_eq!(status(&answer), 502, "{answer}");
+        assert!(taken <= MAX_TAKEN, "{taken} bytes");
+    });
+}
+
+/// A body without end was held up to 16 MiB, a tenth of the memory of a small gateway.
+#[test]
+fn a_body_without_end_is_given_up() {
+    for (head, bytes) in [
+        ("\r\n", "body "),
+        ("Transfer-Encoding: chunked\r\n\r\n", "5\r\nbody \r\n"),
+        (
+            "Transfer-Encoding: chunked\r\n\r\n",
+            "1;an-extension-that-says-nothing\r\nb\r\n",
+        ),
+    ] {
+        fixture::run(async {
+            let head = format!("{HEAD}{head}");
+            let (answer, taken) = answer_of("/once/", &head, bytes).await;
+
+            assert_eq!(status(&answer), 502, "{answer}");
+            assert!(taken <= MAX_TAKEN, "{bytes:?}: {taken} bytes");
+        });
+    }
+}
+
+/// Answers to other requests that do not end must not be read over for long.
+#[test]
+fn a_stray_answer_without_end_is_given_up() {
+    fixture::run(async {
+        let head = HEAD
+            .replace("ID", "another")
+            .replace("\r\nX-F", "\r\nContent-Length: 99999999999\r\nX-F");
+        let (answer, taken) = answer_of("/once/", &format!("{head}\r\n"), "body ").await;
+
+        assert_eq!(status(&answer), 502, "{answer}");
+        assert!(taken <= MAX_TAKEN, "{taken} bytes");
+    });
+}
+
+/// A stream of bytes that are no events was passed on to the client until the request's deadline.
+#[test]
+fn a_stream_without_events_breaks_off() {
+    for bytes in [": nothing\n\n", "data", "\n"] {
+        fixture::run(async {
+            let head = format!("{HEAD}Content-Type: text/event-stream\r\n\r\n");
+            let (_, taken) = answer_of("/stream/", &head, bytes).await;
+
+            assert!(taken <= MAX_TAKEN, "{bytes:?}: {taken} bytes");
+        });
+    }
+}
+
+/// Several answers without end at a time must not take the memory of the process.
+#[test]
+fn answers_without_end_share_a_bounded_memory() {
+    fixture::run(async {
+        let head = format!("{HEAD}\r\n");
+        let upstream = endless(head, "body ").await;
+        let (shared, gateway) = before(&[upstream.addr]).await;
+        let mut clients = Vec::new();
+        for _ in 0..24 {
+            let mut stream = fixture::connect(gateway.addresses().listen).await;
+            let message = fixture::message("POST", "/once/", "");
+            stream
+                .write_all(message.as_bytes())
+                .await
+                .expect("it reads");
+            clients.push(stream);
+        }
+
+        let mut most = 0;
+        while upstream.closed.get() < clients.len() {
+            most = most.max(shared.held_bytes.get());
+            tokio::task::yield_now().await;
+        }
+
+        assert!(most <= 32 * 1024 * 1024 + 24 * 64 * 1024, "{most} bytes");
+        for mut client in clients {
+            let answer = read_message(&mut client).await.unwrap_or_default();
+            assert_eq!(status(&answer), 502, "{answer}");
+        }
+    });
+}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -13,7 +13,7 @@
 
 use crate::forward::exchange::{self, WholeBody};
 use crate::forward::follow::{Control, ControlError, Listing, RolloutWrite};
-use crate::forward::head::{self, ResponseHead};
+use crate::forward::head::ResponseHead;
 use crate::forward::pool::Conn;
 use crate::kv::LocalFuture;
 use crate::units::Millis;
@@ -32,8 +32,8 @@
 /// 10 Mbit/s.
 const LONGEST_ANSWER: Millis = Millis(5_000);
 
-/// Largest head of an answer, in bytes.
-const MAX_HEAD: usize = 16 * 1024;
+/// Largest answer, in bytes: a list of about 1 MB, or some versions of a configuration of that size.
+const MAX_ANSWER: usize = 16 * 1024 * 1024;
 
 /// Connection to the store, with one kept connection for each use.
 #[derive(Debug)]
@@ -147,7 +147,7 @@
         let (to_head, between_parts) = limits;
         let asked = self.ask(conn, method, target, body);
         let (mut conn, head) = within(to_head, asked).await??;
-        let mut whole = WholeBody::new(&head);
+        let mut whole = WholeBody::new(&conn, &head, MAX_ANSWER);
         let body = loop {
             match whole.take(&mut conn) {
                 Ok(Some(body)) => break Ok(body),
@@ -189,16 +189,9 @@
         let mut message = message.into_bytes();
         message.extend_from_slice(body);
         exchange::send(&mut conn, &message).await.map_err(text)?;
-        loop {
-            match head::take_response(&mut conn.buf, false) {
-                Ok(Some(head)) => return Ok((conn, head)),
-                Ok(None) if conn.buf.len() > MAX_HEAD => return Err("endless head".to_owned()),
-                Ok(None) => {}
-                Err(error) => return Err(error.to_string()),
-            }
-            if !exchange::read_more(&mut conn).await.map_err(text)? {
-                return Err("closed before an answer".to_owned());
-            }
+        match exchange::next_head(&mut conn, false).await {
+            Ok(head) => Ok((conn, head)),
+            Err(error) => Err(error.name().to_owned()),
         }
     }
 
