Judge slow answers of kinds without a usual time by wider groups

Cause: an answer counts as slow against the usual time of its route, prompt length and model; in a roll-out of 15 s most of these groups have under eight answers of the old version by then, so most slow answers said nothing, and a gateway has about ten answers of the new version before all requests move. Change: wider groups (length and model, then model) stand in until the narrow one is known; the usual time is the mean of logarithms, which long waits move little; with more answers judged, a stop needs four slow ones instead of three, and the canary share rises from 45 to 70% of the exposure, which a version that is never found still keeps.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -12,7 +12,7 @@
 use crate::router::hash;
 use crate::router::health::Seen;
 use crate::router::patience::Limits;
-use crate::router::rollout::Answer;
+use crate::router::rollout::{Answer, Kind};
 use crate::router::table::RequestKind;
 use crate::units::Millis;
 
@@ -232,9 +232,12 @@
     let Some(rollout) = rollouts.get_mut(&job.service) else {
         return;
     };
-    // Times of prompts of about the same length on the same model are alike.
-    let length = u64::from(job.size.prompt.max(1).ilog2());
-    let kind = hash(job.route.name.as_bytes()) ^ (length << 8 | job.model.unwrap_or(0) as u64);
+    let length = job.size.prompt.max(1).ilog2();
+    let kind = Kind {
+        route: hash(job.route.name.as_bytes()),
+        length: u8::try_from(length).unwrap_or(u8::MAX),
+        model: u8::try_from(job.model.unwrap_or(0)).unwrap_or(u8::MAX),
+    };
     rollout.observe(&upstream.version, kind, answer, shared.clock.now());
 }
 
--- a/src/forward/tests/follow.rs
+++ b/src/forward/tests/follow.rs
@@ -13,11 +13,17 @@
 };
 use crate::forward::shared::Shared;
 use crate::kv::LocalFuture;
-use crate::router::rollout::{Answer, Phase};
+use crate::router::rollout::{Answer, Kind, Phase};
 use crate::units::Millis;
 
 const GAP: Millis = Millis(2_000);
 
+const KIND: Kind = Kind {
+    route: 1,
+    length: 10,
+    model: 0,
+};
+
 /// A store that is deaf for [`GAP`] and then has lost its history; an order for a roll-out came meanwhile.
 #[derive(Default)]
 struct DeafControl {
@@ -142,7 +148,7 @@
     let complete = rollouts.due(end, end);
     for _ in 0..10 {
         let rollout = rollouts.get_mut("pool").expect("it was ordered");
-        rollout.observe("v2", 1, Answer::Failed, end);
+        rollout.observe("v2", KIND, Answer::Failed, end);
     }
 
     let is_withdrawn = rollouts.withdraw(&complete[0], end);
--- a/src/router/rollout.rs
+++ b/src/router/rollout.rs
@@ -12,7 +12,7 @@
 use crate::units::Millis;
 
 /// Part of the allowed exposure that is used after the first half, in percent.
-const CANARY_PERCENT: u64 = 45;
+const CANARY_PERCENT: u64 = 70;
 
 /// Part of the time in which sessions stay with their version, in percent.
 const PINNED_UNTIL: u64 = 52;
@@ -39,6 +39,9 @@
 /// Bad answers that a stop needs at least.
 const MIN_BAD: f64 = 3.0;
 
+/// Slow answers that a stop needs at least.
+const MIN_SLOW: f64 = 4.0;
+
 /// Standard deviations of the failed answers that the old version's rate explains, above which a roll-out
 /// is stopped.
 const DEVIATIONS: f64 = 3.0;
@@ -60,10 +63,10 @@
 /// stop without need costs less than a slow version that is completed.
 const EXCESS_SLOW_EARLY: f64 = 0.1;
 
-/// Answers that the old version needs before its mean time counts.
+/// Answers that the old version needs before its usual time counts.
 const MIN_SAMPLES: f64 = 8.0;
 
-/// Times the old version's mean at which an answer counts as slow.
+/// Times the old version's usual time at which an answer counts as slow.
 const SLOW_FACTOR: f64 = 4.0;
 
 /// Time to the first byte below which no answer counts as slow.
@@ -146,26 +149,47 @@
 
     /// Tells whether this version is worse than the old one.
     fn is_worse(&self, old: &Self, excess_slow: f64) -> bool {
-        let exceeds = |count: f64, old_count: f64, excess: f64| {
+        let exceeds = |count: f64, old_count: f64, (least, excess): (f64, f64)| {
             let (rate, old_rate) = (count / self.total.max(1.0), old_count / old.total.max(1.0));
-            count >= MIN_BAD && rate > old_rate * 1.5 + excess
+            count >= least && rate > old_rate * 1.5 + excess
         };
         let old_rate = (old.failed + PRIOR.0) / (old.total + PRIOR.1);
         let expected = self.total * old_rate;
         let fails = self.failed >= MIN_BAD
             && self.failed >= expected + DEVIATIONS * (expected + 1.0).sqrt();
         fails
-            || exceeds(self.broken, old.broken, EXCESS_BROKEN)
-            || exceeds(self.slow, old.slow, excess_slow)
+            || exceeds(self.broken, old.broken, (MIN_BAD, EXCESS_BROKEN))
+            || exceeds(self.slow, old.slow, (MIN_SLOW, excess_slow))
+    }
+}
+
+/// Kind of a request, whose usual time to the first byte is alike.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Kind {
+    /// Hash of the route.
+    pub route: u64,
+    /// Length of the prompt, as a power of two.
+    pub length: u8,
+    /// Index of the model.
+    pub model: u8,
+}
+
+impl Kind {
+    /// Returns keys of the kind, from the narrowest group of requests to the widest.
+    fn keys(self) -> [u64; 3] {
+        let model = u64::from(self.model) << 8 | 1;
+        let sized = u64::from(self.length) << 16 | model | 2;
+        [self.route ^ (sized | 4), sized, model]
     }
 }
 
-/// Mean time to the first byte of the old version for one kind of request.
+/// Time to the first byte of the old version for one group of requests.
 #[derive(Debug, Clone)]
 struct Usual {
-    kind: u64,
+    key: u64,
     samples: f64,
-    mean: f64,
+    /// Mean of the natural logarithms of the times in milliseconds; single long waits move it little.
+    mean_log: f64,
 }
 
 /// The roll-out of one service.
@@ -280,13 +304,13 @@
         }
     }
 
-    /// Takes in an answer; `kind` names the kind of request, whose usual times are alike.
-    pub fn observe(&mut self, version: &str, kind: u64, answer: Answer, now: Millis) {
+    /// Takes in an answer.
+    pub fn observe(&mut self, version: &str, kind: Kind, answer: Answer, now: Millis) {
         let is_new = version == self.to.as_ref();
         let mark = match answer {
             Answer::Failed => Mark::Failed,
             Answer::Broken => Mark::Broken,
-            Answer::Good(first_byte) if self.is_slow(kind, first_byte) => Mark::Slow,
+            Answer::Good(first_byte) if self.is_slow(kind, first_byte) == Some(true) => Mark::Slow,
             Answer::Good(_) => Mark::Sound,
         };
         if is_new {
@@ -341,35 +365,41 @@
         left.0 * 100_000 <= self.ramp.0 * self.exposure_permille * percent
     }
 
-    #[expect(
-        clippy::cast_precision_loss,
-        reason = "times of answers are far below 2^52 ms"
-    )]
-    fn is_slow(&self, kind: u64, first_byte: Millis) -> bool {
-        let usual = self.usual.iter().find(|u| u.kind == kind);
-        usual.is_some_and(|u| {
-            u.samples >= MIN_SAMPLES
-                && first_byte > SLOW_FLOOR
-                && first_byte.0 as f64 > u.mean * SLOW_FACTOR
-        })
+    /// Tells whether an answer was slow for its kind; `None` if the usual time is not known yet.
+    fn is_slow(&self, kind: Kind, first_byte: Millis) -> Option<bool> {
+        let known = |key| self.usual.binary_search_by_key(&key, |u| u.key).ok();
+        let mut groups = kind.keys().into_iter().filter_map(known);
+        let usual = groups.find(|at| self.usual[*at].samples >= MIN_SAMPLES)?;
+        let limit = self.usual[usual].mean_log + SLOW_FACTOR.ln();
+        Some(first_byte > SLOW_FLOOR && log_ms(first_byte) > limit)
     }
 
-    #[expect(
-        clippy::cast_precision_loss,
-        reason = "times of answers are far below 2^52 ms"
-    )]
-    fn learn(&mut self, kind: u64, first_byte: Millis) {
-        let value = first_byte.0 as f64;
-        match self.usual.iter_mut().find(|u| u.kind == kind) {
-            Some(usual) => {
-                usual.samples += 1.0;
-                usual.mean += (value - usual.mean) / usual.samples.min(50.0);
+    fn learn(&mut self, kind: Kind, first_byte: Millis) {
+        let value = log_ms(first_byte);
+        for key in kind.keys() {
+            match self.usual.binary_search_by_key(&key, |u| u.key) {
+                Ok(at) => {
+                    let usual = &mut self.usual[at];
+                    usual.samples += 1.0;
+                    usual.mean_log += (value - usual.mean_log) / usual.samples.min(50.0);
+                }
+                Err(at) => self.usual.insert(
+                    at,
+                    Usual {
+                        key,
+                        samples: 1.0,
+                        mean_log: value,
+                    },
+                ),
             }
-            None => self.usual.push(Usual {
-                kind,
-                samples: 1.0,
-                mean: value,
-            }),
         }
     }
 }
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "times of answers are far below 2^52 ms"
+)]
+fn log_ms(time: Millis) -> f64 {
+    (time.0.max(1) as f64).ln()
+}
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -6,3 +6,4 @@
 mod outcome;
 mod rollout;
 mod routing;
+mod slow_version;
--- a/src/router/tests/rollout.rs
+++ b/src/router/tests/rollout.rs
@@ -3,13 +3,17 @@
 use std::rc::Rc;
 
 use crate::router::mix;
-use crate::router::rollout::{Answer, Group, Phase, Rollout};
+use crate::router::rollout::{Answer, Group, Kind, Phase, Rollout};
 use crate::router::sessions::Sessions;
 use crate::units::Millis;
 
 const RAMP: Millis = Millis::from_secs(24);
 const EXPOSURE_PERMILLE: u64 = 150;
-const KIND: u64 = 1;
+const KIND: Kind = Kind {
+    route: 1,
+    length: 10,
+    model: 0,
+};
 
 fn rollout() -> Rollout {
     Rollout::new(Rc::from("v2"), Millis(0), RAMP, EXPOSURE_PERMILLE)
