--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -533,17 +533,24 @@
     }
 }
 
-/// A stop takes effect here before it is recorded; a completion only when it is.
+/// Logs what a decision rests on. A stop takes effect here before it is recorded; a completion only when it is.
 fn apply_at_once(shared: &Shared, write: &RolloutWrite) {
-    if write.phase != Phase::Reverted {
-        return;
-    }
     let mut rollouts = shared.rollouts.borrow_mut();
-    if let Some(rollout) = rollouts.get_mut(&write.service) {
-        let [new, old] = rollout.evidence();
-        log::warn!(event = "rollout_stopped", service:% = write.service, to:% = write.to,
-            new_failed_broken_slow_all:? = new, old_failed_broken_slow_all:? = old; "");
-        rollout.set_phase(Phase::Reverted);
+    let Some(rollout) = rollouts.get_mut(&write.service) else {
+        return;
+    };
+    let [new, old] = rollout.evidence();
+    match write.phase {
+        Phase::Active => {}
+        Phase::Complete => {
+            log::info!(event = "rollout_passed", service:% = write.service, to:% = write.to,
+                new_failed_broken_slow_all:? = new, old_failed_broken_slow_all:? = old; "");
+        }
+        Phase::Reverted => {
+            log::warn!(event = "rollout_stopped", service:% = write.service, to:% = write.to,
+                new_failed_broken_slow_all:? = new, old_failed_broken_slow_all:? = old; "");
+            rollout.set_phase(Phase::Reverted);
+        }
     }
 }
 
