Judge a new version by the pace of its streams

Cause: only the time to the first byte was judged. Change: the time of four early events of each stream is judged the same way, against the old version's, with a factor of 2.5 since it varies less. The outcome of a request has pace_ms.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -227,7 +227,7 @@
     }
 }
 
-fn observe_version(shared: &Shared, job: &Job, upstream: &Upstream, answer: Answer) {
+pub(super) fn observe_version(shared: &Shared, job: &Job, upstream: &Upstream, answer: Answer) {
     let mut rollouts = shared.rollouts.borrow_mut();
     let Some(rollout) = rollouts.get_mut(&job.service) else {
         return;
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -544,11 +544,11 @@
         Phase::Active => {}
         Phase::Complete => {
             log::info!(event = "rollout_passed", service:% = write.service, to:% = write.to,
-                new_failed_broken_slow_all:? = new, old_failed_broken_slow_all:? = old; "");
+                new_failed_broken_slow_all_paces:? = new, old_failed_broken_slow_all_paces:? = old; "");
         }
         Phase::Reverted => {
             log::warn!(event = "rollout_stopped", service:% = write.service, to:% = write.to,
-                new_failed_broken_slow_all:? = new, old_failed_broken_slow_all:? = old; "");
+                new_failed_broken_slow_all_paces:? = new, old_failed_broken_slow_all_paces:? = old; "");
             rollout.set_phase(Phase::Reverted);
         }
     }
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -45,6 +45,8 @@
     pub(super) resume_after: Option<u64>,
     /// Time from the arrival to the first byte of a stream.
     pub(super) first_byte: Cell<Option<Millis>>,
+    /// Time that the events took from which the pace of a stream is taken.
+    pub(super) pace: Cell<Option<Millis>>,
     /// Longest pause between two parts of a stream.
     pub(super) longest_pause: Cell<Millis>,
 }
@@ -147,6 +149,7 @@
         keep_alive: head.keep_alive,
         resume_after: head.fields.number(headers::LAST_EVENT_ID),
         first_byte: Cell::default(),
+        pace: Cell::default(),
         longest_pause: Cell::default(),
         route,
     })
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -74,9 +74,11 @@
     let first_byte = job
         .and_then(|j| j.first_byte.get())
         .map_or(-1, |m| i128::from(m.0));
+    let pace = job.and_then(|j| j.pace.get());
+    let pace = pace.map_or(-1, |m| i128::from(m.0));
     let pause = job.map_or(Millis(0), |j| j.longest_pause.get());
     log::info!(event = "outcome", request = id, route = route, account = account, status = status,
-        reason = reason, took_ms = took.0, first_byte_ms = first_byte, longest_pause_ms = pause.0; "");
+        reason = reason, took_ms = took.0, first_byte_ms = first_byte, pace_ms = pace, longest_pause_ms = pause.0; "");
 }
 
 async fn attempts(
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -6,8 +6,10 @@
 use bytes::{BufMut, BytesMut};
 
 use crate::router::patience::Limits;
+use crate::router::rollout::{Answer, PACE_EVENTS};
 use crate::units::Millis;
 
+use super::attempt::observe_version;
 use super::body::Decoder;
 use super::client::ClientConn;
 use super::events::Events;
@@ -108,6 +110,7 @@
     let silence = silence::wait(watched, &last);
     tokio::pin!(silence);
     let mut last_event = (relay.last_id(), conn.received);
+    let mut pace = Pace::default();
     loop {
         if let Err(_chunk) = decoder.decode(&mut conn.buf, relay.events.input()) {
             return RelayEnd::Lost(ExchangeError::Garbled("invalid chunk"));
@@ -137,6 +140,10 @@
             let pause = now.since(last.replace(now));
             job.longest_pause.set(job.longest_pause.get().max(pause));
             (shared.health.borrow_mut()).hear(&upstream.id, upstream.boot, now);
+            if let Some(time) = pace.take(relay.last_id(), now) {
+                job.pace.set(Some(time));
+                observe_version(shared, job, &upstream, Answer::Paced(time));
+            }
         }
         if decoder.is_done() {
             return RelayEnd::Complete;
@@ -163,6 +170,27 @@
     }
 }
 
+/// Takes the pace of a stream once, after its first events.
+#[derive(Debug, Default)]
+struct Pace {
+    first: Option<(u64, Millis)>,
+    is_taken: bool,
+}
+
+impl Pace {
+    /// Notes the event that came last; returns the time for [`PACE_EVENTS`] events when it is known.
+    fn take(&mut self, id: Option<u64>, now: Millis) -> Option<Millis> {
+        let id = id.filter(|_| !self.is_taken)?;
+        let (first, since) = *self.first.get_or_insert((id, now));
+        let events = id.saturating_sub(first);
+        if events < PACE_EVENTS {
+            return None;
+        }
+        self.is_taken = true;
+        Some(Millis(now.since(since).0 * PACE_EVENTS / events))
+    }
+}
+
 async fn end_with_close(
     client: &mut ClientConn,
     relay: &mut Relay,
--- a/src/router/rollout.rs
+++ b/src/router/rollout.rs
@@ -66,12 +66,21 @@
 /// Answers that the old version needs before its usual time counts.
 const MIN_SAMPLES: f64 = 8.0;
 
+/// Answers over which the usual time is smoothed.
+const RECENT_SAMPLES: f64 = 50.0;
+
 /// Times the old version's usual time at which an answer counts as slow.
 const SLOW_FACTOR: f64 = 4.0;
 
-/// Time to the first byte below which no answer counts as slow.
+/// The same for the pace of a stream, which varies less than the time to the first byte.
+const SLOW_PACE_FACTOR: f64 = 2.5;
+
+/// Time below which no answer and no part of a stream counts as slow.
 const SLOW_FLOOR: Millis = Millis(60);
 
+/// Events of a stream over which its pace is taken. A version may begin its answers in time and then make them slowly.
+pub const PACE_EVENTS: u64 = 4;
+
 /// Time in which an old observation loses half of its weight.
 const HALF_LIFE: Millis = Millis(5_000);
 
@@ -100,6 +109,8 @@
 pub enum Answer {
     /// With success, its first byte after this time.
     Good(Millis),
+    /// With a stream of which [`PACE_EVENTS`] events took this time, after the first ones.
+    Paced(Millis),
     /// With an error of its own.
     Failed,
     /// With an answer that broke off.
@@ -183,7 +194,7 @@
     }
 }
 
-/// Time to the first byte of the old version for one group of requests.
+/// Time of the old version for one group of requests.
 #[derive(Debug, Clone)]
 struct Usual {
     key: u64,
@@ -192,6 +203,46 @@
     mean_log: f64,
 }
 
+/// Usual times of the old version by group of requests, sorted by key.
+#[derive(Debug, Clone, Default)]
+struct Usuals {
+    groups: Vec<Usual>,
+}
+
+impl Usuals {
+    /// Tells whether a time is long for its kind; `false` while the usual one is not known.
+    fn is_slow(&self, kind: Kind, time: Millis, factor: f64) -> bool {
+        let known = |key| self.groups.binary_search_by_key(&key, |u| u.key).ok();
+        let mut groups = kind.keys().into_iter().filter_map(known);
+        let usual = groups.find(|at| self.groups[*at].samples >= MIN_SAMPLES);
+        usual.is_some_and(|at| {
+            let limit = self.groups[at].mean_log + factor.ln();
+            time > SLOW_FLOOR && log_ms(time) > limit
+        })
+    }
+
+    fn learn(&mut self, kind: Kind, time: Millis) {
+        let value = log_ms(time);
+        for key in kind.keys() {
+            let at = match self.groups.binary_search_by_key(&key, |u| u.key) {
+                Ok(at) => at,
+                Err(at) => {
+                    let usual = Usual {
+                        key,
+                        samples: 0.0,
+                        mean_log: 0.0,
+                    };
+                    self.groups.insert(at, usual);
+                    at
+                }
+            };
+            let usual = &mut self.groups[at];
+            usual.samples += 1.0;
+            usual.mean_log += (value - usual.mean_log) / usual.samples.min(RECENT_SAMPLES);
+        }
+    }
+}
+
 /// The roll-out of one service.
 #[derive(Debug, Clone)]
 pub struct Rollout {
@@ -203,7 +254,10 @@
     exposure_permille: u64,
     old: Tally,
     new: Tally,
-    usual: Vec<Usual>,
+    old_paces: Tally,
+    new_paces: Tally,
+    usual: Usuals,
+    usual_paces: Usuals,
 }
 
 impl Rollout {
@@ -219,7 +273,10 @@
             exposure_permille,
             old: Tally::default(),
             new: Tally::default(),
-            usual: Vec::new(),
+            old_paces: Tally::default(),
+            new_paces: Tally::default(),
+            usual: Usuals::default(),
+            usual_paces: Usuals::default(),
         }
     }
 
@@ -307,19 +364,32 @@
     /// Takes in an answer.
     pub fn observe(&mut self, version: &str, kind: Kind, answer: Answer, now: Millis) {
         let is_new = version == self.to.as_ref();
-        let mark = match answer {
-            Answer::Failed => Mark::Failed,
-            Answer::Broken => Mark::Broken,
-            Answer::Good(first_byte) if self.is_slow(kind, first_byte) == Some(true) => Mark::Slow,
-            Answer::Good(_) => Mark::Sound,
+        let is_slow = match answer {
+            Answer::Good(time) => self.usual.is_slow(kind, time, SLOW_FACTOR),
+            Answer::Paced(time) => self.usual_paces.is_slow(kind, time, SLOW_PACE_FACTOR),
+            Answer::Failed | Answer::Broken => false,
+        };
+        let (mark, time) = match answer {
+            Answer::Failed => (Mark::Failed, None),
+            Answer::Broken => (Mark::Broken, None),
+            Answer::Good(time) | Answer::Paced(time) if is_slow => (Mark::Slow, Some(time)),
+            Answer::Good(time) | Answer::Paced(time) => (Mark::Sound, Some(time)),
+        };
+        let (usual, old, new) = match answer {
+            Answer::Paced(_) => (
+                &mut self.usual_paces,
+                &mut self.old_paces,
+                &mut self.new_paces,
+            ),
+            _ => (&mut self.usual, &mut self.old, &mut self.new),
         };
         if is_new {
-            self.new.add(mark, now);
-        } else {
-            self.old.add(mark, now);
-            if let Answer::Good(first_byte) = answer {
-                self.learn(kind, first_byte);
-            }
+            new.add(mark, now);
+            return;
+        }
+        old.add(mark, now);
+        if let Some(time) = time {
+            usual.learn(kind, time);
         }
     }
 
@@ -334,20 +404,31 @@
         } else {
             EXCESS_SLOW_EARLY
         };
-        if self.new.is_worse(&self.old, excess_slow) {
+        let is_worse = self.new.is_worse(&self.old, excess_slow)
+            || self.new_paces.is_worse(&self.old_paces, excess_slow);
+        if is_worse {
             return Some(Phase::Reverted);
         }
         (self.is_within_rest(COMPLETE_REST_PERCENT, now)).then_some(Phase::Complete)
     }
 
-    /// Returns weighted failed, broken, slow and all answers of the new and then of the old version, for
-    /// logs.
+    /// Returns weighted failed, broken, slow and all answers, and then slow and all paces, of the new and then
+    /// of the old version, for logs.
     #[must_use]
-    pub const fn evidence(&self) -> [[f64; 4]; 2] {
-        let (new, old) = (&self.new, &self.old);
+    pub fn evidence(&self) -> [[f64; 6]; 2] {
+        let of = |answers: &Tally, paces: &Tally| {
+            [
+                answers.failed,
+                answers.broken,
+                answers.slow,
+                answers.total,
+                paces.slow,
+                paces.total,
+            ]
+        };
         [
-            [new.failed, new.broken, new.slow, new.total],
-            [old.failed, old.broken, old.slow, old.total],
+            of(&self.new, &self.new_paces),
+            of(&self.old, &self.old_paces),
         ]
     }
 
@@ -364,36 +445,6 @@
         let left = self.ramp.since(now.since(self.started));
         left.0 * 100_000 <= self.ramp.0 * self.exposure_permille * percent
     }
-
-    /// Tells whether an answer was slow for its kind; `None` if the usual time is not known yet.
-    fn is_slow(&self, kind: Kind, first_byte: Millis) -> Option<bool> {
-        let known = |key| self.usual.binary_search_by_key(&key, |u| u.key).ok();
-        let mut groups = kind.keys().into_iter().filter_map(known);
-        let usual = groups.find(|at| self.usual[*at].samples >= MIN_SAMPLES)?;
-        let limit = self.usual[usual].mean_log + SLOW_FACTOR.ln();
-        Some(first_byte > SLOW_FLOOR && log_ms(first_byte) > limit)
-    }
-
-    fn learn(&mut self, kind: Kind, first_byte: Millis) {
-        let value = log_ms(first_byte);
-        for key in kind.keys() {
-            match self.usual.binary_search_by_key(&key, |u| u.key) {
-                Ok(at) => {
-                    let usual = &mut self.usual[at];
-                    usual.samples += 1.0;
-                    usual.mean_log += (value - usual.mean_log) / usual.samples.min(50.0);
-                }
-                Err(at) => self.usual.insert(
-                    at,
-                    Usual {
-                        key,
-                        samples: 1.0,
-                        mean_log: value,
-                    },
-                ),
-            }
-        }
-    }
 }
 
 #[expect(
