Weigh what all gateways saw by the time at which they saw it

All gateways together had seen 12 slow answers of 54, against 29 of 1,250 of the old version. Cause: once all requests have moved, a larger excess is allowed, since the new version has no prompts cached; the pooled counts are a second old and from before the move, which lasts 0.3 s of a 15 s roll-out. Change: they keep an excess of 8%. Before: evidence_from_before_the_move_counts_as_before_it failed (no stop) with the old excess; now it passes.

--- a/src/router/rollout.rs
+++ b/src/router/rollout.rs
@@ -74,6 +74,9 @@
 /// upstream without cached prompts.
 const EXCESS_SLOW_OWN: f64 = 0.4;
 
+/// The same for the answers that all gateways have told of. They come from before all requests move.
+const EXCESS_SLOW_POOLED: f64 = 0.08;
+
 /// The same for the pace of streams, which cached prompts do not change.
 const EXCESS_PACE: f64 = 0.05;
 
@@ -204,7 +207,7 @@
     }
 
     /// Tells whether this version is worse than the old one, by what all gateways have seen.
-    fn is_worse(&self, old: &Self, excess_slow: f64) -> bool {
+    fn is_worse(&self, old: &Self) -> bool {
         let exceeds =
             |(bad, all): (u32, u32), (old_bad, old_all): (u32, u32), excess: f64, z: f64| {
                 let old_rate = (f64::from(old_bad) + PRIOR.0) / (f64::from(old_all) + PRIOR.1);
@@ -215,7 +218,12 @@
         let slow = (self.slow, self.answers);
         let paces = (self.slow_paces, self.paces);
         exceeds(failed, (old.failed, old.answers), 0.0, DEVIATIONS)
-            || exceeds(slow, (old.slow, old.answers), excess_slow, SLOW_DEVIATIONS)
+            || exceeds(
+                slow,
+                (old.slow, old.answers),
+                EXCESS_SLOW_POOLED,
+                SLOW_DEVIATIONS,
+            )
             || exceeds(
                 paces,
                 (old.slow_paces, old.paces),
@@ -508,7 +516,7 @@
         };
         let is_worse = self.new.is_worse(&self.old, own_excess)
             || self.new_paces.is_worse(&self.old_paces, own_excess)
-            || self.pooled.0.is_worse(&self.pooled.1, excess_slow);
+            || self.pooled.0.is_worse(&self.pooled.1);
         if is_worse {
             return Some(Phase::Reverted);
         }
--- a/src/router/tests/slow_version.rs
+++ b/src/router/tests/slow_version.rs
@@ -199,3 +199,21 @@
 
     assert!(stopped <= 5, "{stopped} of 100 stopped");
 }
+
+/// What the gateways had seen of a slow version before all requests moved there counted by the larger excess of the
+/// time after the move, and the version was completed.
+#[test]
+fn evidence_from_before_the_move_counts_as_before_it() {
+    let mut rollout = Rollout::new(Rc::from("v2"), Millis(0), RAMP, EXPOSURE_PERMILLE);
+    let after_the_move = Millis(RAMP.0 * 94 / 100);
+    let seen = |answers, slow| Judged {
+        answers,
+        slow,
+        ..Judged::default()
+    };
+
+    rollout.pool(seen(54, 12), seen(1_250, 29));
+
+    assert_eq!(rollout.share_permille(after_the_move), 1_000);
+    assert_eq!(rollout.verdict(after_the_move), Some(Phase::Reverted));
+}
