Read reports and whole answers through one loop

No behaviour changes but one: what was judged of two processes at one address, one after the other, is added up rather than one of them chosen by chance.

--- a/src/beacon/receiver.rs
+++ b/src/beacon/receiver.rs
@@ -69,7 +69,14 @@
         .map(|u| (u.addr.ip(), health.entry(&u.id, u.boot, now).judged))
         .collect();
     engines.sort_unstable_by_key(|(ip, _)| *ip);
-    engines.dedup_by_key(|(ip, _)| *ip);
+    // A process that has taken over an address is judged with the one before it.
+    engines.dedup_by(|(ip, judged), (kept_ip, kept)| {
+        let is_same = ip == kept_ip;
+        if is_same {
+            *kept = kept.plus(*judged);
+        }
+        is_same
+    });
     engines
 }
 
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -234,7 +234,16 @@
     head: &ResponseHead,
     all: &Cell<usize>,
 ) -> Result<Bytes, ExchangeError> {
-    let mut body = WholeBody::new(conn, head, MAX_WHOLE);
+    read_up_to(MAX_WHOLE, conn, head, all).await
+}
+
+async fn read_up_to(
+    max: usize,
+    conn: &mut Conn,
+    head: &ResponseHead,
+    all: &Cell<usize>,
+) -> Result<Bytes, ExchangeError> {
+    let mut body = WholeBody::new(conn, head, max);
     let mut share = Held { all, own: 0 };
     loop {
         if let Some(whole) = body.take(conn)? {
@@ -259,19 +268,6 @@
     Ok(())
 }
 
-/// Reads the report of an engine.
-async fn read_report(conn: &mut Conn, head: &ResponseHead) -> Result<Bytes, ExchangeError> {
-    let mut body = WholeBody::new(conn, head, MAX_REPORT);
-    loop {
-        if let Some(whole) = body.take(conn)? {
-            return Ok(whole);
-        }
-        if !read_more(conn).await? {
-            return body.end();
-        }
-    }
-}
-
 /// Asks an engine for its state; tells whether the connection can be kept.
 pub async fn fetch_report(
     conn: &mut Conn,
@@ -284,7 +280,9 @@
         format!("GET {target} HTTP/1.1\r\nHost: {addr}\r\nConnection: {connection}\r\n\r\n");
     send(conn, message.as_bytes()).await.ok()?;
     let head = next_head(conn, false).await.ok()?;
-    let body = read_report(conn, &head).await.ok()?;
+    let body = read_up_to(MAX_REPORT, conn, &head, &Cell::new(0))
+        .await
+        .ok()?;
     let load = report::decode(&body).filter(|_| head.status == 200)?;
     Some((load, head.keep_alive && conn.buf.is_empty()))
 }
