--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -171,6 +171,11 @@
         for client in clients {
             client.join().expect("no client panics");
         }
+        // Connections of a world that is over would take descriptors from the next one.
+        let upstreams = self.upstreams.iter().map(|u| &u.proxy);
+        for proxy in self.store_proxies.iter().chain(upstreams) {
+            proxy.reset();
+        }
         let report = self.shared.ledger.report();
         if report.findings.is_empty() {
             // The logs of a sound run are of no use.
