--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -146,7 +146,6 @@
         match result {
             Ok(listing) => {
                 let silence = shared.freshness.borrow().age(now);
-                let word_age = silence.unwrap_or_default();
                 note_contact(&shared, silence, failures, now);
                 let is_quiet = revision.is_some() && listing.notices.is_empty();
                 if is_quiet {
@@ -158,13 +157,13 @@
                 let gap = silence.filter(|_| failures > 0 || revision.is_none());
                 let made = middle_of(gap, now);
                 failures = 0;
-                let answer = Answer {
+                let news = News {
                     notices: listing.notices,
                     is_list: revision.is_none(),
                     made,
-                    word_age,
+                    word_age: silence.unwrap_or_default(),
                 };
-                take_in(&shared, answer, now);
+                take_in(&shared, news, now);
                 // The history never goes back.
                 revision =
                     Some(revision.map_or(listing.revision, |r: u64| r.max(listing.revision)));
@@ -178,16 +177,16 @@
             }
             Err(error) => {
                 failures += 1;
-                // A watch that breaks before its time was sound until then.
-                let was_sound = revision.is_some() && now.since(asked) < wait;
-                let failed_at = if was_sound { now } else { asked };
-                shared.lapses.borrow_mut().failed(failed_at);
-                shared.metrics.event("store_call_failed");
                 if failures == 1 {
                     log::warn!(event = "store_lost", error:% = error; "");
                 }
                 log::info!(event = "store_call_failed", error:% = error, failures = failures,
                     took_ms = now.since(asked).0, wait_ms = wait.0, view_age_ms = age(&shared, now).0; "");
+                shared.metrics.event("store_call_failed");
+                // A watch that breaks before its time was sound until then.
+                let was_sound = revision.is_some() && now.since(asked) < wait;
+                let failed_at = if was_sound { now } else { asked };
+                shared.lapses.borrow_mut().failed(failed_at);
                 let pause = RETRY_PAUSE.0.0 << failures.min(3);
                 let jitter = shared.draw() % 100;
                 let pause = Millis(pause.min(RETRY_PAUSE.1.0) + jitter);
@@ -215,7 +214,7 @@
 }
 
 /// What an answer of the store holds.
-struct Answer {
+struct News {
     notices: Vec<Notice>,
     /// Whether it is everything, rather than what has changed.
     is_list: bool,
@@ -226,13 +225,13 @@
 }
 
 /// Takes in what the store said.
-fn take_in(shared: &Rc<Shared>, answer: Answer, now: Millis) {
-    let Answer {
+fn take_in(shared: &Rc<Shared>, news: News, now: Millis) {
+    let News {
         notices,
         is_list,
         made,
         word_age,
-    } = answer;
+    } = news;
     let grace = shared.lapses.borrow().grace(now);
     let mut upstreams = Vec::new();
     for notice in notices {
