Spread requests over upstreams by the work that all gateways send between two load reports

Cause: 31 to 68 gateways read the same load reports, which are up to 150 ms old, and each sent its request to the upstream with the least backlog; the bound within which a prefix stays was smaller than one request of the smallest model.

Change: beacons report how many gateways subscribe; each gateway pours the work that all of them send until the next report over the reported backlogs and gives each upstream its part of the prefixes by weighted rendezvous hashing. The lanes follow the square roots of the measured work. Unknown requests of other gateways count with the mean work seen instead of a constant. The pick line has arriving and small_share.

--- a/src/beacon/mod.rs
+++ b/src/beacon/mod.rs
@@ -15,7 +15,7 @@
 const SUBSCRIBE_MAGIC: [u8; 4] = *b"FWS2";
 
 /// Magic bytes at the start of a load.
-const LOAD_MAGIC: [u8; 4] = *b"FWL2";
+const LOAD_MAGIC: [u8; 4] = *b"FWL3";
 
 /// Size of a datagram buffer; larger than the largest datagram.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 64;
@@ -31,6 +31,8 @@
     pub starting: u16,
     /// Number of requests that have a slot.
     pub running: u16,
+    /// Number of gateways that subscribe to the loads.
+    pub gateways: u16,
     /// Sum of the answer counts that all subscribers reported for this upstream; used in roll-outs.
     pub answer_counts: Judged,
 }
@@ -57,7 +59,7 @@
             Self::Load(load) => {
                 bytes.extend_from_slice(&LOAD_MAGIC);
                 bytes.extend_from_slice(&load.seq.to_be_bytes());
-                for count in [load.waiting, load.starting, load.running] {
+                for count in [load.waiting, load.starting, load.running, load.gateways] {
                     bytes.extend_from_slice(&count.to_be_bytes());
                 }
                 load.answer_counts
@@ -82,13 +84,14 @@
         if let Some(rest) = bytes.strip_prefix(&SUBSCRIBE_MAGIC) {
             return decode_counts(rest).map(Self::Subscribe);
         }
-        let (load, rest) = bytes.strip_prefix(&LOAD_MAGIC)?.split_first_chunk::<10>()?;
-        let [a, b, c, d, w0, w1, s0, s1, r0, r1] = *load;
+        let (load, rest) = bytes.strip_prefix(&LOAD_MAGIC)?.split_first_chunk::<12>()?;
+        let [a, b, c, d, w0, w1, s0, s1, r0, r1, g0, g1] = *load;
         Some(Self::Load(Load {
             seq: u32::from_be_bytes([a, b, c, d]),
             waiting: u16::from_be_bytes([w0, w1]),
             starting: u16::from_be_bytes([s0, s1]),
             running: u16::from_be_bytes([r0, r1]),
+            gateways: u16::from_be_bytes([g0, g1]),
             answer_counts: decode_counts(rest)?,
         }))
     }
--- a/src/beacon/receiver.rs
+++ b/src/beacon/receiver.rs
@@ -102,6 +102,7 @@
     /// Records the load of the upstreams at an address.
     fn record_beacon_load(&self, ip: IpAddr, load: super::Load) {
         let now = self.clock.now();
+        self.record_gateways(load.gateways, now);
         let fleet = self.fleet.borrow();
         let mut health = self.health.borrow_mut();
         for upstream in fleet.all().filter(|u| u.addr.ip() == ip) {
--- a/src/beacon/sender.rs
+++ b/src/beacon/sender.rs
@@ -157,8 +157,10 @@
         seq += 1;
         let answer_counts = (subscribers.borrow().iter())
             .fold(Judged::default(), |sum, s| sum.plus(s.answer_counts));
+        let gateways = u16::try_from(subscribers.borrow().len()).unwrap_or(u16::MAX);
         let bytes = Datagram::Load(Load {
             seq,
+            gateways,
             answer_counts,
             ..load
         })
@@ -186,6 +188,7 @@
         waiting: count(load.waiting),
         starting: count(load.starting),
         running: count(load.running),
+        gateways: 0,
         answer_counts: Judged::default(),
     })
 }
--- a/src/beacon/tests.rs
+++ b/src/beacon/tests.rs
@@ -23,6 +23,7 @@
         waiting: 1,
         starting: 2,
         running: 300,
+        gateways: 68,
         answer_counts: ANSWER_COUNTS,
     };
 
@@ -89,6 +90,7 @@
             waiting: 3,
             starting: 1,
             running: 2,
+            gateways: 2,
             answer_counts: ANSWER_COUNTS.plus(ANSWER_COUNTS),
         };
         assert_eq!(
--- a/src/forward/choose.rs
+++ b/src/forward/choose.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use crate::router::demand::ModelClass;
 use crate::router::fleet::Upstream;
 use crate::router::pick::{self, Candidate, PickRequest};
 use crate::router::rollout::Group;
@@ -11,6 +12,10 @@
 use super::job::Job;
 use super::shared::Shared;
 
+/// Mean age of a load report when it is used, plus the time until a request reaches the upstream. Beacons poll their
+/// upstream every 150 ms.
+const REPORT_LAG: Millis = Millis(200);
+
 /// The upstream of an attempt.
 #[derive(Debug)]
 pub(super) struct Choice {
@@ -49,21 +54,21 @@
             }
         })
         .collect();
-    pick::assign_lanes(&mut candidates, job.lane(&shared.sizes.borrow()));
-    let affinity = job.affinity.map(|a| mix(a ^ job.model.unwrap_or(0) as u64));
-    let wanted = PickRequest {
-        affinity,
-        token_permille: job.token_permille(shared),
-    };
+    let (small_share, wanted) = pick_request(shared, job, now);
+    pick::assign_lanes(
+        &mut candidates,
+        job.lane(&shared.sizes.borrow()),
+        small_share,
+    );
     let (at, reason) = pick::pick(&candidates, wanted, shared.draw())?;
     let upstream = eligible[at];
-    let backlog = candidates[at].backlog();
+    let backlog = candidates[at].backlog(wanted.mean_work);
     if let Some(backlog) = backlog.filter(|_| job.uses_larger_model()) {
         shared.with_lateness(&job.service, |l| l.observe_backlog(backlog, now));
     }
     log::info!(event = "pick", request:% = String::from_utf8_lossy(&job.id), upstream:% = upstream.id,
         session:% = format_args!("{:x}", job.session_hash), version:% = upstream.version, reason = reason.name(), of = candidates.len(),
-        in_flight = candidates[at].in_flight, backlog:? = backlog, attempt = tried.len(), model = job.model.unwrap_or(0),
+        in_flight = candidates[at].in_flight, backlog:? = backlog, arriving = wanted.arriving, small_share = small_share, attempt = tried.len(), model = job.model.unwrap_or(0),
         table = shared.table.borrow().version; "");
     Some(Choice {
         upstream: Rc::clone(upstream),
@@ -71,6 +76,24 @@
     })
 }
 
+/// Returns the share of the upstreams that serve the smallest model, in permille, and what the choice depends on;
+/// counts the request's work.
+fn pick_request(shared: &Shared, job: &Job, now: Millis) -> (u64, PickRequest) {
+    let (class, work) = (job.model_class(), job.total_work(shared));
+    let gateways = shared.gateways(now);
+    shared.with_demand(&job.service, |demand| {
+        let request = PickRequest {
+            affinity: job.affinity.map(|a| mix(a ^ job.model.unwrap_or(0) as u64)),
+            token_permille: job.token_permille(shared),
+            arriving: demand.work_within(class, REPORT_LAG, now) * gateways,
+            mean_work: [ModelClass::Smallest, ModelClass::Larger]
+                .map(|class| demand.mean_work(class)),
+        };
+        demand.record(class, work, now);
+        (demand.small_share_permille(), request)
+    })
+}
+
 /// Returns the upstreams whose version the request may run on, after `tried` attempts.
 fn eligible_upstreams<'a>(
     shared: &Shared,
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -7,6 +7,7 @@
 
 use crate::platform::headers;
 use crate::router::cascade::Cascade;
+use crate::router::demand::ModelClass;
 use crate::router::fleet::Upstream;
 use crate::router::hash;
 use crate::router::pick::Lane;
@@ -74,6 +75,20 @@
         self.size.prompt * self.token_permille(shared) / 1_000
     }
 
+    /// Returns the work of the whole request, in prompt tokens of the largest model.
+    pub(super) fn total_work(&self, shared: &Shared) -> u64 {
+        self.size.work() * self.token_permille(shared) / 1_000
+    }
+
+    /// Returns the class of the request's model.
+    pub(super) fn model_class(&self) -> ModelClass {
+        if self.model == Some(0) {
+            ModelClass::Smallest
+        } else {
+            ModelClass::Larger
+        }
+    }
+
     /// Returns whether the request goes to a larger model than the smallest one.
     pub(super) fn uses_larger_model(&self) -> bool {
         self.model.is_some_and(|model| model > 0)
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -9,10 +9,11 @@
 use crate::clock::Clock;
 use crate::ids;
 use crate::router::cascade::Cascade;
+use crate::router::demand::Demand;
 use crate::router::departures::Departures;
 use crate::router::fleet::{Fleet, OutageTracker};
 use crate::router::freshness::Freshness;
-use crate::router::health::HealthTable;
+use crate::router::health::{HealthTable, MAX_REPORT_AGE};
 use crate::router::lateness::Lateness;
 use crate::router::retry::{RetryBounds, RetryBudget};
 use crate::router::sessions::Sessions;
@@ -99,6 +100,9 @@
     pub in_flight: Cell<usize>,
     budgets: RefCell<Vec<(Rc<str>, RetryBudget)>>,
     lateness: RefCell<Vec<(Rc<str>, Lateness)>>,
+    demands: RefCell<Vec<(Rc<str>, Demand)>>,
+    /// Number of gateways that the last load report names, and when it arrived.
+    reported_gateways: Cell<(u16, Millis)>,
     random: Cell<u64>,
 }
 
@@ -143,6 +147,8 @@
             in_flight: Cell::default(),
             budgets: RefCell::default(),
             lateness: RefCell::default(),
+            demands: RefCell::default(),
+            reported_gateways: Cell::default(),
             random: Cell::new(ids::random_u64()),
         })
     }
@@ -214,6 +220,25 @@
         f(entry(&mut lateness, service, Lateness::default))
     }
 
+    /// Records how many gateways subscribe to an upstream's loads.
+    pub fn record_gateways(&self, count: u16, now: Millis) {
+        self.reported_gateways.set((count, now));
+    }
+
+    /// Returns the number of gateways that share the upstreams, at least 1.
+    #[must_use]
+    pub fn gateways(&self, now: Millis) -> u64 {
+        let (count, at) = self.reported_gateways.get();
+        let is_recent = now.since(at) <= MAX_REPORT_AGE;
+        u64::from(if is_recent { count } else { 0 }).max(1)
+    }
+
+    /// Calls `f` with the recent work for a service.
+    pub fn with_demand<T>(&self, service: &Rc<str>, f: impl FnOnce(&mut Demand) -> T) -> T {
+        let mut demands = self.demands.borrow_mut();
+        f(entry(&mut demands, service, Demand::default))
+    }
+
     /// Calls `f` with the cascade of a route.
     pub fn with_cascade<T>(&self, route: &Rc<str>, f: impl FnOnce(&mut Cascade) -> T) -> T {
         let mut cascades = self.cascades.borrow_mut();
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod attempt;
 pub mod cascade;
+pub mod demand;
 pub mod departures;
 pub mod fleet;
 pub mod freshness;
@@ -17,6 +18,7 @@
 pub mod sessions;
 pub mod silence_policy;
 pub mod sizes;
+pub mod spread;
 pub mod table;
 #[cfg(test)]
 mod tests;
--- a/src/router/pick.rs
+++ b/src/router/pick.rs
@@ -7,6 +7,7 @@
 //! centre are preferred.
 
 use super::sizes::SizeMix;
+use super::spread;
 
 /// Load bound of an upstream for prefix affinity, in percent of the mean number of requests in flight. An upstream
 /// at the bound is skipped in the prefix's rendezvous order.
@@ -15,12 +16,6 @@
 /// Requests added to the load bound, so that prefix affinity also holds while upstreams are nearly idle.
 const LOAD_BOUND_SLACK_REQUESTS: u64 = 2;
 
-/// Share of the upstreams that serve the smallest model, in percent, if a route has several models.
-///
-/// Long prompts on a large model delay every token of the requests that run on the same upstream. The smallest
-/// model takes about a fifth of the work and answers first, so it gets upstreams of its own.
-const SMALL_LANE_PERCENT: usize = 18;
-
 /// Cost of leaving a request's own lane, as backlog in prompt tokens of the largest model: the request goes to
 /// another lane only if that saves more work than this, about a seventh of a second. It is less than
 /// [`BACKLOG_SLACK_TOKENS`], so that prefix affinity decides while upstreams are idle.
@@ -144,15 +139,19 @@
 
 /// Assigns the upstreams to lanes and sets each one's lane cost for a request, 0 in the request's own lane.
 ///
+/// Long prompts on a large model delay every token of the requests that run on the same upstream. The smallest model
+/// answers first and takes a fraction of the work, so it gets upstreams of its own: `small_share_permille` of all.
+///
 /// The assignment follows the order of the id hashes. Gateways with the same list of upstreams agree on which
 /// serve the smallest model.
-pub fn assign_lanes(candidates: &mut [Candidate], lane: Lane<'_>) {
+pub fn assign_lanes(candidates: &mut [Candidate], lane: Lane<'_>, small_share_permille: u64) {
     if lane == Lane::Any || candidates.len() < MIN_UPSTREAMS_FOR_LANES {
         return;
     }
     let mut order: Vec<_> = (0..candidates.len()).collect();
     order.sort_by_key(|&at| candidates[at].hash);
-    let small = (order.len() * SMALL_LANE_PERCENT).div_ceil(100);
+    let small = (order.len() as u64 * small_share_permille).div_ceil(1_000);
+    let small = usize::try_from(small).map_or(order.len(), |small| small.min(order.len()));
     let large = order.len() - small;
     let classes = (large / MIN_CLASS_UPSTREAMS).clamp(1, MAX_SIZE_CLASSES);
     let own = match lane {
@@ -194,6 +193,11 @@
     pub affinity: Option<u64>,
     /// Work of one prompt token on the request's model, in permille of that on the largest model.
     pub token_permille: u64,
+    /// Work that all gateways are expected to send to the request's lane before the next load reports, in prompt
+    /// tokens of the largest model.
+    pub arriving: u64,
+    /// Mean work of a request on the smallest and on the larger models, in prompt tokens of the largest model.
+    pub mean_work: [u64; 2],
 }
 
 /// Returns the index of the upstream to use, and why it was chosen; `draw` is a random number that breaks ties.
@@ -206,7 +210,7 @@
             .map(|at| (at, Reason::LastChoice));
     }
     if let Some(affinity) = request.affinity
-        && let Some(at) = choose_by_backlog(candidates, affinity, request.token_permille)
+        && let Some(at) = choose_by_backlog(candidates, request, affinity)
     {
         return Some((at, Reason::Backlog));
     }
@@ -219,9 +223,6 @@
     choose_by_load(&own, draw, Candidate::is_usable).map(|at| (at, Reason::Load))
 }
 
-/// Assumed prompt tokens of a request of another gateway; about the mean of long prompts.
-const ASSUMED_PROMPT_TOKENS: u64 = 6_000;
-
 /// Assumed work of a request that already produces output, in prompt tokens of the largest model.
 const ASSUMED_RUNNING_WORK_TOKENS: u64 = 150;
 
@@ -234,53 +235,55 @@
 
 impl Candidate {
     /// Returns the work ahead of a new request plus the lane cost, if a recent load report is known.
-    fn cost(&self) -> Option<u64> {
-        Some(self.backlog()? + self.lane_cost)
+    fn cost(&self, mean_work: [u64; 2]) -> Option<u64> {
+        Some(self.backlog(mean_work)? + self.lane_cost)
     }
 
     /// Returns the work ahead of a new request, in prompt tokens of the largest model, if a recent load report
     /// is known.
     #[must_use]
-    pub fn backlog(&self) -> Option<u64> {
+    pub fn backlog(&self, mean_work: [u64; 2]) -> Option<u64> {
         let awaiting_output = self.awaiting_output?;
         // Requests that this gateway sent after the report are counted in `own_awaiting_output` and `pending`,
         // but not in `awaiting_output`, so the difference can be negative.
-        let others =
-            awaiting_output.saturating_sub(self.own_awaiting_output) * ASSUMED_PROMPT_TOKENS;
+        let others = awaiting_output.saturating_sub(self.own_awaiting_output);
         let running = self.running.max(u64::from(self.in_flight)) * ASSUMED_RUNNING_WORK_TOKENS;
-        let assumed = others + running;
+        let [small, large] = mean_work;
         let assumed = if self.serves_small {
-            assumed * SMALL_WORK_PERMILLE / 1_000
+            others * small + running * SMALL_WORK_PERMILLE / 1_000
         } else {
-            assumed
+            others * large + running
         };
         Some(self.pending + assumed)
     }
 }
 
-/// Returns the first upstream in the prefix's rendezvous order whose backlog is within [`BACKLOG_SLACK_TOKENS`] of the
-/// lowest one. `None` if fewer than half of the usable upstreams have a recent load report.
+/// Returns an upstream whose backlog is below the level up to which the arriving work fills the upstreams. Each one
+/// gets the part of the prefixes that fills it up to the level; see [`spread`]. `None` if fewer than half of the
+/// usable upstreams have a recent load report.
 fn choose_by_backlog(
     candidates: &[Candidate],
+    request: PickRequest,
     affinity: u64,
-    token_permille: u64,
 ) -> Option<usize> {
-    let usable = || (0..candidates.len()).filter(|&at| candidates[at].is_usable());
-    let known = usable()
-        .filter(|&at| candidates[at].awaiting_output.is_some())
-        .count();
-    if known * 2 < usable().count() {
+    let usable = candidates.iter().filter(|c| c.is_usable()).count();
+    let mut costs: Vec<_> = (candidates.iter().enumerate())
+        .filter(|(_, c)| c.is_usable())
+        .filter_map(|(at, c)| Some((c.cost(request.mean_work)?, at)))
+        .collect();
+    if costs.len() * 2 < usable {
         return None;
     }
-    let least = usable().filter_map(|at| candidates[at].cost()).min()?;
-    let slack = BACKLOG_SLACK_TOKENS * token_permille / 1_000;
-    let is_within_slack = |at: &usize| {
-        let cost = candidates[*at].cost();
-        cost.is_some_and(|cost| cost <= least + slack)
-    };
-    usable()
-        .filter(is_within_slack)
-        .max_by_key(|&at| super::mix(affinity ^ candidates[at].hash))
+    costs.sort_unstable();
+    let sorted: Vec<_> = costs.iter().map(|(cost, _)| *cost).collect();
+    let slack = BACKLOG_SLACK_TOKENS * request.token_permille / 1_000;
+    let level = spread::level(&sorted, request.arriving).max(sorted.first()? + slack.max(1));
+    let position = |at: usize, weight: u64| spread::position(affinity, candidates[at].hash, weight);
+    (costs.into_iter())
+        .take_while(|(cost, _)| *cost < level)
+        .map(|(cost, at)| (position(at, level - cost), at))
+        .min_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, at)| at)
 }
 
 /// Returns the first upstream in the prefix's rendezvous order whose load and pending work are within the bounds.
--- a/src/router/tests/load.rs
+++ b/src/router/tests/load.rs
@@ -27,12 +27,23 @@
     }
 }
 
-fn pick_for(all: &[Candidate], affinity: Option<u64>, draw: u64) -> Option<(usize, Reason)> {
-    let wanted = PickRequest {
+/// Mean work of a request on the smallest and on the larger models, in prompt tokens of the largest model.
+const MEAN_WORK: [u64; 2] = [600, 6_000];
+
+/// Share of the upstreams that serve the smallest model, in permille.
+const SMALL_SHARE: u64 = 180;
+
+fn request(affinity: Option<u64>, token_permille: u64) -> PickRequest {
+    PickRequest {
         affinity,
-        token_permille: 1_000,
-    };
-    pick::pick(all, wanted, draw)
+        token_permille,
+        arriving: 0,
+        mean_work: MEAN_WORK,
+    }
+}
+
+fn pick_for(all: &[Candidate], affinity: Option<u64>, draw: u64) -> Option<(usize, Reason)> {
+    pick::pick(all, request(affinity, 1_000), draw)
 }
 
 fn candidates(count: u64) -> Vec<Candidate> {
@@ -133,7 +144,7 @@
     let sizes = three_classes();
     let in_lane = |lane| {
         let mut divided = all.clone();
-        pick::assign_lanes(&mut divided, lane);
+        pick::assign_lanes(&mut divided, lane, SMALL_SHARE);
         (0..all.len())
             .filter(|&at| divided[at].lane_cost == 0)
             .collect::<Vec<_>>()
@@ -155,7 +166,7 @@
 #[test]
 fn a_lane_without_a_usable_upstream_uses_the_others() {
     let mut all = candidates(8);
-    pick::assign_lanes(&mut all, Lane::Small);
+    pick::assign_lanes(&mut all, Lane::Small, SMALL_SHARE);
     for candidate in &mut all {
         candidate.is_ejected = candidate.lane_cost == 0;
     }
@@ -174,11 +185,8 @@
     for candidate in &mut all {
         candidate.awaiting_output = Some(0);
     }
-    pick::assign_lanes(&mut all, Lane::Small);
-    let small_model = PickRequest {
-        affinity: Some(1),
-        token_permille: 100,
-    };
+    pick::assign_lanes(&mut all, Lane::Small, SMALL_SHARE);
+    let small_model = request(Some(1), 100);
     let (quiet, _) = pick::pick(&all, small_model, 0).expect("an upstream is picked");
     assert_eq!(all[quiet].lane_cost, 0);
     for candidate in all.iter_mut().filter(|c| c.lane_cost == 0) {
@@ -229,7 +237,7 @@
         prompt: 1_000_000,
     };
 
-    pick::assign_lanes(&mut all, lane);
+    pick::assign_lanes(&mut all, lane, SMALL_SHARE);
 
     assert_eq!(sizes.class(1_000_000, 4), None);
     let small = all.iter().filter(|c| c.serves_small).count();
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod departures;
 mod fleet;
+mod herd;
 mod load;
 mod outcome;
 mod rollout;
