Escalate by the value of an answer in time, with the delay for other requests

Cause: near capacity two of three answers of the largest model came late, and a fixed confidence (60, down to 45 when an answer is certain to be late) let them escalate all the same. Each escalation delays the requests behind it, so they went on until hardly any came in time. A prompt that takes longer than the time left counted as late by chance only.

Change: an answer escalates if the expected value of the larger model's answer (good enough, in time), less its price and the delay for others, exceeds that of the answer at hand; the delay grows with the lateness and the work of the request. The time for the prompt itself is certain, only the wait is random.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -8,6 +8,7 @@
 use crate::platform::headers;
 use crate::router::attempt::AttemptFailure;
 use crate::router::cascade::{Decision, EscalationInput};
+use crate::router::demand::ModelClass;
 use crate::router::fleet::Upstream;
 use crate::router::hash;
 use crate::router::health::AttemptOutcome;
@@ -475,12 +476,16 @@
         shared.with_lateness(&job.service, |l| l.observe_first_byte(work, first_byte));
     }
     if let Some(model) = job.model.filter(|_| !relay.has_begun()) {
+        let prices = job.model_prices(shared);
         let input = EscalationInput {
             model,
             models: job.route.models.len(),
             confidence: (head.fields.number(headers::CONFIDENCE)).and_then(|c| c.try_into().ok()),
             can_send: can_reroute,
+            late_now: f64::from(u8::from(time_left(shared, job) == Millis(0))),
             late_probability: late_probability(shared, job),
+            relative_work: relative_work(shared, job),
+            prices: &prices,
         };
         let decision = shared.with_cascade(&job.route.name, |cascade| {
             if let (Some(earlier), Some(confidence)) = (job.discarded, input.confidence) {
@@ -527,12 +532,27 @@
 /// Returns the probability that an answer of the largest model would miss the route's latency target.
 fn late_probability(shared: &Shared, job: &Job) -> f64 {
     let now = shared.clock.now();
-    let left = (job.arrived + job.route.latency_target).since(now);
+    let left = time_left(shared, job);
     shared.with_lateness(&job.service, |l| {
         l.late_probability(job.size.prompt, left, now)
     })
 }
 
+/// Returns the time left until the route's latency target.
+fn time_left(shared: &Shared, job: &Job) -> Millis {
+    (job.arrived + job.route.latency_target).since(shared.clock.now())
+}
+
+/// Returns the work of the request on the largest model relative to the mean of the larger models.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "the work of a request is far below 2^52"
+)]
+fn relative_work(shared: &Shared, job: &Job) -> f64 {
+    let mean = shared.with_demand(&job.service, |d| d.mean_work(ModelClass::Larger));
+    job.size.work() as f64 / (mean as f64).max(1.0)
+}
+
 fn stream_lost(
     shared: &Shared,
     job: &Job,
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -75,6 +75,17 @@
         self.size.prompt * self.token_permille(shared) / 1_000
     }
 
+    /// Returns the price of each of the route's models, relative to the most expensive one of the service.
+    pub(super) fn model_prices(&self, shared: &Shared) -> Vec<f64> {
+        let table = shared.table.borrow();
+        let service = table.service(&self.service);
+        let price = |model: &Rc<str>| {
+            let permille = service.and_then(|s| s.work_permille(model));
+            u32::try_from(permille.unwrap_or(1_000)).map_or(1.0, |p| f64::from(p) / 1_000.0)
+        };
+        self.route.models.iter().map(price).collect()
+    }
+
     /// Returns the work of the whole request, in prompt tokens of the largest model.
     pub(super) fn total_work(&self, shared: &Shared) -> u64 {
         self.size.work() * self.token_permille(shared) / 1_000
--- a/src/router/cascade.rs
+++ b/src/router/cascade.rs
@@ -1,18 +1,30 @@
 //! Choice of a model: a request starts on the smallest model and escalates if the model reports low confidence.
 //!
-//! The next model is the smallest one whose expected confidence is high enough. The gain in confidence from one
-//! model to a larger one is estimated from requests that ran on both. An answer is discarded only while the client
+//! The next model is the one with the highest expected value: the probability that its answer is good enough and in
+//! time, less its price and the delay for other requests. The gain in confidence from one model to a larger one is
+//! estimated from requests that ran on both. An answer is discarded only while the client
 //! has received none of it. Each escalation is an extra send, so it counts against the retry budget and the
 //! route's attempts.
 
-/// Confidence from which an answer is delivered, in percent. At a confidence of 60, one answer in eight was not
-/// good enough, and running a larger model costs about an eighth of the value of a long answer.
-const ACCEPT_CONFIDENCE_PERCENT: u8 = 60;
+/// Confidence at which half of the answers are good enough, in percent.
+const EVEN_CONFIDENCE_PERCENT: f64 = 49.5;
 
-/// Confidence from which an answer is delivered if a larger model's answer is certain to be late, in percent. A
-/// late answer keeps about three tenths of its value, and about the same share of the answers at a confidence of
-/// 45 is good enough.
-const ACCEPT_CONFIDENCE_LATE_PERCENT: u8 = 45;
+/// Scale of the logistic curve from the confidence to the probability that the answer is good enough, in percentage
+/// points. At a confidence of 60, one answer in eight is not good enough.
+const CONFIDENCE_SCALE_POINTS: f64 = 5.35;
+
+/// Value of an answer that is not good enough, as a share of that of a good one.
+const POOR_VALUE: f64 = 0.05;
+
+/// Value of a good answer that comes too late, as a share of one that comes in time.
+const LATE_VALUE: f64 = 0.25;
+
+/// Price of an answer of the largest model, as a share of the value of a good answer.
+const LARGEST_PRICE: f64 = 0.125;
+
+/// Weight of the delay that an escalation causes to the requests behind it, as a multiple of the probability that
+/// answers are late: without it, requests escalate until hardly any answer of the larger models comes in time.
+const DELAY_WEIGHT: f64 = 1.5;
 
 /// Initial estimate of the gain in confidence to the next larger model, in percentage points, used until requests
 /// have run on both.
@@ -26,7 +38,7 @@
 
 /// What is known when a model has started to answer.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct EscalationInput {
+pub struct EscalationInput<'a> {
     /// Index of the model; 0 is the smallest.
     pub model: usize,
     /// Number of models.
@@ -35,8 +47,14 @@
     pub confidence: Option<u8>,
     /// Whether the request may be sent once more.
     pub can_send: bool,
+    /// Probability that an answer delivered now is late, from 0 to 1.
+    pub late_now: f64,
     /// Probability that a larger model's answer would come too late, from 0 to 1.
     pub late_probability: f64,
+    /// Work of the request relative to that of the other requests of the larger models.
+    pub relative_work: f64,
+    /// Price of each model relative to that of the largest one.
+    pub prices: &'a [f64],
 }
 
 /// What to do with an answer.
@@ -70,25 +88,30 @@
         0
     }
 
-    /// Decides whether an answer is delivered or the request escalates.
+    /// Decides whether an answer is delivered or the request escalates, by the expected value of each answer less its
+    /// price.
     #[must_use]
-    pub fn decide(&self, input: EscalationInput) -> Decision {
-        let last = input.models.saturating_sub(1);
-        let accept = f64::from(ACCEPT_CONFIDENCE_PERCENT)
-            - f64::from(ACCEPT_CONFIDENCE_PERCENT - ACCEPT_CONFIDENCE_LATE_PERCENT)
-                * input.late_probability;
-        let Some(confidence) = input.confidence.filter(|c| f64::from(*c) < accept) else {
+    pub fn decide(&self, input: EscalationInput<'_>) -> Decision {
+        let Some(confidence) = input.confidence.filter(|_| input.can_send) else {
             return Decision::Deliver;
         };
-        if !input.can_send || input.model >= last {
-            return Decision::Deliver;
-        }
-        let is_enough = |to: &usize| {
-            f64::from(confidence) + self.gain(input.model, *to)
-                >= f64::from(ACCEPT_CONFIDENCE_PERCENT)
+        let delivered = value(good_probability(f64::from(confidence)), input.late_now);
+        let escalated = |model: usize| {
+            let good = if model + 1 == input.models {
+                // No model is better, so its answer is as good as an answer can be.
+                1.0
+            } else {
+                good_probability(f64::from(confidence) + self.gain(input.model, model))
+            };
+            let price = input.prices.get(model).copied().unwrap_or(1.0);
+            let delay = DELAY_WEIGHT * input.late_probability * input.relative_work.sqrt();
+            value(good, input.late_probability) - price * (LARGEST_PRICE + delay)
         };
-        let next = (input.model + 1..last).find(is_enough);
-        Decision::Escalate(next.unwrap_or(last))
+        let larger = (input.model + 1..input.models).map(|model| (escalated(model), model));
+        match larger.max_by(|a, b| a.0.total_cmp(&b.0)) {
+            Some((value, model)) if value > delivered => Decision::Escalate(model),
+            _ => Decision::Deliver,
+        }
     }
 
     /// Records the confidence that two models reported for the same request, each as (model, confidence).
@@ -119,6 +142,18 @@
     }
 }
 
+/// Returns the probability that an answer is good enough.
+fn good_probability(confidence: f64) -> f64 {
+    let steepness = (EVEN_CONFIDENCE_PERCENT - confidence) / CONFIDENCE_SCALE_POINTS;
+    1.0 / (1.0 + steepness.exp())
+}
+
+/// Returns the expected value of an answer, relative to a good answer in time.
+fn value(good: f64, late_probability: f64) -> f64 {
+    let in_time = 1.0 - late_probability * (1.0 - LATE_VALUE);
+    (good + (1.0 - good) * POOR_VALUE) * in_time
+}
+
 #[expect(clippy::cast_precision_loss, reason = "a route has few models")]
 fn initial_gain(from: usize, to: usize) -> f64 {
     INITIAL_GAIN_POINTS * to.saturating_sub(from) as f64
--- a/src/router/lateness.rs
+++ b/src/router/lateness.rs
@@ -71,9 +71,11 @@
             return 0.0;
         }
         let us_per_token = self.first_byte_us / self.tokens.max(1.0);
-        let expected_us = (self.backlog + to_f64(work)) * us_per_token;
+        let own_us = to_f64(work) * us_per_token;
+        let wait_us = self.backlog * us_per_token;
+        let slack_us = (to_f64(left.0 * 1_000) - own_us).max(0.0);
         // Waiting times in a queue are approximately exponentially distributed.
-        (-to_f64(left.0 * 1_000) / expected_us.max(1.0)).exp()
+        (-slack_us / wait_us.max(1.0)).exp()
     }
 
     fn is_recent(&self, now: Millis) -> bool {
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the routing decisions; none needs a network.
 
+mod cascade;
 mod departures;
 mod fleet;
 mod herd;
