Fit the lateness of escalations to the prompt and the backlog apart

Cause: one time per token was learned for the prompt and the backlog together.

Change: a least-squares fit of the time to first byte to both; the delay weight is four times the lateness.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -472,8 +472,10 @@
     observe_outcome(shared, &open.upstream, AttemptOutcome::Answer, "stream");
     observe_version(shared, job, &open.upstream, Answer::Good(first_byte));
     if let Some(backlog) = open.backlog.filter(|_| job.uses_larger_model()) {
-        let work = backlog + job.work(shared);
-        shared.with_lateness(&job.service, |l| l.observe_first_byte(work, first_byte));
+        let work = job.work(shared);
+        shared.with_lateness(&job.service, |l| {
+            l.observe_first_byte(work, backlog, first_byte);
+        });
     }
     if let Some(model) = job.model.filter(|_| !relay.has_begun()) {
         let prices = job.model_prices(shared);
--- a/src/router/cascade.rs
+++ b/src/router/cascade.rs
@@ -24,7 +24,7 @@
 
 /// Weight of the delay that an escalation causes to the requests behind it, as a multiple of the probability that
 /// answers are late: without it, requests escalate until hardly any answer of the larger models comes in time.
-const DELAY_WEIGHT: f64 = 1.5;
+const DELAY_WEIGHT: f64 = 4.0;
 
 /// Initial estimate of the gain in confidence to the next larger model, in percentage points, used until requests
 /// have run on both.
--- a/src/router/lateness.rs
+++ b/src/router/lateness.rs
@@ -1,16 +1,24 @@
 //! Probability that a larger model's answer would come too late.
 //!
 //! It matters when demand is near or above capacity: escalating to a larger model is worth its work only if the
-//! answer still arrives in time, and each escalation delays all other requests. The expected wait is the mean
-//! backlog of the recently chosen upstreams times the observed time per token of backlog.
+//! answer still arrives in time, and each escalation delays all other requests. The time to first byte is modelled as
+//! a time per token of the prompt plus a time per token of the backlog ahead of it. Both are fitted to the times that
+//! this gateway has seen: the backlog is a rough estimate, the length of the prompt is known exactly.
 
 use crate::units::Millis;
 
-/// Initial estimate of the time that an upstream takes per prompt token of backlog, in microseconds.
-const INITIAL_US_PER_TOKEN: f64 = 100.0;
+/// Initial estimate of the time that an upstream takes per token of the prompt and per token of the backlog, in
+/// microseconds.
+const INITIAL_US_PER_TOKEN: f64 = 40.0;
 
-/// Weight of the initial estimate, in prompt tokens of backlog: about twenty long prompts.
-const INITIAL_WEIGHT_TOKENS: f64 = 200_000.0;
+/// Weight of the initial estimates, as a number of requests with [`INITIAL_REQUEST_TOKENS`].
+const INITIAL_WEIGHT_REQUESTS: f64 = 8.0;
+
+/// Prompt and backlog of the requests that the initial estimates stand for, in tokens.
+const INITIAL_REQUEST_TOKENS: f64 = 6_000.0;
+
+/// Longest time per token of the prompt or of the backlog that is assumed, in microseconds.
+const MAX_US_PER_TOKEN: f64 = 400.0;
 
 /// Factor by which each new time to first byte reduces the weight of earlier ones; about the last 100 count.
 const DECAY_FACTOR: f64 = 0.99;
@@ -27,21 +35,61 @@
     /// Moving average of the chosen upstreams' backlogs, in prompt tokens of the largest model.
     backlog: f64,
     observed_at: Option<Millis>,
-    /// Decayed sum of the times to first byte, in microseconds.
-    first_byte_us: f64,
-    /// Decayed sum of the work that caused these times, in prompt tokens of the largest model.
-    tokens: f64,
+    fit: Fit,
+}
+
+/// Decayed sums of a least-squares fit of the time to first byte to the prompt and the backlog ahead of it.
+#[derive(Debug, Clone, Copy)]
+struct Fit {
+    prompt_prompt: f64,
+    prompt_backlog: f64,
+    backlog_backlog: f64,
+    prompt_time: f64,
+    backlog_time: f64,
 }
 
 impl Default for Lateness {
     fn default() -> Self {
+        let square = INITIAL_WEIGHT_REQUESTS * INITIAL_REQUEST_TOKENS * INITIAL_REQUEST_TOKENS;
         Self {
             backlog: 0.0,
             observed_at: None,
-            first_byte_us: INITIAL_WEIGHT_TOKENS * INITIAL_US_PER_TOKEN,
-            tokens: INITIAL_WEIGHT_TOKENS,
+            fit: Fit {
+                prompt_prompt: square,
+                prompt_backlog: 0.0,
+                backlog_backlog: square,
+                prompt_time: square * INITIAL_US_PER_TOKEN,
+                backlog_time: square * INITIAL_US_PER_TOKEN,
+            },
+        }
+    }
+}
+
+impl Fit {
+    fn observe(&mut self, prompt: f64, backlog: f64, time_us: f64) {
+        for (sum, new) in [
+            (&mut self.prompt_prompt, prompt * prompt),
+            (&mut self.prompt_backlog, prompt * backlog),
+            (&mut self.backlog_backlog, backlog * backlog),
+            (&mut self.prompt_time, prompt * time_us),
+            (&mut self.backlog_time, backlog * time_us),
+        ] {
+            *sum = *sum * DECAY_FACTOR + new;
         }
     }
+
+    /// Returns the time per token of the prompt and per token of the backlog, in microseconds.
+    fn us_per_token(&self) -> (f64, f64) {
+        let determinant =
+            self.prompt_prompt * self.backlog_backlog - self.prompt_backlog * self.prompt_backlog;
+        let determinant = determinant.max(1.0);
+        let prompt =
+            self.prompt_time * self.backlog_backlog - self.backlog_time * self.prompt_backlog;
+        let backlog =
+            self.backlog_time * self.prompt_prompt - self.prompt_time * self.prompt_backlog;
+        let bounded = |us: f64| (us / determinant).clamp(0.0, MAX_US_PER_TOKEN);
+        (bounded(prompt), bounded(backlog))
+    }
 }
 
 impl Lateness {
@@ -57,10 +105,11 @@
         self.observed_at = Some(now);
     }
 
-    /// Records the time to first byte of a request; `tokens` is the backlog ahead of it plus its own work.
-    pub fn observe_first_byte(&mut self, tokens: u64, took: Millis) {
-        self.first_byte_us = self.first_byte_us * DECAY_FACTOR + to_f64(took.0 * 1_000);
-        self.tokens = self.tokens * DECAY_FACTOR + to_f64(tokens);
+    /// Records the time to first byte of a request, with its own work and the backlog ahead of it, in prompt tokens of
+    /// the largest model.
+    pub fn observe_first_byte(&mut self, work: u64, backlog: u64, took: Millis) {
+        self.fit
+            .observe(to_f64(work), to_f64(backlog), to_f64(took.0 * 1_000));
     }
 
     /// Returns the probability that an answer takes longer than `left`; `work` is that of the request itself, in
@@ -70,12 +119,11 @@
         if !self.is_recent(now) {
             return 0.0;
         }
-        let us_per_token = self.first_byte_us / self.tokens.max(1.0);
-        let own_us = to_f64(work) * us_per_token;
-        let wait_us = self.backlog * us_per_token;
-        let slack_us = (to_f64(left.0 * 1_000) - own_us).max(0.0);
+        let (us_per_prompt_token, us_per_backlog_token) = self.fit.us_per_token();
+        let slack_us = to_f64(left.0 * 1_000) - to_f64(work) * us_per_prompt_token;
+        let wait_us = self.backlog * us_per_backlog_token;
         // Waiting times in a queue are approximately exponentially distributed.
-        (-slack_us / wait_us.max(1.0)).exp()
+        (-slack_us.max(0.0) / wait_us.max(1.0)).exp()
     }
 
     fn is_recent(&self, now: Millis) -> bool {
