--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -18,9 +18,24 @@
 
 use super::shared::Shared;
 
-/// Delay after changes, so that the next call returns several of them at once. A configuration must be in
-/// force within two seconds, and an upstream that leaves may get requests for at most two more seconds.
-const CHANGE_BATCH_DELAY: Millis = Millis(450);
+/// Delay after changes, in permille of the time within which a change must be in force, so that the next call returns
+/// several of them at once. Three quarters of that time are left for the call and for requests in transit.
+const CHANGE_BATCH_PERMILLE: u64 = 225;
+
+/// Longest delay after changes during a roll-out: the requests that a bad version gets until all gateways have read
+/// the recorded stop count against its exposure.
+const MAX_ROLLOUT_BATCH_DELAY: Millis = Millis(450);
+
+/// Returns the delay after changes until the next call.
+#[must_use]
+pub fn batch_delay(change_bound: Millis, has_rollout: bool) -> Millis {
+    let delay = Millis(change_bound.0 * CHANGE_BATCH_PERMILLE / 1_000);
+    if has_rollout {
+        delay.min(MAX_ROLLOUT_BATCH_DELAY)
+    } else {
+        delay
+    }
+}
 
 /// Base and upper bound of the exponential back-off after failed calls to the store, without jitter.
 const RETRY_BACKOFF: (Millis, Millis) = (Millis(100), Millis(600));
@@ -173,7 +188,9 @@
                 revision =
                     Some(revision.map_or(listing.revision, |r: u64| r.max(listing.revision)));
                 if !is_unchanged {
-                    actix_rt::time::sleep(CHANGE_BATCH_DELAY.duration()).await;
+                    let has_rollout = shared.rollouts.borrow_mut().active().next().is_some();
+                    let delay = batch_delay(shared.policy().change_bound, has_rollout);
+                    actix_rt::time::sleep(delay.duration()).await;
                 }
             }
             Err(ControlPlaneError::HistoryLost) => {
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -46,6 +46,8 @@
     pub catch_up: Millis,
     /// Interval in which upstreams renew their entries in the store.
     pub heartbeat: Millis,
+    /// Time within which a change in the store must be in force.
+    pub change_bound: Millis,
     /// Longest time after the start for which clients wait for the first listing of the store.
     pub startup_wait: Millis,
 }
@@ -88,6 +90,8 @@
     pub loaded: Notify,
     /// Whether a stop was requested.
     pub is_stopping: Cell<bool>,
+    /// Notified when a stopping gateway is to accept no more connections.
+    pub stop_accepting: Notify,
     /// Closes client connections that carry no request, near the end of a stop.
     pub close_idle: Notify,
     /// Whether idle client connections are being closed.
@@ -140,6 +144,7 @@
             is_loaded: Cell::default(),
             loaded: Notify::new(),
             is_stopping: Cell::default(),
+            stop_accepting: Notify::new(),
             close_idle: Notify::new(),
             is_closing_idle: Cell::default(),
             open_connections: Cell::default(),
--- a/src/forward/tests/fixture.rs
+++ b/src/forward/tests/fixture.rs
@@ -268,6 +268,7 @@
         session_idle_timeout: Millis::from_secs(5),
         stop_grace: Millis::from_secs(8),
         catch_up: Millis(3_000),
+        change_bound: Millis(2_000),
         heartbeat: Millis(1_200),
         startup_wait: Millis::from_secs(60),
     }
--- a/src/forward/tests/follow.rs
+++ b/src/forward/tests/follow.rs
@@ -10,7 +10,7 @@
 use crate::fixtures::run_paused;
 use crate::forward::follow::{
     self, ControlPlane, ControlPlaneError, Listing, RolloutWrite, Rollouts, StoreEvent,
-    decide_rollouts,
+    batch_delay, decide_rollouts,
 };
 use crate::forward::shared::Shared;
 use crate::kv::LocalFuture;
@@ -193,3 +193,14 @@
         assert!(after >= Millis(900) && after <= Millis(1_600), "{after:?}");
     });
 }
+
+/// On a large deployment with longer bounds, changes are collected for longer, so that hundreds of gateways do not
+/// call the store after each of them. A recorded stop of a roll-out is read as soon as on a small one.
+#[test]
+fn changes_are_collected_for_a_share_of_their_bound() {
+    let small = [false, true].map(|has_rollout| batch_delay(Millis(2_000), has_rollout));
+    let large = [false, true].map(|has_rollout| batch_delay(Millis(4_000), has_rollout));
+
+    assert_eq!(small, [Millis(450); 2]);
+    assert_eq!(large, [Millis(900), Millis(450)]);
+}
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -74,6 +74,12 @@
     /// Time within which the gateway must have the store's current state again after its connections went silent.
     #[serde(default = "default_catch_up")]
     pub catch_up: Millis,
+    /// Time within which a changed configuration must be in force.
+    #[serde(default = "default_change_bound")]
+    pub configuration_bound: Millis,
+    /// Time within which an upstream that leaves must get no more requests.
+    #[serde(default = "default_change_bound")]
+    pub drain_bound: Millis,
     /// Interval at which upstreams renew their entries in the store.
     #[serde(default = "default_heartbeat")]
     pub heartbeat: Millis,
@@ -128,6 +134,10 @@
     Millis(3_000)
 }
 
+const fn default_change_bound() -> Millis {
+    Millis(2_000)
+}
+
 const fn default_heartbeat() -> Millis {
     Millis(1_200)
 }
@@ -185,6 +195,7 @@
             stop_grace: self.stop_grace,
             catch_up: self.catch_up,
             heartbeat: self.heartbeat,
+            change_bound: self.configuration_bound.min(self.drain_bound),
             startup_wait: STARTUP_WAIT,
         }
     }
