Answer requests that are being read or just accepted when a stop closes connections

Change: a request counts from its first byte, idle connections stay open for 250 ms more, and the queue is emptied before the listener closes. Two tests, both red before; the emptying of the queue has no test.

--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -16,6 +16,9 @@
 use super::request;
 use super::shared::Shared;
 
+/// Time for which an idle connection stays open during a stop, for a request that the client has already sent.
+pub(super) const CLOSE_LINGER: Millis = Millis(250);
+
 /// Maximum size of one read.
 const READ_SIZE_BYTES: usize = 16 * 1024;
 
@@ -102,8 +105,20 @@
     async fn run(&mut self, shared: &Rc<Shared>) {
         loop {
             let limits = shared.table.borrow().limits;
-            let req = match self.read_request(shared, &limits).await {
-                Ok(req) => req,
+            if !self.wait_for_request(shared, &limits).await {
+                return;
+            }
+            // A stop also waits for requests that are still being read.
+            shared.in_flight.update(|n| n + 1);
+            let after = self.serve_request(shared, &limits).await;
+            shared.in_flight.update(|n| n - 1);
+            match after {
+                Ok(AfterAnswer::KeepAlive) => {}
+                Ok(AfterAnswer::Close) => {
+                    // Closing the socket with unread bytes would reset the connection before the answer is read.
+                    self.drain().await;
+                    return;
+                }
                 Err(ReadEnd::Closed) => return,
                 Err(ReadEnd::Refuse(reply)) => {
                     shared.metrics.count_event("request_refused_unread");
@@ -111,38 +126,43 @@
                     self.refuse(&reply).await;
                     return;
                 }
-            };
-            shared.in_flight.update(|n| n + 1);
-            let after = request::serve(shared, self, req).await;
-            shared.in_flight.update(|n| n - 1);
-            if after == AfterAnswer::Close {
-                // Closing the socket with unread bytes would reset the connection before the answer is read.
-                self.drain().await;
-                return;
             }
         }
     }
 
+    async fn serve_request(
+        &mut self,
+        shared: &Rc<Shared>,
+        limits: &ClientLimits,
+    ) -> Result<AfterAnswer, ReadEnd> {
+        let req = self.read_request(shared, limits).await?;
+        Ok(request::serve(shared, self, req).await)
+    }
+
+    /// Waits for the first bytes of a request; returns `false` if the connection is to be closed.
+    async fn wait_for_request(&mut self, shared: &Shared, limits: &ClientLimits) -> bool {
+        if !self.buf.is_empty() {
+            return true;
+        }
+        let is_closing = async {
+            if !shared.is_closing_idle.get() {
+                shared.close_idle.notified().await;
+            }
+            actix_rt::time::sleep(CLOSE_LINGER.duration()).await;
+        };
+        let idle = actix_rt::time::timeout(limits.idle_timeout.duration(), self.read_more());
+        tokio::select! {
+            biased;
+            idle = idle => matches!(idle, Ok(Ok(true))),
+            () = is_closing => false,
+        }
+    }
+
     async fn read_request(
         &mut self,
         shared: &Shared,
         limits: &ClientLimits,
     ) -> Result<IncomingRequest, ReadEnd> {
-        if self.buf.is_empty() {
-            if shared.is_closing_idle.get() {
-                return Err(ReadEnd::Closed);
-            }
-            let idle = actix_rt::time::timeout(limits.idle_timeout.duration(), self.read_more());
-            let idle = tokio::select! {
-                biased;
-                idle = idle => idle,
-                () = shared.close_idle.notified() => return Err(ReadEnd::Closed),
-            };
-            match idle {
-                Ok(Ok(true)) => {}
-                Ok(Ok(false) | Err(_)) | Err(_) => return Err(ReadEnd::Closed),
-            }
-        }
         let arrived = shared.clock.now();
         let head = actix_rt::time::timeout(limits.head_timeout.duration(), self.read_head(limits));
         let head = match head.await {
--- a/src/forward/gateway.rs
+++ b/src/forward/gateway.rs
@@ -22,6 +22,9 @@
 /// readiness each second and removes a gateway after two failed checks.
 const STOP_ACCEPT_PERIOD: Millis = Millis(2_600);
 
+/// Longest time for which the queue of the listener is emptied before it is closed.
+const MAX_QUEUE_DRAIN: Millis = Millis(500);
+
 /// Time before the process would be killed at which it ends even if requests are in flight.
 const STOP_MARGIN: Millis = Millis(500);
 
@@ -101,9 +104,13 @@
         let deadline = started + shared.policy().stop_grace.since(STOP_MARGIN);
         let accept_period = STOP_ACCEPT_PERIOD.min(deadline.since(started));
         sleep(accept_period.duration()).await;
-        self.accepting.abort();
-        shared.close_idle.notify_waiters();
+        shared.stop_accepting.notify_one();
+        if let Err(error) = self.accepting.await {
+            log::warn!(event = "accept_task_failed", error:% = error; "");
+        }
         shared.is_closing_idle.set(true);
+        shared.close_idle.notify_waiters();
+        sleep(client::CLOSE_LINGER.duration()).await;
         while shared.in_flight.get() > 0 && shared.clock.now() < deadline {
             sleep(STOP_POLL_INTERVAL.duration()).await;
         }
@@ -138,7 +145,20 @@
         }
         client::serve(Rc::clone(&shared), stream)
     };
-    accept_each(&listener, serve).await;
+    tokio::select! {
+        () = accept_each(&listener, serve) => {}
+        () = shared.stop_accepting.notified() => {}
+    }
+    // Closing the listener would reset the connections in its queue.
+    let stopped_at = shared.clock.now();
+    while shared.clock.now().since(stopped_at) < MAX_QUEUE_DRAIN {
+        match timeout(STOP_POLL_INTERVAL.duration(), listener.accept()).await {
+            Ok(Ok((stream, _peer))) => {
+                actix_rt::spawn(serve(stream));
+            }
+            Ok(Err(_)) | Err(_) => return,
+        }
+    }
 }
 
 /// Serves requests for the readiness and the metrics, one or several on a connection.
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -6,3 +6,4 @@
 mod follow;
 mod parsers;
 mod requests;
+mod stop;
--- /dev/null
+++ b/src/forward/tests/stop.rs
@@ -0,0 +1,81 @@
+//! Planned stops under load: requests that are being read, or that wait to be accepted, are answered.
+
+use std::rc::Rc;
+
+use actix_rt::time::sleep;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+use super::fixture::{
+    self, Action, FixedStore, connect, events, is_ready, message, policy, read_message,
+    scripted_upstream, serve, status,
+};
+use crate::forward::client;
+use crate::forward::shared::Shared;
+use crate::units::Millis;
+
+const OK: &str = "HTTP/1.1 200 OK\r\nX-Fireflywind-Request-Id: ID\r\nX-Fireflywind-Server-Stamp: s1\r\n\
+                  Content-Length: 2\r\n\r\nok";
+
+/// Time from the begin of a stop at which the request's first bytes are sent, while the gateway still accepts.
+const REQUEST_BEGINS: Millis = Millis(2_000);
+
+/// Time after that for which the rest of the request is held back; a stop without requests has ended by then.
+const REST_FOLLOWS: Millis = Millis(2_000);
+
+/// The head of a request has arrived, its body has not.
+#[test]
+fn a_stop_waits_for_a_request_that_is_being_read() {
+    fixture::run(async {
+        let upstream = scripted_upstream(vec![Action::Write(OK)]).await;
+        let gateway = fixture::gateway(&[&upstream]).await;
+        let mut client = connect(gateway.addresses().listen).await;
+        let request = message("POST", "/once/", "");
+        let (begin, rest) = request.split_at(request.len() - 2);
+        assert!(is_ready(&gateway).await);
+
+        let stopping = actix_rt::spawn(gateway.stop());
+        sleep(REQUEST_BEGINS.duration()).await;
+        let sent = client.write_all(begin.as_bytes()).await;
+        sent.expect("the gateway reads");
+        sleep(REST_FOLLOWS.duration()).await;
+        assert!(!stopping.is_finished());
+        let sent = client.write_all(rest.as_bytes()).await;
+        sent.expect("the gateway reads");
+        let answer = read_message(&mut client).await.unwrap_or_default();
+
+        assert_eq!(status(&answer), 200);
+        assert!(stopping.await.expect("the stop does not panic"));
+    });
+}
+
+/// The connection was accepted just before idle connections are closed, and its request is already on the way.
+#[test]
+fn a_request_on_a_connection_that_was_just_accepted_is_answered_during_a_stop() {
+    fixture::run(async {
+        let upstream = scripted_upstream(vec![Action::Write(OK)]).await;
+        let store = FixedStore::open(events(&[&upstream]));
+        let shared = Shared::open(policy(), Box::new(store));
+        let gateway = serve(Rc::clone(&shared));
+        while !is_ready(&gateway).await {
+            sleep(Millis(5).duration()).await;
+        }
+        let listener = TcpListener::bind("127.0.0.1:0").await;
+        let listener = listener.expect("loopback can be bound");
+        let mut client = connect(listener.local_addr().expect("it is bound")).await;
+        let (stream, _) = listener.accept().await.expect("the client has connected");
+        shared.is_stopping.set(true);
+        shared.is_closing_idle.set(true);
+
+        actix_rt::spawn(client::serve(Rc::clone(&shared), stream));
+        actix_rt::task::yield_now().await;
+        // Fails if the connection is closed already.
+        let sent = client
+            .write_all(message("GET", "/safe/", "").as_bytes())
+            .await;
+        let answer = read_message(&mut client).await.unwrap_or_default();
+
+        sent.expect("the connection is open");
+        assert_eq!(status(&answer), 200);
+    });
+}
