Ignore failures without an id on connections that were used before

A late 503 that says not run on a reused connection had a running order refused as not run (two of four orders in the test), and could have it sent again elsewhere. Change: on a reused connection only an answer with the request's id counts; upstreams echo it in all answers. The refusal of the scripted upstream in the tests had no id, which real upstreams have; it echoes it now.

--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -111,8 +111,9 @@
         let is_success = (200..300).contains(&head.status);
         match echoed {
             Some(echoed) if echoed == id => return check_signature(head),
-            // Only successful answers must carry the id.
-            None if !is_success || id.is_empty() => return Ok(head),
+            // Only successful answers must carry the id. On a connection that was used before, a failure without it may
+            // be a late second answer to an earlier request.
+            None if !(is_success || conn.is_reused) || id.is_empty() => return Ok(head),
             _ if head.framing == Framing::UntilClose => break,
             _ => discard_body(conn, &head).await?,
         }
--- a/src/forward/tests/requests.rs
+++ b/src/forward/tests/requests.rs
@@ -11,7 +11,8 @@
                   Content-Length: 2\r\n\r\nok";
 const ERROR: &str = "HTTP/1.1 500 Error\r\nX-Fireflywind-Request-Id: ID\r\n\
                      X-Fireflywind-Server-Stamp: s1\r\nContent-Length: 3\r\n\r\nbad";
-const FULL: &str = "HTTP/1.1 503 Full\r\nX-Fireflywind-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+const FULL: &str = "HTTP/1.1 503 Full\r\nX-Fireflywind-Request-Id: ID\r\nX-Fireflywind-Not-Run: 1\r\n\
+                    Content-Length: 0\r\n\r\n";
 const STREAM: &str = "HTTP/1.1 200 OK\r\nX-Fireflywind-Request-Id: ID\r\n\
                       X-Fireflywind-Server-Stamp: s1\r\nX-Fireflywind-Confidence: 90\r\n\
                       Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -163,6 +164,29 @@
     });
 }
 
+/// A late refusal without an id, on a connection that is in use again, says nothing about the order that is sent now:
+/// taken for its answer, it would have the order run a second time elsewhere.
+#[test]
+fn a_late_refusal_on_a_reused_connection_does_not_repeat_an_order() {
+    fixture::run(async {
+        let late = joined(&[&FULL.replace("X-Fireflywind-Request-Id: ID\r\n", ""), OK]);
+        let upstreams = [
+            scripted_upstream(vec![Action::Write(OK), Action::Write(late)]).await,
+            scripted_upstream(vec![Action::Write(OK), Action::Write(late)]).await,
+        ];
+        let gateway = gateway(&[&upstreams[0], &upstreams[1]]).await;
+        let mut answers = Vec::new();
+
+        for _ in 0..4 {
+            answers.push(status(&send(&gateway, "POST", "/once/", "").await));
+        }
+
+        let runs: usize = upstreams.iter().map(|u| u.requests.borrow().len()).sum();
+        assert_eq!(answers, [200; 4]);
+        assert_eq!(runs, 4);
+    });
+}
+
 #[test]
 fn invalid_and_truncated_answers_are_not_delivered() {
     fixture::run(async {
