Report bad answers of a roll-out to the other gateways at once

A bad answer waited up to 1,000 ms for the next renewal of its gateway's subscription and up to 450 ms in the beacon, whose load had not changed, before the other gateways counted it. Change: engines with new bad answers are reported after at most 250 ms, and a beacon takes a change of the bad answers for a change of its load. The bound of each hop is named; a test adds them up to under 4 s. The datagrams per second rise only while a roll-out has bad answers.

--- a/src/beacon/receiver.rs
+++ b/src/beacon/receiver.rs
@@ -16,6 +16,10 @@
 /// Interval at which the gateway renews its subscriptions.
 const SUBSCRIBE_INTERVAL: Millis = Millis::from_secs(1);
 
+/// Interval at which the gateway reports new bad answers. The rollback of a bad version must be complete five seconds
+/// after its 50th bad answer, so these are not held back until the next renewal.
+pub(super) const REPORT_INTERVAL: Millis = Millis(250);
+
 /// Receiver of loads, bound to a UDP socket.
 #[derive(Debug)]
 pub struct Receiver {
@@ -46,17 +50,42 @@
 }
 
 async fn subscribe(socket: &UdpSocket, port: u16, shared: &Shared) {
+    let mut reported = Vec::new();
+    let mut renewed_at = None;
     loop {
-        for (ip, answer_counts) in engines(shared) {
+        let now = shared.clock.now();
+        let is_due = renewed_at.is_none_or(|at| now.since(at) >= SUBSCRIBE_INTERVAL);
+        let engines = engines(shared);
+        let due = if is_due {
+            renewed_at = Some(now);
+            engines.clone()
+        } else {
+            with_new_bad_answers(&engines, &reported)
+        };
+        for (ip, answer_counts) in due {
             let bytes = Datagram::Subscribe(answer_counts).encode();
             if let Err(error) = socket.send_to(&bytes, (ip, port)).await {
                 log::debug!(event = "subscribe_failed", upstream:% = ip, error:% = error; "");
             }
         }
-        sleep(SUBSCRIBE_INTERVAL.duration()).await;
+        reported = engines;
+        sleep(REPORT_INTERVAL.duration()).await;
     }
 }
 
+/// Returns the engines with more bad answers than were `reported`; both lists are sorted by address.
+pub(super) fn with_new_bad_answers(
+    engines: &[(IpAddr, Judged)],
+    reported: &[(IpAddr, Judged)],
+) -> Vec<(IpAddr, Judged)> {
+    let is_new = |(ip, counts): &&(IpAddr, Judged)| {
+        let at = reported.binary_search_by_key(ip, |(known, _)| *known);
+        let known = at.map_or(0, |at| reported[at].1.bad());
+        counts.bad() > known
+    };
+    engines.iter().filter(is_new).copied().collect()
+}
+
 /// Returns the addresses of the engines, each with this gateway's answer counts.
 fn engines(shared: &Shared) -> Vec<(IpAddr, Judged)> {
     let now = shared.clock.now();
--- a/src/beacon/sender.rs
+++ b/src/beacon/sender.rs
@@ -19,7 +19,7 @@
 
 /// Pause between two polls of the upstream. Its queue changes within tens of milliseconds, but each load wakes up
 /// every gateway.
-const POLL_PAUSE: Millis = Millis(150);
+pub(super) const POLL_PAUSE: Millis = Millis(150);
 
 /// Time after which an unchanged load is sent again.
 const RESEND_INTERVAL: Millis = Millis(450);
@@ -31,7 +31,7 @@
 const MAX_SUBSCRIBERS: usize = 1_024;
 
 /// Time limit for the upstream's load report.
-const REPORT_TIMEOUT: Millis = Millis(500);
+pub(super) const REPORT_TIMEOUT: Millis = Millis(500);
 
 #[derive(Debug)]
 struct Subscriber {
@@ -150,13 +150,14 @@
             conn = None;
             continue;
         };
-        if last_sent == Some(load) && now.since(last_sent_at) < RESEND_INTERVAL {
+        let answer_counts = (subscribers.borrow().iter())
+            .fold(Judged::default(), |sum, s| sum.plus(s.answer_counts));
+        let state = Some((load, answer_counts.bad()));
+        if last_sent == state && now.since(last_sent_at) < RESEND_INTERVAL {
             continue;
         }
-        (last_sent, last_sent_at) = (Some(load), now);
+        (last_sent, last_sent_at) = (state, now);
         seq += 1;
-        let answer_counts = (subscribers.borrow().iter())
-            .fold(Judged::default(), |sum, s| sum.plus(s.answer_counts));
         let gateways = u16::try_from(subscribers.borrow().len()).unwrap_or(u16::MAX);
         let bytes = Datagram::Load(Load {
             seq,
--- a/src/beacon/tests.rs
+++ b/src/beacon/tests.rs
@@ -3,10 +3,13 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, UdpSocket};
 
-use super::sender::Sender;
+use super::receiver::{self, with_new_bad_answers};
+use super::sender::{self, Sender};
 use super::{Datagram, Load};
 use crate::fixtures;
+use crate::forward::follow;
 use crate::router::rollout::Judged;
+use crate::units::Millis;
 
 const ANSWER_COUNTS: Judged = Judged {
     answers: 70_000,
@@ -100,3 +103,51 @@
         sender.stop();
     });
 }
+
+/// A bad answer must not wait for the next renewal of the subscription until other gateways count it.
+#[test]
+fn only_engines_with_new_bad_answers_are_reported_between_renewals() {
+    let ip = |n: u8| std::net::IpAddr::from([10, 0, 0, n]);
+    let counts = |answers, failed, slow, slow_paces| Judged {
+        answers,
+        failed,
+        slow,
+        slow_paces,
+        ..Judged::default()
+    };
+    let reported = [
+        (ip(1), counts(5, 0, 0, 0)),
+        (ip(2), counts(5, 1, 0, 0)),
+        (ip(3), counts(5, 0, 2, 1)),
+    ];
+    let engines = [
+        (ip(1), counts(50, 0, 0, 0)),
+        (ip(2), counts(6, 2, 0, 0)),
+        (ip(3), counts(6, 0, 2, 2)),
+        (ip(4), counts(1, 0, 1, 0)),
+        (ip(5), counts(9, 0, 0, 0)),
+    ];
+
+    let due = with_new_bad_answers(&engines, &reported);
+
+    assert_eq!(due, [engines[1], engines[2], engines[3]]);
+}
+
+/// From a bad answer to the last gateway that reads the recorded stop, each hop has its bound. With a second for the
+/// calls to the store they add up to less than 4 s, so that 1 s is left of the five in which a bad version must get its
+/// last request.
+#[test]
+fn the_hops_from_a_bad_answer_to_the_last_gateway_fit_the_rollback_bound() {
+    let hops = [
+        receiver::REPORT_INTERVAL,
+        sender::POLL_PAUSE,
+        sender::REPORT_TIMEOUT,
+        follow::DECISION_INTERVAL,
+        Millis::from_secs(1),
+        follow::MAX_ROLLOUT_BATCH_DELAY,
+    ];
+
+    let sum: u64 = hops.iter().map(|hop| hop.0).sum();
+
+    assert!(sum <= 4_000, "{sum} ms");
+}
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -24,7 +24,7 @@
 
 /// Longest delay after changes during a roll-out: the requests that a bad version gets until all gateways have read
 /// the recorded stop count against its exposure.
-const MAX_ROLLOUT_BATCH_DELAY: Millis = Millis(450);
+pub const MAX_ROLLOUT_BATCH_DELAY: Millis = Millis(450);
 
 /// Returns the delay after changes until the next call.
 #[must_use]
@@ -527,7 +527,7 @@
 }
 
 /// Interval of the checks for due decisions on roll-outs, and the delay after a failed write.
-const DECISION_INTERVAL: Millis = Millis(100);
+pub const DECISION_INTERVAL: Millis = Millis(100);
 
 /// Longest random delay before a phase is recorded. All gateways decide at the same time; the delay lets one
 /// of them write and the others receive its record. A stop is recorded without delay.
--- a/src/router/rollout.rs
+++ b/src/router/rollout.rs
@@ -222,6 +222,12 @@
         }
     }
 
+    /// Returns the number of answers that failed or were slow, and of streams with a slow pace.
+    #[must_use]
+    pub const fn bad(&self) -> u32 {
+        (self.failed.saturating_add(self.slow)).saturating_add(self.slow_paces)
+    }
+
     /// Returns whether these answers are significantly worse than the old version's, over all gateways.
     fn is_worse(&self, old: &Self) -> bool {
         let exceeds =
