Do not count work of an older process at its successor

After a restart under the same id, requests of the old process stayed counted at the new one for good, and bytes of the old one passed as a sign of life of the new one. One test, red before.

--- a/src/router/health.rs
+++ b/src/router/health.rs
@@ -190,7 +190,10 @@
 
     /// Counts a request that is sent to an upstream.
     pub fn start(&mut self, id: &Rc<str>, boot: u64, now: Millis) {
-        self.entry(id, boot, now).in_flight += 1;
+        let entry = self.entry(id, boot, now);
+        if entry.boot == boot {
+            entry.in_flight += 1;
+        }
     }
 
     /// Counts a request that has ended at an upstream.
@@ -204,8 +207,10 @@
     /// Adds a request whose prompt an upstream has yet to process; `tokens` is its work.
     pub fn add_pending(&mut self, id: &Rc<str>, boot: u64, tokens: u64, now: Millis) {
         let entry = self.entry(id, boot, now);
-        entry.pending += tokens;
-        entry.starting += 1;
+        if entry.boot == boot {
+            entry.pending += tokens;
+            entry.starting += 1;
+        }
     }
 
     /// Subtracts a request whose prompt an upstream has processed or no longer has to process.
@@ -230,12 +235,16 @@
 
     /// Records that bytes have arrived from an upstream.
     pub fn record_bytes(&mut self, id: &Rc<str>, boot: u64, now: Millis) {
-        self.entry(id, boot, now).last_byte_at = now;
+        let entry = self.entry(id, boot, now);
+        if entry.boot == boot {
+            entry.last_byte_at = now;
+        }
     }
 
     /// Returns whether bytes have arrived from an upstream after `since`, for any request.
     pub fn has_bytes_since(&mut self, id: &Rc<str>, boot: u64, since: Millis, now: Millis) -> bool {
-        self.entry(id, boot, now).last_byte_at > since
+        let entry = self.entry(id, boot, now);
+        entry.boot == boot && entry.last_byte_at > since
     }
 
     /// Removes the upstreams for which `keep` returns `false` and that have no requests in flight.
--- a/src/router/tests/fleet.rs
+++ b/src/router/tests/fleet.rs
@@ -259,6 +259,23 @@
     assert_eq!(health.entry(&id, 2, Millis(0)).in_flight, 0);
 }
 
+/// Requests that were begun at an earlier process under the same id are not work of its successor; its bytes are no
+/// sign of life of the successor either.
+#[test]
+fn an_older_process_does_not_count_as_its_successor() {
+    let (mut health, id) = (HealthTable::default(), Rc::from("u"));
+    let now = Millis(1_000);
+    health.start(&id, 2, now);
+
+    health.start(&id, 1, now);
+    health.add_pending(&id, 1, 5_000, now);
+    health.record_bytes(&id, 1, now);
+
+    let entry = health.entry(&id, 2, now);
+    assert_eq!((entry.in_flight, entry.starting, entry.pending), (1, 0, 0));
+    assert!(!health.has_bytes_since(&id, 2, Millis(500), now));
+}
+
 /// Each further silent attempt doubles the ejection time up to its limit, so that an upstream that stays silent
 /// costs fewer and fewer requests.
 #[test]
