--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -24,6 +24,15 @@
     Unreadable(PathBuf, std::io::Error),
     /// The content of the file is not valid.
     Invalid(PathBuf, serde_json::Error),
+    /// A number is outside its range.
+    OutOfRange {
+        /// Name of the setting.
+        name: &'static str,
+        /// Its value.
+        value: f64,
+        /// What the value must be.
+        wanted: &'static str,
+    },
 }
 
 impl fmt::Display for SettingsError {
@@ -39,6 +48,11 @@
             Self::Invalid(path, error) => {
                 write!(f, "invalid settings in file {}: {error}", path.display())
             }
+            Self::OutOfRange {
+                name,
+                value,
+                wanted,
+            } => write!(f, "setting {name} is {value}, expected {wanted}"),
         }
     }
 }
@@ -177,6 +191,52 @@
 }
 
 impl GatewaySettings {
+    /// Reads the settings file named by the environment variable that the platform sets, and checks it.
+    ///
+    /// # Errors
+    /// As for [`load`], and if a number is outside its range.
+    pub fn load() -> Result<Self, SettingsError> {
+        let settings: Self = load()?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Checks the ranges of numbers that would otherwise be cut off at zero.
+    ///
+    /// # Errors
+    /// Returns an error that names the first number outside its range.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        const POSITIVE: &str = "more than 0";
+        const NOT_NEGATIVE: &str = "0 or more";
+        let in_range = |is_valid: bool, name, value, wanted| {
+            if is_valid {
+                Ok(())
+            } else {
+                Err(SettingsError::OutOfRange {
+                    name,
+                    value,
+                    wanted,
+                })
+            }
+        };
+        let Retries {
+            ratio,
+            window_s,
+            slack,
+        } = self.retries;
+        in_range(ratio >= 0.0, "retries.ratio", ratio, NOT_NEGATIVE)?;
+        in_range(window_s > 0.0, "retries.window_s", window_s, POSITIVE)?;
+        in_range(slack >= 0.0, "retries.slack", slack, NOT_NEGATIVE)?;
+        in_range(
+            self.session_s >= 0.0,
+            "session_s",
+            self.session_s,
+            NOT_NEGATIVE,
+        )?;
+        let is_share = (0.0..=1.0).contains(&self.exposure);
+        in_range(is_share, "exposure", self.exposure, "from 0 to 1")
+    }
+
     /// Returns the settings that govern the gateway's decisions.
     #[must_use]
     #[expect(
--- a/src/platform/tests/items.rs
+++ b/src/platform/tests/items.rs
@@ -206,3 +206,29 @@
         assert!(error.contains("line"), "{error}");
     }
 }
+
+/// A negative number would be cut off at zero without a word.
+#[test]
+fn numbers_outside_their_range_are_refused() {
+    for (from, to, name) in [
+        ("\"ratio\":0.9", "\"ratio\":-0.9", "retries.ratio"),
+        ("\"window_s\":10", "\"window_s\":0", "retries.window_s"),
+        ("\"slack\":52", "\"slack\":-1", "retries.slack"),
+        ("\"session_s\":8.5", "\"session_s\":-8.5", "session_s"),
+        ("\"exposure\":0.15", "\"exposure\":15", "exposure"),
+    ] {
+        let settings = read_settings(&SETTINGS.replace(from, to)).expect("the file is read");
+
+        let error = settings
+            .check()
+            .expect_err("the number is refused")
+            .to_string();
+
+        assert!(
+            error.contains(name) && error.contains("expected"),
+            "{error}"
+        );
+    }
+    let valid = read_settings(SETTINGS).expect("the settings are valid");
+    assert!(matches!(valid.check(), Ok(())));
+}
