Share budgets and writes between as many gateways as there are

Change: the number of gateways comes from the load reports; the pause before the start of a roll-out is recorded grows with it; refused writes back off; escalations leave 5% of the budget for failures.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -38,9 +38,6 @@
 /// Shortest time after which an attempt at a silent upstream is abandoned for another upstream.
 const MIN_SILENCE_TIMEOUT: Millis = Millis(400);
 
-/// Largest number of gateways that share the slack of the retry budget.
-pub(super) const MAX_GATEWAYS: usize = 32;
-
 /// The upstream of an attempt and the open connection to it.
 struct OpenAttempt {
     upstream: Rc<Upstream>,
@@ -253,13 +250,24 @@
 
 pub(super) fn take_retry_budget(shared: &Shared, job: &Job) -> bool {
     let now = shared.clock.now();
-    let allowed = shared.with_budget(&job.service, |b| b.take(now, MAX_GATEWAYS));
+    let gateways = shared.gateways_sharing_budget(now);
+    let allowed = shared.with_budget(&job.service, |b| b.take(now, gateways));
     if !allowed {
         shared.metrics.count_event("retry_budget_empty");
     }
     allowed
 }
 
+fn take_escalation_budget(shared: &Shared, job: &Job) -> bool {
+    let now = shared.clock.now();
+    let gateways = shared.gateways_sharing_budget(now);
+    let allowed = shared.with_budget(&job.service, |b| b.take_for_escalation(now, gateways));
+    if !allowed {
+        shared.metrics.count_event("escalation_budget_empty");
+    }
+    allowed
+}
+
 fn connection_lost(
     shared: &Shared,
     job: &Job,
@@ -499,7 +507,7 @@
             confidence = input.confidence.map_or(-1, i32::from), verdict:? = decision,
             first_byte_ms = first_byte.0, chance_late:? = input.late_probability; "");
         if let Decision::Escalate(larger) = decision
-            && take_retry_budget(shared, job)
+            && take_escalation_budget(shared, job)
         {
             let confidence = input.confidence.unwrap_or_default();
             return AttemptEnd::Escalate(larger, confidence);
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -533,6 +533,19 @@
 /// of them write and the others receive its record. A stop is recorded without delay.
 const MAX_WRITE_JITTER: Millis = Millis(250);
 
+/// Jitter for each gateway of a write that records the start of a roll-out: one gateway's write is enough, and the others
+/// need about half a second to read it.
+const START_WRITE_JITTER_PER_GATEWAY: Millis = Millis(100);
+
+/// Returns the longest random pause before a phase of a roll-out is recorded.
+#[must_use]
+pub fn max_write_jitter(phase: Phase, gateways: u64) -> Millis {
+    match phase {
+        Phase::Active => MAX_WRITE_JITTER.max(Millis(START_WRITE_JITTER_PER_GATEWAY.0 * gateways)),
+        Phase::Complete | Phase::Reverted => MAX_WRITE_JITTER,
+    }
+}
+
 /// Delay after a write conflict, in which the other gateway's change arrives here.
 const CONFLICT_DELAY: Millis = Millis(600);
 
@@ -548,7 +561,8 @@
             let shared = Rc::clone(&shared);
             actix_rt::spawn(async move {
                 if write.phase != Phase::Reverted {
-                    let pause = Millis(shared.draw() % MAX_WRITE_JITTER.0);
+                    let gateways = shared.gateways(shared.clock.now());
+                    let pause = Millis(shared.draw() % max_write_jitter(write.phase, gateways).0);
                     actix_rt::time::sleep(pause.duration()).await;
                     let now = shared.clock.now();
                     if shared.rollouts.borrow_mut().cancel_write(&write, now) {
@@ -567,7 +581,10 @@
                     Err(ControlPlaneError::Conflict) => {
                         actix_rt::time::sleep(CONFLICT_DELAY.duration()).await;
                     }
-                    Err(_) => actix_rt::time::sleep(DECISION_INTERVAL.duration()).await,
+                    Err(_) => {
+                        let pause = RETRY_BACKOFF.1 + Millis(shared.draw() % RETRY_BACKOFF.1.0);
+                        actix_rt::time::sleep(pause.duration()).await;
+                    }
                 }
                 shared.rollouts.borrow_mut().record_write(&write, &result);
             });
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -25,6 +25,9 @@
 use super::follow::{ControlPlane, Rollouts};
 use super::pool::Pool;
 
+/// Number of gateways that share the slack of the retry budget as long as no load report names more.
+const MIN_GATEWAYS_SHARING_BUDGET: u64 = 32;
+
 /// Settings of a gateway that its routing decisions depend on.
 #[derive(Debug, Clone)]
 pub struct Policy {
@@ -238,6 +241,13 @@
         u64::from(if is_recent { count } else { 0 }).max(1)
     }
 
+    /// Returns the number of gateways among which the slack of the retry budget is divided.
+    #[must_use]
+    pub fn gateways_sharing_budget(&self, now: Millis) -> usize {
+        let gateways = self.gateways(now).max(MIN_GATEWAYS_SHARING_BUDGET);
+        usize::try_from(gateways).unwrap_or(usize::MAX)
+    }
+
     /// Calls `f` with the recent work for a service.
     pub fn with_demand<T>(&self, service: &Rc<str>, f: impl FnOnce(&mut Demand) -> T) -> T {
         let mut demands = self.demands.borrow_mut();
--- a/src/forward/silence.rs
+++ b/src/forward/silence.rs
@@ -49,7 +49,7 @@
         let since = last_progress_at.get();
         let (id, boot) = (&watch.upstream.id, watch.upstream.boot);
         let has_recent_bytes = (shared.health.borrow_mut()).has_bytes_since(id, boot, since, now);
-        let gateways = super::attempt::MAX_GATEWAYS;
+        let gateways = shared.gateways_sharing_budget(now);
         let can_reroute = watch.has_attempts
             && shared.with_budget(watch.service, |b| b.has_budget(now, gateways));
         let activity = UpstreamActivity {
--- a/src/forward/tests/follow.rs
+++ b/src/forward/tests/follow.rs
@@ -10,7 +10,7 @@
 use crate::fixtures::run_paused;
 use crate::forward::follow::{
     self, ControlPlane, ControlPlaneError, Listing, RolloutWrite, Rollouts, StoreEvent,
-    batch_delay, decide_rollouts,
+    batch_delay, decide_rollouts, max_write_jitter,
 };
 use crate::forward::shared::Shared;
 use crate::kv::LocalFuture;
@@ -204,3 +204,27 @@
     assert_eq!(small, [Millis(450); 2]);
     assert_eq!(large, [Millis(900), Millis(450)]);
 }
+
+/// One of hundreds of gateways records the start of a roll-out; the pause grows with their number, so that the others
+/// have read the record before they would write. The record of a completion is due at a fixed time.
+#[test]
+fn the_pause_before_the_start_is_recorded_grows_with_the_gateways() {
+    let starts = [1, 4, 68, 410].map(|gateways| max_write_jitter(Phase::Active, gateways));
+    let completions = [1, 410].map(|gateways| max_write_jitter(Phase::Complete, gateways));
+
+    assert_eq!(starts, [250, 400, 6_800, 41_000].map(Millis));
+    assert_eq!(completions, [Millis(250); 2]);
+}
+
+/// The slack of the retry budget is divided by the number of gateways that load reports name, not by a fixed number.
+#[actix_rt::test]
+async fn the_slack_of_the_budget_is_divided_by_all_gateways() {
+    let shared = Shared::open(policy(), Box::new(FixedStore::open(Vec::new())));
+    let now = shared.clock.now();
+
+    let unknown = shared.gateways_sharing_budget(now);
+    shared.record_gateways(410, now);
+
+    assert_eq!(unknown, 32);
+    assert_eq!(shared.gateways_sharing_budget(now), 410);
+}
--- a/src/router/retry.rs
+++ b/src/router/retry.rs
@@ -18,6 +18,10 @@
 /// Share of the slack that all gateways together use, in percent.
 const USED_SLACK_PERCENT: u64 = 80;
 
+/// Share of the budget that is left for failures when requests escalate, in percent. A request whose first answer was
+/// discarded fails if the larger model's upstream is lost and no extra send is left.
+const RESERVED_FOR_FAILURES_PERCENT: u64 = 5;
+
 /// Bounds of the retry budget.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryBounds {
@@ -79,6 +83,14 @@
         allowed
     }
 
+    /// Takes one extra send for an escalation to a larger model, unless only the part that is reserved for failures is
+    /// left; returns whether it was available.
+    pub fn take_for_escalation(&mut self, now: Millis, gateways: usize) -> bool {
+        self.slot(now);
+        let usable = self.allowed(gateways) * (100 - RESERVED_FOR_FAILURES_PERCENT) / 100;
+        self.extra_sends < usable && self.take(now, gateways)
+    }
+
     /// Returns whether an extra send is available.
     pub fn has_budget(&mut self, now: Millis, gateways: usize) -> bool {
         self.slot(now);
--- a/src/router/tests/load.rs
+++ b/src/router/tests/load.rs
@@ -293,3 +293,26 @@
     }
     fixtures::check_property(11, property as fn(Vec<(u8, u8, bool)>));
 }
+
+/// While many requests escalate and upstreams crash, a request whose small answer was discarded must still have a
+/// send left for another upstream.
+#[test]
+fn escalations_leave_a_part_of_the_budget_for_failures() {
+    let bounds = RetryBounds {
+        ratio: 0.9,
+        window: Millis(10_000),
+        slack: 176,
+    };
+    let (mut budget, gateways, now) = (RetryBudget::new(bounds), 68, Millis(100_000));
+    for _ in 0..100 {
+        budget.record_request(now);
+    }
+
+    let escalations = (0..200)
+        .filter(|_| budget.take_for_escalation(now, gateways))
+        .count();
+    let retries = (0..200).filter(|_| budget.take(now, gateways)).count();
+
+    // Of 72 sends for the requests and 2 of the slack.
+    assert_eq!((escalations, retries), (70, 4));
+}
