--- a/src/forward/tests/requests.rs
+++ b/src/forward/tests/requests.rs
@@ -1,11 +1,16 @@
 //! Requests through a gateway to scripted upstreams.
 
-use tokio::io::AsyncWriteExt;
+use std::rc::Rc;
+
+use actix_rt::time::sleep;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use super::fixture::{
-    self, Action, connect, field, gateway, is_ready, message, read_message, scripted_upstream,
-    send, status,
+    self, Action, FixedStore, connect, field, gateway, is_ready, message, read_message,
+    scripted_upstream, send, status,
 };
+use crate::forward::follow::StoreEvent;
+use crate::units::Millis;
 
 const OK: &str = "HTTP/1.1 200 OK\r\nX-Fireflywind-Request-Id: ID\r\nX-Fireflywind-Server-Stamp: s1\r\n\
                   Content-Length: 2\r\n\r\nok";
@@ -384,3 +389,34 @@
         assert!(stopping.await.expect("the stop does not panic"));
     });
 }
+
+/// A client that sends a byte now and then must not hold its connection for ever: the limit is for the whole head.
+#[test]
+fn a_head_that_arrives_byte_by_byte_is_refused() {
+    fixture::run(async {
+        let upstream = scripted_upstream(vec![Action::Write(OK)]).await;
+        let mut table = fixture::table();
+        table.limits.head_timeout = Millis(300);
+        let mut events = fixture::events(&[&upstream]);
+        events.push(StoreEvent::Table(Rc::new(table)));
+        let gateway = fixture::start(FixedStore::open(events));
+        while !is_ready(&gateway).await {
+            sleep(Millis(5).duration()).await;
+        }
+        let client = connect(gateway.addresses().listen).await;
+        let (mut reader, mut writer) = client.into_split();
+
+        let sending = actix_rt::spawn(async move {
+            // Ends when the gateway has closed the connection.
+            while writer.write_all(b"G").await.is_ok() {
+                sleep(Millis(20).duration()).await;
+            }
+        });
+        let mut answer = String::new();
+        let read = reader.read_to_string(&mut answer).await;
+
+        sending.await.expect("the client does not panic");
+        assert!(read.is_err() || status(&answer) == 408, "{answer}");
+        assert!(upstream.requests.borrow().is_empty());
+    });
+}
