Close connections that have carried requests at once, late in a stop

Change: only connections that have not carried a request wait, for 150 ms, and the queue of the listener is emptied for at most 100 ms, so that nothing is taken later than 3 s after the stop request.

--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -16,8 +16,9 @@
 use super::request;
 use super::shared::Shared;
 
-/// Time for which an idle connection stays open during a stop, for a request that the client has already sent.
-pub(super) const CLOSE_LINGER: Millis = Millis(250);
+/// Time for which a connection that has not carried a request stays open during a stop: its first request may be on
+/// the way.
+pub(super) const CLOSE_LINGER: Millis = Millis(150);
 
 /// Maximum size of one read.
 const READ_SIZE_BYTES: usize = 16 * 1024;
@@ -103,11 +104,13 @@
 
 impl ClientConn {
     async fn run(&mut self, shared: &Rc<Shared>) {
+        let mut is_new = true;
         loop {
             let limits = shared.table.borrow().limits;
-            if !self.wait_for_request(shared, &limits).await {
+            if !self.wait_for_request(shared, &limits, is_new).await {
                 return;
             }
+            is_new = false;
             // A stop also waits for requests that are still being read.
             shared.in_flight.update(|n| n + 1);
             let after = self.serve_request(shared, &limits).await;
@@ -139,16 +142,28 @@
         Ok(request::serve(shared, self, req).await)
     }
 
-    /// Waits for the first bytes of a request; returns `false` if the connection is to be closed.
-    async fn wait_for_request(&mut self, shared: &Shared, limits: &ClientLimits) -> bool {
+    /// Waits for the first bytes of a request; returns `false` if the connection is to be closed. `is_new` is whether the
+    /// connection has not carried a request. Late in a stop, only new ones wait: a request that is taken then may be cut
+    /// off when the process ends.
+    async fn wait_for_request(
+        &mut self,
+        shared: &Shared,
+        limits: &ClientLimits,
+        is_new: bool,
+    ) -> bool {
         if !self.buf.is_empty() {
             return true;
         }
+        if shared.is_closing_idle.get() && !is_new {
+            return false;
+        }
         let is_closing = async {
             if !shared.is_closing_idle.get() {
                 shared.close_idle.notified().await;
             }
-            actix_rt::time::sleep(CLOSE_LINGER.duration()).await;
+            if is_new {
+                actix_rt::time::sleep(CLOSE_LINGER.duration()).await;
+            }
         };
         let idle = actix_rt::time::timeout(limits.idle_timeout.duration(), self.read_more());
         tokio::select! {
--- a/src/forward/gateway.rs
+++ b/src/forward/gateway.rs
@@ -22,8 +22,10 @@
 /// readiness each second and removes a gateway after two failed checks.
 const STOP_ACCEPT_PERIOD: Millis = Millis(2_600);
 
-/// Longest time for which the queue of the listener is emptied before it is closed.
-const MAX_QUEUE_DRAIN: Millis = Millis(500);
+/// Longest time for which the queue of the listener is emptied before it is closed. With the time for which connections
+/// are accepted and linger, it ends within three seconds of the stop request, so that later requests, which might be cut
+/// off, are not taken.
+const MAX_QUEUE_DRAIN: Millis = Millis(100);
 
 /// Time before the process would be killed at which it ends even if requests are in flight.
 const STOP_MARGIN: Millis = Millis(500);
--- a/src/forward/tests/stop.rs
+++ b/src/forward/tests/stop.rs
@@ -79,3 +79,35 @@
         assert_eq!(status(&answer), 200);
     });
 }
+
+/// A request that is taken late in a stop can be cut off at its end, so a connection that has carried requests does not
+/// wait for another one once idle connections are being closed.
+#[test]
+fn a_connection_that_has_carried_a_request_is_closed_without_waiting_for_another() {
+    fixture::run(async {
+        let upstream = scripted_upstream(vec![Action::Write(OK)]).await;
+        let store = FixedStore::open(events(&[&upstream]));
+        let shared = Shared::open(policy(), Box::new(store));
+        let gateway = serve(Rc::clone(&shared));
+        while !is_ready(&gateway).await {
+            sleep(Millis(5).duration()).await;
+        }
+        let mut client = connect(gateway.addresses().listen).await;
+        let request = message("GET", "/safe/", "");
+        let sent = client.write_all(request.as_bytes()).await;
+        sent.expect("the gateway reads");
+        let first = read_message(&mut client).await.unwrap_or_default();
+
+        shared.is_stopping.set(true);
+        shared.is_closing_idle.set(true);
+        shared.close_idle.notify_waiters();
+        sleep(Millis(20).duration()).await;
+        // Fails if the connection is reset already.
+        let _ = client.write_all(request.as_bytes()).await;
+        let second = read_message(&mut client).await.unwrap_or_default();
+
+        assert_eq!(status(&first), 200);
+        assert_eq!(second, "");
+        assert_eq!(upstream.requests.borrow().len(), 1);
+    });
+}
