--- a/src/forward/tests/stop.rs
+++ b/src/forward/tests/stop.rs
@@ -7,10 +7,11 @@
 use tokio::net::TcpListener;
 
 use super::fixture::{
-    self, Action, FixedStore, connect, events, is_ready, message, policy, read_message,
-    scripted_upstream, serve, status,
+    self, Action, FixedStore, ScriptedUpstream, connect, events, is_ready, message, policy,
+    read_message, scripted_upstream, serve, status,
 };
 use crate::forward::client;
+use crate::forward::gateway::Gateway;
 use crate::forward::shared::Shared;
 use crate::units::Millis;
 
@@ -23,6 +24,17 @@
 /// Time after that for which the rest of the request is held back; a stop without requests has ended by then.
 const REST_FOLLOWS: Millis = Millis(2_000);
 
+/// Starts a gateway with a state that the test can change, and waits until it is ready.
+async fn start(upstream: &ScriptedUpstream) -> (Rc<Shared>, Gateway) {
+    let store = FixedStore::open(events(&[upstream]));
+    let shared = Shared::open(policy(), Box::new(store));
+    let gateway = serve(Rc::clone(&shared));
+    while !is_ready(&gateway).await {
+        sleep(Millis(5).duration()).await;
+    }
+    (shared, gateway)
+}
+
 /// The head of a request has arrived, its body has not.
 #[test]
 fn a_stop_waits_for_a_request_that_is_being_read() {
@@ -54,12 +66,7 @@
 fn a_request_on_a_connection_that_was_just_accepted_is_answered_during_a_stop() {
     fixture::run(async {
         let upstream = scripted_upstream(vec![Action::Write(OK)]).await;
-        let store = FixedStore::open(events(&[&upstream]));
-        let shared = Shared::open(policy(), Box::new(store));
-        let gateway = serve(Rc::clone(&shared));
-        while !is_ready(&gateway).await {
-            sleep(Millis(5).duration()).await;
-        }
+        let (shared, _gateway) = start(&upstream).await;
         let listener = TcpListener::bind("127.0.0.1:0").await;
         let listener = listener.expect("loopback can be bound");
         let mut client = connect(listener.local_addr().expect("it is bound")).await;
@@ -86,12 +93,7 @@
 fn a_connection_that_has_carried_a_request_is_closed_without_waiting_for_another() {
     fixture::run(async {
         let upstream = scripted_upstream(vec![Action::Write(OK)]).await;
-        let store = FixedStore::open(events(&[&upstream]));
-        let shared = Shared::open(policy(), Box::new(store));
-        let gateway = serve(Rc::clone(&shared));
-        while !is_ready(&gateway).await {
-            sleep(Millis(5).duration()).await;
-        }
+        let (shared, gateway) = start(&upstream).await;
         let mut client = connect(gateway.addresses().listen).await;
         let request = message("GET", "/safe/", "");
         let sent = client.write_all(request.as_bytes()).await;
