--- a/src/beacon/tests.rs
+++ b/src/beacon/tests.rs
@@ -133,9 +133,9 @@
     assert_eq!(due, [engines[1], engines[2], engines[3]]);
 }
 
-/// From a bad answer to the last gateway that reads the recorded stop, each hop has its bound. With a second for the
-/// calls to the store they add up to less than 4 s, so that 1 s is left of the five in which a bad version must get its
-/// last request.
+/// From a bad answer to the last gateway that reads the recorded stop, each hop has its bound. With a write that the store
+/// refuses once and a second for the calls to it, they add up to less than 4 s, so that 1 s is left of the five in which
+/// a bad version must get its last request.
 #[test]
 fn the_hops_from_a_bad_answer_to_the_last_gateway_fit_the_rollback_bound() {
     let hops = [
@@ -143,6 +143,7 @@
         sender::POLL_PAUSE,
         sender::REPORT_TIMEOUT,
         follow::DECISION_INTERVAL,
+        follow::MAX_WRITE_RETRY_PAUSE,
         Millis::from_secs(1),
         follow::MAX_ROLLOUT_BATCH_DELAY,
     ];
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -537,6 +537,10 @@
 /// need about half a second to read it.
 const START_WRITE_JITTER_PER_GATEWAY: Millis = Millis(100);
 
+/// Longest pause before a write that the store has refused is repeated; at least half of it, so that gateways that the
+/// store turns away do not add to its load.
+pub const MAX_WRITE_RETRY_PAUSE: Millis = Millis(2 * RETRY_BACKOFF.1.0);
+
 /// Returns the longest random pause before a phase of a roll-out is recorded.
 #[must_use]
 pub fn max_write_jitter(phase: Phase, gateways: u64) -> Millis {
@@ -582,7 +586,8 @@
                         actix_rt::time::sleep(CONFLICT_DELAY.duration()).await;
                     }
                     Err(_) => {
-                        let pause = RETRY_BACKOFF.1 + Millis(shared.draw() % RETRY_BACKOFF.1.0);
+                        let jitter = Millis(shared.draw() % RETRY_BACKOFF.1.0);
+                        let pause = MAX_WRITE_RETRY_PAUSE.since(jitter);
                         actix_rt::time::sleep(pause.duration()).await;
                     }
                 }
--- a/src/forward/tests/follow.rs
+++ b/src/forward/tests/follow.rs
@@ -75,6 +75,67 @@
     }
 }
 
+/// A store with an order for a roll-out that refuses all writes.
+#[derive(Default)]
+struct RefusingStore {
+    writes: Rc<Cell<u32>>,
+}
+
+impl ControlPlane for RefusingStore {
+    fn list(&self) -> LocalFuture<'_, Result<Listing, ControlPlaneError>> {
+        let order = StoreEvent::RolloutOrder {
+            service: "pool".into(),
+            to: "v2".into(),
+            ramp: Millis::from_secs(60),
+        };
+        Box::pin(async {
+            Ok(Listing {
+                events: vec![order],
+                revision: 1,
+            })
+        })
+    }
+
+    fn watch(
+        &self,
+        after: u64,
+        wait: Millis,
+    ) -> LocalFuture<'_, Result<Listing, ControlPlaneError>> {
+        Box::pin(async move {
+            actix_rt::time::sleep(wait.duration()).await;
+            Ok(Listing {
+                events: Vec::new(),
+                revision: after,
+            })
+        })
+    }
+
+    fn write_rollout(
+        &self,
+        _write: RolloutWrite,
+    ) -> LocalFuture<'_, Result<u64, ControlPlaneError>> {
+        self.writes.update(|count| count + 1);
+        Box::pin(async { Err(ControlPlaneError::Unavailable("refused".into())) })
+    }
+}
+
+/// A third of hundreds of gateways can be turned away by the store; their writes must not come ten times a second each.
+#[test]
+fn refused_writes_back_off() {
+    run_paused(async {
+        let store = RefusingStore::default();
+        let writes = Rc::clone(&store.writes);
+        let shared = Shared::open(policy(), Box::new(store));
+
+        actix_rt::spawn(follow::run(Rc::clone(&shared)));
+        actix_rt::spawn(follow::decide_rollouts(shared));
+        actix_rt::time::sleep(Millis::from_secs(12).duration()).await;
+
+        // Each takes 600 ms at least.
+        assert!((5..=20).contains(&writes.get()), "{}", writes.get());
+    });
+}
+
 /// A store whose first listing waits for a signal of the test.
 struct DelayedStore {
     release: Rc<Notify>,
--- a/src/router/demand.rs
+++ b/src/router/demand.rs
@@ -70,8 +70,9 @@
 
     /// Returns the share of the upstreams that should serve the smallest model, in permille.
     ///
-    /// The shares are proportional to the square roots of the work. This split minimizes the mean wait of two
-    /// queues with a common capacity, since the busier queue makes better use of each upstream.
+    /// The shares are proportional to the square roots of the work. Spare capacity that is split like this minimizes the
+    /// mean wait of two queues. As a split of all capacity it favours the smallest model, which every request has to
+    /// pass.
     #[must_use]
     #[expect(
         clippy::cast_possible_truncation,
