--- a/src/beacon/tests.rs
+++ b/src/beacon/tests.rs
@@ -7,7 +7,7 @@
 use super::sender::{self, Sender};
 use super::{Datagram, Load};
 use crate::fixtures;
-use crate::forward::follow;
+use crate::forward::{follow, rollouts};
 use crate::router::named_limits::LimitWord;
 use crate::router::rollout::Judged;
 use crate::units::Millis;
@@ -169,8 +169,8 @@
         receiver::REPORT_INTERVAL,
         sender::POLL_PAUSE,
         sender::REPORT_TIMEOUT,
-        follow::DECISION_INTERVAL,
-        follow::MAX_WRITE_RETRY_PAUSE,
+        rollouts::DECISION_INTERVAL,
+        rollouts::MAX_WRITE_RETRY_PAUSE,
         Millis::from_secs(1),
         follow::MAX_ROLLOUT_BATCH_DELAY,
     ];
--- a/src/forward/gateway.rs
+++ b/src/forward/gateway.rs
@@ -13,7 +13,7 @@
 use crate::units::Millis;
 
 use super::shared::Shared;
-use super::{client, containment, follow};
+use super::{client, containment, follow, rollouts};
 
 /// Length of the queue of connections that wait to be accepted.
 const ACCEPT_BACKLOG_CONNECTIONS: u32 = 1_024;
@@ -79,7 +79,7 @@
         let accepting = actix_rt::spawn(accept(Rc::clone(&shared), listener));
         let tasks = vec![
             actix_rt::spawn(follow::run(Rc::clone(&shared))),
-            actix_rt::spawn(follow::decide_rollouts(Rc::clone(&shared))),
+            actix_rt::spawn(rollouts::decide_rollouts(Rc::clone(&shared))),
             actix_rt::spawn(containment::run(Rc::clone(&shared))),
             actix_rt::spawn(serve_status(Rc::clone(&shared), ready)),
             actix_rt::spawn(serve_status(Rc::clone(&shared), admin)),
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -19,6 +19,7 @@
 pub mod pool;
 pub mod reply;
 pub mod request;
+pub mod rollouts;
 pub mod shared;
 mod silence;
 pub mod stream;
--- /dev/null
+++ b/src/forward/rollouts.rs
@@ -0,0 +1,332 @@
+//! Roll-outs in force at a gateway, and the writes of their phases to the platform's store.
+
+use std::rc::Rc;
+
+use crate::router::rollout::{Judged, Phase, Rollout};
+use crate::units::Millis;
+
+use super::follow::{ControlPlaneError, RETRY_BACKOFF, RolloutStart, RolloutWrite};
+use super::shared::Shared;
+
+/// Roll-outs by service, with their records in the store.
+#[derive(Debug, Default)]
+pub struct Rollouts {
+    entries: Vec<RolloutEntry>,
+    exposure_permille: u64,
+}
+
+#[derive(Debug)]
+struct RolloutEntry {
+    service: Rc<str>,
+    rollout: Rollout,
+    /// Revision of the record of the phase; 0 before the first one.
+    revision: u64,
+    /// Phase recorded in the store for this version, if any.
+    recorded_phase: Option<Phase>,
+    /// Whether a write is in progress.
+    is_writing: bool,
+    /// Version and phase of a record that arrived before its order.
+    early_record: Option<(Rc<str>, Phase)>,
+}
+
+impl Rollouts {
+    /// Creates a list without roll-outs.
+    #[must_use]
+    pub const fn new(exposure_permille: u64) -> Self {
+        Self {
+            entries: Vec::new(),
+            exposure_permille,
+        }
+    }
+
+    /// Sets the share of requests that may reach a bad version, for later orders.
+    pub const fn set_exposure(&mut self, exposure_permille: u64) {
+        self.exposure_permille = exposure_permille;
+    }
+
+    /// Returns the roll-out of a service, if one was ordered.
+    #[must_use]
+    pub fn get(&self, service: &str) -> Option<&Rollout> {
+        let entry = &self.entries[self.find(service).ok()?];
+        entry.is_ordered().then_some(&entry.rollout)
+    }
+
+    /// Returns the roll-out of a service, to record answers.
+    pub fn get_mut(&mut self, service: &str) -> Option<&mut Rollout> {
+        let at = self.find(service).ok()?;
+        Some(&mut self.entries[at].rollout)
+    }
+
+    /// Starts a roll-out that was ordered at `now`; an order that is already known changes nothing.
+    pub fn add_order(&mut self, service: &Rc<str>, to: Rc<str>, ramp: Millis, now: Millis) {
+        let found = self.find(service);
+        if found.is_ok_and(|at| self.entries[at].rollout.to == to && self.entries[at].is_ordered())
+        {
+            return;
+        }
+        log::info!(event = "rollout_ordered", service:% = service, to:% = to, ramp_ms = ramp.0; "");
+        let rollout = Rollout::new(to, now, ramp, self.exposure_permille);
+        match found {
+            Ok(at) => {
+                let entry = &mut self.entries[at];
+                let early_record = entry
+                    .early_record
+                    .take()
+                    .filter(|(to, _)| *to == rollout.to);
+                entry.rollout = rollout;
+                entry.recorded_phase = early_record.map(|(_, phase)| phase);
+                if let Some(phase) = entry.recorded_phase {
+                    entry.rollout.set_phase(phase);
+                }
+            }
+            Err(at) => self.entries.insert(at, RolloutEntry::new(service, rollout)),
+        }
+    }
+
+    /// Removes the order of a service and its roll-out.
+    pub fn remove(&mut self, service: &str) {
+        if let Ok(at) = self.find(service) {
+            self.entries.remove(at);
+        }
+    }
+
+    /// Applies a recorded phase, unless a newer record is known.
+    pub fn set_phase(&mut self, service: &Rc<str>, to: &Rc<str>, phase: Phase, revision: u64) {
+        let at = match self.find(service) {
+            Ok(at) => at,
+            Err(at) => {
+                // The order follows later in the same listing.
+                let rollout = Rollout::new(Rc::from(""), Millis(0), Millis(0), 0);
+                self.entries.insert(at, RolloutEntry::new(service, rollout));
+                at
+            }
+        };
+        let entry = &mut self.entries[at];
+        if revision < entry.revision {
+            return;
+        }
+        entry.revision = revision;
+        if entry.rollout.to == *to {
+            if entry.recorded_phase != Some(phase) {
+                log::info!(event = "rollout_state", service:% = service, to:% = to, phase:? = phase, revision = revision; "");
+            }
+            entry.recorded_phase = Some(phase);
+            entry.rollout.set_phase(phase);
+        } else {
+            entry.early_record = Some((Rc::clone(to), phase));
+        }
+    }
+
+    /// Applies the recorded start time.
+    pub fn set_start(&mut self, service: &str, to: &str, started: Millis) {
+        if let Some(rollout) = self.get_mut(service).filter(|r| r.to.as_ref() == to) {
+            rollout.set_start(started);
+        }
+    }
+
+    /// Returns the roll-outs that are under way.
+    pub(super) fn active(&mut self) -> impl Iterator<Item = (&Rc<str>, &mut Rollout)> {
+        let entries = self.entries.iter_mut();
+        let active = entries.filter(|k| k.is_ordered() && k.rollout.phase() == Phase::Active);
+        active.map(|k| (&k.service, &mut k.rollout))
+    }
+
+    /// Returns the phases that are due to be recorded, and marks their writes as in progress.
+    pub fn due_writes(&mut self, now: Millis, unix: Millis) -> Vec<RolloutWrite> {
+        let due_writes = self.entries.iter_mut().filter_map(|entry| {
+            if entry.is_writing || !entry.is_ordered() {
+                return None;
+            }
+            if matches!(
+                entry.recorded_phase,
+                Some(Phase::Complete | Phase::Reverted)
+            ) {
+                return None;
+            }
+            // A stop that this gateway decided may not be recorded yet.
+            let decided = entry.rollout.decision(now);
+            let phase = decided.unwrap_or_else(|| entry.rollout.phase());
+            if entry.recorded_phase == Some(phase) {
+                return None;
+            }
+            entry.is_writing = true;
+            let start = entry.recorded_phase.is_none().then(|| RolloutStart {
+                to: entry.rollout.to.to_string(),
+                started_unix_ms: unix.since(now.since(entry.rollout.started())).0,
+            });
+            Some(RolloutWrite {
+                service: Rc::clone(&entry.service),
+                to: Rc::clone(&entry.rollout.to),
+                phase,
+                revision: entry.revision,
+                start,
+            })
+        });
+        due_writes.collect()
+    }
+
+    /// Cancels a write if its record has changed in the meantime or the version was found to be bad; returns
+    /// whether it did.
+    pub fn cancel_write(&mut self, write: &RolloutWrite, now: Millis) -> bool {
+        let Ok(at) = self.find(&write.service) else {
+            return true;
+        };
+        let entry = &mut self.entries[at];
+        let has_changed = entry.revision != write.revision || entry.rollout.to != write.to;
+        let is_bad = entry.rollout.decision(now) == Some(Phase::Reverted);
+        if has_changed || is_bad {
+            entry.is_writing = false;
+        }
+        has_changed || is_bad
+    }
+
+    /// Records the result of a write.
+    pub fn record_write(&mut self, write: &RolloutWrite, result: &Result<u64, ControlPlaneError>) {
+        let Ok(at) = self.find(&write.service) else {
+            return;
+        };
+        self.entries[at].is_writing = false;
+        if let Ok(revision) = result {
+            self.set_phase(&write.service, &write.to, write.phase, *revision);
+        }
+    }
+
+    fn find(&self, service: &str) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by(|k| k.service.as_ref().cmp(service))
+    }
+}
+
+impl RolloutEntry {
+    fn new(service: &Rc<str>, rollout: Rollout) -> Self {
+        Self {
+            service: Rc::clone(service),
+            rollout,
+            revision: 0,
+            recorded_phase: None,
+            is_writing: false,
+            early_record: None,
+        }
+    }
+
+    fn is_ordered(&self) -> bool {
+        !self.rollout.to.is_empty()
+    }
+}
+
+/// Interval of the checks for due decisions on roll-outs, and the delay after a failed write.
+pub const DECISION_INTERVAL: Millis = Millis(100);
+
+/// Longest random delay before a phase is recorded. All gateways decide at the same time; the delay lets one
+/// of them write and the others receive its record. A stop is recorded without delay.
+const MAX_WRITE_JITTER: Millis = Millis(250);
+
+/// Jitter for each gateway of a write that records the start of a roll-out: one gateway's write is enough, and the others
+/// need about half a second to read it.
+const START_WRITE_JITTER_PER_GATEWAY: Millis = Millis(100);
+
+/// Longest pause before a write that the store has refused is repeated; at least half of it, so that gateways that the
+/// store turns away do not add to its load.
+pub const MAX_WRITE_RETRY_PAUSE: Millis = Millis(2 * RETRY_BACKOFF.1.0);
+
+/// Returns the longest random pause before a phase of a roll-out is recorded.
+#[must_use]
+pub fn max_write_jitter(phase: Phase, gateways: u64) -> Millis {
+    match phase {
+        Phase::Active => MAX_WRITE_JITTER.max(Millis(START_WRITE_JITTER_PER_GATEWAY.0 * gateways)),
+        Phase::Complete | Phase::Reverted => MAX_WRITE_JITTER,
+    }
+}
+
+/// Delay after a write conflict, in which the other gateway's change arrives here.
+const CONFLICT_DELAY: Millis = Millis(600);
+
+/// Records decisions on roll-outs until the task is dropped.
+pub async fn decide_rollouts(shared: Rc<Shared>) {
+    loop {
+        actix_rt::time::sleep(DECISION_INTERVAL.duration()).await;
+        let (now, unix) = (shared.clock.now(), shared.clock.unix());
+        sum_answer_counts(&shared, now);
+        let due_writes = shared.rollouts.borrow_mut().due_writes(now, unix);
+        for write in due_writes {
+            apply_decision(&shared, &write);
+            let shared = Rc::clone(&shared);
+            actix_rt::spawn(async move {
+                if write.phase != Phase::Reverted {
+                    let gateways = shared.gateways(shared.clock.now());
+                    let pause = Millis(shared.draw() % max_write_jitter(write.phase, gateways).0);
+                    actix_rt::time::sleep(pause.duration()).await;
+                    let now = shared.clock.now();
+                    if shared.rollouts.borrow_mut().cancel_write(&write, now) {
+                        return;
+                    }
+                }
+                let result = shared.control.write_rollout(write.clone()).await;
+                let outcome = match &result {
+                    Ok(_) => "written".to_owned(),
+                    Err(error) => error.to_string(),
+                };
+                log::info!(event = "rollout_write", service:% = write.service, to:% = write.to,
+                    phase:? = write.phase, replaces = write.revision, outcome:% = outcome; "");
+                match &result {
+                    Ok(_) => {}
+                    Err(ControlPlaneError::Conflict) => {
+                        actix_rt::time::sleep(CONFLICT_DELAY.duration()).await;
+                    }
+                    Err(_) => {
+                        let jitter = Millis(shared.draw() % RETRY_BACKOFF.1.0);
+                        let pause = MAX_WRITE_RETRY_PAUSE.since(jitter);
+                        actix_rt::time::sleep(pause.duration()).await;
+                    }
+                }
+                shared.rollouts.borrow_mut().record_write(&write, &result);
+            });
+        }
+    }
+}
+
+/// Sums the answers of all gateways to each roll-out's versions, as reported by the beacons beside the upstreams.
+fn sum_answer_counts(shared: &Shared, now: Millis) {
+    let (mut rollouts, fleet) = (shared.rollouts.borrow_mut(), shared.fleet.borrow());
+    let mut health = shared.health.borrow_mut();
+    for (service, rollout) in rollouts.active() {
+        let (mut new, mut old) = (Judged::default(), Judged::default());
+        for upstream in fleet.all().filter(|u| u.service == *service) {
+            let Some((load, _)) = health.entry(&upstream.id, upstream.boot, now).last_report else {
+                continue;
+            };
+            let sum = if upstream.version == rollout.to {
+                &mut new
+            } else {
+                &mut old
+            };
+            *sum = sum.plus(load.answer_counts);
+        }
+        rollout.set_pooled_counts(new, old);
+    }
+}
+
+/// Logs the evidence for a decision. A stop takes effect in this gateway before it is recorded, a completion
+/// only once it is recorded.
+fn apply_decision(shared: &Shared, write: &RolloutWrite) {
+    let mut rollouts = shared.rollouts.borrow_mut();
+    let Some(rollout) = rollouts.get_mut(&write.service) else {
+        return;
+    };
+    let [new, old] = rollout.local_counts();
+    let (all_new, all_old) = rollout.pooled_counts();
+    match write.phase {
+        Phase::Active => {}
+        Phase::Complete => {
+            log::info!(event = "rollout_passed", service:% = write.service, to:% = write.to,
+                new_failed_broken_slow_all_paces:? = new, old_failed_broken_slow_all_paces:? = old,
+                all_gateways_new:? = all_new, all_gateways_old:? = all_old; "");
+        }
+        Phase::Reverted => {
+            log::warn!(event = "rollout_stopped", service:% = write.service, to:% = write.to,
+                new_failed_broken_slow_all_paces:? = new, old_failed_broken_slow_all_paces:? = old,
+                all_gateways_new:? = all_new, all_gateways_old:? = all_old; "");
+            rollout.set_phase(Phase::Reverted);
+        }
+    }
+}
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -24,8 +24,9 @@
 use crate::telemetry::metrics::Metrics;
 use crate::units::Millis;
 
-use super::follow::{ControlPlane, Rollouts};
+use super::follow::ControlPlane;
 use super::pool::Pool;
+use super::rollouts::Rollouts;
 
 /// Time for which a reported number of gateways counts; gateways renew their subscriptions every second.
 const GATEWAY_COUNT_LIFETIME: Millis = Millis::from_secs(5);
--- a/src/forward/tests/follow.rs
+++ b/src/forward/tests/follow.rs
@@ -9,9 +9,9 @@
 use super::fixture::{FixedStore, connect, message, policy, read_message, start, status, table};
 use crate::fixtures::run_paused;
 use crate::forward::follow::{
-    self, ControlPlane, ControlPlaneError, Listing, RolloutWrite, Rollouts, StoreEvent,
-    batch_delay, decide_rollouts, max_write_jitter,
+    self, ControlPlane, ControlPlaneError, Listing, RolloutWrite, StoreEvent, batch_delay,
 };
+use crate::forward::rollouts::{Rollouts, decide_rollouts, max_write_jitter};
 use crate::forward::shared::Shared;
 use crate::kv::LocalFuture;
 use crate::router::rollout::{Answer, Phase, RequestProfile};
@@ -143,7 +143,7 @@
         let shared = Shared::open(policy(), Box::new(store));
 
         actix_rt::spawn(follow::run(Rc::clone(&shared)));
-        actix_rt::spawn(follow::decide_rollouts(shared));
+        actix_rt::spawn(decide_rollouts(shared));
         actix_rt::time::sleep(Millis::from_secs(12).duration()).await;
 
         // Each takes 600 ms at least.
