Add a failing test of a gateway that is silent over a restore of the store

A gateway that is frozen, refused or cut off while the store is restored and its new history passes the revision that the gateway watches from gets no 410. It keeps the older configuration: [5, 6, 6] in place of [6, 6, 6].

--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -6,6 +6,8 @@
 mod fixture;
 mod follow;
 mod limits;
+mod model_store;
 mod parsers;
 mod requests;
+mod restored;
 mod stop;
