Read the store anew when it names another era

Cause: a gateway watched from a revision of a history that was gone. By the time it called again the new history had passed that revision, so the store did not answer 410, and what was written at lower revisions was never sent.

Change: router/history keeps the era that the known revision belongs to. An answer from another era drops the revision, its events are not applied, and the store is listed again; an answer from a history that has been replaced since the call was sent is dropped. The first watch after a failed call waits 50 ms only, so that a new era shows at once.

--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -12,7 +12,7 @@
 use crate::kv::LocalFuture;
 use crate::router::departures::DepartureKind;
 use crate::router::fleet::{Change, Upstream, UpstreamState};
-use crate::router::history::{Era, Sighting};
+use crate::router::history::{Era, Read, Sighting, listing_spread};
 use crate::router::rollout::Phase;
 use crate::router::table::RouteTable;
 use crate::suspect::{ContainmentRecord, EvidenceWrite, Feature, Report};
@@ -194,46 +194,57 @@
     fn write_evidence(&self, write: EvidenceWrite) -> LocalFuture<'_, StoreAnswer<u64>>;
 }
 
+/// Wait of the first watch after a failed call: the store may be another one since, and the answer tells.
+const WAIT_AFTER_FAILURE: Millis = Millis(50);
+
 /// Follows the store until the task is dropped.
 pub async fn run(shared: Rc<Shared>) {
     let mut failures = 0;
-    let mut revision = None;
     loop {
         let called_at = shared.clock.now();
-        let wait = shared.freshness.borrow().next_wait(called_at);
-        let answer = match revision {
-            None => shared.control.list().await,
-            Some(after) => shared.control.watch(after, wait).await,
+        let read = shared.history.borrow().next_read();
+        let wait = watch_wait(&shared, failures, called_at);
+        let answer = match read {
+            Read::List => shared.control.list().await,
+            Read::Watch { after, .. } => shared.control.watch(after, wait).await,
         };
         let now = shared.clock.now();
-        shared.observe_era(answer.era, called_at);
+        let sighting = shared.observe_era(answer.era, called_at);
         match answer.result {
             Ok(listing) => {
+                let era = answer.era.unwrap_or(Era::UNNAMED);
+                let is_first_listing = read == Read::List && shared.history.borrow().is_unread();
+                let is_accepted = (shared.history.borrow_mut()).accept(read, era, listing.revision);
                 let view_age = shared.freshness.borrow().age(now);
                 record_response(&shared, view_age, failures, now);
-                let is_unchanged = revision.is_some() && listing.events.is_empty();
-                if is_unchanged {
-                    (shared.freshness.borrow_mut()).confirm_unchanged(called_at, wait, now);
-                } else {
-                    shared.freshness.borrow_mut().confirm(called_at);
+                if !is_accepted {
+                    // The answer belongs to another history than the revision that was asked for, or is late.
+                    failures = 0;
+                    spread_listing(&shared, sighting).await;
+                    continue;
+                }
+                if read == Read::List {
+                    log::info!(event = "store_listed", era:% = era, revision = listing.revision,
+                        settles_in_ms = shared.history.borrow().settles_in(now).unwrap_or_default().0; "");
                 }
+                let is_unchanged = read != Read::List && listing.events.is_empty();
                 // A watch reports a change at once. After a gap in the contact, the time of a change is unknown.
-                let gap = view_age.filter(|_| failures > 0 || revision.is_none());
+                let gap = view_age.filter(|_| failures > 0 || read == Read::List);
                 let changed_at = gap_midpoint(gap, now);
                 failures = 0;
+                let kind = match read {
+                    Read::Watch { .. } => UpdateKind::Changes,
+                    Read::List if is_first_listing => UpdateKind::FirstListing,
+                    Read::List => UpdateKind::Listing,
+                };
                 let update = StoreUpdate {
                     events: listing.events,
-                    is_full_listing: revision.is_none(),
+                    kind,
                     changed_at,
                     max_notice_age: view_age.unwrap_or_default(),
                 };
                 apply_update(&shared, update, now);
-                // The revision never decreases.
-                if revision.is_none() {
-                    log::info!(event = "store_listed", revision = listing.revision; "");
-                }
-                revision =
-                    Some(revision.map_or(listing.revision, |r: u64| r.max(listing.revision)));
+                confirm(&shared, is_unchanged.then_some(wait), called_at, now);
                 if !is_unchanged {
                     let has_rollout = shared.rollouts.borrow_mut().active().next().is_some();
                     let delay = batch_delay(shared.policy().change_bound, has_rollout);
@@ -241,8 +252,12 @@
                 }
             }
             Err(ControlPlaneError::HistoryLost) => {
+                let revision = shared.history.borrow_mut().forget_revision();
                 log::warn!(event = "store_history_lost", revision = revision.unwrap_or(0); "");
-                revision = None;
+                spread_listing(&shared, sighting).await;
+            }
+            Err(ControlPlaneError::HistoryChanged) => {
+                spread_listing(&shared, sighting).await;
             }
             Err(error) => {
                 failures += 1;
@@ -254,7 +269,7 @@
                 shared.metrics.count_event("store_call_failed");
                 // A watch that fails before its wait is over was connected until now; any other call may have been
                 // without a connection since it was sent.
-                let was_connected = revision.is_some() && now.since(called_at) < wait;
+                let was_connected = read != Read::List && now.since(called_at) < wait;
                 let failed_at = if was_connected { now } else { called_at };
                 shared.outage_tracker.borrow_mut().record_failure(failed_at);
                 let pause = RETRY_BACKOFF.0.0 << failures.min(3);
@@ -266,6 +281,42 @@
     }
 }
 
+/// Returns how long the next watch may wait.
+fn watch_wait(shared: &Shared, failures: u32, now: Millis) -> Millis {
+    let wait = shared.freshness.borrow().next_wait(now);
+    if failures > 0 {
+        return wait.min(WAIT_AFTER_FAILURE);
+    }
+    // The view is confirmed as soon as the history is settled.
+    let settles_in = shared.history.borrow().settles_in(now);
+    settles_in
+        .filter(|left| *left > Millis(0))
+        .map_or(wait, |left| wait.min(left.max(WAIT_AFTER_FAILURE)))
+}
+
+/// Pauses before a listing that all gateways need at the same time, because the store was restored.
+async fn spread_listing(shared: &Shared, sighting: Sighting) {
+    if !matches!(sighting, Sighting::New { .. }) {
+        return;
+    }
+    let spread = listing_spread(shared.gateways(shared.clock.now()));
+    let pause = Millis(shared.draw() % spread.0.max(1));
+    actix_rt::time::sleep(pause.duration()).await;
+}
+
+/// Records that the view is current, unless the store may still lack what was confirmed before its restore. `waited` is the
+/// wait of a watch without changes.
+fn confirm(shared: &Shared, waited: Option<Millis>, called_at: Millis, now: Millis) {
+    if !shared.history.borrow().is_settled(now) {
+        return;
+    }
+    let mut freshness = shared.freshness.borrow_mut();
+    match waited {
+        Some(wait) => freshness.confirm_unchanged(called_at, wait, now),
+        None => freshness.confirm(called_at),
+    }
+}
+
 /// Ends a store outage, if there was one, after a response of the store.
 fn record_response(shared: &Shared, view_age: Option<Millis>, failures: u32, now: Millis) {
     if let Some(away) = shared.outage_tracker.borrow_mut().record_success(now) {
@@ -284,11 +335,21 @@
     Millis(now.0.saturating_sub(gap / 2))
 }
 
+/// What the events of a response are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum UpdateKind {
+    /// Changes since what is known.
+    Changes,
+    /// All items, of a history that is known.
+    Listing,
+    /// All items, of a history that is read for the first time. It may lack what was confirmed before its restore.
+    FirstListing,
+}
+
 /// Events of one response of the store, with what is known of their age.
 struct StoreUpdate {
     events: Vec<StoreEvent>,
-    /// Whether the events are the full listing rather than changes.
-    is_full_listing: bool,
+    kind: UpdateKind,
     /// Estimated time at which the changes were made.
     changed_at: Millis,
     /// Longest time for which the store may have held the changes.
@@ -299,7 +360,7 @@
 fn apply_update(shared: &Rc<Shared>, update: StoreUpdate, now: Millis) {
     let StoreUpdate {
         events,
-        is_full_listing,
+        kind,
         changed_at,
         max_notice_age,
     } = update;
@@ -314,7 +375,9 @@
             departures.cancel(&upstream.id, upstream.boot);
         }
         match event {
-            StoreEvent::Upstream(upstream) if is_full_listing => upstreams.push(upstream),
+            StoreEvent::Upstream(upstream) if kind != UpdateKind::Changes => {
+                upstreams.push(upstream);
+            }
             StoreEvent::Upstream(upstream) => {
                 let change = shared.fleet.borrow_mut().put(upstream);
                 shared.record_change(change, max_notice_age);
@@ -351,12 +414,15 @@
             }
         }
     }
-    if is_full_listing {
-        shared.evidence.borrow_mut().retain_listed(&containments);
-        let changes = (shared.fleet.borrow_mut()).replace(upstreams, grace);
-        for change in changes {
-            shared.record_change(Some(change), max_notice_age);
+    let changes = match kind {
+        UpdateKind::Changes => Vec::new(),
+        UpdateKind::Listing | UpdateKind::FirstListing => {
+            shared.evidence.borrow_mut().retain_listed(&containments);
+            shared.fleet.borrow_mut().replace(upstreams, grace)
         }
+    };
+    for change in changes {
+        shared.record_change(Some(change), max_notice_age);
     }
     shared.is_loaded.set(true);
     shared.loaded.notify_one();
@@ -377,9 +443,9 @@
 
 impl Shared {
     /// Takes in the era of an answer of the store to a call that was sent at `sent_at`.
-    pub(super) fn observe_era(&self, era: Option<Era>, sent_at: Millis) {
+    pub(super) fn observe_era(&self, era: Option<Era>, sent_at: Millis) -> Sighting {
         let Some(era) = era else {
-            return;
+            return Sighting::Present;
         };
         let now = self.clock.now();
         let sighting = self.history.borrow_mut().observe(era, sent_at, now);
@@ -398,6 +464,7 @@
                 self.metrics.count_event("store_answer_late");
             }
         }
+        sighting
     }
 
     /// Logs a change of the fleet, records a departure, and closes idle connections to an upstream that leaves.
--- a/src/router/history.rs
+++ b/src/router/history.rs
@@ -75,8 +75,10 @@
     era: Option<Era>,
     /// When the first answer of the era arrived.
     learned_at: Millis,
-    /// Last revision that was read; `None` until the era's items have been listed.
+    /// Last revision that was read; `None` if the era's items have to be listed.
     revision: Option<u64>,
+    /// Whether the era's items have been listed.
+    is_read: bool,
     /// Era that some gateway has recorded as settled.
     settled_era: Option<Era>,
 }
@@ -95,6 +97,7 @@
         let replaces = self.era.replace(era);
         self.learned_at = now;
         let revision = self.revision.take();
+        self.is_read = false;
         Sighting::New { replaces, revision }
     }
 
@@ -116,7 +119,10 @@
             return false;
         }
         match read {
-            Read::List => self.revision = Some(revision),
+            Read::List => {
+                self.revision = Some(revision);
+                self.is_read = true;
+            }
             Read::Watch { era: asked, after } => {
                 if asked != era || self.revision != Some(after) {
                     return false;
@@ -127,9 +133,9 @@
         true
     }
 
-    /// Forgets the revision, because the store no longer has the changes since then.
-    pub const fn forget_revision(&mut self) {
-        self.revision = None;
+    /// Forgets the revision, because the store no longer has the changes since then; returns it.
+    pub const fn forget_revision(&mut self) -> Option<u64> {
+        self.revision.take()
     }
 
     /// Returns the era of the present history, once there was an answer.
@@ -138,10 +144,10 @@
         self.era
     }
 
-    /// Returns the last revision that is known of the present history.
+    /// Returns whether nothing of the present history has been read yet.
     #[must_use]
-    pub const fn revision(&self) -> Option<u64> {
-        self.revision
+    pub const fn is_unread(&self) -> bool {
+        !self.is_read
     }
 
     /// Returns whether a write that was decided in an era counts: its condition and what it wrote belong to the present history.
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -4,6 +4,7 @@
 mod departures;
 mod fleet;
 mod herd;
+mod history;
 mod load;
 mod named_limits;
 mod outcome;
