Keep upstreams that a restored store lacks, and hold those that left

For up to two seconds after a restore, upstreams that had joined since the copy got no requests, and upstreams that had left since got requests at addresses that may belong to others by then.

Cause: the first listing of the restored store was taken like any other, so an absence counted as a departure unless this gateway had seen an outage of a heartbeat, and nothing remembered who had left.

Change: the first listing of an era keeps ready upstreams that it lacks until the history is settled. Entries from before a known departure (boot and sequence number) are held until the upstream is heard of in the present history, or the entry outlasts the silence of a process that has ended. The last 4,096 departures are remembered.

a_copy_neither_takes_upstreams_away_nor_brings_back_those_that_left failed before: the views had leaves and stays, and leaves, joins and stays, in place of joins and stays.

--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -11,8 +11,8 @@
 
 use crate::kv::LocalFuture;
 use crate::router::departures::DepartureKind;
-use crate::router::fleet::{Change, Upstream, UpstreamState};
-use crate::router::history::{Era, Read, Sighting, listing_spread};
+use crate::router::fleet::{Change, Upstream, UpstreamState, copied_entry_lifetime};
+use crate::router::history::{Era, Read, SETTLE_TIME, Sighting, listing_spread};
 use crate::router::rollout::Phase;
 use crate::router::table::RouteTable;
 use crate::suspect::{ContainmentRecord, EvidenceWrite, Feature, Report};
@@ -370,6 +370,7 @@
     for event in events {
         if let StoreEvent::Upstream(upstream) = &event
             && upstream.state == UpstreamState::Ready
+            && kind != UpdateKind::FirstListing
         {
             let mut departures = shared.departures.borrow_mut();
             departures.cancel(&upstream.id, upstream.boot);
@@ -416,10 +417,16 @@
     }
     let changes = match kind {
         UpdateKind::Changes => Vec::new(),
-        UpdateKind::Listing | UpdateKind::FirstListing => {
+        UpdateKind::Listing => {
             shared.evidence.borrow_mut().retain_listed(&containments);
             shared.fleet.borrow_mut().replace(upstreams, grace)
         }
+        UpdateKind::FirstListing => {
+            shared.evidence.borrow_mut().retain_listed(&containments);
+            let settles_in = shared.history.borrow().settles_in(now).unwrap_or_default();
+            let lifetime = copied_entry_lifetime(shared.policy().heartbeat, SETTLE_TIME);
+            (shared.fleet.borrow_mut()).replace_by_copy(upstreams, now + settles_in, now + lifetime)
+        }
     };
     for change in changes {
         shared.record_change(Some(change), max_notice_age);
@@ -480,11 +487,12 @@
             Change::Gone(u) => ("gone", u),
             Change::Missing(u) => ("missing", u),
             Change::Outdated(u) => ("outdated", u),
+            Change::Held(u) => ("held", u),
         };
         log::info!(event = "upstream", change = change_name, upstream:% = upstream.id, addr:% = upstream.addr,
             service:% = upstream.service, version:% = upstream.version, boot = upstream.boot, seq = upstream.seq, word_age_ms = max_notice_age.0; "");
         let kind = match &change {
-            Change::Joined(_) | Change::Outdated(_) => None,
+            Change::Joined(_) | Change::Outdated(_) | Change::Held(_) => None,
             Change::Draining(_) => Some(DepartureKind::Draining),
             Change::Gone(_) => Some(DepartureKind::Gone),
             Change::Missing(_) => Some(DepartureKind::Missing),
--- a/src/forward/tests/restored.rs
+++ b/src/forward/tests/restored.rs
@@ -2,8 +2,11 @@
 
 use actix_rt::time::sleep;
 
+use super::fixture::registered;
 use super::model_store::{LinkState, ModelStore, Node};
 use crate::fixtures::run_paused;
+use crate::forward::follow::StoreEvent;
+use crate::router::fleet::{Upstream, UpstreamState};
 use crate::units::Millis;
 
 /// Time within which a gateway must have the store's state again; the shortest bound of the deployments.
@@ -13,6 +16,27 @@
     sleep(time.duration()).await;
 }
 
+fn upstream(id: &str, state: UpstreamState, seq: u64) -> StoreEvent {
+    let addr = "127.0.0.1:1".parse().expect("the address is valid");
+    StoreEvent::Upstream(Upstream {
+        id: id.into(),
+        state,
+        seq,
+        ..registered(0, addr)
+    })
+}
+
+fn ready(id: &str, seq: u64) -> StoreEvent {
+    upstream(id, UpstreamState::Ready, seq)
+}
+
+/// Returns the upstreams that a gateway may use.
+fn usable(node: &Node) -> Vec<String> {
+    let now = node.shared.clock.now();
+    let fleet = node.shared.fleet.borrow();
+    fleet.ready("pool", now).map(|u| u.id.to_string()).collect()
+}
+
 /// Gateways that do not reach the store while its new history passes the revision that they watch from get no 410: they must
 /// not miss what was written at lower revisions.
 #[test]
@@ -47,3 +71,42 @@
         });
     }
 }
+
+/// Between a restore and the moment at which upstreams have registered again, those that the copy lacks serve on, and those
+/// that have left since are not used again.
+#[test]
+fn a_copy_neither_takes_upstreams_away_nor_brings_back_those_that_left() {
+    run_paused(async {
+        let store = ModelStore::open();
+        store.put_config(1);
+        for id in ["drains", "leaves", "stays"] {
+            store.put(ready(id, 1));
+        }
+        let nodes = Node::start_all(&store, 3);
+        pass(Millis::from_secs(5)).await;
+        let copy = store.copy();
+        store.put(upstream("drains", UpstreamState::Draining, 2));
+        store.remove("servers/leaves");
+        store.put(ready("joins", 1));
+        pass(Millis::from_secs(2)).await;
+
+        store.take_away();
+        pass(Millis(300)).await;
+        store.restore(&copy);
+        let mut seen = Vec::new();
+        for _ in 0..19 {
+            pass(Millis(100)).await;
+            seen.extend(nodes.iter().map(usable));
+        }
+        store.put(upstream("drains", UpstreamState::Draining, 2));
+        store.put(ready("joins", 1));
+        for _ in 0..30 {
+            pass(Millis(100)).await;
+            seen.extend(nodes.iter().map(usable));
+        }
+
+        seen.sort();
+        seen.dedup();
+        assert_eq!(seen, [["joins", "stays"]]);
+    });
+}
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -1,7 +1,8 @@
 //! The upstreams that are registered in the store, and whether they may be used.
 //!
-//! The registry can be wrong in three ways: entries expire while the store is unavailable, reports arrive out of
-//! order, and a new process can take over an id or an address.
+//! The registry can be wrong in four ways: entries expire while the store is unavailable, reports arrive out of
+//! order, a new process can take over an id or an address, and a restored store has entries of upstreams that have left and
+//! lacks those of upstreams that have joined.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,6 +20,19 @@
 /// Part of the catch-up time that must remain when a grace period ends, for requests that are in transit.
 const TRANSIT_MARGIN: Millis = Millis(200);
 
+/// Maximum number of departures in memory: more than five days of them on the largest deployment, and copies are some seconds
+/// old.
+const MAX_DEPARTED: usize = 4_096;
+
+/// Missed heartbeats after which the store removes an entry.
+const HEARTBEATS_TO_EXPIRY: u64 = 3;
+
+/// Returns the time after which an entry of an upstream that has left is gone from a restored store.
+#[must_use]
+pub const fn copied_entry_lifetime(heartbeat: Millis, settle: Millis) -> Millis {
+    Millis(heartbeat.0 * HEARTBEATS_TO_EXPIRY + settle.0)
+}
+
 /// Distinguishes removals caused by an outage of the store from those of upstreams that left.
 ///
 /// A single failed call does not count as an outage, since connections also break while the store is healthy.
@@ -155,6 +169,27 @@
     Missing(Rc<Upstream>),
     /// The report was older than the known one and was ignored; holds the known entry.
     Outdated(Rc<Upstream>),
+    /// A restored store has an entry from before the upstream left; it is not used unless it outlasts the silence of a process
+    /// that has ended.
+    Held(Rc<Upstream>),
+}
+
+/// The last report of an upstream that has left.
+#[derive(Debug, Clone)]
+struct Departed {
+    id: Rc<str>,
+    boot: u64,
+    seq: u64,
+    /// Position in the order of departures.
+    number: u64,
+}
+
+/// An entry of a restored store that is older than its upstream's departure.
+#[derive(Debug, Clone)]
+struct Held {
+    upstream: Upstream,
+    /// When the upstream counts as alive if the entry is still there.
+    until: Millis,
 }
 
 impl Member {
@@ -171,11 +206,20 @@
 #[derive(Debug, Clone, Default)]
 pub struct Fleet {
     members: Vec<Member>,
+    /// Upstreams that have left, sorted by id.
+    departed: Vec<Departed>,
+    departures: u64,
+    /// Sorted by id.
+    held: Vec<Held>,
 }
 
 impl Fleet {
     /// Applies a report of an upstream.
     pub fn put(&mut self, mut reported: Upstream) -> Option<Change> {
+        self.release(&reported.id);
+        if let Ok(at) = self.find_departed(&reported.id) {
+            self.departed.remove(at);
+        }
         let at = match self.find(&reported.id) {
             Ok(at) => at,
             Err(at) => {
@@ -214,6 +258,7 @@
     /// Applies the removal of an entry; `grace` is until when a ready upstream is still used, if an outage may be
     /// the cause.
     pub fn remove(&mut self, id: &str, grace: Option<Millis>) -> Option<Change> {
+        self.release(id);
         let at = self.find(id).ok()?;
         let member = &mut self.members[at];
         let upstream = Rc::clone(&member.upstream);
@@ -222,6 +267,7 @@
             return Some(Change::Missing(upstream));
         }
         self.members.remove(at);
+        self.record_departure(&upstream);
         Some(Change::Gone(upstream))
     }
 
@@ -235,21 +281,116 @@
             .iter()
             .filter_map(|id| self.remove(id, grace))
             .collect::<Vec<_>>();
-        let put = listed.into_iter().filter_map(|u| self.put(u));
+        self.held
+            .retain(|h| ids.binary_search(&h.upstream.id).is_ok());
+        let put = listed.into_iter().filter_map(|u| {
+            let is_held = self.held.iter().any(|h| h.upstream == u);
+            if is_held { None } else { self.put(u) }
+        });
         removed.into_iter().chain(put.collect::<Vec<_>>()).collect()
     }
 
-    /// Removes missing entries whose grace period has ended.
-    pub fn expire(&mut self, now: Millis) -> Vec<Change> {
-        let mut gone = Vec::new();
-        self.members.retain(|m| {
-            let is_present = m.is_present(now);
-            if !is_present {
-                gone.push(Change::Gone(Rc::clone(&m.upstream)));
+    /// Applies the first list of a store that was restored from a copy.
+    ///
+    /// Upstreams that the copy lacks are used until `missing_until`, in which they register again. Entries from before a known
+    /// departure are held until `held_until`; dead ones expire until then.
+    pub fn replace_by_copy(
+        &mut self,
+        listed: Vec<Upstream>,
+        missing_until: Millis,
+        held_until: Millis,
+    ) -> Vec<Change> {
+        let mut changes = Vec::new();
+        let mut ids: Vec<_> = listed.iter().map(|u| Rc::clone(&u.id)).collect();
+        ids.sort();
+        let known = self.members.iter().map(|m| Rc::clone(&m.upstream.id));
+        let missing: Vec<_> = known.filter(|id| ids.binary_search(id).is_err()).collect();
+        for id in missing {
+            if let Ok(at) = self.find(&id) {
+                // A grace from an earlier restore starts anew.
+                self.members[at].missing_until = None;
             }
-            is_present
-        });
-        gone
+            changes.extend(self.remove(&id, Some(missing_until)));
+        }
+        for upstream in listed {
+            if self.is_from_before_departure(&upstream) {
+                changes.push(Change::Held(Rc::new(upstream.clone())));
+                self.hold(upstream, held_until);
+                continue;
+            }
+            if let Ok(at) = self.find(&upstream.id) {
+                self.members[at].missing_until = None;
+            }
+            changes.extend(self.put(upstream));
+        }
+        changes
+    }
+
+    /// Removes missing entries whose grace period has ended, and uses held ones that have outlasted theirs.
+    pub fn expire(&mut self, now: Millis) -> Vec<Change> {
+        let expired: Vec<_> = (self.members)
+            .extract_if(.., |m| !m.is_present(now))
+            .map(|m| m.upstream)
+            .collect();
+        for upstream in &expired {
+            self.record_departure(upstream);
+        }
+        let alive: Vec<_> = self.held.extract_if(.., |h| h.until <= now).collect();
+        let gone = expired.into_iter().map(Change::Gone);
+        let mut changes: Vec<_> = gone.collect();
+        for held in alive {
+            changes.extend(self.put(held.upstream));
+        }
+        changes
+    }
+
+    fn is_from_before_departure(&self, upstream: &Upstream) -> bool {
+        self.find_departed(&upstream.id).is_ok_and(|at| {
+            let departed = &self.departed[at];
+            (upstream.boot, upstream.seq) <= (departed.boot, departed.seq)
+        })
+    }
+
+    fn hold(&mut self, upstream: Upstream, until: Millis) {
+        match self
+            .held
+            .binary_search_by(|h| h.upstream.id.cmp(&upstream.id))
+        {
+            Ok(at) => self.held[at] = Held { upstream, until },
+            Err(at) => self.held.insert(at, Held { upstream, until }),
+        }
+    }
+
+    /// Drops a held entry, because the store has said something newer of it.
+    fn release(&mut self, id: &str) {
+        if let Ok(at) = self
+            .held
+            .binary_search_by(|h| h.upstream.id.as_ref().cmp(id))
+        {
+            self.held.remove(at);
+        }
+    }
+
+    fn record_departure(&mut self, upstream: &Upstream) {
+        self.departures += 1;
+        let departed = Departed {
+            id: Rc::clone(&upstream.id),
+            boot: upstream.boot,
+            seq: upstream.seq,
+            number: self.departures,
+        };
+        match self.find_departed(&upstream.id) {
+            Ok(at) => self.departed[at] = departed,
+            Err(at) => self.departed.insert(at, departed),
+        }
+        if self.departed.len() > MAX_DEPARTED {
+            let oldest = self.departures - MAX_DEPARTED as u64;
+            self.departed.retain(|d| d.number > oldest);
+        }
+    }
+
+    fn find_departed(&self, id: &str) -> Result<usize, usize> {
+        self.departed.binary_search_by(|d| d.id.as_ref().cmp(id))
     }
 
     /// Returns the upstreams of a service that may get new requests now, sorted by id.
--- a/src/router/tests/fleet.rs
+++ b/src/router/tests/fleet.rs
@@ -294,3 +294,104 @@
 
     assert_eq!(durations, [1_500, 3_000, 6_000, 8_000, 8_000]);
 }
+
+/// A copy lacks upstreams that have joined since; they register again within two seconds and must serve meanwhile.
+#[test]
+fn an_upstream_that_a_copy_lacks_is_used_until_it_should_have_registered_again() {
+    let mut fleet = Fleet::default();
+    fleet.put(ready("known", 1, 1));
+    fleet.put(ready("new", 2, 1));
+    fleet.put(draining("leaves", 1, 3));
+
+    let changes = fleet.replace_by_copy(vec![ready("known", 1, 1)], Millis(2_000), Millis(5_600));
+    let in_grace = ids(&fleet);
+    fleet.expire(Millis(2_000));
+    let after_grace = ids(&fleet);
+    fleet.put(ready("new", 2, 1));
+
+    assert!(
+        matches!(&changes[..], [Change::Gone(leaves), Change::Missing(new)]
+        if &*leaves.id == "leaves" && &*new.id == "new")
+    );
+    assert_eq!(in_grace, ["known", "new"]);
+    assert_eq!(after_grace, ["known"]);
+    assert_eq!(ids(&fleet), ["known", "new"]);
+}
+
+/// A copy still has upstreams that have left since; another upstream may have their address by now.
+#[test]
+fn an_upstream_that_left_is_not_used_again_because_a_copy_has_it() {
+    let mut fleet = Fleet::default();
+    for id in ["drained", "removed"] {
+        fleet.put(ready(id, 1, 5));
+    }
+    fleet.put(draining("drained", 1, 6));
+    fleet.remove("removed", None);
+    let copy = vec![ready("drained", 1, 5), ready("removed", 1, 4)];
+
+    let changes = fleet.replace_by_copy(copy.clone(), Millis(2_000), Millis(5_600));
+    fleet.replace_by_copy(copy, Millis(2_100), Millis(5_700));
+    let after_copy = ids(&fleet);
+    fleet.expire(Millis(5_600));
+    let before_lifetime = ids(&fleet);
+
+    assert!(matches!(
+        &changes[..],
+        [Change::Outdated(_), Change::Held(_)]
+    ));
+    assert!(after_copy.is_empty() && before_lifetime.is_empty());
+}
+
+/// A gateway may have taken an upstream for gone that lives; its word in the present history counts, and so does an entry that
+/// a process that has ended would not have any more.
+#[test]
+fn a_held_entry_is_used_when_it_is_written_again_or_lasts() {
+    let fleet_with_held = || {
+        let mut fleet = Fleet::default();
+        fleet.put(ready("u", 1, 5));
+        fleet.remove("u", None);
+        fleet.replace_by_copy(vec![ready("u", 1, 5)], Millis(2_000), Millis(5_600));
+        fleet
+    };
+    let [mut written, mut lasting, mut removed] = [(); 3].map(|()| fleet_with_held());
+
+    written.put(ready("u", 1, 5));
+    lasting.expire(Millis(5_600));
+    removed.remove("u", None);
+    removed.expire(Millis(5_600));
+
+    assert_eq!(
+        (ids(&written), ids(&lasting)),
+        (vec!["u".to_owned()], vec!["u".to_owned()])
+    );
+    assert!(ids(&removed).is_empty());
+}
+
+/// A new process under an id that has left is newer than the departure, wherever it is listed.
+#[test]
+fn a_new_process_under_an_id_that_left_is_used_from_a_copy() {
+    let mut fleet = Fleet::default();
+    fleet.put(ready("u", 1, 5));
+    fleet.remove("u", None);
+
+    fleet.replace_by_copy(vec![ready("u", 2, 1)], Millis(2_000), Millis(5_600));
+
+    assert_eq!(ids(&fleet), ["u"]);
+}
+
+/// Departures of days must not add up in memory.
+#[test]
+fn departures_in_memory_are_limited() {
+    let mut fleet = Fleet::default();
+    for n in 0..10_000 {
+        let id = format!("u{n:05}");
+        fleet.put(ready(&id, 1, 1));
+        fleet.remove(&id, None);
+    }
+
+    let oldest = fleet.replace_by_copy(vec![ready("u00000", 1, 1)], Millis(1), Millis(1));
+    let newest = fleet.replace_by_copy(vec![ready("u09999", 1, 1)], Millis(1), Millis(1));
+
+    assert!(matches!(&oldest[..], [Change::Joined(_)]));
+    assert!(newest.iter().any(|c| matches!(c, Change::Held(_))));
+}
