Do not trust a restored store's configuration before it is settled

What callers saw: possible, shown by tests. After a restore, a gateway that started listed the older copy and served by it, with routes and keys that had been taken away; a gateway that had been cut off took the copy as a confirmation that its API keys were current.

Cause: the first listing counted as the store's newest state, whatever history it came from.

Change: a new history is settled 2 s after its first answer, when the operator has written the configuration in it, or when some gateway has recorded that it is (fireflywind/settled, one write an era and a few more, spread over the gateways). Until then a gateway that has no configuration refuses requests as not run and is not ready, and answers do not confirm API keys.

a_gateway_that_starts_on_the_older_copy_does_not_serve_by_it and the_older_copy_does_not_confirm_that_keys_are_current fail if the first listing counts as settled. gateways_of_any_number_take_in_a_new_era_without_a_herd plays 3, 68 and 410 gateways, of which a fifth are frozen, a fifth are silent and one starts: no older version comes back, and the listings stay below 2,000 calls a second.

--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -54,8 +54,10 @@
 /// One item of the store, new or changed, or the removal of one.
 #[derive(Debug, Clone, PartialEq)]
 pub enum StoreEvent {
-    /// The configuration of routes, services and accounts.
-    Table(Rc<RouteTable>),
+    /// The configuration of routes, services and accounts, and the revision of its record.
+    Table(Rc<RouteTable>, u64),
+    /// The last era that a gateway has found to be settled.
+    Settled(Era),
     /// The registration of an upstream.
     Upstream(Upstream),
     /// The registration of an upstream was removed.
@@ -190,6 +192,9 @@
     /// Writes the phase of a roll-out; returns the record's new revision.
     fn write_rollout(&self, write: RolloutWrite) -> LocalFuture<'_, StoreAnswer<u64>>;
 
+    /// Records that an era is settled; returns the record's revision.
+    fn write_settled(&self, settled: Era) -> LocalFuture<'_, StoreAnswer<u64>>;
+
     /// Writes a gateway's evidence of crashes; returns the new revision.
     fn write_evidence(&self, write: EvidenceWrite) -> LocalFuture<'_, StoreAnswer<u64>>;
 }
@@ -244,6 +249,7 @@
                     max_notice_age: view_age.unwrap_or_default(),
                 };
                 apply_update(&shared, update, now);
+                shared.put_offered_table(now);
                 confirm(&shared, is_unchanged.then_some(wait), called_at, now);
                 if !is_unchanged {
                     let has_rollout = shared.rollouts.borrow_mut().active().next().is_some();
@@ -299,7 +305,7 @@
     if !matches!(sighting, Sighting::New { .. }) {
         return;
     }
-    let spread = listing_spread(shared.gateways(shared.clock.now()));
+    let spread = listing_spread(shared.sharing(shared.clock.now()).gateways);
     let pause = Millis(shared.draw() % spread.0.max(1));
     actix_rt::time::sleep(pause.duration()).await;
 }
@@ -307,7 +313,7 @@
 /// Records that the view is current, unless the store may still lack what was confirmed before its restore. `waited` is the
 /// wait of a watch without changes.
 fn confirm(shared: &Shared, waited: Option<Millis>, called_at: Millis, now: Millis) {
-    if !shared.history.borrow().is_settled(now) {
+    if !shared.history.borrow().is_config_settled(now) {
         return;
     }
     let mut freshness = shared.freshness.borrow_mut();
@@ -387,7 +393,12 @@
                 let change = shared.fleet.borrow_mut().remove(&id, grace);
                 shared.record_change(change, max_notice_age);
             }
-            StoreEvent::Table(table) => shared.set_table(table),
+            StoreEvent::Table(table, revision) => {
+                let is_listed = kind != UpdateKind::Changes;
+                (shared.history.borrow_mut()).record_config(table.version, revision, is_listed);
+                shared.offer_table(table);
+            }
+            StoreEvent::Settled(era) => shared.history.borrow_mut().record_settled(era),
             StoreEvent::RolloutOrder { service, to, ramp } => {
                 shared
                     .rollouts
@@ -431,8 +442,6 @@
     for change in changes {
         shared.record_change(Some(change), max_notice_age);
     }
-    shared.is_loaded.set(true);
-    shared.loaded.notify_one();
 }
 
 /// Returns the age of the gateway's view: how long the store may have held a change not yet received here.
--- a/src/forward/gateway.rs
+++ b/src/forward/gateway.rs
@@ -13,7 +13,7 @@
 use crate::units::Millis;
 
 use super::shared::Shared;
-use super::{client, containment, follow, rollouts};
+use super::{client, containment, follow, rollouts, settle};
 
 /// Length of the queue of connections that wait to be accepted.
 const ACCEPT_BACKLOG_CONNECTIONS: u32 = 1_024;
@@ -81,6 +81,7 @@
             actix_rt::spawn(follow::run(Rc::clone(&shared))),
             actix_rt::spawn(rollouts::decide_rollouts(Rc::clone(&shared))),
             actix_rt::spawn(containment::run(Rc::clone(&shared))),
+            actix_rt::spawn(settle::run(Rc::clone(&shared))),
             actix_rt::spawn(serve_status(Rc::clone(&shared), ready)),
             actix_rt::spawn(serve_status(Rc::clone(&shared), admin)),
             actix_rt::spawn(run_maintenance(Rc::clone(&shared))),
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -20,6 +20,7 @@
 pub mod reply;
 pub mod request;
 pub mod rollouts;
+mod settle;
 pub mod shared;
 mod silence;
 pub mod stream;
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -75,6 +75,8 @@
     pub metrics: Metrics,
     /// Configuration in force.
     pub table: RefCell<Rc<RouteTable>>,
+    /// A configuration that was read from a history that is not settled, at a gateway that has no other.
+    offered_table: RefCell<Option<Rc<RouteTable>>>,
     /// Registered upstreams.
     pub fleet: RefCell<Fleet>,
     /// Observed health and load of upstreams.
@@ -158,6 +160,7 @@
             control,
             metrics: Metrics::open(),
             table: RefCell::default(),
+            offered_table: RefCell::default(),
             fleet: RefCell::default(),
             health: RefCell::default(),
             sessions: RefCell::default(),
@@ -223,6 +226,31 @@
         crate::router::mix(next)
     }
 
+    /// Takes in a configuration of the store; a gateway that has none yet waits until the history is settled.
+    pub(super) fn offer_table(&self, table: Rc<RouteTable>) {
+        let now = self.clock.now();
+        if self.table.borrow().version > 0 || self.history.borrow().is_config_settled(now) {
+            self.offered_table.take();
+            self.set_table(table);
+            return;
+        }
+        log::info!(event = "configuration_held", version = table.version,
+            settles_in_ms = self.history.borrow().settles_in(now).unwrap_or_default().0; "");
+        *self.offered_table.borrow_mut() = Some(table);
+    }
+
+    /// Puts the configuration that waited into force once the history is settled, and lets clients in.
+    pub(super) fn put_offered_table(&self, now: Millis) {
+        if !self.history.borrow().is_config_settled(now) {
+            return;
+        }
+        if let Some(table) = self.offered_table.take() {
+            self.set_table(table);
+        }
+        self.is_loaded.set(true);
+        self.loaded.notify_one();
+    }
+
     /// Puts a configuration into force, unless it is older than the current one.
     pub fn set_table(&self, table: Rc<RouteTable>) {
         let current = self.table.borrow().version;
--- a/src/forward/tests/crashes.rs
+++ b/src/forward/tests/crashes.rs
@@ -122,7 +122,7 @@
 
 /// Starts a gateway with [`UPSTREAMS`] upstreams.
 async fn fleet(engines: &Rc<Engines>, point: CrashPoint) -> (Gateway, Rc<Shared>) {
-    let mut events = vec![StoreEvent::Table(Rc::new(table()))];
+    let mut events = vec![StoreEvent::Table(Rc::new(table()), 1)];
     for n in 0..UPSTREAMS {
         let addr = engine(engines, point).await;
         events.push(StoreEvent::Upstream(registered(n, addr)));
--- a/src/forward/tests/departures.rs
+++ b/src/forward/tests/departures.rs
@@ -51,7 +51,7 @@
         Box::pin(async {
             let listing = Listing {
                 events: vec![
-                    StoreEvent::Table(Rc::new(table())),
+                    StoreEvent::Table(Rc::new(table()), 1),
                     StoreEvent::Upstream(upstream("leaves", UpstreamState::Ready, 1)),
                     StoreEvent::Upstream(upstream("stays", UpstreamState::Ready, 1)),
                 ],
@@ -79,6 +79,10 @@
         Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
     }
 
+    fn write_settled(&self, _settled: Era) -> LocalFuture<'_, StoreAnswer<u64>> {
+        Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
+    }
+
     fn write_evidence(&self, _write: EvidenceWrite) -> LocalFuture<'_, StoreAnswer<u64>> {
         Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
     }
--- a/src/forward/tests/endless.rs
+++ b/src/forward/tests/endless.rs
@@ -77,7 +77,7 @@
 async fn start_gateway(addrs: &[SocketAddr]) -> (Rc<Shared>, crate::forward::gateway::Gateway) {
     let upstreams = addrs.iter().enumerate();
     let upstreams = upstreams.map(|(n, addr)| StoreEvent::Upstream(registered(n, *addr)));
-    let events = std::iter::once(StoreEvent::Table(Rc::new(table()))).chain(upstreams);
+    let events = std::iter::once(StoreEvent::Table(Rc::new(table()), 1)).chain(upstreams);
     let control = FixedStore::open(events.collect());
     let shared = Shared::open(policy(), Box::new(control));
     let gateway = serve(Rc::clone(&shared));
--- a/src/forward/tests/fixture.rs
+++ b/src/forward/tests/fixture.rs
@@ -62,6 +62,10 @@
         Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
     }
 
+    fn write_settled(&self, _settled: Era) -> LocalFuture<'_, StoreAnswer<u64>> {
+        Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
+    }
+
     fn write_evidence(&self, _write: EvidenceWrite) -> LocalFuture<'_, StoreAnswer<u64>> {
         Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
     }
@@ -225,7 +229,7 @@
     let upstreams = upstreams.iter().enumerate();
     let upstreams =
         upstreams.map(|(n, upstream)| StoreEvent::Upstream(registered(n, upstream.addr)));
-    let table = StoreEvent::Table(Rc::new(table()));
+    let table = StoreEvent::Table(Rc::new(table()), 1);
     std::iter::once(table).chain(upstreams).collect()
 }
 
--- a/src/forward/tests/follow.rs
+++ b/src/forward/tests/follow.rs
@@ -71,6 +71,10 @@
         Box::pin(async { StoreAnswer::of(Ok(2), Era::UNNAMED) })
     }
 
+    fn write_settled(&self, _settled: Era) -> LocalFuture<'_, StoreAnswer<u64>> {
+        Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
+    }
+
     fn write_evidence(&self, _write: EvidenceWrite) -> LocalFuture<'_, StoreAnswer<u64>> {
         Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
     }
@@ -114,6 +118,10 @@
         Box::pin(async { StoreAnswer::missing(ControlPlaneError::Unavailable("refused".into())) })
     }
 
+    fn write_settled(&self, _settled: Era) -> LocalFuture<'_, StoreAnswer<u64>> {
+        Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
+    }
+
     fn write_evidence(&self, _write: EvidenceWrite) -> LocalFuture<'_, StoreAnswer<u64>> {
         Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
     }
@@ -158,6 +166,10 @@
         self.inner.write_rollout(write)
     }
 
+    fn write_settled(&self, _settled: Era) -> LocalFuture<'_, StoreAnswer<u64>> {
+        Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
+    }
+
     fn write_evidence(&self, _write: EvidenceWrite) -> LocalFuture<'_, StoreAnswer<u64>> {
         Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
     }
@@ -170,7 +182,7 @@
         let release = Rc::new(Notify::new());
         let gateway = start(DelayedStore {
             release: Rc::clone(&release),
-            inner: FixedStore::open(vec![StoreEvent::Table(Rc::new(table()))]),
+            inner: FixedStore::open(vec![StoreEvent::Table(Rc::new(table()), 1)]),
         });
         let mut stream = connect(gateway.addresses().listen).await;
         let request = message("GET", "/nowhere/", "");
--- a/src/forward/tests/model_store.rs
+++ b/src/forward/tests/model_store.rs
@@ -8,12 +8,12 @@
 use tokio::sync::Notify;
 
 use super::fixture::policy;
-use crate::forward::containment;
 use crate::forward::follow::{
     self, ControlPlane, ControlPlaneError, Listing, RolloutWrite, StoreAnswer, StoreEvent,
 };
 use crate::forward::rollouts::decide_rollouts;
 use crate::forward::shared::{Policy, Shared};
+use crate::forward::{containment, settle};
 use crate::kv::LocalFuture;
 use crate::router::history::Era;
 use crate::router::table::{ClientLimits, RouteTable};
@@ -26,7 +26,11 @@
 /// Time after which a gateway gives up a call that gets no answer.
 const CALL_TIMEOUT: Millis = Millis(700);
 
+/// Interval at which beacons tell a gateway the number of gateways.
+const REPORT_INTERVAL: Millis = Millis(500);
+
 const CONFIG_KEY: &str = "op/config";
+const SETTLED_KEY: &str = "own/settled";
 const UPSTREAM_PREFIX: &str = "servers/";
 const ORDER_PREFIX: &str = "op/rollout/";
 const STATUS_PREFIX: &str = "status/rollout/";
@@ -58,6 +62,10 @@
     era: Cell<u64>,
     is_away: Cell<bool>,
     changed: Notify,
+    /// When calls that read arrived.
+    reads: RefCell<Vec<Instant>>,
+    /// Records of settled eras that were written.
+    pub(super) settled_writes: Cell<u32>,
 }
 
 /// How a gateway reaches the store.
@@ -93,6 +101,8 @@
             era: Cell::new(1),
             is_away: Cell::new(false),
             changed: Notify::new(),
+            reads: RefCell::default(),
+            settled_writes: Cell::new(0),
         })
     }
 
@@ -107,7 +117,7 @@
     }
 
     pub(super) fn put_config(&self, version: u64) -> u64 {
-        self.put(StoreEvent::Table(config(version)))
+        self.put(StoreEvent::Table(config(version), 0))
     }
 
     fn change(&self, key: String, event: Option<StoreEvent>) -> u64 {
@@ -150,6 +160,18 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns the largest number of reads within a second since a moment.
+    pub(super) fn most_reads_in_a_second(&self, since: Instant) -> usize {
+        let reads = self.reads.borrow();
+        let first = reads.partition_point(|at| *at < since);
+        let reads = &reads[first..];
+        let count_from = |(n, at): (usize, &Instant)| {
+            let end = *at + Millis(1_000).duration();
+            reads[n..].partition_point(|at| *at < end)
+        };
+        reads.iter().enumerate().map(count_from).max().unwrap_or(0)
+    }
+
     fn listing(&self, prefix: &str) -> Listing {
         let present = self.present.borrow();
         let items = present
@@ -203,7 +225,7 @@
     }
 
     /// Carries a call to the store; fails if it does not arrive.
-    async fn send(&self) -> Result<(), ControlPlaneError> {
+    async fn send(&self, is_read: bool) -> Result<(), ControlPlaneError> {
         self.wait_while_frozen().await;
         sleep(LATENCY.duration()).await;
         if self.state.get() == LinkState::Silent {
@@ -212,6 +234,9 @@
         if self.state.get() != LinkState::Open || self.store.is_away.get() {
             return Err(ControlPlaneError::Unavailable("refused".into()));
         }
+        if is_read {
+            self.store.reads.borrow_mut().push(Instant::now());
+        }
         Ok(())
     }
 
@@ -232,7 +257,7 @@
         puts: Vec<StoreEvent>,
         deletes: Vec<String>,
     ) -> StoreAnswer<u64> {
-        if let Err(error) = self.send().await {
+        if let Err(error) = self.send(false).await {
             return StoreAnswer::missing(error);
         }
         let store = &self.store;
@@ -262,7 +287,7 @@
         Box::pin(async {
             let mut whole: Option<(Listing, Era)> = None;
             for prefix in PAGES {
-                if let Err(error) = self.send().await {
+                if let Err(error) = self.send(true).await {
                     return StoreAnswer::missing(error);
                 }
                 let answer = StoreAnswer::of(Ok(self.store.listing(prefix)), self.store.era());
@@ -295,7 +320,7 @@
 
     fn watch(&self, after: u64, wait: Millis) -> LocalFuture<'_, StoreAnswer<Listing>> {
         Box::pin(async move {
-            if let Err(error) = self.send().await {
+            if let Err(error) = self.send(true).await {
                 return StoreAnswer::missing(error);
             }
             let end = Instant::now() + wait.duration();
@@ -341,6 +366,11 @@
         Box::pin(self.write(Some(condition), puts, Vec::new()))
     }
 
+    fn write_settled(&self, settled: Era) -> LocalFuture<'_, StoreAnswer<u64>> {
+        self.store.settled_writes.update(|count| count + 1);
+        Box::pin(self.write(None, vec![StoreEvent::Settled(settled)], Vec::new()))
+    }
+
     fn write_evidence(&self, write: EvidenceWrite) -> LocalFuture<'_, StoreAnswer<u64>> {
         let (mut puts, mut deletes, mut condition) = (Vec::new(), Vec::new(), None);
         if let Some(change) = write.containment {
@@ -376,6 +406,7 @@
             actix_rt::spawn(follow::run(Rc::clone(&shared))),
             actix_rt::spawn(decide_rollouts(Rc::clone(&shared))),
             actix_rt::spawn(containment::run(Rc::clone(&shared))),
+            actix_rt::spawn(settle::run(Rc::clone(&shared))),
         ];
         Self {
             shared,
@@ -389,11 +420,22 @@
         let nodes = (0..count).map(|n| Self::start(store, &format!("g{n}")));
         let nodes: Vec<_> = nodes.collect();
         for node in &nodes {
-            node.shared.record_gateways(count, node.shared.clock.now());
+            node.tell_count(count);
         }
         nodes
     }
 
+    /// Keeps telling a gateway how many there are, as beacons do.
+    pub(super) fn tell_count(&self, count: u16) {
+        let shared = Rc::clone(&self.shared);
+        actix_rt::spawn(async move {
+            loop {
+                shared.record_gateways(count, shared.clock.now());
+                sleep(REPORT_INTERVAL.duration()).await;
+            }
+        });
+    }
+
     /// Returns the version of the configuration in force.
     pub(super) fn version(&self) -> u64 {
         self.shared.table.borrow().version
@@ -421,7 +463,8 @@
 
 fn key_of(event: &StoreEvent) -> String {
     match event {
-        StoreEvent::Table(_) => CONFIG_KEY.to_owned(),
+        StoreEvent::Settled(_) => SETTLED_KEY.to_owned(),
+        StoreEvent::Table(..) => CONFIG_KEY.to_owned(),
         StoreEvent::Upstream(upstream) => format!("{UPSTREAM_PREFIX}{}", upstream.id),
         StoreEvent::RolloutOrder { service, .. } => format!("{ORDER_PREFIX}{service}"),
         StoreEvent::RolloutPhase { service, .. } => format!("{STATUS_PREFIX}{service}"),
@@ -450,8 +493,9 @@
 
 fn with_revision(event: &StoreEvent, at: u64) -> StoreEvent {
     let mut event = event.clone();
-    if let StoreEvent::RolloutPhase { revision, .. } | StoreEvent::Contained { revision, .. } =
-        &mut event
+    if let StoreEvent::RolloutPhase { revision, .. }
+    | StoreEvent::Contained { revision, .. }
+    | StoreEvent::Table(_, revision) = &mut event
     {
         *revision = at;
     }
--- a/src/forward/tests/requests.rs
+++ b/src/forward/tests/requests.rs
@@ -398,7 +398,7 @@
         let mut table = fixture::table();
         table.limits.head_timeout = Millis(300);
         let mut events = fixture::events(&[&upstream]);
-        events.push(StoreEvent::Table(Rc::new(table)));
+        events.push(StoreEvent::Table(Rc::new(table), 1));
         let gateway = fixture::start(FixedStore::open(events));
         while !is_ready(&gateway).await {
             sleep(Millis(5).duration()).await;
--- a/src/forward/tests/restored.rs
+++ b/src/forward/tests/restored.rs
@@ -1,6 +1,6 @@
 //! A store that comes back from a copy: gateways must trust only what belongs to its present history.
 
-use actix_rt::time::sleep;
+use actix_rt::time::{Instant, sleep};
 
 use super::fixture::registered;
 use super::model_store::{LinkState, ModelStore, Node};
@@ -12,6 +12,9 @@
 /// Time within which a gateway must have the store's state again; the shortest bound of the deployments.
 const CATCH_UP: Millis = Millis(3_000);
 
+/// Reads a second that the stores of all deployments allow.
+const MAX_READS_PER_S: usize = 2_000;
+
 async fn pass(time: Millis) {
     sleep(time.duration()).await;
 }
@@ -110,3 +113,149 @@
         assert_eq!(seen, [["joins", "stays"]]);
     });
 }
+
+/// A gateway that starts on the older copy knows no better; it must not serve by it before the operator has written again.
+#[test]
+fn a_gateway_that_starts_on_the_older_copy_does_not_serve_by_it() {
+    run_paused(async {
+        let store = ModelStore::open();
+        store.put_config(1);
+        let copy = store.copy();
+        store.put_config(2);
+        store.take_away();
+        store.restore(&copy);
+
+        let node = Node::start(&store, "starts");
+        pass(Millis(1_900)).await;
+        let (early, is_loaded) = (node.version(), node.shared.is_loaded.get());
+        store.put_config(2);
+        pass(Millis(100)).await;
+
+        assert_eq!((early, is_loaded), (0, false));
+        assert_eq!((node.version(), node.shared.is_ready()), (2, true));
+    });
+}
+
+/// In a deployment whose store was restored long ago, a start must not wait: some gateway has recorded that the era is settled.
+#[test]
+fn a_gateway_that_starts_in_a_settled_era_serves_at_once() {
+    run_paused(async {
+        let store = ModelStore::open();
+        store.put_config(1);
+        let copy = store.copy();
+        let nodes = Node::start_all(&store, 3);
+        pass(Millis::from_secs(5)).await;
+        store.restore(&copy);
+        pass(Millis::from_secs(5)).await;
+
+        let node = Node::start(&store, "starts");
+        pass(Millis(100)).await;
+
+        assert!(node.shared.is_ready());
+        assert_eq!(node.version(), 1);
+        assert!(
+            store.settled_writes.get() <= 2 * 3,
+            "{}",
+            store.settled_writes.get()
+        );
+        drop(nodes);
+    });
+}
+
+/// A revoked key must stop working in time even if the revocation is not in the copy and a gateway has never seen it.
+#[test]
+fn the_older_copy_does_not_confirm_that_keys_are_current() {
+    run_paused(async {
+        let store = ModelStore::open();
+        store.put_config(1);
+        let node = Node::start(&store, "g");
+        pass(Millis::from_secs(5)).await;
+        let copy = store.copy();
+        node.link.set(LinkState::Frozen);
+        pass(Millis(100)).await;
+        // Takes a key away.
+        store.put_config(2);
+        let revoked_at = node.shared.clock.now();
+        pass(Millis(3_900)).await;
+        store.restore(&copy);
+        node.link.set(LinkState::Open);
+
+        let bound = node
+            .shared
+            .policy()
+            .key_revocation
+            .expect("keys have a bound");
+        let mut trusted_too_long = Millis(0);
+        for step in 0..60 {
+            if step == 19 {
+                store.put_config(2);
+            }
+            pass(Millis(100)).await;
+            let now = node.shared.clock.now();
+            let accepts_key = node.version() == 1 && node.shared.freshness.borrow().is_trusted(now);
+            if accepts_key {
+                trusted_too_long = trusted_too_long.max(now.since(revoked_at + bound));
+            }
+        }
+
+        assert_eq!(trusted_too_long, Millis(0));
+        assert!(node.shared.is_ready());
+        assert_eq!(node.version(), 2);
+    });
+}
+
+/// With few or many gateways, some of them silent, frozen or starting: what was confirmed is in force everywhere soon after it is
+/// written again, nothing older comes back meanwhile, and the listings do not exceed what the store allows.
+#[test]
+fn gateways_of_any_number_take_in_a_new_era_without_a_herd() {
+    for count in [3, 68, 410] {
+        run_paused(async {
+            let store = ModelStore::open();
+            store.put_config(1);
+            let mut nodes = Node::start_all(&store, count);
+            pass(Millis::from_secs(5)).await;
+            let copy = store.copy();
+            store.put_config(2);
+            pass(Millis::from_secs(3)).await;
+            for (n, node) in nodes.iter().enumerate() {
+                match n % 5 {
+                    0 => node.link.set(LinkState::Frozen),
+                    1 => node.link.set(LinkState::Silent),
+                    _ => {}
+                }
+            }
+            store.take_away();
+            pass(Millis::from_secs(2)).await;
+
+            let restored_at = Instant::now();
+            store.restore(&copy);
+            // Some processes start on the copy.
+            let last = nodes.len() - 1;
+            nodes[last] = Node::start(&store, "starts");
+            nodes[last].tell_count(count);
+            let mut versions = Vec::new();
+            for step in 0..80_u64 {
+                match step {
+                    10 => _ = store.put_config(2),
+                    25 => _ = store.put_config(3),
+                    30 => nodes.iter().for_each(|node| node.link.set(LinkState::Open)),
+                    _ => {}
+                }
+                pass(Millis(100)).await;
+                versions.extend(nodes.iter().map(Node::version));
+                if step == 30 + CATCH_UP.0 / 100 {
+                    assert!(nodes.iter().all(|node| node.version() == 3), "{count}");
+                }
+            }
+
+            versions.sort_unstable();
+            versions.dedup();
+            assert_eq!(versions, [0, 2, 3], "{count}");
+            let most = store.most_reads_in_a_second(restored_at);
+            assert!(
+                most <= MAX_READS_PER_S,
+                "{most} reads in a second by {count} gateways"
+            );
+        });
+    }
+}
--- a/src/platform/items.rs
+++ b/src/platform/items.rs
@@ -7,11 +7,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use crate::forward::follow::{RolloutStart, StoreEvent};
 use crate::router::fleet::{Upstream, UpstreamState};
+use crate::router::history::Era;
 use crate::router::rollout::Phase;
 use crate::router::table::{
     Account, ClientLimits, RequestKind, Route, RouteTable, ServiceSettings, Target,
@@ -35,6 +36,9 @@
 /// Prefix of the keys of the start times of roll-outs that the gateways record; the service follows.
 pub(super) const START_PREFIX: &str = "fireflywind/rollout/";
 
+/// Key of the last era that a gateway has found to be settled.
+pub(super) const SETTLED_KEY: &str = "fireflywind/settled";
+
 /// Error while decoding an item.
 #[derive(Debug)]
 pub struct InvalidItem(String);
@@ -57,7 +61,8 @@
 /// Returns an error if the value is not valid for its key.
 pub fn decode(key: &str, value: &[u8], revision: u64) -> Result<Option<StoreEvent>, InvalidItem> {
     if key == CONFIG_KEY {
-        return decode_config(value).map(|table| Some(StoreEvent::Table(Rc::new(table))));
+        let table = decode_config(value)?;
+        return Ok(Some(StoreEvent::Table(Rc::new(table), revision)));
     }
     if let Some(id) = key.strip_prefix(UPSTREAM_PREFIX) {
         return decode_upstream(id, value).map(|u| Some(StoreEvent::Upstream(u)));
@@ -88,6 +93,10 @@
         let record = serde_json::from_slice(value)?;
         return Ok(Some(StoreEvent::Contained { record, revision }));
     }
+    if key == SETTLED_KEY {
+        let settled: Settled = serde_json::from_slice(value)?;
+        return Ok(Some(StoreEvent::Settled(Era(settled.era))));
+    }
     if let Some(service) = key.strip_prefix(START_PREFIX) {
         let start: RolloutStart = serde_json::from_slice(value)?;
         return Ok(Some(StoreEvent::RolloutStart {
@@ -124,6 +133,20 @@
         .into_bytes()
 }
 
+/// The last settled era.
+#[derive(Serialize, Deserialize)]
+struct Settled {
+    era: u64,
+}
+
+/// Encodes the last settled era.
+#[must_use]
+pub fn encode_settled(era: Era) -> Vec<u8> {
+    serde_json::json!(Settled { era: era.0 })
+        .to_string()
+        .into_bytes()
+}
+
 #[derive(Deserialize)]
 struct Order {
     to: String,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -420,6 +420,32 @@
         })
     }
 
+    fn write_settled(&self, settled: Era) -> LocalFuture<'_, StoreAnswer<u64>> {
+        Box::pin(async move {
+            let value = BASE64.encode(items::encode_settled(settled));
+            let body = json!({
+                "precondition": [],
+                "puts": [{ "key": items::SETTLED_KEY, "value": value }],
+                "deletes": [],
+            });
+            let body = body.to_string();
+            let call = self.call(
+                CallKind::Write,
+                "POST",
+                "/api/kv-txn",
+                body.as_bytes(),
+                Millis(0),
+            );
+            match call.await {
+                Ok(response) => {
+                    let written = parse::<Written>(&response).map(|w| w.rev);
+                    StoreAnswer::of(written, response.era)
+                }
+                Err(error) => StoreAnswer::missing(error),
+            }
+        })
+    }
+
     fn write_evidence(&self, write: EvidenceWrite) -> LocalFuture<'_, StoreAnswer<u64>> {
         Box::pin(async {
             let mut era = None;
--- a/src/platform/tests/items.rs
+++ b/src/platform/tests/items.rs
@@ -29,7 +29,7 @@
 fn a_configuration_is_decoded_into_a_table() {
     let event = decode("op/config", CONFIG.as_bytes(), 1).expect("the input is valid");
 
-    let Some(StoreEvent::Table(table)) = event else {
+    let Some(StoreEvent::Table(table, _)) = event else {
         panic!("the item was not decoded as a configuration");
     };
     assert_eq!(table.version, 7);
@@ -70,7 +70,7 @@
 
     let event = decode("op/config", text.as_bytes(), 1).expect("the input is valid");
 
-    assert!(matches!(event, Some(StoreEvent::Table(table)) if !table.has_accounts()));
+    assert!(matches!(event, Some(StoreEvent::Table(table, _)) if !table.has_accounts()));
 }
 
 #[test]
--- a/src/router/history.rs
+++ b/src/router/history.rs
@@ -69,6 +69,14 @@
     Late,
 }
 
+/// Where a configuration was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct KnownConfig {
+    era: Era,
+    version: u64,
+    revision: u64,
+}
+
 /// The store's present history, as far as it is known. Times are of the gateway's clock.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct History {
@@ -81,6 +89,10 @@
     is_read: bool,
     /// Era that some gateway has recorded as settled.
     settled_era: Option<Era>,
+    /// The configuration that was read last.
+    config: Option<KnownConfig>,
+    /// Whether the operator has written the configuration in the present history.
+    is_config_written: bool,
 }
 
 impl History {
@@ -98,6 +110,7 @@
         self.learned_at = now;
         let revision = self.revision.take();
         self.is_read = false;
+        self.is_config_written = false;
         Sighting::New { replaces, revision }
     }
 
@@ -161,12 +174,48 @@
         self.settled_era = Some(era);
     }
 
-    /// Returns whether the present era is recorded as settled, so that gateways that start need not wait.
+    /// Returns whether the present history is settled and not recorded as such.
     #[must_use]
-    pub fn is_recorded_as_settled(&self) -> bool {
+    pub fn needs_settled_record(&self, now: Millis) -> bool {
+        self.era != Some(Era::UNNAMED) && self.is_settled(now) && !self.is_recorded_as_settled()
+    }
+
+    fn is_recorded_as_settled(&self) -> bool {
         self.era.is_some_and(|era| self.settled_era == Some(era))
     }
 
+    /// Records a configuration that was read from the present history, from a listing or as a change.
+    ///
+    /// Operators write again what a restore has lost. A change is such a write, and so is a listed configuration whose version
+    /// had another revision in the history that the copy was made of.
+    pub fn record_config(&mut self, version: u64, revision: u64, is_listed: bool) {
+        let Some(era) = self.era else {
+            return;
+        };
+        let is_rewritten = self.config.is_some_and(|known| {
+            known.era.0 + 1 == era.0 && known.version == version && known.revision != revision
+        });
+        self.is_config_written |= !is_listed || is_rewritten;
+        self.config = Some(KnownConfig {
+            era,
+            version,
+            revision,
+        });
+    }
+
+    /// Returns whether the present history has a configuration of this version or a later one.
+    #[must_use]
+    pub fn has_config(&self, version: u64) -> bool {
+        self.config
+            .is_some_and(|c| Some(c.era) == self.era && c.version >= version)
+    }
+
+    /// Returns whether the newest configuration that was confirmed before the present history is in it again.
+    #[must_use]
+    pub fn is_config_settled(&self, now: Millis) -> bool {
+        self.is_config_written || self.is_settled(now)
+    }
+
     /// Returns whether all that was confirmed before the present history is in it again.
     #[must_use]
     pub fn is_settled(&self, now: Millis) -> bool {
--- a/src/router/tests/history.rs
+++ b/src/router/tests/history.rs
@@ -104,3 +104,35 @@
 
     assert_eq!(spreads, [4, 12, 272, 1_640, 1_700].map(Millis));
 }
+
+/// The operator's own write is newer than any copy; the copy itself, and a write that a second restore may have lost, are not.
+#[test]
+fn a_configuration_confirms_itself_if_it_was_written_in_the_present_history() {
+    let restored = |known: (u64, u64), era: u64| {
+        let mut history = listed(1, 50);
+        history.record_config(known.0, known.1, true);
+        history.observe(Era(era), Millis(5_000), Millis(5_001));
+        history.accept(Read::List, Era(era), 40);
+        history
+    };
+    let now = Millis(5_002);
+    let mut from_copy = restored((7, 33), 2);
+    let mut written_again = restored((7, 33), 2);
+    let mut lost_twice = restored((7, 33), 3);
+    let mut newer_in_copy = restored((7, 33), 2);
+    let mut changed = restored((7, 33), 2);
+
+    from_copy.record_config(7, 33, true);
+    written_again.record_config(7, 36, true);
+    lost_twice.record_config(7, 36, true);
+    newer_in_copy.record_config(8, 36, true);
+    changed.record_config(3, 20, true);
+    changed.record_config(7, 41, false);
+
+    let settled = [from_copy, written_again, lost_twice, newer_in_copy, changed];
+    assert_eq!(
+        settled.map(|h| h.is_config_settled(now)),
+        [false, true, false, false, true]
+    );
+    assert!(from_copy.has_config(7) && !from_copy.has_config(8));
+}
