Let the test of revoked keys after a restore lose the revocation

The link is now silent, so the answer is lost; with the first listing taken as settled the key is trusted 800 ms too long, without it not at all.

--- a/src/forward/tests/restored.rs
+++ b/src/forward/tests/restored.rs
@@ -171,7 +171,7 @@
         let node = Node::start(&store, "g");
         pass(Millis::from_secs(5)).await;
         let copy = store.copy();
-        node.link.set(LinkState::Frozen);
+        node.link.set(LinkState::Silent);
         pass(Millis(100)).await;
         // Takes a key away.
         store.put_config(2);
