Record the outcome of a roll-out again after a restore

After a restore, the status of a roll-out that had ended went back to active or was gone, and no gateway wrote it again, since each remembered it as recorded; writes failed on revisions of the old history; an earlier order in the copy replaced the one that was in force; a gateway that had missed a completion could record a stop.

Cause: the recorded phase and its revision, the condition of the next write, were kept across histories.

Change: a new era drops the phases and revisions that were read; what had been recorded last stays in force and is recorded again with the new history's revisions. Until the history is settled nothing else is recorded; a bad version is stopped at the gateway alone. A listed order that a later one is known to have replaced waits until then. A write decided in one era and answered by another does not count. The revision of the record of the settled era is a further condition, so that a gateway that has not heard of a restore does not meet its condition by chance.

--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -56,8 +56,8 @@
 pub enum StoreEvent {
     /// The configuration of routes, services and accounts, and the revision of its record.
     Table(Rc<RouteTable>, u64),
-    /// The last era that a gateway has found to be settled.
-    Settled(Era),
+    /// The last era that a gateway has found to be settled, and the revision of that record.
+    Settled(Era, u64),
     /// The registration of an upstream.
     Upstream(Upstream),
     /// The registration of an upstream was removed.
@@ -177,6 +177,8 @@
     pub phase: Phase,
     /// Revision of the record that is replaced; 0 if there is none.
     pub revision: u64,
+    /// Revision of the record that the era is settled, if there is one: a further condition.
+    pub settled_revision: Option<u64>,
     /// Record of the start, written with the first phase.
     pub start: Option<RolloutStart>,
 }
@@ -398,12 +400,16 @@
                 (shared.history.borrow_mut()).record_config(table.version, revision, is_listed);
                 shared.offer_table(table);
             }
-            StoreEvent::Settled(era) => shared.history.borrow_mut().record_settled(era),
+            StoreEvent::Settled(era, revision) => {
+                shared.history.borrow_mut().record_settled(era, revision);
+            }
             StoreEvent::RolloutOrder { service, to, ramp } => {
-                shared
-                    .rollouts
-                    .borrow_mut()
-                    .add_order(&service, to, ramp, changed_at);
+                let mut rollouts = shared.rollouts.borrow_mut();
+                if kind == UpdateKind::FirstListing {
+                    rollouts.add_listed_order(&service, to, ramp, changed_at);
+                } else {
+                    rollouts.add_order(&service, to, ramp, changed_at);
+                }
             }
             StoreEvent::CrashReport(report) => shared.merge_crash_report(&report),
             StoreEvent::Contained { record, revision } => {
@@ -471,6 +477,7 @@
                 let replaces = replaces.map_or(-1, |era| i128::from(era.0));
                 log::warn!(event = "store_era", era:% = era, replaces = replaces, revision:? = revision,
                     table = self.table.borrow().version, call_age_ms = now.since(sent_at).0; "");
+                self.rollouts.borrow_mut().enter_history();
                 if replaces >= 0 {
                     self.metrics.count_event("store_restored");
                 }
--- a/src/forward/rollouts.rs
+++ b/src/forward/rollouts.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use crate::router::history::Standing;
 use crate::router::rollout::{Judged, Phase, Rollout};
 use crate::units::Millis;
 
@@ -21,14 +22,31 @@
     rollout: Rollout,
     /// Revision of the record of the phase; 0 before the first one.
     revision: u64,
-    /// Phase recorded in the store for this version, if any.
+    /// Phase that the present history of the store has for this version, if any.
     recorded_phase: Option<Phase>,
+    /// Phase that was recorded last for this version, in whatever history.
+    confirmed_phase: Option<Phase>,
     /// Whether a write is in progress.
     is_writing: bool,
     /// Version and phase of a record that arrived before its order.
     early_record: Option<(Rc<str>, Phase)>,
+    /// Versions that were ordered before, the last ones.
+    superseded: Vec<Rc<str>>,
+    /// An order that a restored store lists although a later one is known.
+    older_order: Option<Order>,
 }
 
+/// An operator's order to roll out a version.
+#[derive(Debug, Clone)]
+struct Order {
+    to: Rc<str>,
+    ramp: Millis,
+    ordered_at: Millis,
+}
+
+/// Maximum number of earlier orders of a service in memory; copies of the store are some seconds old.
+const MAX_SUPERSEDED: usize = 8;
+
 impl Rollouts {
     /// Creates a list without roll-outs.
     #[must_use]
@@ -60,9 +78,11 @@
     /// Starts a roll-out that was ordered at `now`; an order that is already known changes nothing.
     pub fn add_order(&mut self, service: &Rc<str>, to: Rc<str>, ramp: Millis, now: Millis) {
         let found = self.find(service);
-        if found.is_ok_and(|at| self.entries[at].rollout.to == to && self.entries[at].is_ordered())
-        {
-            return;
+        if let Ok(at) = found {
+            self.entries[at].older_order = None;
+            if self.entries[at].rollout.to == to && self.entries[at].is_ordered() {
+                return;
+            }
         }
         log::info!(event = "rollout_ordered", service:% = service, to:% = to, ramp_ms = ramp.0; "");
         let rollout = Rollout::new(to, now, ramp, self.exposure_permille);
@@ -73,8 +93,16 @@
                     .early_record
                     .take()
                     .filter(|(to, _)| *to == rollout.to);
+                if entry.is_ordered() {
+                    let before = Rc::clone(&entry.rollout.to);
+                    entry.superseded.retain(|to| *to != before);
+                    entry.superseded.push(before);
+                    let excess = entry.superseded.len().saturating_sub(MAX_SUPERSEDED);
+                    entry.superseded.drain(..excess);
+                }
                 entry.rollout = rollout;
                 entry.recorded_phase = early_record.map(|(_, phase)| phase);
+                entry.confirmed_phase = entry.recorded_phase;
                 if let Some(phase) = entry.recorded_phase {
                     entry.rollout.set_phase(phase);
                 }
@@ -83,6 +111,52 @@
         }
     }
 
+    /// Takes in an order that the first listing of a restored store has. One that a later order is known to have replaced waits
+    /// until the history is settled; the operator writes the later one again.
+    pub fn add_listed_order(
+        &mut self,
+        service: &Rc<str>,
+        to: Rc<str>,
+        ramp: Millis,
+        ordered_at: Millis,
+    ) {
+        if let Ok(at) = self.find(service) {
+            let entry = &mut self.entries[at];
+            if entry.is_ordered() && entry.rollout.to != to && entry.superseded.contains(&to) {
+                log::info!(event = "rollout_order_held", service:% = service, to:% = to, known:% = entry.rollout.to; "");
+                entry.older_order = Some(Order {
+                    to,
+                    ramp,
+                    ordered_at,
+                });
+                return;
+            }
+        }
+        self.add_order(service, to, ramp, ordered_at);
+    }
+
+    /// Forgets the records of the store, which has another history now. What was recorded is still in force and is recorded
+    /// again if the new history lacks it.
+    pub fn enter_history(&mut self) {
+        for entry in &mut self.entries {
+            entry.revision = 0;
+            entry.recorded_phase = None;
+            entry.early_record = None;
+        }
+    }
+
+    /// Puts orders into force that a restored store listed and nobody has replaced since.
+    fn release_orders(&mut self) {
+        let released = self.entries.iter_mut().filter_map(|entry| {
+            let order = entry.older_order.take()?;
+            Some((Rc::clone(&entry.service), order))
+        });
+        let released: Vec<_> = released.collect();
+        for (service, order) in released {
+            self.add_order(&service, order.to, order.ramp, order.ordered_at);
+        }
+    }
+
     /// Removes the order of a service and its roll-out.
     pub fn remove(&mut self, service: &str) {
         if let Ok(at) = self.find(service) {
@@ -111,6 +185,17 @@
                 log::info!(event = "rollout_state", service:% = service, to:% = to, phase:? = phase, revision = revision; "");
             }
             entry.recorded_phase = Some(phase);
+            // A decision that was confirmed is final; `Active` in a restored store is older.
+            if phase != Phase::Active || entry.confirmed_phase.is_none() {
+                if entry
+                    .confirmed_phase
+                    .is_some_and(|known| known != Phase::Active && known != phase)
+                {
+                    log::warn!(event = "rollout_disputed", service:% = service, to:% = to, phase:? = phase,
+                        confirmed_before:? = entry.confirmed_phase; "");
+                }
+                entry.confirmed_phase = Some(phase);
+            }
             entry.rollout.set_phase(phase);
         } else {
             entry.early_record = Some((Rc::clone(to), phase));
@@ -132,9 +217,20 @@
     }
 
     /// Returns the phases that are due to be recorded, and marks their writes as in progress.
-    pub fn due_writes(&mut self, now: Millis, unix: Millis) -> Vec<RolloutWrite> {
+    ///
+    /// Until a new history is settled, only what had been recorded before is recorded again: what other gateways have decided
+    /// may be missing in it.
+    pub fn due_writes(
+        &mut self,
+        now: Millis,
+        unix: Millis,
+        standing: Standing,
+    ) -> Vec<RolloutWrite> {
+        if standing == Standing::Settled {
+            self.release_orders();
+        }
         let due_writes = self.entries.iter_mut().filter_map(|entry| {
-            if entry.is_writing || !entry.is_ordered() {
+            if entry.is_writing || !entry.is_ordered() || standing == Standing::Unread {
                 return None;
             }
             if matches!(
@@ -143,9 +239,13 @@
             ) {
                 return None;
             }
-            // A stop that this gateway decided may not be recorded yet.
-            let decided = entry.rollout.decision(now);
-            let phase = decided.unwrap_or_else(|| entry.rollout.phase());
+            let phase = if standing == Standing::Settled {
+                // A stop that this gateway decided may not be recorded yet.
+                let decided = entry.rollout.decision(now);
+                decided.unwrap_or_else(|| entry.rollout.phase())
+            } else {
+                entry.confirmed_phase?
+            };
             if entry.recorded_phase == Some(phase) {
                 return None;
             }
@@ -159,6 +259,7 @@
                 to: Rc::clone(&entry.rollout.to),
                 phase,
                 revision: entry.revision,
+                settled_revision: None,
                 start,
             })
         });
@@ -191,6 +292,13 @@
         }
     }
 
+    /// Ends a write whose condition belongs to a history that has been replaced; its effect is unknown and is read from the store.
+    pub fn abandon_write(&mut self, write: &RolloutWrite) {
+        if let Ok(at) = self.find(&write.service) {
+            self.entries[at].is_writing = false;
+        }
+    }
+
     fn find(&self, service: &str) -> Result<usize, usize> {
         self.entries
             .binary_search_by(|k| k.service.as_ref().cmp(service))
@@ -204,8 +312,11 @@
             rollout,
             revision: 0,
             recorded_phase: None,
+            confirmed_phase: None,
             is_writing: false,
             early_record: None,
+            superseded: Vec::new(),
+            older_order: None,
         }
     }
 
@@ -247,9 +358,19 @@
         actix_rt::time::sleep(DECISION_INTERVAL.duration()).await;
         let (now, unix) = (shared.clock.now(), shared.clock.unix());
         sum_answer_counts(&shared, now);
-        let due_writes = shared.rollouts.borrow_mut().due_writes(now, unix);
-        for write in due_writes {
-            apply_decision(&shared, &write);
+        let (standing, era) = {
+            let history = shared.history.borrow();
+            (history.standing(now), history.era())
+        };
+        if standing != Standing::Settled {
+            stop_bad_versions(&shared, now);
+        }
+        let due_writes = (shared.rollouts.borrow_mut()).due_writes(now, unix, standing);
+        for mut write in due_writes {
+            write.settled_revision = shared.history.borrow().settled_revision();
+            if standing == Standing::Settled {
+                apply_decision(&shared, &write);
+            }
             let shared = Rc::clone(&shared);
             actix_rt::spawn(async move {
                 if write.phase != Phase::Reverted {
@@ -257,15 +378,24 @@
                     let pause = Millis(shared.draw() % max_write_jitter(write.phase, gateways).0);
                     actix_rt::time::sleep(pause.duration()).await;
                     let now = shared.clock.now();
-                    if shared.rollouts.borrow_mut().cancel_write(&write, now) {
+                    let is_present = shared.history.borrow().is_present(era);
+                    let mut rollouts = shared.rollouts.borrow_mut();
+                    if rollouts.cancel_write(&write, now) {
+                        return;
+                    }
+                    if !is_present {
+                        rollouts.abandon_write(&write);
                         return;
                     }
                 }
                 let sent_at = shared.clock.now();
                 let answer = shared.control.write_rollout(write.clone()).await;
                 shared.observe_era(answer.era, sent_at);
+                // The condition of the write belongs to the era in which it was decided.
+                let is_present = answer.era.is_none() || answer.era == era;
                 let result = answer.result;
                 let outcome = match &result {
+                    _ if !is_present => "answered by another history".to_owned(),
                     Ok(_) => "written".to_owned(),
                     Err(error) => error.to_string(),
                 };
@@ -282,7 +412,13 @@
                         actix_rt::time::sleep(pause.duration()).await;
                     }
                 }
-                shared.rollouts.borrow_mut().record_write(&write, &result);
+                let is_present = is_present && shared.history.borrow().is_present(era);
+                let mut rollouts = shared.rollouts.borrow_mut();
+                if is_present {
+                    rollouts.record_write(&write, &result);
+                } else {
+                    rollouts.abandon_write(&write);
+                }
             });
         }
     }
@@ -309,6 +445,16 @@
     }
 }
 
+/// Stops bad versions at this gateway alone; the decision is recorded once the store's history is settled.
+fn stop_bad_versions(shared: &Shared, now: Millis) {
+    for (service, rollout) in shared.rollouts.borrow_mut().active() {
+        if rollout.decision(now) == Some(Phase::Reverted) {
+            log::warn!(event = "rollout_stopped_here", service:% = service, to:% = rollout.to; "");
+            rollout.set_phase(Phase::Reverted);
+        }
+    }
+}
+
 /// Logs the evidence for a decision. A stop takes effect in this gateway before it is recorded, a completion
 /// only once it is recorded.
 fn apply_decision(shared: &Shared, write: &RolloutWrite) {
--- a/src/forward/settle.rs
+++ b/src/forward/settle.rs
@@ -35,11 +35,12 @@
         let answer = shared.control.write_settled(era).await;
         shared.observe_era(answer.era, sent_at);
         match answer.result {
-            // A write that a later history has taken in says nothing of that history.
-            Ok(_) => {
+            Ok(revision) if answer.era == Some(era) => {
                 log::info!(event = "store_settled", era:% = era; "");
-                shared.history.borrow_mut().record_settled(era);
+                shared.history.borrow_mut().record_settled(era, revision);
             }
+            // A later history that has taken the write in has yet to settle.
+            Ok(_) => {}
             Err(error) => {
                 log::info!(event = "store_settled_unrecorded", era:% = era, error:% = error; "");
             }
--- a/src/forward/tests/follow.rs
+++ b/src/forward/tests/follow.rs
@@ -15,7 +15,7 @@
 use crate::forward::rollouts::{Rollouts, decide_rollouts, max_write_jitter};
 use crate::forward::shared::Shared;
 use crate::kv::LocalFuture;
-use crate::router::history::Era;
+use crate::router::history::{Era, Standing};
 use crate::router::rollout::{Answer, Phase, RequestProfile};
 use crate::suspect::EvidenceWrite;
 use crate::units::Millis;
@@ -209,15 +209,23 @@
     let mut rollouts = Rollouts::new(150);
     let (service, to): (Rc<str>, Rc<str>) = ("pool".into(), "v2".into());
     rollouts.add_order(&service, Rc::clone(&to), Millis::from_secs(24), Millis(0));
-    let due_writes = rollouts.due_writes(Millis(10), Millis(10));
+    let due_writes = rollouts.due_writes(Millis(10), Millis(10), Standing::Settled);
 
     let is_cancelled_early = rollouts.cancel_write(&due_writes[0], Millis(20));
     rollouts.set_phase(&service, &to, Phase::Active, 7);
     let is_cancelled = rollouts.cancel_write(&due_writes[0], Millis(20));
 
     assert!(!is_cancelled_early && is_cancelled);
-    assert!(rollouts.due_writes(Millis(20), Millis(20)).is_empty());
-    let complete = rollouts.due_writes(Millis::from_secs(24), Millis::from_secs(24));
+    assert!(
+        rollouts
+            .due_writes(Millis(20), Millis(20), Standing::Settled)
+            .is_empty()
+    );
+    let complete = rollouts.due_writes(
+        Millis::from_secs(24),
+        Millis::from_secs(24),
+        Standing::Settled,
+    );
     assert_eq!(complete.len(), 1);
     assert_eq!(
         (complete[0].phase, complete[0].revision),
@@ -233,7 +241,7 @@
     let end = Millis::from_secs(24);
     rollouts.add_order(&service, Rc::clone(&to), end, Millis(0));
     rollouts.set_phase(&service, &to, Phase::Active, 7);
-    let complete = rollouts.due_writes(end, end);
+    let complete = rollouts.due_writes(end, end, Standing::Settled);
     for _ in 0..10 {
         let rollout = rollouts.get_mut("pool").expect("the roll-out was ordered");
         rollout.observe("v2", PROFILE, Answer::Failed, end);
@@ -242,7 +250,10 @@
     let is_cancelled = rollouts.cancel_write(&complete[0], end);
 
     assert!(is_cancelled);
-    assert_eq!(rollouts.due_writes(end, end)[0].phase, Phase::Reverted);
+    assert_eq!(
+        rollouts.due_writes(end, end, Standing::Settled)[0].phase,
+        Phase::Reverted
+    );
 }
 
 /// The time of a roll-out runs from the order, not from the moment at which a gateway reads it.
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -10,4 +10,5 @@
 mod parsers;
 mod requests;
 mod restored;
+mod restored_rollouts;
 mod stop;
--- a/src/forward/tests/model_store.rs
+++ b/src/forward/tests/model_store.rs
@@ -253,7 +253,7 @@
 
     async fn write(
         &self,
-        condition: Option<(String, u64)>,
+        conditions: Vec<(String, u64)>,
         puts: Vec<StoreEvent>,
         deletes: Vec<String>,
     ) -> StoreAnswer<u64> {
@@ -261,9 +261,9 @@
             return StoreAnswer::missing(error);
         }
         let store = &self.store;
-        let is_met = condition.is_none_or(|(key, expected)| {
-            let present = store.get(&key).map_or(0, |(_, revision)| revision);
-            present == expected
+        let is_met = conditions.iter().all(|(key, expected)| {
+            let present = store.get(key).map_or(0, |(_, revision)| revision);
+            present == *expected
         });
         let result = if is_met {
             for key in &deletes {
@@ -351,7 +351,8 @@
 
     fn write_rollout(&self, write: RolloutWrite) -> LocalFuture<'_, StoreAnswer<u64>> {
         let (service, to) = (Rc::clone(&write.service), Rc::clone(&write.to));
-        let condition = (format!("{STATUS_PREFIX}{service}"), write.revision);
+        let mut conditions = vec![(format!("{STATUS_PREFIX}{service}"), write.revision)];
+        conditions.extend((write.settled_revision).map(|rev| (SETTLED_KEY.to_owned(), rev)));
         let mut puts = vec![StoreEvent::RolloutPhase {
             service: Rc::clone(&service),
             to,
@@ -363,19 +364,23 @@
                 .start
                 .map(|start| StoreEvent::RolloutStart { service, start }),
         );
-        Box::pin(self.write(Some(condition), puts, Vec::new()))
+        Box::pin(self.write(conditions, puts, Vec::new()))
     }
 
     fn write_settled(&self, settled: Era) -> LocalFuture<'_, StoreAnswer<u64>> {
         self.store.settled_writes.update(|count| count + 1);
-        Box::pin(self.write(None, vec![StoreEvent::Settled(settled)], Vec::new()))
+        Box::pin(self.write(
+            Vec::new(),
+            vec![StoreEvent::Settled(settled, 0)],
+            Vec::new(),
+        ))
     }
 
     fn write_evidence(&self, write: EvidenceWrite) -> LocalFuture<'_, StoreAnswer<u64>> {
-        let (mut puts, mut deletes, mut condition) = (Vec::new(), Vec::new(), None);
+        let (mut puts, mut deletes, mut conditions) = (Vec::new(), Vec::new(), Vec::new());
         if let Some(change) = write.containment {
             let key = format!("{CONTAINED_PREFIX}{}", change.key);
-            condition = Some((key.clone(), change.revision));
+            conditions.push((key.clone(), change.revision));
             match change.record {
                 Some(record) => puts.push(StoreEvent::Contained {
                     record,
@@ -385,7 +390,7 @@
             }
         }
         puts.push(StoreEvent::CrashReport(write.report));
-        Box::pin(self.write(condition, puts, deletes))
+        Box::pin(self.write(conditions, puts, deletes))
     }
 }
 
@@ -463,7 +468,7 @@
 
 fn key_of(event: &StoreEvent) -> String {
     match event {
-        StoreEvent::Settled(_) => SETTLED_KEY.to_owned(),
+        StoreEvent::Settled(..) => SETTLED_KEY.to_owned(),
         StoreEvent::Table(..) => CONFIG_KEY.to_owned(),
         StoreEvent::Upstream(upstream) => format!("{UPSTREAM_PREFIX}{}", upstream.id),
         StoreEvent::RolloutOrder { service, .. } => format!("{ORDER_PREFIX}{service}"),
@@ -495,7 +500,8 @@
     let mut event = event.clone();
     if let StoreEvent::RolloutPhase { revision, .. }
     | StoreEvent::Contained { revision, .. }
-    | StoreEvent::Table(_, revision) = &mut event
+    | StoreEvent::Table(_, revision)
+    | StoreEvent::Settled(_, revision) = &mut event
     {
         *revision = at;
     }
--- a/src/platform/items.rs
+++ b/src/platform/items.rs
@@ -95,7 +95,7 @@
     }
     if key == SETTLED_KEY {
         let settled: Settled = serde_json::from_slice(value)?;
-        return Ok(Some(StoreEvent::Settled(Era(settled.era))));
+        return Ok(Some(StoreEvent::Settled(Era(settled.era), revision)));
     }
     if let Some(service) = key.strip_prefix(START_PREFIX) {
         let start: RolloutStart = serde_json::from_slice(value)?;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -273,8 +273,10 @@
             let start_key = format!("{}{}", items::START_PREFIX, write.service);
             puts.push(json!({ "key": start_key, "value": BASE64.encode(value) }));
         }
+        let mut conditions = vec![json!({ "key": key, "rev": write.revision })];
+        conditions.extend(settled_condition(write.settled_revision));
         let body = json!({
-            "precondition": [{ "key": key, "rev": write.revision }],
+            "precondition": conditions,
             "puts": puts,
             "deletes": [],
         });
@@ -467,6 +469,11 @@
     })
 }
 
+/// Returns the condition that the record of the settled era has this revision.
+fn settled_condition(revision: Option<u64>) -> Option<serde_json::Value> {
+    revision.map(|revision| json!({ "key": items::SETTLED_KEY, "rev": revision }))
+}
+
 fn decode_into(items: Vec<Item>, listing: &mut Listing) {
     for item in items {
         if item.tombstone {
--- a/src/platform/tests/store.rs
+++ b/src/platform/tests/store.rs
@@ -154,6 +154,7 @@
         to: "v2".into(),
         phase: Phase::Active,
         revision: 3,
+        settled_revision: Some(2),
         start: Some(RolloutStart {
             to: "v2".to_owned(),
             started_unix_ms: 1,
@@ -223,7 +224,7 @@
         assert_eq!(revision, Ok(9));
         let requests = requests.borrow();
         assert!(requests[0].starts_with("POST /api/kv-txn "));
-        assert!(requests[0].contains(r#""precondition":[{"key":"status/rollout/x","rev":3}]"#));
+        assert!(requests[0].contains(r#""precondition":[{"key":"status/rollout/x","rev":3},{"key":"fireflywind/settled","rev":2}]"#));
         assert!(requests[0].contains("fireflywind/rollout/x"));
     });
 }
--- a/src/router/history.rs
+++ b/src/router/history.rs
@@ -69,6 +69,17 @@
     Late,
 }
 
+/// How far the present history can be relied on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Its items have not been listed; nothing is known of its records.
+    Unread,
+    /// Its items are known, but it may lack what was confirmed before.
+    Unsettled,
+    /// It has all that was confirmed.
+    Settled,
+}
+
 /// Where a configuration was read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct KnownConfig {
@@ -87,8 +98,8 @@
     revision: Option<u64>,
     /// Whether the era's items have been listed.
     is_read: bool,
-    /// Era that some gateway has recorded as settled.
-    settled_era: Option<Era>,
+    /// Era that some gateway has recorded as settled, and the revision of that record.
+    settled_record: Option<(Era, u64)>,
     /// The configuration that was read last.
     config: Option<KnownConfig>,
     /// Whether the operator has written the configuration in the present history.
@@ -169,9 +180,19 @@
         era.is_some() && self.era == era
     }
 
-    /// Records that some gateway has found an era to be settled.
-    pub const fn record_settled(&mut self, era: Era) {
-        self.settled_era = Some(era);
+    /// Takes in the record, with its revision, that some gateway has found an era to be settled.
+    pub const fn record_settled(&mut self, era: Era, revision: u64) {
+        self.settled_record = Some((era, revision));
+    }
+
+    /// Returns the revision of the record that the present era is settled.
+    ///
+    /// As a further condition of a write it keeps a gateway that has not heard of a restore from meeting its condition by
+    /// chance: the next settled era replaces the record.
+    #[must_use]
+    pub fn settled_revision(&self) -> Option<u64> {
+        let (era, revision) = self.settled_record?;
+        (self.era == Some(era)).then_some(revision)
     }
 
     /// Returns whether the present history is settled and not recorded as such.
@@ -181,7 +202,7 @@
     }
 
     fn is_recorded_as_settled(&self) -> bool {
-        self.era.is_some_and(|era| self.settled_era == Some(era))
+        self.settled_revision().is_some()
     }
 
     /// Records a configuration that was read from the present history, from a listing or as a change.
@@ -222,6 +243,16 @@
         self.settles_in(now) == Some(Millis(0))
     }
 
+    /// Returns how far the present history can be relied on.
+    #[must_use]
+    pub fn standing(&self, now: Millis) -> Standing {
+        match (self.is_read, self.is_settled(now)) {
+            (false, _) => Standing::Unread,
+            (true, false) => Standing::Unsettled,
+            (true, true) => Standing::Settled,
+        }
+    }
+
     /// Returns the time until the present history is settled; `None` if there was no answer yet.
     #[must_use]
     pub fn settles_in(&self, now: Millis) -> Option<Millis> {
--- a/src/router/tests/history.rs
+++ b/src/router/tests/history.rs
@@ -88,9 +88,9 @@
     let by_time = [Millis(2), settled_at].map(|now| history.is_settled(now));
     history.observe(Era(2), Millis(5_000), Millis(5_001));
     let after_restore = history.is_settled(Millis(5_002));
-    history.record_settled(Era(1));
+    history.record_settled(Era(1), 51);
     let by_old_record = history.is_settled(Millis(5_002));
-    history.record_settled(Era(2));
+    history.record_settled(Era(2), 30);
 
     assert_eq!(by_time, [false, true]);
     assert!(!after_restore && !by_old_record);
