Keep containments over a restore, and drop leases of another era

What callers saw: possible, shown by tests. After a restore, requests that crash upstreams ran again: records of containments that the copy lacked counted as removed, older ones came back with their trials, and reports of crashes were never written again. A lease number that the restored store gives out again to another was used for new reports, which then ended with that lease.

Cause: records were compared by revisions of another history, and the lease was kept by age alone.

Change: with a new era, recorded containments stay in force and are recorded again with the new history's revisions, at times that differ between gateways; a record with fewer trials does not replace a known one; claims of trials are given up; each gateway reports its crashes again. A lease is used only within the era that granted it, and a write that another era has answered does not count.

--- a/src/forward/containment.rs
+++ b/src/forward/containment.rs
@@ -5,6 +5,7 @@
 use actix_rt::time::{sleep, timeout};
 
 use crate::router::fleet::Upstream;
+use crate::router::history::Standing;
 use crate::suspect::{
     ContainmentRecord, Decision, EvidenceWrite, Feature, Report, RunEnd, WriteResult,
 };
@@ -163,18 +164,26 @@
         }
         shared.evidence.borrow_mut().expire(unix);
         shared.log_contained(contained);
+        if shared.history.borrow().standing(now) == Standing::Unread {
+            continue;
+        }
         let due = (shared.evidence.borrow_mut()).due_write(unix, shared.gateways(now));
-        if let Some(write) = due {
+        if let Some(mut write) = due {
+            write.settled_revision = shared.history.borrow().settled_revision();
             actix_rt::spawn(write_evidence(Rc::clone(&shared), write));
         }
     }
 }
 
 async fn write_evidence(shared: Rc<Shared>, write: EvidenceWrite) {
-    let sent_at = shared.clock.now();
+    let (sent_at, era) = (shared.clock.now(), shared.history.borrow().era());
     let answer = shared.control.write_evidence(write.clone()).await;
     shared.observe_era(answer.era, sent_at);
-    let result = answer.result;
+    let result = match answer.result {
+        // The condition of the write belongs to the era in which it was decided.
+        Ok(_) if answer.era != era => Err(ControlPlaneError::HistoryChanged),
+        result => result,
+    };
     let outcome = match &result {
         Ok(_) => "written".to_owned(),
         Err(error) => error.to_string(),
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -478,6 +478,8 @@
                 log::warn!(event = "store_era", era:% = era, replaces = replaces, revision:? = revision,
                     table = self.table.borrow().version, call_age_ms = now.since(sent_at).0; "");
                 self.rollouts.borrow_mut().enter_history();
+                let (unix, gateways) = (self.clock.unix(), self.sharing(now).gateways);
+                self.evidence.borrow_mut().enter_history(unix, gateways);
                 if replaces >= 0 {
                     self.metrics.count_event("store_restored");
                 }
--- a/src/forward/tests/model_store.rs
+++ b/src/forward/tests/model_store.rs
@@ -381,6 +381,7 @@
         if let Some(change) = write.containment {
             let key = format!("{CONTAINED_PREFIX}{}", change.key);
             conditions.push((key.clone(), change.revision));
+            conditions.extend((write.settled_revision).map(|rev| (SETTLED_KEY.to_owned(), rev)));
             match change.record {
                 Some(record) => puts.push(StoreEvent::Contained {
                     record,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -52,8 +52,10 @@
     read_conn: RefCell<Option<Conn>>,
     write_conn: RefCell<Option<Conn>>,
     last_call_failed: Cell<bool>,
-    /// Lease of what is written last, and when it was taken.
-    lease: Cell<Option<(u64, Instant)>>,
+    /// Lease of what is written last, if its history is still the store's.
+    lease: Cell<Option<HeldLease>>,
+    /// Era of the last answer.
+    era: Cell<Option<Era>>,
 }
 
 #[derive(Deserialize)]
@@ -93,6 +95,14 @@
     rev: u64,
 }
 
+/// A lease that the store has granted.
+#[derive(Debug, Clone, Copy)]
+struct HeldLease {
+    lease: u64,
+    taken_at: Instant,
+    era: Era,
+}
+
 /// An answer of the store.
 struct Response {
     status: u16,
@@ -117,6 +127,7 @@
             write_conn: RefCell::new(None),
             last_call_failed: Cell::new(false),
             lease: Cell::new(None),
+            era: Cell::new(None),
         }
     }
 
@@ -151,6 +162,7 @@
         let exchanged = with_timeout(wait + TOTAL_ANSWER_TIMEOUT, exchanged).await;
         match exchanged.and_then(|result| result) {
             Ok((response, conn)) => {
+                self.era.set(Some(response.era));
                 *idle_conn.borrow_mut() = conn;
                 self.last_call_failed.set(false);
                 Ok(response)
@@ -312,6 +324,7 @@
         if let Some(change) = &write.containment {
             let key = format!("{}{}", items::CONTAINED_PREFIX, change.key);
             conditions.push(json!({ "key": key, "rev": change.revision }));
+            conditions.extend(settled_condition(write.settled_revision));
             match &change.record {
                 Some(record) => puts.push(put(key, serde_json::to_vec(record))?),
                 None => deletes.push(key),
@@ -338,10 +351,12 @@
 
     /// Returns the lease of the gateway's evidence; a new one is taken when the last one is old.
     async fn lease(&self, era: &mut Option<Era>) -> Result<u64, ControlPlaneError> {
-        if let Some((lease, taken_at)) = self.lease.get()
-            && taken_at.elapsed() < MAX_LEASE_AGE.duration()
+        // A restored store gives the number of a lease out again, to others.
+        if let Some(held) = self.lease.get()
+            && held.taken_at.elapsed() < MAX_LEASE_AGE.duration()
+            && self.era.get() == Some(held.era)
         {
-            return Ok(lease);
+            return Ok(held.lease);
         }
         let taken_at = Instant::now();
         let body = json!({ "ttlMs": LEASE_LIFETIME.0 }).to_string();
@@ -355,7 +370,11 @@
         let response = call.await?;
         *era = Some(response.era);
         let lease = parse::<Lease>(&response)?.lease;
-        self.lease.set(Some((lease, taken_at)));
+        self.lease.set(Some(HeldLease {
+            lease,
+            taken_at,
+            era: response.era,
+        }));
         Ok(lease)
     }
 }
--- a/src/platform/tests/store.rs
+++ b/src/platform/tests/store.rs
@@ -13,14 +13,23 @@
     ControlPlane, ControlPlaneError, RolloutStart, RolloutWrite, StoreEvent,
 };
 use crate::platform::store::Store;
+use crate::router::history::Era;
 use crate::router::rollout::Phase;
 use crate::suspect::{
     ContainmentRecord, ContainmentWrite, CrashRecord, EvidenceWrite, Feature, Report, Survival,
 };
 use crate::units::Millis;
 
-/// Starts a store that returns these answers in turn, repeats the last one, and records the requests.
+/// Starts a store that returns these answers in turn, repeats the last one, and records the requests. It names no eras.
 async fn start_store(answers: Vec<(u16, String)>) -> (SocketAddr, Rc<RefCell<Vec<String>>>) {
+    let answers = answers.into_iter().map(|answer| (0, answer));
+    start_restored_store(answers.collect()).await
+}
+
+/// Starts a store like [`start_store`] that names the era of each answer, unless it is 0.
+async fn start_restored_store(
+    answers: Vec<(u64, (u16, String))>,
+) -> (SocketAddr, Rc<RefCell<Vec<String>>>) {
     let listener = TcpListener::bind("127.0.0.1:0")
         .await
         .expect("loopback can be bound");
@@ -42,9 +51,13 @@
                     let text = String::from_utf8_lossy(&buf[..length]).into_owned();
                     let next = recorded.borrow().len().min(answers.len() - 1);
                     recorded.borrow_mut().push(text);
-                    let (status, body) = &answers[next];
+                    let (era, (status, body)) = &answers[next];
+                    let era = match era {
+                        0 => String::new(),
+                        era => format!("Store-Era: {era}\r\n"),
+                    };
                     let answer = format!(
-                        "HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n{body}",
+                        "HTTP/1.1 {status} X\r\n{era}Content-Length: {}\r\n\r\n{body}",
                         body.len()
                     );
                     if stream.write_all(answer.as_bytes()).await.is_err() {
@@ -260,6 +273,7 @@
         let store = Rc::new(Store::open(addr));
         let record = containment();
         let write = |containment| EvidenceWrite {
+            settled_revision: None,
             gateway: "g1".into(),
             report: Report::default(),
             containment,
@@ -356,3 +370,77 @@
         gateway: "g1".into(),
     }
 }
+
+/// A refusal names the era too; without the header there is a single one.
+#[test]
+fn each_answer_names_its_era() {
+    run(async {
+        let busy = (503, "{}".to_owned());
+        let lost = (410, "{}".to_owned());
+        let answers = vec![(7, busy), (8, lost), (0, page(&[], false, 4))];
+        let (addr, _) = start_restored_store(answers).await;
+        let store = Rc::new(Store::open(addr));
+
+        let refused = store.list().await;
+        let lost = store.watch(4, Millis(0)).await;
+        let unnamed = store.list().await;
+
+        assert_eq!(
+            [refused.era, lost.era, unnamed.era],
+            [7, 8, 0].map(|era| Some(Era(era)))
+        );
+        assert_eq!(lost.result.err(), Some(ControlPlaneError::HistoryLost));
+        assert!(refused.result.is_err() && unnamed.result.is_ok());
+    });
+}
+
+/// Half of a listing from before a restore and half from after it is no state that the store ever had.
+#[test]
+fn pages_of_two_eras_are_not_joined() {
+    run(async {
+        let answers = vec![(1, page(&[], false, 90)), (2, page(&[], false, 40))];
+        let (addr, _) = start_restored_store(answers).await;
+
+        let list = Rc::new(Store::open(addr)).list().await;
+
+        assert_eq!(list.result.err(), Some(ControlPlaneError::HistoryChanged));
+        assert_eq!(list.era, Some(Era(2)));
+    });
+}
+
+/// A restored store gives the number of a lease out again; what is written under it would end with another's lease.
+#[test]
+fn a_lease_of_another_era_is_not_used() {
+    run(async {
+        let lease = |id: u64| (200, format!(r#"{{"lease":{id},"ttlMs":600000}}"#));
+        let written = || (200, r#"{"rev":9}"#.to_owned());
+        let answers = vec![
+            (1, lease(5)),
+            (1, written()),
+            (2, page(&[], false, 3)),
+            (2, page(&[], false, 3)),
+            (2, page(&[], false, 3)),
+            (2, page(&[], false, 3)),
+            (2, page(&[], false, 3)),
+            (2, lease(6)),
+            (2, written()),
+        ];
+        let (addr, requests) = start_restored_store(answers).await;
+        let store = Rc::new(Store::open(addr));
+        let write = || EvidenceWrite {
+            gateway: "g".into(),
+            report: Report::default(),
+            containment: None,
+            settled_revision: None,
+        };
+
+        let first = store.write_evidence(write()).await;
+        let listed = store.list().await;
+        let second = store.write_evidence(write()).await;
+
+        assert_eq!([first.result, second.result], [Ok(9), Ok(9)]);
+        assert_eq!(listed.result.map(|l| l.revision), Ok(3));
+        let requests = requests.borrow();
+        assert!(requests[1].contains(r#""lease":5"#) && requests[8].contains(r#""lease":6"#));
+    });
+}
--- a/src/suspect/evidence.rs
+++ b/src/suspect/evidence.rs
@@ -10,6 +10,7 @@
 use crate::router::{hash, mix};
 use crate::units::Millis;
 
+use super::stored::Stored;
 use super::verdict::{self, CRASHES_TO_CONTAIN, Survivals};
 use super::{
     ContainmentRecord, ContainmentWrite, CrashRecord, Decision, EvidenceWrite, Feature, Refusal,
@@ -95,8 +96,7 @@
 struct Containment {
     key: Feature,
     record: ContainmentRecord,
-    /// Revision of the record in the store; `None` if it is not recorded.
-    revision: Option<u64>,
+    stored: Stored,
     /// Whether a request has asked for the trial that is due.
     is_trial_wanted: bool,
     /// Until when this gateway may send a request as a trial.
@@ -138,6 +138,8 @@
     containments: Vec<Containment>,
     has_unreported_crash: bool,
     next_report: Millis,
+    /// When records that a restored store lacks are written again.
+    rewrite_at: Millis,
     is_writing: bool,
     started_at: Millis,
     is_warm: bool,
@@ -156,6 +158,7 @@
             containments: Vec::new(),
             has_unreported_crash: false,
             next_report: Millis(0),
+            rewrite_at: Millis(0),
             is_writing: false,
             started_at: now,
             is_warm: false,
@@ -265,26 +268,54 @@
         match self.containments.binary_search_by_key(&key, |c| c.key) {
             Ok(at) => {
                 let known = &mut self.containments[at];
-                if known.revision.is_none_or(|r| r < revision) {
-                    known.revision = Some(revision);
-                    known.record = record;
-                    known.is_trial_wanted = false;
+                if !known.stored.is_before(revision) {
+                    return;
                 }
+                let progress = |r: &ContainmentRecord| (r.trials, r.last_crash);
+                if matches!(known.stored, Stored::Behind(_))
+                    && progress(&record) < progress(&known.record)
+                {
+                    known.stored = Stored::Behind(revision);
+                    return;
+                }
+                known.stored = Stored::At(revision);
+                known.record = record;
+                known.is_trial_wanted = false;
             }
-            Err(at) => self.insert_containment(at, key, record, Some(revision)),
+            Err(at) => self.insert_containment(at, key, record, Stored::At(revision)),
         }
     }
 
     /// Applies the removal of a record.
     pub fn remove(&mut self, key: Feature) {
         self.containments
-            .retain(|c| c.key != key || c.revision.is_none());
+            .retain(|c| c.key != key || c.stored == Stored::Nothing);
     }
 
     /// Applies a full listing: records that are not in it were removed.
     pub fn retain_listed(&mut self, listed: &[Feature]) {
         self.containments
-            .retain(|c| c.revision.is_none() || listed.contains(&c.key));
+            .retain(|c| !matches!(c.stored, Stored::At(_)) || listed.contains(&c.key));
+    }
+
+    /// Takes in that the store has another history now, which may lack reports and records, and none of whose revisions are known.
+    ///
+    /// What was recorded stays in force. It is recorded again, and so is this gateway's report, at a time that differs between
+    /// the gateways.
+    pub fn enter_history(&mut self, now: Millis, gateways: u64) {
+        let spread = RECORD_DELAY.max(Millis(REPORT_INTERVAL_PER_GATEWAY.0 * gateways));
+        let delay = Millis(hash(self.gateway.as_bytes()) % spread.0);
+        self.rewrite_at = now + delay;
+        self.next_report = self.next_report.max(self.rewrite_at);
+        self.has_unreported_crash |= !self.own.is_empty();
+        for containment in &mut self.containments {
+            if containment.stored != Stored::Nothing {
+                containment.stored = Stored::Behind(0);
+            }
+            // The claim of a trial is gone as well; another gateway may claim it again.
+            containment.is_trial_wanted = false;
+            containment.trial_until = None;
+        }
     }
 
     /// Decides whether a request with these features, sorted, may be sent.
@@ -306,7 +337,7 @@
         {
             return Decision::Trial(containment.key);
         }
-        let is_recorded = containment.revision.is_some();
+        let is_recorded = matches!(containment.stored, Stored::At(_));
         containment.is_trial_wanted |= is_recorded && now >= containment.record.next_trial;
         let record = &containment.record;
         Decision::Refuse(Refusal {
@@ -333,6 +364,7 @@
         let interval = REPORT_INTERVAL_PER_GATEWAY.0 * gateways;
         self.next_report = now + REPORT_INTERVAL.max(Millis(interval));
         Some(EvidenceWrite {
+            settled_revision: None,
             gateway: Rc::clone(&self.gateway),
             report: Report {
                 crashes: self.own.clone(),
@@ -377,9 +409,9 @@
         };
         let containment = &mut self.containments[at];
         let is_trial = record.trials > containment.record.trials;
-        if containment.revision.is_none_or(|r| r < revision) {
+        if containment.stored.is_before(revision) {
             containment.record = record.clone();
-            containment.revision = Some(revision);
+            containment.stored = Stored::At(revision);
         }
         containment.is_trial_wanted = false;
         if is_trial {
@@ -435,7 +467,10 @@
 
     /// Returns the features of a recorded containment that explains a crash.
     fn explanation(&self, crash: &CrashRecord) -> Option<Vec<Feature>> {
-        let recorded = self.containments.iter().filter(|c| c.revision.is_some());
+        let recorded = self
+            .containments
+            .iter()
+            .filter(|c| c.stored != Stored::Nothing);
         recorded
             .map(|c| self.active_features(c))
             .find(|active| !active.is_empty() && contains_all(&crash.features, active))
@@ -444,7 +479,10 @@
     /// Returns whether a recorded containment of a single feature explains a crash. One of several features may still be
     /// found to be due to one of them.
     fn is_explained(&self, crash: &CrashRecord) -> bool {
-        let recorded = self.containments.iter().filter(|c| c.revision.is_some());
+        let recorded = self
+            .containments
+            .iter()
+            .filter(|c| c.stored != Stored::Nothing);
         let mut single = recorded
             .map(|c| self.active_features(c))
             .filter(|a| a.len() == 1);
@@ -454,7 +492,10 @@
     /// Returns whether another recorded containment refuses all that this one refuses.
     fn is_subsumed(&self, containment: &Containment) -> bool {
         let active = self.active_features(containment);
-        let others = self.containments.iter().filter(|c| c.revision.is_some());
+        let others = self
+            .containments
+            .iter()
+            .filter(|c| c.stored != Stored::Nothing);
         others.filter(|c| c.key != containment.key).any(|c| {
             let other = self.active_features(c);
             !other.is_empty() && other.len() < active.len() && contains_all(&active, &other)
@@ -489,7 +530,10 @@
         if !self.is_warm {
             open.clear();
         }
-        let recorded = self.containments.iter().filter(|c| c.revision.is_some());
+        let recorded = self
+            .containments
+            .iter()
+            .filter(|c| c.stored != Stored::Nothing);
         let is_alone = recorded
             .map(|c| self.active_features(c))
             .all(|a| a.len() != 1);
@@ -506,7 +550,7 @@
         let records: Vec<_> = records.collect();
         let keys: Vec<_> = records.iter().map(ContainmentRecord::key).collect();
         self.containments
-            .retain(|c| c.revision.is_some() || keys.contains(&c.key));
+            .retain(|c| c.stored != Stored::Nothing || keys.contains(&c.key));
         for (key, record) in keys.into_iter().zip(records) {
             match self.containments.binary_search_by_key(&key, |c| c.key) {
                 Ok(at) => {
@@ -514,7 +558,7 @@
                     known.last_crash = known.last_crash.max(record.last_crash);
                     known.crashes = known.crashes.max(record.crashes);
                 }
-                Err(at) => self.insert_containment(at, key, record, None),
+                Err(at) => self.insert_containment(at, key, record, Stored::Nothing),
             }
         }
     }
@@ -527,10 +571,17 @@
                 Some(ContainmentWrite {
                     key: c.key,
                     record,
-                    revision: c.revision.unwrap_or(0),
+                    revision: c.stored.revision(),
                 })
             };
-            if c.revision.is_none() {
+            if let Stored::Behind(_) = c.stored {
+                return if now >= self.rewrite_at {
+                    write(Some(c.record.clone()))
+                } else {
+                    None
+                };
+            }
+            if c.stored == Stored::Nothing {
                 let jitter = Millis(mix(c.key.0 ^ hash(self.gateway.as_bytes())) % RECORD_DELAY.0);
                 let is_due = now.since(c.record.since) >= RECORD_DELAY + jitter;
                 return if is_due {
@@ -616,7 +667,7 @@
         at: usize,
         key: Feature,
         record: ContainmentRecord,
-        revision: Option<u64>,
+        stored: Stored,
     ) {
         if self.containments.len() >= MAX_CONTAINMENTS {
             return;
@@ -624,7 +675,7 @@
         let containment = Containment {
             key,
             record,
-            revision,
+            stored,
             is_trial_wanted: false,
             trial_until: None,
         };
--- a/src/suspect/mod.rs
+++ b/src/suspect/mod.rs
@@ -10,6 +10,7 @@
 mod exposure;
 mod feature;
 mod records;
+mod stored;
 #[cfg(test)]
 mod tests;
 mod verdict;
--- a/src/suspect/records.rs
+++ b/src/suspect/records.rs
@@ -122,6 +122,8 @@
     pub report: Report,
     /// Change of a containment.
     pub containment: Option<ContainmentWrite>,
+    /// Revision of the record that the store's era is settled, if there is one: a further condition of the change.
+    pub settled_revision: Option<u64>,
 }
 
 /// Result of a write.
--- a/src/suspect/tests/evidence.rs
+++ b/src/suspect/tests/evidence.rs
@@ -14,7 +14,7 @@
 /// Time at which a gateway that started at [`START`] reaches verdicts of its own.
 const WARM: Millis = Millis(START.0 + 10_000);
 
-fn gateway(name: &str) -> Evidence {
+pub(super) fn gateway(name: &str) -> Evidence {
     let mut evidence = Evidence::new(name.into(), START);
     evidence.expire(WARM);
     evidence
@@ -24,24 +24,24 @@
     Feature::of_part(name.as_bytes())
 }
 
-fn sorted<const N: usize>(names: [&str; N]) -> Vec<Feature> {
+pub(super) fn sorted<const N: usize>(names: [&str; N]) -> Vec<Feature> {
     let mut features: Vec<_> = names.into_iter().map(part).collect();
     features.sort_unstable();
     features
 }
 
-fn at(seconds: u64) -> Millis {
+pub(super) fn at(seconds: u64) -> Millis {
     WARM + Millis::from_secs(seconds)
 }
 
 /// Records crashes of upstreams `n` in turn, a second apart.
-fn crash(evidence: &mut Evidence, numbers: std::ops::Range<u64>, features: &[Feature]) {
+pub(super) fn crash(evidence: &mut Evidence, numbers: std::ops::Range<u64>, features: &[Feature]) {
     for n in numbers {
         evidence.record_crash(&format!("u{n}").into(), 1, at(n), features);
     }
 }
 
-fn is_refused(evidence: &mut Evidence, features: &[Feature], now: Millis) -> bool {
+pub(super) fn is_refused(evidence: &mut Evidence, features: &[Feature], now: Millis) -> bool {
     matches!(evidence.decide(features, now), Decision::Refuse(_))
 }
 
@@ -53,7 +53,7 @@
 }
 
 /// Returns a gateway that has recorded the containment of `bad`, with the record.
-fn contained() -> (Evidence, ContainmentRecord) {
+pub(super) fn contained() -> (Evidence, ContainmentRecord) {
     let mut evidence = gateway("a");
     crash(&mut evidence, 0..3, &sorted(["bad", "common"]));
     crash(&mut evidence, 3..4, &sorted(["bad", "other"]));
--- a/src/suspect/tests/mod.rs
+++ b/src/suspect/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod containment;
 mod evidence;
+mod restored;
 
 use super::*;
 use crate::fixtures::check_property;
