Keep departures over several restores of the store

With two restores in short succession, a process that had left or had been replaced under its id was used again from the second copy; an upstream whose grace had ended got another one; a held entry was used on the word of a copy that no longer had it.

Cause: an absence that a gateway had only seen in a copy was either always or never a departure, a new process under an id erased the departure of the earlier one, and a grace and a held entry belonged to no history.

Change: an upstream that a copy lacked counts as departed if the gateway has heard of the present history when it should have registered again, so that a gateway that was frozen meanwhile does not hold what it missed; a replaced process is a departure; an ended grace stays ended; a held entry is dropped with its history and is released by an answer to a call that was sent after dead entries have expired.

Ruled out: counting every absence as a departure.

--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -11,7 +11,7 @@
 
 use crate::kv::LocalFuture;
 use crate::router::departures::DepartureKind;
-use crate::router::fleet::{Change, Upstream, UpstreamState, copied_entry_lifetime};
+use crate::router::fleet::{Change, CopyTimes, Upstream, UpstreamState, copied_entry_lifetime};
 use crate::router::history::{Era, Read, SETTLE_TIME, Sighting, listing_spread};
 use crate::router::rollout::Phase;
 use crate::router::table::RouteTable;
@@ -252,6 +252,7 @@
                 };
                 apply_update(&shared, update, now);
                 shared.put_offered_table(now);
+                release_lasting(&shared, called_at);
                 confirm(&shared, is_unchanged.then_some(wait), called_at, now);
                 if !is_unchanged {
                     let has_rollout = shared.rollouts.borrow_mut().active().next().is_some();
@@ -441,8 +442,15 @@
         UpdateKind::FirstListing => {
             shared.evidence.borrow_mut().retain_listed(&containments);
             let settles_in = shared.history.borrow().settles_in(now).unwrap_or_default();
+            let heard_at = shared.history.borrow().heard_at();
             let lifetime = copied_entry_lifetime(shared.policy().heartbeat, SETTLE_TIME);
-            (shared.fleet.borrow_mut()).replace_by_copy(upstreams, now + settles_in, now + lifetime)
+            let times = CopyTimes {
+                now,
+                heard_at,
+                missing_until: now + settles_in,
+                held_until: now + lifetime,
+            };
+            (shared.fleet.borrow_mut()).replace_by_copy(upstreams, times)
         }
     };
     for change in changes {
@@ -455,9 +463,18 @@
     shared.freshness.borrow().age(now).unwrap_or_default()
 }
 
+/// Uses upstreams whose entries in a restored store were held until an answer to a call that was sent at `called_at`.
+fn release_lasting(shared: &Shared, called_at: Millis) {
+    let joined = shared.fleet.borrow_mut().release_lasting(called_at);
+    for change in joined {
+        shared.record_change(Some(change), Millis(0));
+    }
+}
+
 /// Removes upstreams whose grace period is over.
 pub(super) fn expire(shared: &Shared, now: Millis) {
-    let removed = shared.fleet.borrow_mut().expire(now);
+    let heard_at = shared.history.borrow().heard_at();
+    let removed = shared.fleet.borrow_mut().expire(now, heard_at);
     for change in removed {
         shared.record_change(Some(change), Millis(0));
     }
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -27,6 +27,10 @@
 /// Missed heartbeats after which the store removes an entry.
 const HEARTBEATS_TO_EXPIRY: u64 = 3;
 
+/// How long before the end of a grace period the store must have answered for an absence to count as a departure: the time that an
+/// answer takes.
+const MAX_HEARD_AGE: Millis = Millis(100);
+
 /// Returns the time after which an entry of an upstream that has left is gone from a restored store.
 #[must_use]
 pub const fn copied_entry_lifetime(heartbeat: Millis, settle: Millis) -> Millis {
@@ -154,6 +158,8 @@
     upstream: Rc<Upstream>,
     /// When the upstream counts as gone, if its entry is missing since an outage.
     missing_until: Option<Millis>,
+    /// Whether the store has removed the missing entry, rather than been restored from a copy that never had it.
+    is_removed: bool,
 }
 
 /// Effect of a change in the registry.
@@ -184,6 +190,19 @@
     number: u64,
 }
 
+/// Times that the first listing of a restored store depends on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CopyTimes {
+    /// The present time.
+    pub now: Millis,
+    /// When the history before was heard of last.
+    pub heard_at: Millis,
+    /// Until when upstreams that the copy lacks should have registered again.
+    pub missing_until: Millis,
+    /// Until when entries of processes that have ended expire.
+    pub held_until: Millis,
+}
+
 /// An entry of a restored store that is older than its upstream's departure.
 #[derive(Debug, Clone)]
 struct Held {
@@ -217,7 +236,9 @@
     /// Applies a report of an upstream.
     pub fn put(&mut self, mut reported: Upstream) -> Option<Change> {
         self.release(&reported.id);
-        if let Ok(at) = self.find_departed(&reported.id) {
+        if let Ok(at) = self.find_departed(&reported.id)
+            && reported.boot <= self.departed[at].boot
+        {
             self.departed.remove(at);
         }
         let at = match self.find(&reported.id) {
@@ -227,6 +248,7 @@
                 let member = Member {
                     upstream: Rc::clone(&upstream),
                     missing_until: None,
+                    is_removed: false,
                 };
                 self.members.insert(at, member);
                 return Some(Change::Joined(upstream));
@@ -238,14 +260,19 @@
             return Some(Change::Outdated(Rc::clone(known)));
         }
         let is_same_boot = reported.boot == known.boot;
+        let replaced = (!is_same_boot).then(|| Rc::clone(known));
         // A process that has started draining never becomes ready again.
         if is_same_boot && known.state == UpstreamState::Draining {
             reported.state = UpstreamState::Draining;
         }
         let previous_state = known.state;
         member.missing_until = None;
+        member.is_removed = false;
         member.upstream = Rc::new(reported);
         let upstream = Rc::clone(&member.upstream);
+        if let Some(replaced) = replaced {
+            self.record_departure(&replaced);
+        }
         match (is_same_boot, previous_state, upstream.state) {
             (false, _, _) => Some(Change::Joined(upstream)),
             (true, UpstreamState::Ready, UpstreamState::Draining) => {
@@ -264,6 +291,7 @@
         let upstream = Rc::clone(&member.upstream);
         if let Some(until) = grace.filter(|_| upstream.state == UpstreamState::Ready) {
             member.missing_until.get_or_insert(until);
+            member.is_removed = true;
             return Some(Change::Missing(upstream));
         }
         self.members.remove(at);
@@ -292,56 +320,70 @@
 
     /// Applies the first list of a store that was restored from a copy.
     ///
-    /// Upstreams that the copy lacks are used until `missing_until`, in which they register again. Entries from before a known
-    /// departure are held until `held_until`; dead ones expire until then.
-    pub fn replace_by_copy(
-        &mut self,
-        listed: Vec<Upstream>,
-        missing_until: Millis,
-        held_until: Millis,
-    ) -> Vec<Change> {
-        let mut changes = Vec::new();
+    /// Upstreams that the copy lacks are used for a while, in which they register again. Entries from before a known departure
+    /// are held.
+    pub fn replace_by_copy(&mut self, listed: Vec<Upstream>, times: CopyTimes) -> Vec<Change> {
+        // A grace that has ended does not start anew.
+        let mut changes = self.expire(times.now, times.heard_at);
+        self.held.clear();
         let mut ids: Vec<_> = listed.iter().map(|u| Rc::clone(&u.id)).collect();
         ids.sort();
         let known = self.members.iter().map(|m| Rc::clone(&m.upstream.id));
         let missing: Vec<_> = known.filter(|id| ids.binary_search(id).is_err()).collect();
         for id in missing {
-            if let Ok(at) = self.find(&id) {
-                // A grace from an earlier restore starts anew.
-                self.members[at].missing_until = None;
+            let Ok(at) = self.find(&id) else {
+                continue;
+            };
+            let member = &mut self.members[at];
+            if member.upstream.state == UpstreamState::Draining {
+                changes.extend(self.remove(&id, None));
+                continue;
             }
-            changes.extend(self.remove(&id, Some(missing_until)));
+            // A grace from an earlier restore starts anew.
+            member.missing_until = Some(times.missing_until);
+            changes.push(Change::Missing(Rc::clone(&member.upstream)));
         }
         for upstream in listed {
             if self.is_from_before_departure(&upstream) {
                 changes.push(Change::Held(Rc::new(upstream.clone())));
-                self.hold(upstream, held_until);
+                self.hold(upstream, times.held_until);
                 continue;
             }
             if let Ok(at) = self.find(&upstream.id) {
                 self.members[at].missing_until = None;
+                self.members[at].is_removed = false;
             }
             changes.extend(self.put(upstream));
         }
         changes
     }
 
-    /// Removes missing entries whose grace period has ended, and uses held ones that have outlasted theirs.
-    pub fn expire(&mut self, now: Millis) -> Vec<Change> {
+    /// Removes missing entries whose grace period has ended.
+    ///
+    /// Upstreams that a restored store lacked count as departed only if the store's present history was heard of at `heard_at`,
+    /// about when they should have registered again; a gateway that was frozen or cut off may have missed that.
+    pub fn expire(&mut self, now: Millis, heard_at: Millis) -> Vec<Change> {
         let expired: Vec<_> = (self.members)
             .extract_if(.., |m| !m.is_present(now))
-            .map(|m| m.upstream)
             .collect();
-        for upstream in &expired {
-            self.record_departure(upstream);
-        }
-        let alive: Vec<_> = self.held.extract_if(.., |h| h.until <= now).collect();
-        let gone = expired.into_iter().map(Change::Gone);
-        let mut changes: Vec<_> = gone.collect();
-        for held in alive {
-            changes.extend(self.put(held.upstream));
+        for member in &expired {
+            let until = member.missing_until.unwrap_or(now);
+            if member.is_removed || heard_at + MAX_HEARD_AGE >= until {
+                self.record_departure(&member.upstream);
+            }
         }
-        changes
+        let gone = expired.into_iter().map(|m| Change::Gone(m.upstream));
+        gone.collect()
+    }
+
+    /// Uses held entries that a restored store still has in the answer to a call that was sent at `called_at`, although those of
+    /// processes that have ended are gone by then.
+    pub fn release_lasting(&mut self, called_at: Millis) -> Vec<Change> {
+        let lasting: Vec<_> = (self.held)
+            .extract_if(.., |h| h.until <= called_at)
+            .collect();
+        let put = lasting.into_iter().filter_map(|h| self.put(h.upstream));
+        put.collect()
     }
 
     fn is_from_before_departure(&self, upstream: &Upstream) -> bool {
--- a/src/router/history.rs
+++ b/src/router/history.rs
@@ -94,6 +94,8 @@
     era: Option<Era>,
     /// When the first answer of the era arrived.
     learned_at: Millis,
+    /// When an answer last came from the history that was the present one by then.
+    heard_at: Millis,
     /// Last revision that was read; `None` if the era's items have to be listed.
     revision: Option<u64>,
     /// Whether the era's items have been listed.
@@ -113,7 +115,10 @@
     /// the present history, even if its number is lower.
     pub fn observe(&mut self, era: Era, sent_at: Millis, now: Millis) -> Sighting {
         match self.era {
-            Some(known) if known == era => return Sighting::Present,
+            Some(known) if known == era => {
+                self.heard_at = now;
+                return Sighting::Present;
+            }
             Some(known) if era < known && sent_at <= self.learned_at => return Sighting::Late,
             _ => {}
         }
@@ -168,6 +173,12 @@
         self.era
     }
 
+    /// Returns when an answer last came from the present history or, if there was only its first one, from the history before.
+    #[must_use]
+    pub const fn heard_at(&self) -> Millis {
+        self.heard_at
+    }
+
     /// Returns whether nothing of the present history has been read yet.
     #[must_use]
     pub const fn is_unread(&self) -> bool {
--- a/src/router/tests/fleet.rs
+++ b/src/router/tests/fleet.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use crate::fixtures;
-use crate::router::fleet::{Change, Fleet, OutageTracker, Upstream, UpstreamState};
+use crate::router::fleet::{Change, CopyTimes, Fleet, OutageTracker, Upstream, UpstreamState};
 use crate::router::health::{AttemptOutcome, HealthTable};
 use crate::units::Millis;
 
@@ -33,6 +33,16 @@
     upstream(id, boot, seq, UpstreamState::Draining)
 }
 
+/// Returns the times of a copy that is listed at `now`.
+fn copied_at(now: Millis) -> CopyTimes {
+    CopyTimes {
+        now,
+        heard_at: now,
+        missing_until: now + Millis(2_000),
+        held_until: now + Millis(5_600),
+    }
+}
+
 fn ids(fleet: &Fleet) -> Vec<String> {
     fleet.ready("pool", NOW).map(|u| u.id.to_string()).collect()
 }
@@ -96,8 +106,8 @@
     assert_eq!(ids(&fleet), ["back", "lost"]);
     assert!(!fleet.is_present("left", 1));
     fleet.put(ready("back", 1, 2));
-    assert!(fleet.expire(Millis(1_999)).is_empty());
-    let gone = fleet.expire(Millis(2_000));
+    assert!(fleet.expire(Millis(1_999), Millis(1_999)).is_empty());
+    let gone = fleet.expire(Millis(2_000), Millis(2_000));
 
     assert!(matches!(gone.as_slice(), [Change::Gone(u)] if &*u.id == "lost"));
     assert_eq!(ids(&fleet), ["back"]);
@@ -303,9 +313,9 @@
     fleet.put(ready("new", 2, 1));
     fleet.put(draining("leaves", 1, 3));
 
-    let changes = fleet.replace_by_copy(vec![ready("known", 1, 1)], Millis(2_000), Millis(5_600));
+    let changes = fleet.replace_by_copy(vec![ready("known", 1, 1)], copied_at(NOW));
     let in_grace = ids(&fleet);
-    fleet.expire(Millis(2_000));
+    fleet.expire(Millis(2_000), Millis(2_000));
     let after_grace = ids(&fleet);
     fleet.put(ready("new", 2, 1));
 
@@ -329,10 +339,10 @@
     fleet.remove("removed", None);
     let copy = vec![ready("drained", 1, 5), ready("removed", 1, 4)];
 
-    let changes = fleet.replace_by_copy(copy.clone(), Millis(2_000), Millis(5_600));
-    fleet.replace_by_copy(copy, Millis(2_100), Millis(5_700));
+    let changes = fleet.replace_by_copy(copy.clone(), copied_at(NOW));
+    fleet.replace_by_copy(copy, copied_at(Millis(100)));
     let after_copy = ids(&fleet);
-    fleet.expire(Millis(5_600));
+    fleet.release_lasting(Millis(5_600));
     let before_lifetime = ids(&fleet);
 
     assert!(matches!(
@@ -350,16 +360,19 @@
         let mut fleet = Fleet::default();
         fleet.put(ready("u", 1, 5));
         fleet.remove("u", None);
-        fleet.replace_by_copy(vec![ready("u", 1, 5)], Millis(2_000), Millis(5_600));
+        fleet.replace_by_copy(vec![ready("u", 1, 5)], copied_at(NOW));
         fleet
     };
     let [mut written, mut lasting, mut removed] = [(); 3].map(|()| fleet_with_held());
 
     written.put(ready("u", 1, 5));
-    lasting.expire(Millis(5_600));
+    lasting.release_lasting(Millis(5_599));
+    let too_early = ids(&lasting);
+    lasting.release_lasting(Millis(5_600));
     removed.remove("u", None);
-    removed.expire(Millis(5_600));
+    removed.release_lasting(Millis(5_600));
 
+    assert!(too_early.is_empty());
     assert_eq!(
         (ids(&written), ids(&lasting)),
         (vec!["u".to_owned()], vec!["u".to_owned()])
@@ -374,7 +387,7 @@
     fleet.put(ready("u", 1, 5));
     fleet.remove("u", None);
 
-    fleet.replace_by_copy(vec![ready("u", 2, 1)], Millis(2_000), Millis(5_600));
+    fleet.replace_by_copy(vec![ready("u", 2, 1)], copied_at(NOW));
 
     assert_eq!(ids(&fleet), ["u"]);
 }
@@ -389,9 +402,88 @@
         fleet.remove(&id, None);
     }
 
-    let oldest = fleet.replace_by_copy(vec![ready("u00000", 1, 1)], Millis(1), Millis(1));
-    let newest = fleet.replace_by_copy(vec![ready("u09999", 1, 1)], Millis(1), Millis(1));
+    let oldest = fleet.replace_by_copy(vec![ready("u00000", 1, 1)], copied_at(NOW));
+    let newest = fleet.replace_by_copy(vec![ready("u09999", 1, 1)], copied_at(NOW));
 
     assert!(matches!(&oldest[..], [Change::Joined(_)]));
     assert!(newest.iter().any(|c| matches!(c, Change::Held(_))));
 }
+
+/// An upstream whose grace has ended must not come back because the store is restored once more before it is removed here.
+#[test]
+fn a_grace_that_has_ended_does_not_start_anew_with_another_copy() {
+    let mut fleet = Fleet::default();
+    fleet.put(ready("u", 1, 1));
+    fleet.replace_by_copy(Vec::new(), copied_at(NOW));
+
+    let changes = fleet.replace_by_copy(Vec::new(), copied_at(Millis(2_100)));
+
+    assert!(matches!(&changes[..], [Change::Gone(_)]));
+    assert_eq!(fleet.ready("pool", Millis(2_100)).count(), 0);
+}
+
+/// A held entry is only used on the word of the store that listed it last.
+#[test]
+fn a_held_entry_is_dropped_when_the_next_copy_lacks_it() {
+    let mut fleet = Fleet::default();
+    fleet.put(ready("u", 1, 5));
+    fleet.remove("u", None);
+    fleet.replace_by_copy(vec![ready("u", 1, 5)], copied_at(NOW));
+
+    fleet.replace_by_copy(Vec::new(), copied_at(Millis(5_700)));
+    fleet.release_lasting(Millis(12_000));
+
+    assert!(ids(&fleet).is_empty());
+}
+
+/// An upstream that stayed away from one restored store counts as gone; the older entry of the next copy must not bring it back.
+#[test]
+fn an_upstream_that_did_not_register_again_is_held_when_the_next_copy_has_it() {
+    let mut fleet = Fleet::default();
+    fleet.put(ready("u", 1, 5));
+    fleet.replace_by_copy(Vec::new(), copied_at(NOW));
+    fleet.expire(Millis(2_500), Millis(2_500));
+
+    let copy = vec![ready("u", 1, 5)];
+    let changes = fleet.replace_by_copy(copy, copied_at(Millis(3_000)));
+    let from_copy = ids(&fleet);
+    fleet.put(ready("u", 1, 5));
+
+    assert!(matches!(&changes[..], [Change::Held(_)]));
+    assert!(from_copy.is_empty());
+    assert_eq!(ids(&fleet), ["u"]);
+}
+
+/// A gateway that was frozen while upstreams registered again has not heard that they left; the next copy may have them.
+#[test]
+fn an_upstream_that_registered_again_unheard_is_used_when_the_next_copy_has_it() {
+    let mut fleet = Fleet::default();
+    fleet.put(ready("u", 1, 5));
+    fleet.replace_by_copy(Vec::new(), copied_at(NOW));
+
+    let woken = CopyTimes {
+        heard_at: NOW,
+        ..copied_at(Millis(3_000))
+    };
+    fleet.replace_by_copy(vec![ready("u", 1, 5)], woken);
+
+    assert_eq!(ids(&fleet), ["u"]);
+}
+
+/// A process that another one has replaced must not come back from a copy when the later one is missing.
+#[test]
+fn a_process_that_was_replaced_under_its_id_is_not_used_from_a_copy() {
+    let mut fleet = Fleet::default();
+    fleet.put(ready("u", 1, 5));
+    fleet.put(ready("u", 2, 1));
+    fleet.replace_by_copy(Vec::new(), copied_at(NOW));
+
+    let woken = CopyTimes {
+        heard_at: NOW,
+        ..copied_at(Millis(3_000))
+    };
+    let changes = fleet.replace_by_copy(vec![ready("u", 1, 5)], woken);
+
+    assert!(changes.iter().any(|c| matches!(c, Change::Held(_))));
+    assert!(ids(&fleet).is_empty());
+}
