Do not record a phase over that of a version whose order is not known to be earlier

After a restore, a gateway that knew the later of two orders recorded its start over the record of the version that the store then had, or the reverse, and gateways differed in the version that is rolled out.

Cause: a record of another version left the recorded phase of the known version in place, and its revision became the condition of the next write, whatever order it belonged to.

Change: such a record is replaced only if the present history has the known order, or if its version is known to be superseded.

--- a/src/forward/rollouts.rs
+++ b/src/forward/rollouts.rs
@@ -34,6 +34,8 @@
     superseded: Vec<Rc<str>>,
     /// An order that a restored store lists although a later one is known.
     older_order: Option<Order>,
+    /// Whether the present history of the store has the order.
+    is_order_listed: bool,
 }
 
 /// An operator's order to roll out a version.
@@ -80,6 +82,7 @@
         let found = self.find(service);
         if let Ok(at) = found {
             self.entries[at].older_order = None;
+            self.entries[at].is_order_listed = true;
             if self.entries[at].rollout.to == to && self.entries[at].is_ordered() {
                 return;
             }
@@ -107,7 +110,11 @@
                     entry.rollout.set_phase(phase);
                 }
             }
-            Err(at) => self.entries.insert(at, RolloutEntry::new(service, rollout)),
+            Err(at) => {
+                let mut entry = RolloutEntry::new(service, rollout);
+                entry.is_order_listed = true;
+                self.entries.insert(at, entry);
+            }
         }
     }
 
@@ -140,6 +147,7 @@
     pub fn enter_history(&mut self) {
         for entry in &mut self.entries {
             entry.revision = 0;
+            entry.is_order_listed = false;
             entry.recorded_phase = None;
             entry.early_record = None;
         }
@@ -198,6 +206,7 @@
             }
             entry.rollout.set_phase(phase);
         } else {
+            entry.recorded_phase = None;
             entry.early_record = Some((Rc::clone(to), phase));
         }
     }
@@ -246,7 +255,7 @@
             } else {
                 entry.confirmed_phase?
             };
-            if entry.recorded_phase == Some(phase) {
+            if entry.recorded_phase == Some(phase) || !entry.may_replace_record(standing) {
                 return None;
             }
             entry.is_writing = true;
@@ -317,9 +326,18 @@
             early_record: None,
             superseded: Vec::new(),
             older_order: None,
+            is_order_listed: false,
         }
     }
 
+    /// Returns whether the store has no record of another version, or one of an earlier order.
+    fn may_replace_record(&self, standing: Standing) -> bool {
+        self.early_record.as_ref().is_none_or(|(to, _)| {
+            let is_order_present = standing == Standing::Settled && self.is_order_listed;
+            is_order_present || self.superseded.contains(to)
+        })
+    }
+
     fn is_ordered(&self) -> bool {
         !self.rollout.to.is_empty()
     }
