--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -149,6 +149,12 @@
     /// Creates the state, without a configuration and upstreams.
     #[must_use]
     pub fn open(policy: Policy, control: Box<dyn ControlPlane>) -> Rc<Self> {
+        Self::open_seeded(policy, control, ids::random_u64())
+    }
+
+    /// Creates the state of a gateway whose jitter follows from a seed.
+    #[must_use]
+    pub fn open_seeded(policy: Policy, control: Box<dyn ControlPlane>, seed: u64) -> Rc<Self> {
         let freshness = Freshness::new(policy.key_revocation, policy.catch_up);
         let outage_tracker = OutageTracker::new(policy.heartbeat, policy.catch_up);
         let rollouts = Rollouts::new(policy.exposure_permille);
@@ -191,7 +197,7 @@
             demands: RefCell::default(),
             reported_gateways: Cell::default(),
             most_gateways: Cell::default(),
-            random: Cell::new(ids::random_u64()),
+            random: Cell::new(seed),
         })
     }
 
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -10,5 +10,6 @@
 mod parsers;
 mod requests;
 mod restored;
+mod restored_fuzz;
 mod restored_rollouts;
 mod stop;
--- a/src/forward/tests/model_store.rs
+++ b/src/forward/tests/model_store.rs
@@ -15,6 +15,7 @@
 use crate::forward::shared::{Policy, Shared};
 use crate::forward::{containment, settle};
 use crate::kv::LocalFuture;
+use crate::router::hash;
 use crate::router::history::Era;
 use crate::router::table::{ClientLimits, RouteTable};
 use crate::suspect::EvidenceWrite;
@@ -29,6 +30,9 @@
 /// Interval at which beacons tell a gateway the number of gateways.
 const REPORT_INTERVAL: Millis = Millis(500);
 
+/// Interval at which a gateway removes upstreams whose grace has ended.
+const EXPIRE_INTERVAL: Millis = Millis(1_000);
+
 const CONFIG_KEY: &str = "op/config";
 const SETTLED_KEY: &str = "own/settled";
 const UPSTREAM_PREFIX: &str = "servers/";
@@ -407,12 +411,14 @@
             name: name.into(),
             ..policy()
         };
-        let shared = Shared::open(policy, Box::new(Rc::clone(&link)));
+        let seed = hash(name.as_bytes());
+        let shared = Shared::open_seeded(policy, Box::new(Rc::clone(&link)), seed);
         let tasks = vec![
             actix_rt::spawn(follow::run(Rc::clone(&shared))),
             actix_rt::spawn(decide_rollouts(Rc::clone(&shared))),
             actix_rt::spawn(containment::run(Rc::clone(&shared))),
             actix_rt::spawn(settle::run(Rc::clone(&shared))),
+            actix_rt::spawn(expire_upstreams(Rc::clone(&shared))),
         ];
         Self {
             shared,
@@ -448,6 +454,13 @@
     }
 }
 
+async fn expire_upstreams(shared: Rc<Shared>) {
+    loop {
+        sleep(EXPIRE_INTERVAL.duration()).await;
+        follow::expire(&shared, shared.clock.now());
+    }
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
         for task in &self.tasks {
