Judge an absence by answers of the history that lacked the entry

A gateway that was cut off between two restores counted upstreams that the first copy lacked as departed, although it had not heard whether they registered again, and did not use them for up to 8 s.

Cause: pages of the listing of the second history counted as answers of the first one.

Change: an answer counts only after the items of its history were listed.

--- a/src/router/history.rs
+++ b/src/router/history.rs
@@ -94,7 +94,7 @@
     era: Option<Era>,
     /// When the first answer of the era arrived.
     learned_at: Millis,
-    /// When an answer last came from the history that was the present one by then.
+    /// When an answer last came from a history whose items were known.
     heard_at: Millis,
     /// Last revision that was read; `None` if the era's items have to be listed.
     revision: Option<u64>,
@@ -116,7 +116,9 @@
     pub fn observe(&mut self, era: Era, sent_at: Millis, now: Millis) -> Sighting {
         match self.era {
             Some(known) if known == era => {
-                self.heard_at = now;
+                if self.is_read {
+                    self.heard_at = now;
+                }
                 return Sighting::Present;
             }
             Some(known) if era < known && sent_at <= self.learned_at => return Sighting::Late,
@@ -173,7 +175,8 @@
         self.era
     }
 
-    /// Returns when an answer last came from the present history or, if there was only its first one, from the history before.
+    /// Returns when an answer last came from the present history after its items were listed or, until then, from the history
+    /// before.
     #[must_use]
     pub const fn heard_at(&self) -> Millis {
         self.heard_at
