Do not take a repeated refusal for the answer to the next attempt

A faulty upstream that wrote a refusal once more on a kept connection, when the same request came again, had an order run twice or its client told that it had not run.

Cause: answers are matched by the request's id. A request that is sent again after a refusal has the same id, and one without an id has none to match.

Change: a request uses a new connection to an upstream that has had it before, and if it has no id.

Evidence: a_refusal_that_is_repeated_on_a_kept_connection_is_not_taken_for_the_next_attempt (3 sends in place of 2), a_repeated_refusal_is_not_taken_for_an_attempt_at_a_larger_model (3 in place of 2) and a_late_refusal_is_not_taken_for_a_request_without_an_id (503 in place of 502) failed before.

Ruled out by tests in the same file, which passed before: an error in the middle of a stream or an end as if it were complete, on new and kept connections, after an earlier error, with length, chunked and without either; a head that is cut anywhere, on orders, lookups and streams, on new and kept connections. The product's own path opens a connection for each exchange.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -126,6 +126,7 @@
         Err(end) => return end,
     };
     let message = encode(shared, req, job, upstream, relay);
+    (job.sent_to.borrow_mut()).push(Rc::clone(&upstream.id));
     let mut run = RunGuard::start(shared, job, upstream);
     let pending = PendingWork::start(shared, upstream, job.work(shared));
     record_send_to_leaving(shared, job, upstream);
@@ -209,7 +210,11 @@
         RequestKind::AtMostOnce | RequestKind::Stream => NON_REPEATABLE_MAX_IDLE,
         RequestKind::Idempotent | RequestKind::ResumableStream => Millis(u64::MAX),
     };
-    let pooled = (shared.pool.borrow_mut()).take(&upstream.id, upstream.boot, now, max_idle);
+    let pooled = if job.needs_new_connection(upstream) {
+        None
+    } else {
+        (shared.pool.borrow_mut()).take(&upstream.id, upstream.boot, now, max_idle)
+    };
     let conn = if let Some(conn) = pooled {
         conn
     } else {
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -1,6 +1,6 @@
 //! An admitted request: its route, client account, deadline, prompt size and affinity.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -49,6 +49,8 @@
     pub(super) keep_alive: bool,
     /// Id of the last event that the client has received.
     pub(super) resume_after: Option<u64>,
+    /// Upstreams that the request was sent to.
+    pub(super) sent_to: RefCell<Vec<Rc<str>>>,
     /// Run of the attempt in progress.
     pub(super) exposure: Cell<Option<ExposureId>>,
     /// Time from the arrival to the first byte of a stream.
@@ -66,6 +68,12 @@
         table.service(&self.service).is_some_and(|s| s.is_engine)
     }
 
+    /// Returns whether an answer to something sent earlier on a kept connection could be taken for this request's: it has no id,
+    /// or the upstream has had it before.
+    pub(super) fn needs_new_connection(&self, upstream: &Upstream) -> bool {
+        self.id.is_empty() || self.sent_to.borrow().contains(&upstream.id)
+    }
+
     /// Returns the work of one prompt token on the request's model, in permille of that on the largest model.
     pub(super) fn token_permille(&self, shared: &Shared) -> u64 {
         let table = shared.table.borrow();
@@ -182,6 +190,7 @@
         is_head_request: head.method.as_ref() == b"HEAD",
         keep_alive: head.keep_alive,
         resume_after: head.fields.number(headers::LAST_EVENT_ID),
+        sent_to: RefCell::default(),
         exposure: Cell::default(),
         first_byte: Cell::default(),
         pace: Cell::default(),
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod departures;
 mod endless;
+mod faulty_answers;
 mod fixture;
 mod follow;
 mod limits;
