--- a/src/forward/tests/restored_fuzz.rs
+++ b/src/forward/tests/restored_fuzz.rs
@@ -394,6 +394,10 @@
 /// However the store is restored, gateways go back in nothing, and end with all that was confirmed.
 #[test]
 fn restores_at_any_moment_neither_lose_nor_bring_back_anything() {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck passes owned values"
+    )]
     fn property(ops: Vec<Op>) -> Result<bool, String> {
         run_paused(play(&ops)).map_err(|fault| format!("{fault} after {ops:?}"))
     }
