Test faulty answers on resumptions, escalations and in every framing

The tests of the fix before had no refusal that is repeated while a stream goes on at another upstream, no refusal in chunks or without a length, and no head that is cut on a resumption or after an escalation.

All of them pass on the code as it is: a repeated refusal has the id of a request that uses a new connection, and a head that is not complete is no answer.

--- a/src/forward/tests/faulty_answers.rs
+++ b/src/forward/tests/faulty_answers.rs
@@ -157,11 +157,17 @@
     }
 }
 
+/// Returns a refusal whose body ends as given.
+fn refusal(framing: Body) -> String {
+    let head = FULL.replace("Content-Length: 0\r\n\r\n", "");
+    answer(&head, "", "full", framing)
+}
+
 /// Returns an answer to each attempt of a request: a refusal first, then the refusal once more if the connection is the same,
 /// and what `then` returns.
-fn repeats_refusal(seen: Seen<'_>, then: impl Fn(usize) -> String) -> Reaction {
+fn repeats_refusal(seen: Seen<'_>, framing: Body, then: impl Fn(usize) -> String) -> Reaction {
     if seen.attempt == 0 {
-        return (FULL.to_owned(), false);
+        return (refusal(framing), matches!(framing, Body::UntilClose));
     }
     let refusal = seen.refusal.unwrap_or_default();
     (format!("{refusal}{}", then(seen.attempt)), false)
@@ -172,15 +178,17 @@
 fn a_refusal_that_is_repeated_on_a_kept_connection_is_not_taken_for_the_next_attempt() {
     fixture::run(async {
         let ok = |body| answer(SUCCESS, "", "ok", body);
-        for body in [Body::Length, Body::Chunked] {
+        let framings = BODIES.iter().flat_map(|a| BODIES.map(|b| (*a, b)));
+        for (refused, body) in framings {
             for path in ["/once/", "/safe/"] {
-                let program = move |seen: Seen<'_>| repeats_refusal(seen, |_| ok(body));
+                let program = move |seen: Seen<'_>| {
+                    let (text, closes) = repeats_refusal(seen, refused, |_| ok(body));
+                    let is_unframed = matches!(body, Body::UntilClose) && text.contains(" 200 ");
+                    (text, closes || is_unframed)
+                };
                 let (text, attempts) = play(1, path, program).await;
-                assert_eq!(
-                    (status(&text), attempts),
-                    (200, 2),
-                    "{path} {body:?}: {text}"
-                );
+                let case = format!("{path} {refused:?} {body:?}: {text}");
+                assert_eq!((status(&text), attempts), (200, 2), "{case}");
             }
         }
     });
@@ -202,7 +210,8 @@
             } else {
                 ""
             };
-            let upstreams = upstreams(1, move |seen| repeats_refusal(seen, stream)).await;
+            let program = move |seen: Seen<'_>| repeats_refusal(seen, Body::Length, stream);
+            let upstreams = upstreams(1, program).await;
             let gateway = gateway(&upstreams.iter().collect::<Vec<_>>()).await;
             let text = send(&gateway, "POST", path, sends_any).await;
 
@@ -213,6 +222,40 @@
     });
 }
 
+/// The same for a stream that goes on at another upstream, which refuses it first.
+#[test]
+fn a_repeated_refusal_is_not_taken_for_the_answer_to_a_resumption() {
+    fixture::run(async {
+        for (refused, is_kept) in BODIES.iter().flat_map(|b| [(*b, false), (*b, true)]) {
+            let rest = "id: 2\ndata: b\n\n";
+            let program = move |seen: Seen<'_>| match (seen.path, seen.attempt) {
+                ("/stream/", 0) => (broken_stream(Body::Chunked), true),
+                ("/stream/", 1) => (refusal(refused), matches!(refused, Body::UntilClose)),
+                ("/stream/", _) => {
+                    let repeated = seen.refusal.unwrap_or_default();
+                    let rest = answer(SUCCESS, "", rest, Body::Chunked);
+                    (format!("{repeated}{rest}"), false)
+                }
+                _ => (answer(SUCCESS, "", "ok", Body::Length), false),
+            };
+            let upstreams = upstreams(2, program).await;
+            let gateway = gateway(&upstreams.iter().collect::<Vec<_>>()).await;
+            if is_kept {
+                warm_up(&gateway).await;
+            }
+
+            let text = send(&gateway, "POST", "/stream/", "").await;
+
+            let case = format!("kept {is_kept}, {refused:?}: {text}");
+            assert_eq!(status(&text), 200, "{case}");
+            assert_eq!(attempts(&upstreams, "/stream/"), 3, "{case}");
+            assert!(text.contains(EVENT_1) && text.contains(rest), "{case}");
+            assert!(!text.contains("full") && !text.contains("503"), "{case}");
+            assert!(text.ends_with("0\r\n\r\n"), "{case}");
+        }
+    });
+}
+
 /// A request without an id cannot be told from an earlier one by the answer; a late refusal must not be taken for its own.
 #[test]
 fn a_late_refusal_is_not_taken_for_a_request_without_an_id() {
@@ -293,6 +336,12 @@
     });
 }
 
+/// Returns the first bytes of the answer to the fixture's request.
+fn cut(whole: &str, length: usize) -> String {
+    let whole = whole.replace("ID", "r1");
+    whole[..length.min(whole.len())].to_owned()
+}
+
 /// An upstream that stops within the head of its answer has not answered, wherever it stops and whatever would have followed.
 #[test]
 fn an_answer_that_stops_within_its_head_is_not_delivered() {
@@ -303,15 +352,12 @@
                 let head = whole.split("\r\n\r\n").next().map_or(0, str::len) + 3;
                 let cuts = Rc::new(RefCell::new((1..=head).step_by(3).collect::<Vec<_>>()));
                 let planned = Rc::clone(&cuts);
-                let program = move |seen: Seen<'_>| match seen.path {
-                    "/safe/warm" => (answer(SUCCESS, "", "ok", Body::Length), false),
-                    _ => {
-                        let length = planned.borrow_mut().pop().unwrap_or(head);
-                        (
-                            whole.replace("ID", "r1")[..length.min(whole.len())].to_owned(),
-                            true,
-                        )
+                let program = move |seen: Seen<'_>| {
+                    if seen.path == "/safe/warm" {
+                        return (answer(SUCCESS, "", "ok", Body::Length), false);
                     }
+                    let length = planned.borrow_mut().pop().unwrap_or(head);
+                    (cut(&whole, length), true)
                 };
                 let upstreams = upstreams(1, program).await;
                 let gateway = gateway(&upstreams.iter().collect::<Vec<_>>()).await;
@@ -327,3 +373,50 @@
         }
     });
 }
+
+/// The same where a stream goes on at another upstream, and where an answer was escalated to a larger model.
+#[test]
+fn an_answer_that_stops_within_its_head_does_not_end_a_stream() {
+    fixture::run(async {
+        let whole = answer(SUCCESS, "", "id: 2\ndata: b\n\n", Body::Chunked);
+        let head = whole.split("\r\n\r\n").next().map_or(0, str::len) + 3;
+        let doubted = answer(
+            SUCCESS,
+            "X-Fireflywind-Confidence: 1\r\n",
+            EVENT_1,
+            Body::Chunked,
+        );
+        for (path, length) in ["/stream/", "/model/"]
+            .iter()
+            .flat_map(|path| (1..=head).step_by(7).map(|length| (*path, length)))
+        {
+            let (whole, doubted) = (whole.clone(), doubted.clone());
+            let program = move |seen: Seen<'_>| match (seen.path, seen.attempt) {
+                ("/stream/", 0) => (broken_stream(Body::Chunked), true),
+                ("/model/", 0) => (doubted.clone(), false),
+                _ => (cut(&whole, length), true),
+            };
+            let upstreams = upstreams(2, program).await;
+            let gateway = gateway(&upstreams.iter().collect::<Vec<_>>()).await;
+            let fields = if path == "/model/" {
+                "X-Fireflywind-Model: *\r\n"
+            } else {
+                ""
+            };
+
+            let text = send(&gateway, "POST", path, fields).await;
+
+            let case = format!("{path} {length}: {text}");
+            assert!(attempts(&upstreams, path) > 1, "{case}");
+            if path == "/model/" {
+                assert_eq!(status(&text), 502, "{case}");
+            } else {
+                assert!(text.contains(EVENT_1), "{case}");
+                assert!(
+                    !text.contains("id: 2") && !text.ends_with("0\r\n\r\n"),
+                    "{case}"
+                );
+            }
+        }
+    });
+}
