Put a sheet into force whose revision was given out before a restore

What operators saw: possible in deployments with their own etcd, shown by a test. After the service was restored from a backup, the sheet that was applied next got the revision of the lost one.

Revisions were compared across two histories of the service: another root at the revision in force counted as the same one.

Change: another root that the service itself has at the revision in force was applied after the restore, and is fetched. A read confirms only the root that it returned. Peers tell revisions only and change nothing.

Evidence: a_sheet_that_is_applied_after_a_restore_comes_into_force failed before (the lost sheet was in force). a_restored_service_neither_brings_back_an_older_sheet_nor_confirms_the_newer_one passed before: an older root was and is refused, with the line older_sheet_refused.

Ruled out: a change that is missed for good, since a watch of one key ends in a read after 10 s; for that long it can be late.

--- a/src/dissemination/replica.rs
+++ b/src/dissemination/replica.rs
@@ -38,7 +38,7 @@
 }
 
 /// Source from which missing parts are requested.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 enum Source {
     Store,
     Peer(PeerId),
@@ -180,9 +180,12 @@
             return Vec::new();
         };
         let confirmed = ConfirmedAt::ago(now, now.since(sent));
-        let revision = root.revision;
-        let mut effects = self.start_fetch(root, &Source::Store, Some(confirmed), now);
-        self.record_confirmation(revision, confirmed);
+        let mut effects = self.start_fetch(root.clone(), &Source::Store, Some(confirmed), now);
+        for held in [&mut self.current, &mut self.next].into_iter().flatten() {
+            if held.root == root {
+                held.confirmed = held.confirmed.max(Some(confirmed));
+            }
+        }
         effects.extend(self.put_into_force(now));
         effects
     }
@@ -297,7 +300,7 @@
         Effect::Send(to.clone(), Message::Status(status))
     }
 
-    /// Records a confirmation of a revision that is held or being fetched.
+    /// Records a peer's confirmation of a revision that is held or being fetched.
     fn record_confirmation(&mut self, revision: u64, confirmed: ConfirmedAt) {
         for held in [&mut self.current, &mut self.next].into_iter().flatten() {
             if held.root.revision == revision {
@@ -362,6 +365,9 @@
     }
 
     /// Starts to fetch a root if it is newer than any that is held or being fetched.
+    ///
+    /// A service that was restored from a copy gives the revisions since then out again. Another root that it has at the
+    /// revision in force was applied after the restore.
     fn start_fetch(
         &mut self,
         root: RootRef,
@@ -372,7 +378,11 @@
         if root.revision < self.revision() {
             return vec![Effect::Refused(root.revision)];
         }
-        if root.revision <= self.newest_revision() {
+        let newest = self.next.as_ref().or(self.current.as_ref());
+        let is_other = newest.is_some_and(|held| held.root != root);
+        let is_given_out_again =
+            *source == Source::Store && is_other && root.revision == self.newest_revision();
+        if root.revision <= self.newest_revision() && !is_given_out_again {
             return Vec::new();
         }
         self.next = Some(TrackedRoot { root, confirmed });
--- a/src/follower/tests.rs
+++ b/src/follower/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::fixtures::{self, run_paused};
 use crate::ids::VersionRef;
-use crate::kv::memory::{Fault, MemoryKv};
+use crate::kv::memory::{Fault, MAX_WATCH_WAIT, MemoryKv};
 use crate::operator::apply;
 use crate::sheet::VersionState;
 use crate::sheet::digest::ApplyId;
@@ -128,3 +128,54 @@
         }
     });
 }
+
+/// Applies one sheet, and another one that a restore of the service loses; returns their revisions.
+async fn lose_a_sheet(kv: &MemoryKv, follower: &Follower) -> (u64, u64) {
+    let first = apply_sheet(kv, &fixtures::sheet(), None).await;
+    wait_for_revision(follower, first).await;
+    let copy = kv.copy();
+    let lost = apply_sheet(kv, &sheet_with_withdrawn_version(), Some(first)).await;
+    wait_for_revision(follower, lost).await;
+    kv.restore(copy);
+    (first, lost)
+}
+
+// Guards against a process that goes back to an older sheet when its service is restored, or counts it as confirmed.
+#[test]
+fn a_restored_service_neither_brings_back_an_older_sheet_nor_confirms_the_newer_one() {
+    run_paused(async {
+        let kv = MemoryKv::open();
+        let follower = follower("a", &kv);
+        let (_, lost) = lose_a_sheet(&kv, &follower).await;
+
+        sleep(Millis::from_secs(7_300).duration()).await;
+
+        let held = follower.in_force().expect("a sheet is in force");
+        assert_eq!(held.sheet, sheet_with_withdrawn_version());
+        assert_eq!(follower.revision(), lost);
+        assert!(!follower.may_serve());
+    });
+}
+
+// Guards against a sheet that is applied after a restore and is not in force, because its revision, or the service's, was
+// given out before.
+#[test]
+fn a_sheet_that_is_applied_after_a_restore_comes_into_force() {
+    run_paused(async {
+        let kv = MemoryKv::open();
+        let follower = follower("a", &kv);
+        let (first, lost) = lose_a_sheet(&kv, &follower).await;
+        let mut newer = sheet_with_withdrawn_version();
+        newer.cascades.reverse();
+        newer.policy.max_staleness = Millis::from_secs(100);
+
+        let again = apply_sheet(&kv, &newer, Some(first)).await;
+
+        assert_eq!(again, lost);
+        // A watch of the replaced history ends after its longest wait.
+        sleep((MAX_WATCH_WAIT + Millis::from_secs(3)).duration()).await;
+        let held = follower.in_force().expect("a sheet is in force");
+        assert_eq!(held.sheet, newer);
+        assert!(follower.may_serve());
+    });
+}
--- a/src/kv/memory.rs
+++ b/src/kv/memory.rs
@@ -56,6 +56,14 @@
     calls: u64,
 }
 
+/// What a store had at one moment, without its leases.
+#[derive(Debug, Clone)]
+pub struct Copy {
+    revision: u64,
+    entries: Vec<(Entry, Option<LeaseId>)>,
+    last_lease_id: u64,
+}
+
 /// An in-memory key-value service; clones share the store.
 #[derive(Debug, Clone, Default)]
 pub struct MemoryKv {
@@ -80,6 +88,30 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns a copy of the present content.
+    #[must_use]
+    pub fn copy(&self) -> Copy {
+        let state = self.state.borrow();
+        Copy {
+            revision: state.revision,
+            entries: state.entries.clone(),
+            last_lease_id: state.last_lease_id,
+        }
+    }
+
+    /// Goes on from a copy: later changes and all leases are gone, and revisions are given out again.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = self.state.borrow_mut();
+        state.revision = copy.revision;
+        state.entries = copy.entries;
+        state.entries.retain(|(_, lease)| lease.is_none());
+        state.last_lease_id = copy.last_lease_id;
+        state.leases.clear();
+        state.removed.clear();
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     /// Delays the answers of calls, but not their effects, by this time; watches are not delayed.
     pub fn set_delay(&self, delay: Millis) {
         self.state.borrow_mut().delay = delay;
