Write a checkpoint again that a restored service may lack

What operators saw: possible in deployments with their own etcd, shown by a test. Charges that were in a gateway's last checkpoint were missing from the bill after the service was restored from a backup, if the gateway had no further requests: agents drop their copies once the checkpoint is confirmed.

Cause: a write that was confirmed counted as recorded for good.

Change: an unchanged checkpoint is written again after 60 s. The condition is the revision of the last write; if it is not met, the entry is read first, as after a lost answer.

Evidence: a_checkpoint_that_a_restore_lost_is_written_again failed before (0 requests in the bill, 1 wanted).

--- a/src/ledger/gateway.rs
+++ b/src/ledger/gateway.rs
@@ -12,6 +12,9 @@
 
 /// Time between two checkpoints; 410 gateways then use 82 of the service's 300 writes per second.
 pub const FLUSH_INTERVAL: Millis = Millis::from_secs(5);
+/// Time after which an unchanged checkpoint is written again, in case that the service was restored from a copy without it;
+/// 410 gateways then use 7 of the service's 300 writes per second.
+pub const REWRITE_INTERVAL: Millis = Millis::from_secs(60);
 /// Wait after the first failed write.
 pub const MIN_BACKOFF: Millis = Millis::from_secs(1);
 /// Maximum wait between writes during an outage.
@@ -117,6 +120,8 @@
     in_flight: Option<Checkpoint>,
     failures: u32,
     next_flush_at: Millis,
+    /// When the checkpoint is written again although it has not changed; `None` before the first one.
+    rewrite_at: Option<Millis>,
 }
 
 impl GatewayLedger {
@@ -135,6 +140,7 @@
             in_flight: None,
             failures: 0,
             next_flush_at: Millis(0),
+            rewrite_at: None,
         }
     }
 
@@ -189,7 +195,8 @@
     /// the result to [`GatewayLedger::on_flushed`].
     pub fn flush(&mut self, now: Millis) -> Option<Checkpoint> {
         let changed = self.closed != self.flushed.closed || self.opened != self.flushed.opened;
-        if self.in_flight.is_some() || !changed || now < self.next_flush_at {
+        let is_rewrite_due = self.rewrite_at.is_some_and(|at| now >= at);
+        if self.in_flight.is_some() || !(changed || is_rewrite_due) || now < self.next_flush_at {
             return None;
         }
         self.last_number += 1;
@@ -218,6 +225,7 @@
                 self.stored = StoredCheckpoint::At(revision);
                 self.failures = 0;
                 self.next_flush_at = now + FLUSH_INTERVAL;
+                self.rewrite_at = Some(now + REWRITE_INTERVAL);
                 return;
             }
             FlushResult::Conflict | FlushResult::Lost => self.stored = StoredCheckpoint::Unknown,
--- a/src/ledger/tests.rs
+++ b/src/ledger/tests.rs
@@ -6,9 +6,10 @@
 
 use super::keys::Key;
 use super::*;
-use crate::fixtures::check_property;
+use crate::fixtures::{check_property, run_paused};
 use crate::ids::Incarnation;
 use crate::kv::Change;
+use crate::kv::memory::MemoryKv;
 
 fn call_charge(account: &str, request: RequestId, rank: (u16, u16), amount: u64) -> Charge {
     Charge {
@@ -210,3 +211,33 @@
     assert_eq!(bill.unknown, [(Incarnation(3), unknown)]);
     assert_eq!(bill.totals.requests(), 1);
 }
+
+// Guards against charges that are lost if a restored service lacks the last checkpoint of a gateway without new requests.
+#[test]
+fn a_checkpoint_that_a_restore_lost_is_written_again() {
+    run_paused(async {
+        let kv = MemoryKv::open();
+        let mut ledger = GatewayLedger::new(Incarnation(7));
+        let copy = kv.copy();
+        let request = ledger.open_request();
+        let charge = call_charge("inci", request, (0, 0), 100);
+        ledger.close(request, Some(charge)).expect("it is open");
+        flush(&kv, &mut ledger, Millis(0)).await;
+        assert!(ledger.is_flushed());
+
+        kv.restore(copy);
+        for second in 0..120 {
+            flush(&kv, &mut ledger, Millis::from_secs(second)).await;
+        }
+
+        let bill = read_bill(&kv).await.expect("the service is up");
+        assert_eq!(bill.requests, 1);
+    });
+}
+
+async fn flush(kv: &MemoryKv, ledger: &mut GatewayLedger, now: Millis) {
+    if let Some(checkpoint) = ledger.flush(now) {
+        let result = write_checkpoint(kv, &checkpoint, ledger.stored()).await;
+        ledger.on_flushed(checkpoint.number, result, now);
+    }
+}
