Say what a new era of the store makes a gateway give up and read anew

The line store_era now has the number of roll-out records and containments whose revisions no longer count and which are recorded again; store_listed has the number of items and whether it is the era's first listing. Before, the logs told that an era had changed, but not what went with it. No logic is changed.

--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -231,8 +231,8 @@
                     continue;
                 }
                 if read == Read::List {
-                    log::info!(event = "store_listed", era:% = era, revision = listing.revision,
-                        settles_in_ms = shared.history.borrow().settles_in(now).unwrap_or_default().0; "");
+                    log::info!(event = "store_listed", era:% = era, revision = listing.revision, items = listing.events.len(),
+                        is_first = is_first_listing, settles_in_ms = shared.history.borrow().settles_in(now).unwrap_or_default().0; "");
                 }
                 let is_unchanged = read != Read::List && listing.events.is_empty();
                 // A watch reports a change at once. After a gap in the contact, the time of a change is unknown.
@@ -492,11 +492,12 @@
             Sighting::Present => {}
             Sighting::New { replaces, revision } => {
                 let replaces = replaces.map_or(-1, |era| i128::from(era.0));
-                log::warn!(event = "store_era", era:% = era, replaces = replaces, revision:? = revision,
-                    table = self.table.borrow().version, call_age_ms = now.since(sent_at).0; "");
-                self.rollouts.borrow_mut().enter_history();
+                let rollouts = self.rollouts.borrow_mut().enter_history();
                 let (unix, gateways) = (self.clock.unix(), self.sharing(now).gateways);
-                self.evidence.borrow_mut().enter_history(unix, gateways);
+                let containments = (self.evidence.borrow_mut()).enter_history(unix, gateways);
+                log::warn!(event = "store_era", era:% = era, replaces = replaces, revision:? = revision,
+                    rollouts = rollouts, containments = containments, table = self.table.borrow().version,
+                    call_age_ms = now.since(sent_at).0; "");
                 if replaces >= 0 {
                     self.metrics.count_event("store_restored");
                 }
--- a/src/forward/rollouts.rs
+++ b/src/forward/rollouts.rs
@@ -143,14 +143,17 @@
     }
 
     /// Forgets the records of the store, which has another history now. What was recorded is still in force and is recorded
-    /// again if the new history lacks it.
-    pub fn enter_history(&mut self) {
+    /// again if the new history lacks it. Returns the number of records.
+    pub fn enter_history(&mut self) -> usize {
+        let mut forgotten = 0;
         for entry in &mut self.entries {
+            forgotten += usize::from(entry.revision > 0);
             entry.revision = 0;
             entry.is_order_listed = false;
             entry.recorded_phase = None;
             entry.early_record = None;
         }
+        forgotten
     }
 
     /// Puts orders into force that a restored store listed and nobody has replaced since.
--- a/src/suspect/evidence.rs
+++ b/src/suspect/evidence.rs
@@ -301,21 +301,24 @@
     /// Takes in that the store has another history now, which may lack reports and records, and none of whose revisions are known.
     ///
     /// What was recorded stays in force. It is recorded again, and so is this gateway's report, at a time that differs between
-    /// the gateways.
-    pub fn enter_history(&mut self, now: Millis, gateways: u64) {
+    /// the gateways. Returns the number of records.
+    pub fn enter_history(&mut self, now: Millis, gateways: u64) -> usize {
         let spread = RECORD_DELAY.max(Millis(REPORT_INTERVAL_PER_GATEWAY.0 * gateways));
         let delay = Millis(hash(self.gateway.as_bytes()) % spread.0);
         self.rewrite_at = now + delay;
         self.next_report = self.next_report.max(self.rewrite_at);
         self.has_unreported_crash |= !self.own.is_empty();
+        let mut forgotten = 0;
         for containment in &mut self.containments {
             if containment.stored != Stored::Nothing {
                 containment.stored = Stored::Behind(0);
+                forgotten += 1;
             }
             // The claim of a trial is gone as well; another gateway may claim it again.
             containment.is_trial_wanted = false;
             containment.trial_until = None;
         }
+        forgotten
     }
 
     /// Decides whether a request with these features, sorted, may be sent.
