Send nothing to an upstream that says itself that it leaves

Upstreams that leave say so in all their answers (Server-Leaving: 1), and only the store's word counted. A gateway that does not reach the store, or whose store lags, went on sending requests to them (DRAIN).

Change: the head of any answer counts, of a refusal and an error too, and so does a load report, from a probe or passed on by the beacon beside the upstream, which names the process (its start time). The fleet keeps that process draining, whatever the store says of it, over removals, listings and restores; another process under the id, or at the address, is not concerned, and an answer 421 says nothing of the upstream that was meant. Idle connections are closed as in any drain, runs in progress end as they would.

Upstreams without a beacon are known as leaving by the gateways that had an answer of them, and by the store.

The datagrams of loads have a new version; beacons and gateways must be updated together.

--- a/src/beacon/mod.rs
+++ b/src/beacon/mod.rs
@@ -9,6 +9,8 @@
 #[cfg(test)]
 mod tests;
 
+use std::num::NonZeroU64;
+
 use crate::router::named_limits::LimitWord;
 use crate::router::rollout::Judged;
 use crate::units::Millis;
@@ -17,7 +19,7 @@
 const SUBSCRIBE_MAGIC: [u8; 4] = *b"FWS3";
 
 /// Magic bytes at the start of a load.
-const LOAD_MAGIC: [u8; 4] = *b"FWL4";
+const LOAD_MAGIC: [u8; 4] = *b"FWL5";
 
 /// Size of a datagram buffer; larger than the largest datagram.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 64;
@@ -39,6 +41,8 @@
     pub answer_counts: Judged,
     /// Latest word of the upstream's limit that a subscriber has had.
     pub limit: Option<LimitWord>,
+    /// Start time of the upstream's process, in Unix milliseconds, if it says that it leaves.
+    pub leaving_boot: Option<NonZeroU64>,
 }
 
 /// One datagram of the protocol.
@@ -56,10 +60,10 @@
     #[must_use]
     pub fn encode(self) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(MAX_DATAGRAM_BYTES);
-        let (answer_counts, limit) = match self {
+        let (answer_counts, limit, leaving_boot) = match self {
             Self::Subscribe(answer_counts, limit) => {
                 bytes.extend_from_slice(&SUBSCRIBE_MAGIC);
-                (answer_counts, limit)
+                (answer_counts, limit, None)
             }
             Self::Load(load) => {
                 bytes.extend_from_slice(&LOAD_MAGIC);
@@ -67,7 +71,8 @@
                 for count in [load.waiting, load.starting, load.running, load.gateways] {
                     bytes.extend_from_slice(&count.to_be_bytes());
                 }
-                (load.answer_counts, load.limit)
+                let boot = load.leaving_boot.map_or(0, NonZeroU64::get);
+                (load.answer_counts, load.limit, Some(boot))
             }
         };
         let counts = [
@@ -80,6 +85,9 @@
         for count in counts.into_iter().chain(encode_limit(limit)) {
             bytes.extend_from_slice(&count.to_be_bytes());
         }
+        if let Some(boot) = leaving_boot {
+            bytes.extend_from_slice(&boot.to_be_bytes());
+        }
         bytes
     }
 
@@ -92,6 +100,7 @@
         }
         let (load, rest) = bytes.strip_prefix(&LOAD_MAGIC)?.split_first_chunk::<12>()?;
         let [a, b, c, d, w0, w1, s0, s1, r0, r1, g0, g1] = *load;
+        let (rest, boot) = rest.split_last_chunk::<8>()?;
         let (answer_counts, limit) = decode_counts(rest)?;
         Some(Self::Load(Load {
             seq: u32::from_be_bytes([a, b, c, d]),
@@ -101,6 +110,7 @@
             gateways: u16::from_be_bytes([g0, g1]),
             answer_counts,
             limit,
+            leaving_boot: NonZeroU64::new(u64::from_be_bytes(*boot)),
         }))
     }
 }
--- a/src/beacon/receiver.rs
+++ b/src/beacon/receiver.rs
@@ -2,11 +2,13 @@
 
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::num::NonZeroU64;
 use std::rc::Rc;
 
 use actix_rt::time::sleep;
 use tokio::net::UdpSocket;
 
+use crate::forward::notices::LeavingSource;
 use crate::forward::shared::Shared;
 use crate::router::named_limits::LimitWord;
 use crate::router::rollout::Judged;
@@ -168,10 +170,15 @@
     fn record_beacon_load(&self, ip: IpAddr, load: super::Load) {
         let now = self.clock.now();
         self.record_gateways(load.gateways, now);
-        let fleet = self.fleet.borrow();
-        let mut health = self.health.borrow_mut();
-        for upstream in fleet.all().filter(|u| u.addr.ip() == ip) {
-            health.record_load(&upstream.id, upstream.boot, load, now);
+        let upstreams: Vec<_> = (self.fleet.borrow().all())
+            .filter(|u| u.addr.ip() == ip)
+            .cloned()
+            .collect();
+        for upstream in &upstreams {
+            (self.health.borrow_mut()).record_load(&upstream.id, upstream.boot, load, now);
+            if load.leaving_boot.map(NonZeroU64::get) == Some(upstream.boot) {
+                self.record_leaving(&upstream.id, upstream.boot, LeavingSource::Beacon);
+            }
             // The word may be of the process that was at this address before.
             let is_own = |w: &LimitWord| self.clock.unix().since(w.age).0 >= upstream.boot;
             let Some(word) = load.limit.filter(is_own) else {
--- a/src/beacon/sender.rs
+++ b/src/beacon/sender.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
+use std::num::NonZeroU64;
 use std::rc::Rc;
 
 use actix_rt::task::JoinHandle;
@@ -208,8 +209,9 @@
         Some(conn) => conn,
         None => exchange::connect(upstream).await.ok()?,
     };
-    let (load, is_reusable) = exchange::fetch_report(&mut conn, upstream, true).await?;
-    *idle_conn = is_reusable.then_some(conn);
+    let report = exchange::fetch_report(&mut conn, upstream, true).await?;
+    *idle_conn = report.is_reusable.then_some(conn);
+    let load = report.load;
     let count = |count: u64| u16::try_from(count).unwrap_or(u16::MAX);
     Some(Load {
         seq: 0,
@@ -219,5 +221,6 @@
         gateways: 0,
         answer_counts: Judged::default(),
         limit: None,
+        leaving_boot: (load.boot.filter(|_| report.is_leaving)).and_then(NonZeroU64::new),
     })
 }
--- a/src/beacon/tests.rs
+++ b/src/beacon/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the datagram encoding and of a sender beside a stand-in engine.
 
+use std::num::NonZeroU64;
+
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, UdpSocket};
 
@@ -35,6 +37,7 @@
         gateways: 68,
         answer_counts: ANSWER_COUNTS,
         limit: Some(WORD),
+        leaving_boot: NonZeroU64::new(1_700_000_000_123),
     };
     let lifted = LimitWord {
         per_1000_s: None,
@@ -67,7 +70,8 @@
     fixtures::check_property(4, property as fn(Vec<u8>));
 }
 
-/// A subscriber receives the load, the summed answer counts of all subscribers, and the latest word of the limit.
+/// A subscriber receives the load, the summed answer counts of all subscribers, the latest word of the limit, and whether the
+/// engine leaves.
 #[test]
 fn a_subscriber_receives_the_load_of_the_engine() {
     actix_rt::System::new().block_on(async {
@@ -79,8 +83,12 @@
             let (mut stream, _) = listener.accept().await.expect("the sender connects");
             let mut buf = [0; 1_024];
             while stream.read(&mut buf).await.is_ok_and(|length| length > 0) {
-                let body = r#"{"waiting":3,"running":2,"runs":[["a",9,0,5],["b",9,4,5]]}"#;
-                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                let body =
+                    r#"{"waiting":3,"running":2,"runs":[["a",9,0,5],["b",9,4,5]],"born":99}"#;
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nContent-Length: {}\r\n\r\n",
+                    body.len()
+                );
                 let answer = format!("{head}{body}");
                 stream
                     .write_all(answer.as_bytes())
@@ -115,6 +123,7 @@
             gateways: 2,
             answer_counts: ANSWER_COUNTS.plus(ANSWER_COUNTS),
             limit: None,
+            leaving_boot: NonZeroU64::new(99),
         };
         let Some(Datagram::Load(load)) = Datagram::decode(&buf[..length]) else {
             panic!("the datagram is not a load");
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -25,6 +25,7 @@
 use super::exchange::{self, ExchangeError};
 use super::head::{Framing, ResponseHead};
 use super::job::Job;
+use super::notices;
 use super::pool::Conn;
 use super::reply::{self, BodyFraming};
 use super::shared::Shared;
@@ -157,7 +158,7 @@
     open.record_bytes(shared, now);
     open.began_at = Some(now);
     shared.record_run_begin(job, now);
-    observe_limit(shared, upstream, &head, open.sent_at);
+    notices::observe(shared, upstream, &head, open.sent_at);
     let is_unframed = head.framing == Framing::UntilClose;
     let end = handle_answer(shared, client, job, open, head, relay, can_reroute).await;
     match &end {
@@ -174,17 +175,6 @@
     end
 }
 
-/// Records the limit that an upstream's answer names, or that it names none.
-fn observe_limit(shared: &Shared, upstream: &Upstream, head: &ResponseHead, sent_at: Millis) {
-    let now = shared.clock.now();
-    let named = head.fields.text(headers::UPSTREAM_LIMIT);
-    let named = named.and_then(|text| text.trim().parse().ok());
-    let mut limits = shared.named_limits.borrow_mut();
-    let change = limits.observe(&upstream.id, upstream.boot, named, sent_at, now);
-    drop(limits);
-    shared.log_limit_change(upstream, change);
-}
-
 /// Counts and logs a request that is sent to an upstream that leaves.
 fn record_send_to_leaving(shared: &Shared, job: &Job, upstream: &Upstream) {
     let now = shared.clock.now();
@@ -230,11 +220,8 @@
             return Err(AttemptEnd::Retry(AttemptFailure::NotSent));
         };
         let now = shared.clock.now();
-        if !shared
-            .fleet
-            .borrow()
-            .is_ready(&upstream.id, upstream.boot, now)
-        {
+        let is_ready = (shared.fleet.borrow()).is_ready(&upstream.id, upstream.boot, now);
+        if !is_ready {
             log::info!(event = "attempt_withdrawn", request:% = String::from_utf8_lossy(&job.id),
                 upstream:% = upstream.id; "");
             return Err(AttemptEnd::Retry(AttemptFailure::NotSent));
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -272,12 +272,23 @@
     Ok(())
 }
 
-/// Requests the load report of an engine; also returns whether the connection can be reused.
+/// Load report of an engine.
+#[derive(Debug)]
+pub struct FetchedReport {
+    /// The load.
+    pub load: report::EngineLoad,
+    /// Whether the engine says that it leaves.
+    pub is_leaving: bool,
+    /// Whether the connection can be used again.
+    pub is_reusable: bool,
+}
+
+/// Requests the load report of an engine.
 pub async fn fetch_report(
     conn: &mut Conn,
     addr: SocketAddr,
     keep_alive: bool,
-) -> Option<(report::EngineLoad, bool)> {
+) -> Option<FetchedReport> {
     let connection = if keep_alive { "keep-alive" } else { "close" };
     let target = report::REPORT_TARGET;
     let message =
@@ -288,5 +299,9 @@
         .await
         .ok()?;
     let load = report::decode(&body).filter(|_| head.status == 200)?;
-    Some((load, head.keep_alive && conn.buf.is_empty()))
+    Some(FetchedReport {
+        load,
+        is_leaving: head.is_of_leaving_upstream(),
+        is_reusable: head.keep_alive && conn.buf.is_empty(),
+    })
 }
--- a/src/forward/gateway.rs
+++ b/src/forward/gateway.rs
@@ -253,6 +253,8 @@
     metrics.set_gauge("containments", value(contained));
     let limited = shared.named_limits.borrow().len();
     metrics.set_gauge("limited_upstreams", value(limited));
+    let leaving = shared.fleet.borrow().leaving_count();
+    metrics.set_gauge("leaving_upstreams", value(leaving));
     metrics.text()
 }
 
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -16,6 +16,7 @@
 pub mod gateway;
 pub mod head;
 mod job;
+pub(crate) mod notices;
 pub mod pool;
 pub mod reply;
 pub mod request;
--- a/src/forward/silence.rs
+++ b/src/forward/silence.rs
@@ -5,12 +5,12 @@
 
 use actix_rt::time::{sleep, timeout};
 
-use crate::platform::report;
 use crate::router::fleet::Upstream;
 use crate::router::silence_policy::{self, Limits, NextAction, ProbeResult, UpstreamActivity};
 use crate::units::Millis;
 
-use super::exchange;
+use super::exchange::{self, FetchedReport};
+use super::notices::LeavingSource;
 use super::shared::Shared;
 
 /// Time limit for an engine to report its load; the report does not need one of its request slots.
@@ -76,10 +76,18 @@
 
 async fn probe(watch: &SilenceWatch<'_>) -> ProbeResult {
     watch.shared.metrics.count_event("upstream_asked");
-    let load = timeout(PROBE_TIMEOUT.duration(), fetch_load(watch.upstream)).await;
-    let Ok(Some(load)) = load else {
+    let load = timeout(PROBE_TIMEOUT.duration(), fetch_report(watch.upstream)).await;
+    let Ok(Some(report)) = load else {
         return ProbeResult::NoSign;
     };
+    let load = report.load;
+    if report.is_leaving && load.boot.is_none_or(|boot| boot == watch.upstream.boot) {
+        (watch.shared).record_leaving(
+            &watch.upstream.id,
+            watch.upstream.boot,
+            LeavingSource::Probe,
+        );
+    }
     let id = std::str::from_utf8(watch.id).unwrap_or_default();
     if load.waiting > 0 || load.ids.iter().any(|listed| listed == id) {
         ProbeResult::AtWork
@@ -88,8 +96,7 @@
     }
 }
 
-async fn fetch_load(upstream: &Upstream) -> Option<report::EngineLoad> {
+async fn fetch_report(upstream: &Upstream) -> Option<FetchedReport> {
     let mut conn = exchange::connect(upstream.addr).await.ok()?;
-    let (load, _) = exchange::fetch_report(&mut conn, upstream.addr, false).await?;
-    Some(load)
+    exchange::fetch_report(&mut conn, upstream.addr, false).await
 }
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod limits;
 mod model_store;
+mod notices;
 mod parsers;
 mod requests;
 mod restored;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -24,6 +24,8 @@
 pub const CONFIDENCE: &str = "X-Fireflywind-Confidence";
 /// Requests a second that an upstream in need takes from all gateways together, a decimal number.
 pub const UPSTREAM_LIMIT: &str = "Server-Limit";
+/// Set to `1` in all answers of an upstream that leaves.
+pub const UPSTREAM_LEAVING: &str = "Server-Leaving";
 /// Number of the history that an answer of the store comes from; it rises when the store is restored from a copy.
 pub const STORE_ERA: &str = "Store-Era";
 /// Scheduling priority at the engine, from 0 (highest) to 9.
--- a/src/platform/report.rs
+++ b/src/platform/report.rs
@@ -17,6 +17,8 @@
     pub starting: u64,
     /// Ids of the running requests.
     pub ids: Vec<String>,
+    /// Start time of the engine's process, in Unix milliseconds, if the report names it.
+    pub boot: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -28,6 +30,9 @@
     /// One row for each running request: id, tokens in memory, events produced and priority.
     #[serde(default)]
     runs: Vec<Vec<Value>>,
+    /// Start time of the process, in Unix milliseconds.
+    #[serde(default)]
+    born: Option<u64>,
 }
 
 /// Decodes the body of a load report; returns `None` if it is malformed.
@@ -42,5 +47,6 @@
         running: report.running,
         starting: (report.runs.len() - with_output) as u64,
         ids: ids.map(str::to_owned).collect(),
+        boot: report.born,
     })
 }
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -221,6 +221,15 @@
     }
 }
 
+/// An upstream's process that has said itself that it leaves.
+#[derive(Debug, Clone)]
+struct Leaving {
+    id: Rc<str>,
+    boot: u64,
+    /// Position in the order in which they said so.
+    number: u64,
+}
+
 /// All registered upstreams, sorted by id.
 #[derive(Debug, Clone, Default)]
 pub struct Fleet {
@@ -230,6 +239,9 @@
     departures: u64,
     /// Sorted by id.
     held: Vec<Held>,
+    /// Sorted by id.
+    leaving: Vec<Leaving>,
+    leavings: u64,
 }
 
 impl Fleet {
@@ -241,6 +253,9 @@
         {
             self.departed.remove(at);
         }
+        if self.is_leaving(&reported.id, reported.boot) {
+            reported.state = UpstreamState::Draining;
+        }
         let at = match self.find(&reported.id) {
             Ok(at) => at,
             Err(at) => {
@@ -282,6 +297,54 @@
         }
     }
 
+    /// Records that an upstream's process has said itself that it leaves. It takes no new requests, whatever the store says of
+    /// it; another process under its id does.
+    pub fn record_leaving(&mut self, id: &Rc<str>, boot: u64) -> Option<Change> {
+        let at = match self.find_leaving(id) {
+            Ok(at) if self.leaving[at].boot >= boot => return None,
+            found => found,
+        };
+        self.leavings += 1;
+        let leaving = Leaving {
+            id: Rc::clone(id),
+            boot,
+            number: self.leavings,
+        };
+        match at {
+            Ok(at) => self.leaving[at] = leaving,
+            Err(at) => self.leaving.insert(at, leaving),
+        }
+        if self.leaving.len() > MAX_DEPARTED {
+            let oldest = self.leavings - MAX_DEPARTED as u64;
+            self.leaving.retain(|l| l.number > oldest);
+        }
+        let at = self.find(id).ok()?;
+        let member = &mut self.members[at];
+        if member.upstream.boot != boot || member.upstream.state == UpstreamState::Draining {
+            return None;
+        }
+        let upstream = Rc::new(Upstream {
+            state: UpstreamState::Draining,
+            ..(*member.upstream).clone()
+        });
+        member.upstream = Rc::clone(&upstream);
+        Some(Change::Draining(upstream))
+    }
+
+    /// Returns whether an upstream's process has said itself that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self, id: &str, boot: u64) -> bool {
+        self.find_leaving(id)
+            .is_ok_and(|at| self.leaving[at].boot == boot)
+    }
+
+    /// Returns the number of registered upstreams that have said themselves that they leave.
+    #[must_use]
+    pub fn leaving_count(&self) -> usize {
+        let leaving = |m: &&Member| self.is_leaving(&m.upstream.id, m.upstream.boot);
+        self.members.iter().filter(leaving).count()
+    }
+
     /// Applies the removal of an entry; `grace` is until when a ready upstream is still used, if an outage may be
     /// the cause.
     pub fn remove(&mut self, id: &str, grace: Option<Millis>) -> Option<Change> {
@@ -431,6 +494,10 @@
         }
     }
 
+    fn find_leaving(&self, id: &str) -> Result<usize, usize> {
+        self.leaving.binary_search_by(|l| l.id.as_ref().cmp(id))
+    }
+
     fn find_departed(&self, id: &str) -> Result<usize, usize> {
         self.departed.binary_search_by(|d| d.id.as_ref().cmp(id))
     }
--- a/src/router/tests/fleet.rs
+++ b/src/router/tests/fleet.rs
@@ -487,3 +487,52 @@
     assert!(changes.iter().any(|c| matches!(c, Change::Held(_))));
     assert!(ids(&fleet).is_empty());
 }
+
+/// An upstream knows better than the store whether it leaves, which may lag or be out of reach.
+#[test]
+fn an_upstream_that_says_that_it_leaves_is_not_used_although_the_store_says_ready() {
+    let mut fleet = Fleet::default();
+    fleet.put(ready("u", 1, 1));
+    fleet.put(ready("v", 1, 1));
+
+    let change = fleet.record_leaving(&"u".into(), 1);
+
+    assert!(matches!(change, Some(Change::Draining(u)) if &*u.id == "u"));
+    assert_eq!(fleet.record_leaving(&"u".into(), 1), None);
+    assert_eq!(ids(&fleet), ["v"]);
+    assert_eq!(fleet.put(ready("u", 1, 2)), None);
+    fleet.replace(vec![ready("u", 1, 3), ready("v", 1, 2)], None);
+    fleet.replace_by_copy(vec![ready("u", 1, 1), ready("v", 1, 1)], copied_at(NOW));
+    assert_eq!(ids(&fleet), ["v"]);
+}
+
+/// The entry of an upstream that leaves may expire and come back, and may arrive after the upstream's own word.
+#[test]
+fn the_word_of_an_upstream_that_leaves_outlasts_its_entry() {
+    let mut fleet = Fleet::default();
+    assert_eq!(fleet.record_leaving(&"u".into(), 7), None);
+
+    fleet.put(ready("u", 7, 1));
+    assert!(ids(&fleet).is_empty());
+    fleet.remove("u", None);
+    fleet.put(ready("u", 7, 2));
+
+    assert!(ids(&fleet).is_empty());
+    assert_eq!(fleet.leaving_count(), 1);
+}
+
+/// Another process, under the same id or at the same address, has not said that it leaves.
+#[test]
+fn another_process_does_not_inherit_that_an_upstream_leaves() {
+    let mut fleet = Fleet::default();
+    fleet.put(ready("u", 1, 1));
+    fleet.record_leaving(&"u".into(), 1);
+
+    fleet.put(ready("u", 2, 1));
+    fleet.put(ready("w", 1, 1));
+
+    assert_eq!(ids(&fleet), ["u", "w"]);
+    // The answer of the earlier process is late.
+    assert_eq!(fleet.record_leaving(&"u".into(), 1), None);
+    assert_eq!(ids(&fleet), ["u", "w"]);
+}
