Keep to pauses that upstreams ask for

What callers saw: possible, shown by tests.

Change: router/pauses keeps, by process, until when an upstream wants no request: the longest time that its refusals ask for, counted from their arrival, with fractions, up to five minutes; other values are bounded and logged. Nothing is sent within it, no probe either, and an attempt whose connection was being opened is withdrawn. After it the upstream gets its share back over a quarter of the pause (0.1 to 1 s). A pause does not count as a failure of the upstream. If every upstream pauses, a request is refused at once when its deadline comes first, with the shortest rest and a spread as Retry-After; otherwise it waits in the gateway: a client comes back once or twice, and only within a third of the time that it has left.

A request that was refused with a pause and is sent elsewhere still takes from the retry budget, although it has not run: the platform counts arrivals that an upstream refuses as well.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -158,7 +158,7 @@
     open.record_bytes(shared, now);
     open.began_at = Some(now);
     shared.record_run_begin(job, now);
-    notices::observe(shared, upstream, &head, open.sent_at);
+    notices::observe(shared, job, upstream, &head, open.sent_at);
     let is_unframed = head.framing == Framing::UntilClose;
     let end = handle_answer(shared, client, job, open, head, relay, can_reroute).await;
     match &end {
@@ -221,7 +221,8 @@
         };
         let now = shared.clock.now();
         let is_ready = (shared.fleet.borrow()).is_ready(&upstream.id, upstream.boot, now);
-        if !is_ready {
+        let is_paused = (shared.pauses.borrow()).is_paused(&upstream.id, upstream.boot, now);
+        if !is_ready || is_paused {
             log::info!(event = "attempt_withdrawn", request:% = String::from_utf8_lossy(&job.id),
                 upstream:% = upstream.id; "");
             return Err(AttemptEnd::Retry(AttemptFailure::NotSent));
@@ -451,7 +452,9 @@
         } else {
             AttemptOutcome::Full
         };
-        observe_outcome(shared, &upstream, outcome, "refused");
+        if !head.asks_for_pause() {
+            observe_outcome(shared, &upstream, outcome, "refused");
+        }
         log::info!(event = "attempt_refused", request:% = String::from_utf8_lossy(&job.id),
             upstream:% = upstream.id, status = head.status; "");
         return AttemptEnd::Retry(AttemptFailure::Refused);
@@ -461,7 +464,9 @@
         return AttemptEnd::Retry(AttemptFailure::Failed);
     }
     if head.status >= 500 {
-        observe_outcome(shared, &upstream, AttemptOutcome::Error, "error");
+        if !head.asks_for_pause() {
+            observe_outcome(shared, &upstream, AttemptOutcome::Error, "error");
+        }
         observe_version(shared, job, &upstream, Answer::Failed);
         if job.route.kind.is_repeatable() && can_reroute {
             return AttemptEnd::Failure(Box::new(head), body);
--- a/src/forward/choose.rs
+++ b/src/forward/choose.rs
@@ -5,6 +5,7 @@
 use crate::router::demand::ModelClass;
 use crate::router::fleet::Upstream;
 use crate::router::named_limits::Limited;
+use crate::router::pauses::Paused;
 use crate::router::pick::{self, Candidate, PickRequest};
 use crate::router::rollout::Group;
 use crate::router::{hash, mix};
@@ -32,6 +33,8 @@
     NoUpstream,
     /// All name a limit, and this gateway's part of it is used up for this time.
     Limited(Limited),
+    /// All want a pause; the one whose pause ends first.
+    Paused(Paused),
 }
 
 /// Chooses the upstream of an attempt; upstreams in `tried` are used only as the last choice.
@@ -41,6 +44,7 @@
     let ready: Vec<_> = fleet.ready(&job.service, now).collect();
     let eligible = eligible_upstreams(shared, job, ready, tried.len(), now);
     let eligible = within_limits(shared, eligible, now)?;
+    let eligible = without_paused(shared, eligible, now)?;
     let policy = shared.policy();
     let mut health = shared.health.borrow_mut();
     let mut candidates: Vec<_> = eligible
@@ -116,6 +120,32 @@
     }
 }
 
+/// Returns the upstreams that do not want a pause.
+fn without_paused<'a>(
+    shared: &Shared,
+    upstreams: Vec<&'a Rc<Upstream>>,
+    now: Millis,
+) -> Result<Vec<&'a Rc<Upstream>>, NoChoice> {
+    let pauses = shared.pauses.borrow();
+    if pauses.is_empty() {
+        return Ok(upstreams);
+    }
+    let mut shortest: Option<Paused> = None;
+    let is_free = |u: &&Rc<Upstream>| {
+        let reason = pauses.paused(&u.id, u.boot, now, shared.draw());
+        shortest = [shortest, reason]
+            .into_iter()
+            .flatten()
+            .min_by_key(|p| p.wait);
+        reason.is_none()
+    };
+    let free: Vec<_> = upstreams.into_iter().filter(is_free).collect();
+    match shortest {
+        Some(shortest) if free.is_empty() => Err(NoChoice::Paused(shortest)),
+        _ => Ok(free),
+    }
+}
+
 /// Returns the share of the upstreams that serve the smallest model, in permille, and what the choice depends on;
 /// counts the request's work.
 fn pick_request(shared: &Shared, job: &Job, now: Millis) -> (u64, PickRequest) {
--- a/src/forward/gateway.rs
+++ b/src/forward/gateway.rs
@@ -253,6 +253,8 @@
     metrics.set_gauge("containments", value(contained));
     let limited = shared.named_limits.borrow().len();
     metrics.set_gauge("limited_upstreams", value(limited));
+    let paused = shared.pauses.borrow().len(shared.clock.now());
+    metrics.set_gauge("paused_upstreams", value(paused));
     let leaving = shared.fleet.borrow().leaving_count();
     metrics.set_gauge("leaving_upstreams", value(leaving));
     metrics.text()
@@ -274,6 +276,7 @@
         }
         follow::expire(&shared, now);
         shared.pool.borrow_mut().expire(now);
+        shared.pauses.borrow_mut().expire(now);
         let fleet = shared.fleet.borrow();
         (shared.health.borrow_mut()).retain(|id, boot| fleet.is_present(id, boot));
         (shared.named_limits.borrow_mut()).retain(|id, boot| fleet.is_present(id, boot));
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -2,16 +2,18 @@
 
 use std::rc::Rc;
 
+use actix_rt::time::sleep;
 use bytes::{Bytes, BytesMut};
 
 use crate::platform::headers;
 use crate::router::attempt::{AttemptFailure, Attempts, ExecutionGuarantee};
 use crate::router::named_limits::Limited;
+use crate::router::pauses::Paused;
 use crate::suspect::Decision;
 use crate::units::Millis;
 
 use super::attempt::{AttemptEnd, attempt, deliver, take_retry_budget};
-use super::choose::{NoChoice, choose};
+use super::choose::{Choice, NoChoice, choose};
 use super::client::{AfterAnswer, ClientConn, IncomingRequest};
 use super::head::ResponseHead;
 use super::job::{Job, admit, not_run};
@@ -123,14 +125,22 @@
                 break "contained";
             }
         };
-        let choice = match choose(shared, job, &tried) {
+        let choice = match choose_after_pause(shared, client, job, &tried).await {
             Ok(choice) => choice,
-            Err(NoChoice::NoUpstream) => break "no_upstream",
-            Err(NoChoice::Limited(reason)) => {
+            Err(NoAttempt::ClientGone) => return Outcome::ClientGone,
+            Err(NoAttempt::NoChoice(NoChoice::NoUpstream)) => break "no_upstream",
+            Err(NoAttempt::NoChoice(NoChoice::Limited(reason))) => {
                 record_limited(shared, job, reason);
                 retry_after = retry_after.max(reason.wait);
                 break "limited";
             }
+            Err(NoAttempt::NoChoice(NoChoice::Paused(paused))) => {
+                record_paused(shared, job, paused, "refused");
+                // Clients that were refused during one pause do not come back at the same moment.
+                let spread = shared.draw() % (paused.wait.0 / 4 + 1);
+                retry_after = retry_after.max(paused.wait + Millis(spread));
+                break "paused";
+            }
         };
         let upstream = &choice.upstream;
         tried.push(Rc::clone(&upstream.id));
@@ -175,6 +185,62 @@
     finish_unanswered(client, job, &attempts, unanswered, &relay).await
 }
 
+/// Why there is no other attempt.
+enum NoAttempt {
+    NoChoice(NoChoice),
+    ClientGone,
+}
+
+/// Shortest time after which a request that waits for a paused upstream looks for others.
+const MIN_PAUSE_RECHECK: Millis = Millis(100);
+
+/// Chooses the upstream of an attempt. If all want a pause, waits for the first one to end, unless the request's deadline comes
+/// before.
+///
+/// A client that is refused comes back once or twice, and only within a third of the time that it has left; waiting here
+/// reaches the end of the pause, and takes nothing from the retry budget.
+async fn choose_after_pause(
+    shared: &Shared,
+    client: &mut ClientConn,
+    job: &Job,
+    tried: &[Rc<str>],
+) -> Result<Choice, NoAttempt> {
+    let mut is_waiting = false;
+    loop {
+        let paused = match choose(shared, job, tried) {
+            Ok(choice) => return Ok(choice),
+            Err(NoChoice::Paused(paused)) => paused,
+            Err(reason) => return Err(NoAttempt::NoChoice(reason)),
+        };
+        if shared.clock.now() + paused.wait + MIN_REMAINING_TIME >= job.deadline {
+            return Err(NoAttempt::NoChoice(NoChoice::Paused(paused)));
+        }
+        if !is_waiting {
+            is_waiting = true;
+            record_paused(shared, job, paused, "waits");
+        }
+        // Another upstream may come; half of the wait keeps many waiting requests from asking all the time.
+        let recheck = Millis(paused.wait.0 / 2).max(MIN_PAUSE_RECHECK);
+        let pause = paused.wait.min(recheck);
+        tokio::select! {
+            biased;
+            () = client.closed() => return Err(NoAttempt::ClientGone),
+            () = sleep(pause.duration()) => {}
+        }
+    }
+}
+
+/// Logs a request whose upstreams all want a pause.
+fn record_paused(shared: &Shared, job: &Job, paused: Paused, outcome: &'static str) {
+    log::info!(event = "paused", request:% = String::from_utf8_lossy(&job.id), service:% = job.service, outcome = outcome,
+        paused_upstreams = shared.pauses.borrow().len(shared.clock.now()), wait_ms = paused.wait.0,
+        age_ms = paused.age.0; "");
+    shared.metrics.count_event(match outcome {
+        "waits" => "pause_waited_for",
+        _ => "paused",
+    });
+}
+
 /// Logs a request that is refused because all upstreams name a limit.
 fn record_limited(shared: &Shared, job: &Job, reason: Limited) {
     let sharing = shared.sharing(shared.clock.now());
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -17,6 +17,7 @@
 use crate::router::history::History;
 use crate::router::lateness::Lateness;
 use crate::router::named_limits::{LimitChange, NamedLimits, Sharing};
+use crate::router::pauses::Pauses;
 use crate::router::retry::{RetryBounds, RetryBudget};
 use crate::router::sessions::Sessions;
 use crate::router::sizes::SizeMix;
@@ -117,6 +118,8 @@
     pub buffered_bytes: Cell<usize>,
     /// Limits that upstreams name.
     pub(crate) named_limits: RefCell<NamedLimits>,
+    /// Pauses that upstreams ask for.
+    pub(crate) pauses: RefCell<Pauses>,
     /// Runs of this gateway at upstreams, in flight and recently ended.
     pub(super) exposures: RefCell<Exposures>,
     /// What is known of crashes of upstreams.
@@ -187,6 +190,7 @@
             open_connections: Cell::default(),
             buffered_bytes: Cell::default(),
             named_limits: RefCell::default(),
+            pauses: RefCell::default(),
             exposures: RefCell::default(),
             evidence: RefCell::new(evidence),
             evidence_changed: Notify::new(),
--- a/src/forward/silence.rs
+++ b/src/forward/silence.rs
@@ -64,6 +64,10 @@
             NextAction::Wait(pause) => sleep(pause.duration()).await,
             NextAction::Reroute => return SilenceOutcome::Leave,
             NextAction::TimedOut => return SilenceOutcome::TimedOut,
+            // An upstream that pauses has answered not long ago.
+            NextAction::Probe if shared.pauses.borrow().is_paused(id, boot, now) => {
+                probed = Some((now, ProbeResult::AtWork));
+            }
             NextAction::Probe => {
                 let state = probe(&watch).await;
                 log::info!(event = "asked", request:% = String::from_utf8_lossy(watch.id),
--- a/src/forward/tests/notices.rs
+++ b/src/forward/tests/notices.rs
@@ -1,13 +1,14 @@
-//! Upstreams that say themselves that they leave.
+//! Upstreams that say themselves that they leave, or that they want a pause.
 
 use super::fixture::{
-    self, Action, ScriptedUpstream, events, gateway, gateway_ready, policy, scripted_upstream,
-    send, serve, status,
+    self, Action, ScriptedUpstream, events, field, gateway, gateway_ready, policy,
+    scripted_upstream, send, serve, status,
 };
 use crate::fixtures::run_paused;
 use crate::forward::gateway::Gateway;
 use crate::forward::notices::LeavingSource;
 use crate::forward::shared::Shared;
+use crate::units::Millis;
 
 const OK: &str = "HTTP/1.1 200 OK\r\nX-Fireflywind-Request-Id: ID\r\nX-Fireflywind-Server-Stamp: s1\r\n\
                   X-Fireflywind-Confidence: 99\r\nContent-Length: 15\r\n\r\nid: 1\ndata: a\n\n";
@@ -155,3 +156,111 @@
         }
     });
 }
+
+/// An upstream that asks for a pause gets one, whatever other answers are on the way.
+#[test]
+fn an_upstream_that_wants_a_pause_gets_no_request() {
+    fixture::run(async {
+        for refusal in [
+            "HTTP/1.1 503 Busy\r\nX-Fireflywind-Request-Id: ID\r\nX-Fireflywind-Not-Run: 1\r\nRetry-After: 60\r\n\
+             Content-Length: 0\r\n\r\n",
+            "HTTP/1.1 503 Busy\r\nX-Fireflywind-Request-Id: ID\r\nX-Fireflywind-Not-Run: 1\r\nRetry-After: no\r\n\
+             retry-after: 60.5\r\nRetry-After: 0.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        ] {
+            for path in ["/safe/", "/once/", "/stream/"] {
+                let busy = scripted_upstream(vec![Action::Write(refusal)]).await;
+                let other = scripted_upstream(vec![Action::Write(OK)]).await;
+                let gateway = gateway(&[&busy, &other]).await;
+
+                let mut statuses = Vec::new();
+                while received(&busy) == 0 {
+                    statuses.extend(send_many(&gateway, path).await);
+                }
+                statuses.extend(send_many(&gateway, path).await);
+
+                // The client of the refused request got the other upstream's answer.
+                assert!(statuses.iter().all(|s| *s == 200), "{path}: {statuses:?}");
+                assert_eq!(received(&busy), 1, "{path}");
+            }
+        }
+    });
+}
+
+/// A pause that outlasts the deadline is told to the client at once; there is nothing to wait for.
+#[test]
+fn a_request_is_refused_at_once_if_every_upstream_pauses_past_its_deadline() {
+    fixture::run(async {
+        let busy = "HTTP/1.1 503 Busy\r\nX-Fireflywind-Request-Id: ID\r\nX-Fireflywind-Not-Run: 1\r\n\
+                    Retry-After: 20\r\nContent-Length: 0\r\n\r\n";
+        let upstreams = [
+            scripted_upstream(vec![Action::Write(busy)]).await,
+            scripted_upstream(vec![Action::Write(busy)]).await,
+        ];
+        let gateway = gateway(&[&upstreams[0], &upstreams[1]]).await;
+        send(&gateway, "POST", "/once/", "").await;
+
+        let text = send(&gateway, "POST", "/once/", "").await;
+
+        assert_eq!(status(&text), 503, "{text}");
+        assert!(text.contains("paused"), "{text}");
+        let retry_after = field(&text, "Retry-After").and_then(|v| v.parse::<f64>().ok());
+        // The rest of the pause, and the spread of up to a quarter and 400 ms; the test itself takes some time.
+        assert!(retry_after.is_some_and(|s| s > 3.0 && s < 25.5), "{text}");
+        assert_eq!(upstreams.map(|u| received(&u)), [1, 1]);
+    });
+}
+
+/// A pause that ends in time is waited for: the client would come back too early or too late, or not at all.
+#[test]
+fn a_request_waits_for_a_pause_that_ends_before_its_deadline() {
+    fixture::run(async {
+        let busy = "HTTP/1.1 503 Busy\r\nX-Fireflywind-Request-Id: ID\r\nX-Fireflywind-Not-Run: 1\r\n\
+                    Retry-After: 0.2\r\nContent-Length: 0\r\n\r\n";
+        let upstream = scripted_upstream(vec![Action::Write(busy), Action::Write(OK)]).await;
+        let shared = Shared::open(
+            policy(),
+            Box::new(fixture::FixedStore::open(events(&[&upstream]))),
+        );
+        let gateway = serve(std::rc::Rc::clone(&shared));
+        gateway_ready(&gateway).await;
+
+        let text = send(&gateway, "POST", "/once/", "").await;
+
+        assert_eq!(status(&text), 200, "{text}");
+        assert_eq!(received(&upstream), 2);
+        assert!(shared.metrics.text().contains("pause_waited_for"));
+    });
+}
+
+/// A pause is no failure: it must not take the upstream out of use beyond its end.
+#[test]
+fn a_pause_does_not_count_as_a_failure() {
+    fixture::run(async {
+        let busy = "HTTP/1.1 503 Busy\r\nX-Fireflywind-Request-Id: ID\r\nX-Fireflywind-Not-Run: 1\r\n\
+                    Retry-After: 0.001\r\nContent-Length: 0\r\n\r\n";
+        let upstream = scripted_upstream(vec![Action::Write(busy)]).await;
+        let shared = Shared::open(
+            policy(),
+            Box::new(fixture::FixedStore::open(events(&[&upstream]))),
+        );
+        let gateway = serve(std::rc::Rc::clone(&shared));
+        gateway_ready(&gateway).await;
+
+        for _ in 0..12 {
+            send(
+                &gateway,
+                "POST",
+                "/once/",
+                "X-Fireflywind-Deadline-Ms: 300\r\n",
+            )
+            .await;
+            actix_rt::time::sleep(Millis(2).duration()).await;
+        }
+
+        let now = shared.clock.now();
+        let mut health = shared.health.borrow_mut();
+        let health = health.entry(&"u0".into(), 1, now);
+        assert!(!health.is_ejected(now));
+        assert!(health.failure_rate() < 0.01, "{}", health.failure_rate());
+    });
+}
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -26,6 +26,8 @@
 pub const UPSTREAM_LIMIT: &str = "Server-Limit";
 /// Set to `1` in all answers of an upstream that leaves.
 pub const UPSTREAM_LEAVING: &str = "Server-Leaving";
+/// Seconds for which an upstream that refuses a request with status 503 wants no other one; may have a fraction.
+pub const RETRY_AFTER: &str = "Retry-After";
 /// Number of the history that an answer of the store comes from; it rises when the store is restored from a copy.
 pub const STORE_ERA: &str = "Store-Era";
 /// Scheduling priority at the engine, from 0 (highest) to 9.
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -14,6 +14,7 @@
 pub mod history;
 pub mod lateness;
 pub mod named_limits;
+pub mod pauses;
 pub mod pick;
 pub mod retry;
 pub mod rollout;
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -8,6 +8,7 @@
 mod load;
 mod named_limits;
 mod outcome;
+mod pauses;
 mod rollout;
 mod routing;
 mod slow_version;
