Restore the store of the soak from copies

Upstreams renew their entries, so that the new history passes the old revisions. When the restores come follows from a stream of random numbers of its own: the other faults of a seed are as before.

Each version of the configuration adds a route. A gateway that no longer has a route that it had is a finding, and so is one without the newest one 8 s after the last fault. Every tenth seed has 40 gateways in place of 2.

--- a/tests/soak/gateway.rs
+++ b/tests/soak/gateway.rs
@@ -1,7 +1,7 @@
 //! A gateway that runs as a separate process.
 
 use std::fs::File;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::ChildStdout;
 use std::sync::mpsc;
@@ -58,6 +58,11 @@
                 .is_ok_and(|m| m.start_line_part(1) == "200")
     }
 
+    /// Returns the newest of the last configurations, up to `newest`, that the gateway serves by.
+    pub fn served_version(&self, newest: u64) -> Option<u64> {
+        served_version(self.listen, newest)
+    }
+
     /// Sends a signal to this process.
     pub fn signal(&self, signal: &str) {
         self.process.signal(signal);
@@ -82,6 +87,36 @@
     }
 }
 
+/// Time that a gateway has for the answer on a route that only shows which configuration is in force.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Returns whether a gateway has the route that a version of the configuration adds; `None` if its answer does not tell.
+pub fn is_served(listen: SocketAddr, version: u64) -> io::Result<Option<bool>> {
+    let stream = TcpStream::connect_timeout(&listen, ANSWER_TIMEOUT)?;
+    stream.set_read_timeout(Some(ANSWER_TIMEOUT))?;
+    let mut connection = Connection::new(stream);
+    let request = format!(
+        "GET /version-{version}/ HTTP/1.1\r\nHost: soak.example\r\nX-Fireflywind-Request-Id: \
+         version-{version}\r\nX-Fireflywind-Deadline-Ms: 1000\r\nConnection: close\r\n\r\n"
+    );
+    connection.write(request.as_bytes())?;
+    let mut head = connection.read_head()?;
+    if head.start_line_part(1) == "404" {
+        return Ok(Some(false));
+    }
+    connection.read_body(&mut head, |_| true)?;
+    // Other refusals come before the route is known.
+    let is_known = String::from_utf8_lossy(&head.body).contains("no_upstream");
+    Ok(is_known.then_some(true))
+}
+
+/// Returns the newest version, up to `newest`, whose route a gateway has; the last few are asked for.
+pub fn served_version(listen: SocketAddr, newest: u64) -> Option<u64> {
+    let oldest = newest.saturating_sub(3).max(1);
+    let mut versions = (oldest..=newest).rev();
+    versions.find(|version| is_served(listen, *version).is_ok_and(|s| s == Some(true)))
+}
+
 fn copy_lines(lines: BufReader<ChildStdout>, mut log: File, start: &mpsc::Sender<String>) {
     for line in lines.lines().map_while(Result::ok) {
         if line.contains(" event=start ") {
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -13,13 +13,17 @@
 use crate::checker::{Checker, Kind, Report};
 use crate::client;
 use crate::faults::Fault;
-use crate::gateway::Gateway;
+use crate::gateway::{self, Gateway};
 use crate::proxy::{ForwardMode, Proxy};
 use crate::rng::Rng;
 use crate::store::Store;
 use crate::upstream::{Behaviour, Upstream};
 
 const GATEWAYS: usize = 2;
+
+/// Number of gateways of every tenth seed.
+const MANY_GATEWAYS: usize = 40;
+
 const UPSTREAMS: usize = 5;
 const CLIENTS: u64 = 24;
 const ACCOUNTS: usize = 3;
@@ -42,6 +46,12 @@
 /// Timeout for recovery after all faults. The target of the deployments is 12 s; a busy machine may need longer.
 const RECOVERY_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// Longest time after the store's return until the operator and the upstreams have written again what a restore lost.
+const MAX_REWRITE_DELAY_MS: u64 = 1_500;
+
+/// Interval at which one upstream after the other writes its entry again.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+
 /// State that the clients share.
 #[derive(Debug)]
 pub struct Shared {
@@ -53,9 +63,16 @@
     /// Current key of the last account, and its previous key, which was revoked.
     rotated_keys: Mutex<(String, String)>,
     is_finished: AtomicBool,
+    /// Version of the newest configuration.
+    version: AtomicU64,
 }
 
 impl Shared {
+    /// Returns the version of the newest configuration.
+    pub fn version(&self) -> u64 {
+        self.version.load(Ordering::SeqCst)
+    }
+
     /// Returns whether clients should stop.
     pub fn is_finished(&self) -> bool {
         self.is_finished.load(Ordering::SeqCst)
@@ -92,6 +109,18 @@
     format!("account-{at}")
 }
 
+/// What comes next of the restores of the store; they follow one another until the end of the faults.
+#[derive(Debug, Clone, Copy)]
+enum Restore {
+    /// The store goes away and is restored.
+    Due(Instant),
+    /// The store is away until then.
+    Away(Instant),
+    /// What was lost is written again then.
+    Rewrite(Instant),
+    Ended,
+}
+
 /// A running test.
 #[derive(Debug)]
 pub struct World {
@@ -103,8 +132,12 @@
     gateways: Vec<Gateway>,
     gateways_started: usize,
     upstreams: Vec<Upstream>,
-    version: u64,
     dir: PathBuf,
+    /// Decides when the store is restored; the other faults of a seed do not depend on it.
+    restore_rng: Rng,
+    restore: Restore,
+    /// Sequence number of the last entry that an upstream wrote, and when it was written.
+    heartbeat: (u64, Instant),
     active: Vec<(Fault, Instant)>,
     /// Replaced upstreams, with the time at which their entries are removed from the store.
     replaced: Vec<(Arc<str>, Instant)>,
@@ -125,16 +158,26 @@
             gateways: Mutex::default(),
             rotated_keys: Mutex::new(("first".to_owned(), "none".to_owned())),
             is_finished: AtomicBool::new(false),
+            version: AtomicU64::new(0),
         });
+        let gateways = if seed.is_multiple_of(10) {
+            MANY_GATEWAYS
+        } else {
+            GATEWAYS
+        };
+        let mut restore_rng = Rng::new(seed, 1);
+        let first_restore = Instant::now() + restore_rng.duration_ms(500, 3_000);
         let mut world = Self {
             shared,
             rng: Rng::new(seed, 0),
-            store_proxies: (0..GATEWAYS).map(|_| Proxy::start(store.addr)).collect(),
+            restore_rng,
+            restore: Restore::Due(first_restore),
+            heartbeat: (1, Instant::now()),
+            store_proxies: (0..gateways).map(|_| Proxy::start(store.addr)).collect(),
             store,
             gateways: Vec::new(),
             gateways_started: 0,
             upstreams: Vec::new(),
-            version: 0,
             dir,
             active: Vec::new(),
             replaced: Vec::new(),
@@ -146,7 +189,7 @@
             let upstream = world.new_upstream();
             world.upstreams.push(upstream);
         }
-        for at in 0..GATEWAYS {
+        for at in 0..gateways {
             let gateway = world.new_gateway(at);
             world.gateways.push(gateway);
         }
@@ -160,16 +203,18 @@
         let mut next = Instant::now();
         while Instant::now() < end {
             self.end_faults(Instant::now());
-            self.replace_crashed();
+            self.react();
             if Instant::now() >= next {
                 next = Instant::now() + self.rng.duration_ms(30, 250);
-                let fault = Fault::random(&mut self.rng, GATEWAYS as u64, UPSTREAMS as u64);
+                let gateways = self.gateways.len() as u64;
+                let fault = Fault::random(&mut self.rng, gateways, UPSTREAMS as u64);
                 let until = Instant::now() + Fault::random_duration(&mut self.rng);
                 self.inject(fault, until);
             }
             thread::sleep(POLL_INTERVAL);
         }
         self.end_faults(Instant::now() + Duration::from_mins(10));
+        self.end_restores();
         self.shared.checker.record_disturbance();
         self.wait_for_recovery();
         let limited = &self.upstreams[0];
@@ -177,9 +222,17 @@
         self.shared.checker.record_limit(&limited.id);
         let end = Instant::now() + QUIET_TIME;
         while Instant::now() < end {
-            self.replace_crashed();
+            self.react();
             thread::sleep(POLL_INTERVAL);
         }
+        for gateway in &self.gateways {
+            let version = gateway.served_version(self.shared.version());
+            if version != Some(self.shared.version()) {
+                let (newest, listen) = (self.shared.version(), gateway.listen);
+                let finding = format!("{listen} serves by configuration {version:?}, not {newest}");
+                self.shared.checker.add_finding(finding);
+            }
+        }
         self.shared.is_finished.store(true, Ordering::SeqCst);
         for client in clients {
             client.join().expect("the client does not panic");
@@ -200,6 +253,64 @@
         report
     }
 
+    /// Does what the operator, the upstreams and the store do by themselves.
+    fn react(&mut self) {
+        self.replace_crashed();
+        let now = Instant::now();
+        let (beat, written_at) = self.heartbeat;
+        if now - written_at >= HEARTBEAT_INTERVAL && !matches!(self.restore, Restore::Away(_)) {
+            self.heartbeat = (beat + 1, now);
+            let upstream = &self.upstreams[usize::try_from(beat).unwrap_or(0) % UPSTREAMS];
+            self.store.put(
+                &format!("servers/{}", upstream.id),
+                &upstream.entry("ready", beat + 1),
+            );
+        }
+        match self.restore {
+            Restore::Due(at) if at <= now => {
+                let oldest = if self.restore_rng.percent_chance(50) {
+                    1_500
+                } else {
+                    8_000
+                };
+                let age = self.restore_rng.duration_ms(100, oldest);
+                let away = self.restore_rng.duration_ms(0, 2_000);
+                let at = self.started_at.elapsed().as_millis();
+                (self.injected).push(format!("  {at} ms: restore of {age:?} ago, away {away:?}"));
+                self.shared.checker.record_disturbance();
+                self.store.restore(age);
+                self.restore = Restore::Away(now + away);
+            }
+            Restore::Away(until) if until <= now => self.return_store(),
+            Restore::Rewrite(at) if at <= now => {
+                self.store.write_again();
+                self.shared.checker.record_disturbance();
+                let pause = self.restore_rng.duration_ms(300, 5_000);
+                self.restore = Restore::Due(now + pause);
+            }
+            _ => {}
+        }
+    }
+
+    fn return_store(&mut self) {
+        self.store.set_returned();
+        self.shared.checker.record_disturbance();
+        let delay = self.restore_rng.duration_ms(0, MAX_REWRITE_DELAY_MS);
+        self.restore = Restore::Rewrite(Instant::now() + delay);
+    }
+
+    /// Ends a restore that is under way; no other follows.
+    fn end_restores(&mut self) {
+        if matches!(self.restore, Restore::Away(_)) {
+            self.return_store();
+        }
+        if let Restore::Rewrite(at) = self.restore {
+            thread::sleep(at.saturating_duration_since(Instant::now()));
+            self.store.write_again();
+        }
+        self.restore = Restore::Ended;
+    }
+
     fn start_clients(&self) -> Vec<JoinHandle<()>> {
         let clients = (0..CLIENTS).map(|number| {
             let shared = Arc::clone(&self.shared);
@@ -257,7 +368,8 @@
             Fault::Leave(at) => {
                 let old = &self.upstreams[at];
                 let key = format!("servers/{}", old.id);
-                self.store.put(&key, &old.entry("draining", 2));
+                let seq = self.heartbeat.0 + 1;
+                self.store.put(&key, &old.entry("draining", seq));
                 self.replace(at, until);
                 return;
             }
@@ -310,6 +422,8 @@
         self.gateways_started += 1;
         let name = format!("g{}", self.gateways_started);
         let gateway = Gateway::start(&name, self.store_proxies[at].addr, &self.dir);
+        let (shared, listen) = (Arc::clone(&self.shared), gateway.listen);
+        thread::spawn(move || check_progress(&shared, listen));
         let mut gateways = self
             .shared
             .gateways
@@ -323,8 +437,10 @@
     fn new_upstream(&mut self) -> Upstream {
         let id = format!("i-{:08x}", self.rng.below(1 << 32));
         let upstream = Upstream::start(&id, Arc::clone(&self.shared.checker));
-        self.store
-            .put(&format!("servers/{id}"), &upstream.entry("ready", 1));
+        self.store.put(
+            &format!("servers/{id}"),
+            &upstream.entry("ready", self.heartbeat.0),
+        );
         upstream
     }
 
@@ -349,8 +465,9 @@
 
     /// Writes the next version of the configuration.
     fn write_configuration(&mut self) {
-        self.version += 1;
-        let routes = [Kind::Order, Kind::Lookup, Kind::Generation].map(|kind| {
+        let version = self.shared.version() + 1;
+        self.shared.version.store(version, Ordering::SeqCst);
+        let mut routes: Vec<_> = [Kind::Order, Kind::Lookup, Kind::Generation].map(|kind| {
             let (kind_name, is_stream) = match kind {
                 Kind::Order => ("unsafe", false),
                 Kind::Lookup => ("safe", false),
@@ -360,7 +477,13 @@
             json!({"name": kind_name, "host": "soak.example", "prefix": kind.prefix(), "type": kind_name,
                 "timeoutMs": 4_000, "goalMs": 500, "priority": 1, "service": "s", "attempts": crate::checker::MAX_ATTEMPTS,
                 "public": false, "sticky": is_stream, "resumable": is_stream, "gapAimMs": 1_000, "sizes": models})
-        });
+        }).into();
+        // Each version adds a route, which shows whether it is in force.
+        routes.extend((1..=version).map(|version| {
+            json!({"name": format!("version-{version}"), "host": "soak.example", "prefix": format!("/version-{version}/"),
+                "type": "safe", "timeoutMs": 1_000, "goalMs": 500, "priority": 1, "service": "none", "attempts": 1,
+                "public": true, "sticky": false, "resumable": false, "gapAimMs": 1_000, "sizes": []})
+        }));
         let (current, _) = self
             .shared
             .rotated_keys
@@ -378,8 +501,8 @@
             .enumerate()
             .map(|(at, key)| json!({"name": account(at), "apiKeys": [key]}));
         let accounts: Vec<_> = accounts.collect();
-        let table = json!({"version": self.version, "routes": routes, "tenants": accounts,
-            "services": [{"name": "s", "maxConns": 400}],
+        let table = json!({"version": version, "routes": routes, "tenants": accounts,
+            "services": [{"name": "s", "maxConns": 400}, {"name": "none", "maxConns": 400}],
             "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_048_576, "headerTimeoutMs": 5_000, "idleTimeoutMs": 20_000}});
         self.store.put("op/config", &table);
     }
@@ -408,7 +531,7 @@
                 && world.shared.checker.delivered() > before + 20
         };
         while !has_recovered(self) {
-            self.replace_crashed();
+            self.react();
             if ended.elapsed() > RECOVERY_TIMEOUT {
                 let finding = format!(
                     "requests were not served again within {RECOVERY_TIMEOUT:?} after the faults ended"
@@ -420,3 +543,26 @@
         }
     }
 }
+
+/// Interval at which a gateway is asked which configuration it serves by.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Checks until a gateway ends that it never goes back to an older configuration.
+fn check_progress(shared: &Shared, listen: SocketAddr) {
+    let mut known = 0;
+    while !shared.is_finished() {
+        thread::sleep(PROGRESS_INTERVAL);
+        match gateway::is_served(listen, known) {
+            Ok(Some(false)) if known > 0 => {
+                let finding = format!("{listen} no longer serves by configuration {known}");
+                shared.checker.add_finding(finding);
+                return;
+            }
+            Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => return,
+            _ => {}
+        }
+        if let Some(version) = gateway::served_version(listen, shared.version()) {
+            known = known.max(version);
+        }
+    }
+}
