Serve a request by the other version if all upstreams of its own want a pause

During a roll-out, requests whose upstreams all wanted a pause waited for it or were refused, although the other version may serve them when there are no upstreams of their own. At a gateway that stops, they waited into the time in which it cuts connections off.

Change: paused upstreams are left out before the version is chosen, as if they were not ready; a gateway that stops refuses such a request as not run, unless its stream has begun.

Evidence: a_paused_version_falls_back_to_the_other_one.

--- a/src/forward/choose.rs
+++ b/src/forward/choose.rs
@@ -33,7 +33,7 @@
     NoUpstream,
     /// All name a limit, and this gateway's part of it is used up for this time.
     Limited(Limited),
-    /// All want a pause; the one whose pause ends first.
+    /// All that the request may use want a pause; the pause that ends first.
     Paused(Paused),
 }
 
@@ -41,10 +41,12 @@
 pub(super) fn choose(shared: &Shared, job: &Job, tried: &[Rc<str>]) -> Result<Choice, NoChoice> {
     let now = shared.clock.now();
     let fleet = shared.fleet.borrow();
-    let ready: Vec<_> = fleet.ready(&job.service, now).collect();
+    let (ready, paused) = without_paused(shared, fleet.ready(&job.service, now).collect(), now);
     let eligible = eligible_upstreams(shared, job, ready, tried.len(), now);
+    if let Some(paused) = paused.filter(|_| eligible.is_empty()) {
+        return Err(NoChoice::Paused(paused));
+    }
     let eligible = within_limits(shared, eligible, now)?;
-    let eligible = without_paused(shared, eligible, now)?;
     let policy = shared.policy();
     let mut health = shared.health.borrow_mut();
     let mut candidates: Vec<_> = eligible
@@ -120,15 +122,15 @@
     }
 }
 
-/// Returns the upstreams that do not want a pause.
+/// Returns the upstreams that do not want a pause, and of the others the pause that ends first.
 fn without_paused<'a>(
     shared: &Shared,
     upstreams: Vec<&'a Rc<Upstream>>,
     now: Millis,
-) -> Result<Vec<&'a Rc<Upstream>>, NoChoice> {
+) -> (Vec<&'a Rc<Upstream>>, Option<Paused>) {
     let pauses = shared.pauses.borrow();
     if pauses.is_empty() {
-        return Ok(upstreams);
+        return (upstreams, None);
     }
     let mut shortest: Option<Paused> = None;
     let is_free = |u: &&Rc<Upstream>| {
@@ -139,11 +141,8 @@
             .min_by_key(|p| p.wait);
         reason.is_none()
     };
-    let free: Vec<_> = upstreams.into_iter().filter(is_free).collect();
-    match shortest {
-        Some(shortest) if free.is_empty() => Err(NoChoice::Paused(shortest)),
-        _ => Ok(free),
-    }
+    let free = upstreams.into_iter().filter(is_free).collect();
+    (free, shortest)
 }
 
 /// Returns the share of the upstreams that serve the smallest model, in permille, and what the choice depends on;
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -125,7 +125,7 @@
                 break "contained";
             }
         };
-        let choice = match choose_after_pause(shared, client, job, &tried).await {
+        let choice = match choose_after_pause(shared, client, job, &tried, &relay).await {
             Ok(choice) => choice,
             Err(NoAttempt::ClientGone) => return Outcome::ClientGone,
             Err(NoAttempt::NoChoice(NoChoice::NoUpstream)) => break "no_upstream",
@@ -204,6 +204,7 @@
     client: &mut ClientConn,
     job: &Job,
     tried: &[Rc<str>],
+    relay: &Relay,
 ) -> Result<Choice, NoAttempt> {
     let mut is_waiting = false;
     loop {
@@ -212,7 +213,10 @@
             Err(NoChoice::Paused(paused)) => paused,
             Err(reason) => return Err(NoAttempt::NoChoice(reason)),
         };
-        if shared.clock.now() + paused.wait + MIN_REMAINING_TIME >= job.deadline {
+        let is_too_long = shared.clock.now() + paused.wait + MIN_REMAINING_TIME >= job.deadline;
+        // Another gateway has the time that a stop would cut off.
+        let is_stopping = shared.is_stopping.get() && !relay.has_begun();
+        if is_too_long || is_stopping {
             return Err(NoAttempt::NoChoice(NoChoice::Paused(paused)));
         }
         if !is_waiting {
--- a/src/forward/tests/notices.rs
+++ b/src/forward/tests/notices.rs
@@ -5,9 +5,11 @@
     scripted_upstream, send, serve, status,
 };
 use crate::fixtures::run_paused;
+use crate::forward::follow::StoreEvent;
 use crate::forward::gateway::Gateway;
 use crate::forward::notices::LeavingSource;
 use crate::forward::shared::Shared;
+use crate::router::rollout::Phase;
 use crate::units::Millis;
 
 const OK: &str = "HTTP/1.1 200 OK\r\nX-Fireflywind-Request-Id: ID\r\nX-Fireflywind-Server-Stamp: s1\r\n\
@@ -264,3 +266,41 @@
         assert!(health.failure_rate() < 0.01, "{}", health.failure_rate());
     });
 }
+
+/// If all upstreams of the version that a request should run on want a pause, those of the other version serve it, as if there were
+/// none.
+#[test]
+fn a_paused_version_falls_back_to_the_other_one() {
+    fixture::run(async {
+        let busy = "HTTP/1.1 503 Busy\r\nX-Fireflywind-Request-Id: ID\r\nX-Fireflywind-Not-Run: 1\r\n\
+                    Retry-After: 60\r\nContent-Length: 0\r\n\r\n";
+        let new = scripted_upstream(vec![Action::Write(busy)]).await;
+        let old = scripted_upstream(vec![Action::Write(OK)]).await;
+        let mut events = events(&[&new, &old]);
+        for event in &mut events {
+            if let StoreEvent::Upstream(upstream) = event
+                && &*upstream.id == "u0"
+            {
+                upstream.version = "v2".into();
+            }
+        }
+        events.push(StoreEvent::RolloutOrder {
+            service: "pool".into(),
+            to: "v2".into(),
+            ramp: Millis(15_000),
+        });
+        events.push(StoreEvent::RolloutPhase {
+            service: "pool".into(),
+            to: "v2".into(),
+            phase: Phase::Complete,
+            revision: 1,
+        });
+        let gateway = fixture::start(fixture::FixedStore::open(events));
+        gateway_ready(&gateway).await;
+
+        let statuses = send_many(&gateway, "/once/").await;
+
+        assert_eq!(statuses, [200; REQUESTS]);
+        assert_eq!(received(&new), 1);
+    });
+}
