Let upstreams of the soak leave early and want pauses

Upstreams say in their answers that they leave while the store has them as ready, for 0.5 to 6 s, and turn requests away for 0.3 to 20 s, one of them, most or all. The checker counts as the platform's rules do: by gateway, from the answer that the gateway passed on or got, with its freezes and disturbed ways excused. They have a stream of random numbers of their own; the other faults of a seed are as before.

--- a/tests/soak/checker.rs
+++ b/tests/soak/checker.rs
@@ -1,6 +1,7 @@
 //! Records what clients sent and received and what upstreams ran, and reports violations as findings.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -25,6 +26,15 @@
 /// Most requests in that time: one and a half times what the limit allows, and five.
 const MAX_LIMITED_RUNS: usize = NAMED_LIMIT * 4 * 3 / 2 + 5;
 
+/// Time after an answer of an upstream that leaves within which a gateway may still send requests to it.
+const DRAIN_BOUND: Duration = Duration::from_secs(2);
+
+/// Time after a refusal with a pause from which requests count.
+const PAUSE_GRACE: Duration = Duration::from_millis(500);
+
+/// Most requests at an upstream within a pause that it has asked a gateway for.
+const MAX_PAUSED_ARRIVALS: usize = 2;
+
 /// Number of sound generations from which their share of answers is checked.
 const MIN_SOUND: u64 = 20;
 
@@ -78,6 +88,16 @@
     pub account: String,
     /// When it was sent.
     pub at: Instant,
+    /// Gateway that it was sent to.
+    pub gateway: SocketAddr,
+}
+
+/// A pause that an upstream has asked a gateway for.
+#[derive(Debug)]
+struct Pause {
+    asked_at: Instant,
+    until: Instant,
+    arrivals: usize,
 }
 
 #[derive(Debug, Default)]
@@ -101,9 +121,20 @@
     /// Sound generations while crashing ones must be contained: answered, and refused or failed.
     sound: [u64; 2],
     answers: HashMap<u16, u64>,
+    /// When a gateway first passed on that an upstream leaves.
+    leaving: HashMap<(SocketAddr, String), Instant>,
+    pauses: HashMap<(SocketAddr, String), Vec<Pause>>,
+    /// When a gateway was last frozen or woke, or the way to an upstream was last disturbed.
+    excused: HashMap<String, Instant>,
 }
 
 impl History {
+    fn is_excused(&self, gateway: SocketAddr, upstream: &str, since: Instant) -> bool {
+        let keys = [gateway.to_string(), upstream.to_owned()];
+        let mut at = keys.iter().filter_map(|key| self.excused.get(key));
+        at.any(|at| *at >= since)
+    }
+
     /// Returns whether crashing requests must be contained, and nothing else disturbs the gateways.
     fn is_settled(&self) -> bool {
         let has_passed = |at: Option<Instant>| at.is_some_and(|at| at.elapsed() > TOUCH);
@@ -215,6 +246,67 @@
         }
     }
 
+    /// Records that a gateway is frozen or wakes, or that the way to an upstream is disturbed; both by address or id.
+    pub fn record_excuse(&self, key: &str) {
+        (self.history().excused).insert(key.to_owned(), Instant::now());
+    }
+
+    /// Records that a gateway has passed on an answer of an upstream that leaves.
+    pub fn record_leaving(&self, gateway: SocketAddr, upstream: &str) {
+        let mut history = self.history();
+        let key = (gateway, upstream.to_owned());
+        history.leaving.entry(key).or_insert_with(Instant::now);
+    }
+
+    /// Records that an upstream turns a request away and asks its gateway for a pause.
+    pub fn record_pause(&self, upstream: &str, id: &str, pause: Duration) {
+        let mut history = self.history();
+        let Some(gateway) = history.sent.get(id).map(|s| s.gateway) else {
+            return;
+        };
+        let now = Instant::now();
+        let key = (gateway, upstream.to_owned());
+        history.pauses.entry(key).or_default().push(Pause {
+            asked_at: now,
+            until: now + pause,
+            arrivals: 0,
+        });
+    }
+
+    /// Records that a request reaches an upstream, whether it runs or not, and checks that it may.
+    pub fn record_arrival(&self, upstream: &str, id: &str) {
+        let mut history = self.history();
+        let Some((gateway, sent_at)) = history.sent.get(id).map(|s| (s.gateway, s.at)) else {
+            return;
+        };
+        let key = (gateway, upstream.to_owned());
+        if let Some(told_at) = history.leaving.get(&key).copied()
+            && sent_at > told_at + DRAIN_BOUND
+            && !history.is_excused(gateway, upstream, told_at)
+        {
+            let finding = format!("{id}: {gateway} sends it to {upstream}, which leaves");
+            history.findings.push(finding);
+        }
+        let now = Instant::now();
+        let asked = history.pauses.get(&key);
+        let oldest = asked.and_then(|pauses| pauses.iter().map(|p| p.asked_at).min());
+        if oldest.is_none_or(|oldest| history.is_excused(gateway, upstream, oldest)) {
+            history.pauses.remove(&key);
+            return;
+        }
+        let mut is_exceeded = false;
+        for pause in history.pauses.entry(key).or_default() {
+            if now > pause.asked_at + PAUSE_GRACE && now < pause.until {
+                pause.arrivals += 1;
+                is_exceeded |= pause.arrivals == MAX_PAUSED_ARRIVALS + 1;
+            }
+        }
+        if is_exceeded {
+            let finding = format!("{id}: {gateway} sends it to {upstream}, which wants a pause");
+            history.findings.push(finding);
+        }
+    }
+
     /// Records that the store has acknowledged the revocation of a key.
     pub fn record_revocation(&self, key: &str) {
         self.history()
--- a/tests/soak/client.rs
+++ b/tests/soak/client.rs
@@ -53,7 +53,7 @@
         let is_crashing = number == CRASHING_CLIENT && rng.percent_chance(50);
         let is_reusable = exchange(
             &shared.checker,
-            &mut connection,
+            (&mut connection, addr),
             &mut rng,
             (
                 &id,
@@ -81,7 +81,7 @@
 /// Sends one request and reads its answer; returns whether the connection can be reused.
 fn exchange(
     checker: &Checker,
-    connection: &mut Connection,
+    (connection, gateway): (&mut Connection, SocketAddr),
     rng: &mut Rng,
     (id, kind, is_crashing): (&str, Kind, bool),
     (key, account): (String, String),
@@ -109,6 +109,7 @@
         key,
         account,
         at: Instant::now(),
+        gateway,
     };
     let request = encode(id, &sent, rng);
     checker.record_request(id, sent);
@@ -127,6 +128,12 @@
     let status = answer.start_line_part(1).parse().unwrap_or(0);
     let is_own = answer.field("x-fireflywind-server-stamp").is_none();
     checker.record_answer(id, status, is_own);
+    if answer.field("server-leaving") == Some("1")
+        && let Some(stamp) = answer.field("x-fireflywind-server-stamp")
+    {
+        let upstream = stamp.split('.').next().unwrap_or_default();
+        checker.record_leaving(gateway, upstream);
+    }
     let mut events = 0;
     let is_read = connection.read_body(&mut answer, |_| {
         events += 1;
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fireflywind::router::hash;
 use serde_json::{Value, json};
@@ -56,6 +56,9 @@
     /// Proxy between the gateways and this upstream.
     pub proxy: Proxy,
     behaviour: Arc<Mutex<Behaviour>>,
+    is_leaving: Arc<AtomicBool>,
+    /// Until when it turns requests away and asks for a pause.
+    paused_until: Arc<Mutex<Option<Instant>>>,
     has_crashed: Arc<AtomicBool>,
     checker: Arc<Checker>,
 }
@@ -69,6 +72,8 @@
             id: Arc::from(id),
             proxy: Proxy::start(addr),
             behaviour: Arc::default(),
+            is_leaving: Arc::default(),
+            paused_until: Arc::default(),
             has_crashed: Arc::default(),
             checker,
         };
@@ -87,6 +92,22 @@
         *(self.behaviour.lock()).expect("the mutex is not poisoned") = behaviour;
     }
 
+    /// Says in all answers from now on that it leaves.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Turns requests away for a time and asks for a pause of what is left of it.
+    pub fn pause(&self, time: Duration) {
+        *(self.paused_until.lock()).expect("the mutex is not poisoned") =
+            Some(Instant::now() + time);
+    }
+
+    fn pause_left(&self) -> Option<Duration> {
+        let until = *(self.paused_until.lock()).expect("the mutex is not poisoned");
+        until?.checked_duration_since(Instant::now())
+    }
+
     /// Returns whether a request has crashed the upstream.
     pub fn has_crashed(&self) -> bool {
         self.has_crashed.load(Ordering::SeqCst)
@@ -131,17 +152,24 @@
             .field("x-fireflywind-request-id")
             .unwrap_or("-")
             .to_owned();
-        let refuse = |connection: &mut Connection, status: u16| {
+        let leaving = self.leaving_field();
+        let refuse = |connection: &mut Connection, status: u16, field: &str| {
             let text = format!(
-                "HTTP/1.1 {status} X\r\nX-Fireflywind-Request-Id: {id}\r\nX-Fireflywind-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                "HTTP/1.1 {status} X\r\nX-Fireflywind-Request-Id: {id}\r\nX-Fireflywind-Not-Run: 1\r\n{leaving}{field}Content-Length: 0\r\n\r\n"
             );
             connection.write(text.as_bytes()).is_ok()
         };
+        self.checker.record_arrival(&self.id, &id);
         if message.field("x-fireflywind-expect-instance") != Some(&*self.id) {
-            return refuse(connection, 421);
+            return refuse(connection, 421, "");
+        }
+        if let Some(left) = self.pause_left() {
+            self.checker.record_pause(&self.id, &id, left);
+            let field = format!("Retry-After: {:.3}\r\n", left.as_secs_f64());
+            return refuse(connection, 503, &field);
         }
         if self.behaviour() == Behaviour::Full {
-            return refuse(connection, 503);
+            return refuse(connection, 503, "");
         }
         self.checker.record_run(&self.id, message);
         let bucket = hash(format!("{id}{}", self.id).as_bytes()) % 6;
@@ -226,10 +254,19 @@
             String::new()
         };
         format!(
-            "HTTP/1.1 {status} X\r\nX-Fireflywind-Request-Id: {id}\r\nX-Fireflywind-Server-Stamp: {}.{id}\r\n{limit}",
-            self.id
+            "HTTP/1.1 {status} X\r\nX-Fireflywind-Request-Id: {id}\r\nX-Fireflywind-Server-Stamp: {}.{id}\r\n{limit}{}",
+            self.id,
+            self.leaving_field()
         )
     }
+
+    fn leaving_field(&self) -> &'static str {
+        if self.is_leaving.load(Ordering::SeqCst) {
+            "Server-Leaving: 1\r\n"
+        } else {
+            ""
+        }
+    }
 }
 
 /// Returns whether a request has the part that crashes upstreams.
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -132,10 +132,18 @@
     gateways: Vec<Gateway>,
     gateways_started: usize,
     upstreams: Vec<Upstream>,
+    /// Proxies of all upstreams of the run.
+    upstream_proxies: Vec<Proxy>,
     dir: PathBuf,
     /// Decides when the store is restored; the other faults of a seed do not depend on it.
     restore_rng: Rng,
     restore: Restore,
+    /// Decides when upstreams leave early or want a pause; the other faults of a seed do not depend on it.
+    notice_rng: Rng,
+    next_notice: Instant,
+    /// Upstreams that say that they leave while the store has them as ready, and until when they run.
+    leaving: Vec<(Upstream, Instant)>,
+    paused_until: Instant,
     /// Sequence number of the last entry that an upstream wrote, and when it was written.
     heartbeat: (u64, Instant),
     active: Vec<(Fault, Instant)>,
@@ -172,12 +180,17 @@
             rng: Rng::new(seed, 0),
             restore_rng,
             restore: Restore::Due(first_restore),
+            notice_rng: Rng::new(seed, 2),
+            next_notice: Instant::now(),
+            leaving: Vec::new(),
+            paused_until: Instant::now(),
             heartbeat: (1, Instant::now()),
             store_proxies: (0..gateways).map(|_| Proxy::start(store.addr)).collect(),
             store,
             gateways: Vec::new(),
             gateways_started: 0,
             upstreams: Vec::new(),
+            upstream_proxies: Vec::new(),
             dir,
             active: Vec::new(),
             replaced: Vec::new(),
@@ -204,6 +217,10 @@
         while Instant::now() < end {
             self.end_faults(Instant::now());
             self.react();
+            if Instant::now() >= self.next_notice {
+                self.next_notice = Instant::now() + self.notice_rng.duration_ms(300, 3_000);
+                self.give_notice();
+            }
             if Instant::now() >= next {
                 next = Instant::now() + self.rng.duration_ms(30, 250);
                 let gateways = self.gateways.len() as u64;
@@ -238,9 +255,8 @@
             client.join().expect("the client does not panic");
         }
         // Connections that stay open would use up file descriptors in the runs of the next seeds.
-        let upstreams = self.upstreams.iter().map(|u| &u.proxy);
-        for proxy in self.store_proxies.iter().chain(upstreams) {
-            proxy.reset();
+        for proxy in self.store_proxies.iter().chain(&self.upstream_proxies) {
+            proxy.end();
         }
         let report = self.shared.checker.report();
         if report.findings.is_empty() {
@@ -257,6 +273,15 @@
     fn react(&mut self) {
         self.replace_crashed();
         let now = Instant::now();
+        if now < self.paused_until {
+            self.shared.checker.record_disturbance();
+        }
+        let left = self.leaving.extract_if(.., |(_, until)| *until <= now);
+        for (upstream, _) in left {
+            upstream.set(Behaviour::Dead);
+            upstream.proxy.reset();
+            self.store.remove(&format!("servers/{}", upstream.id));
+        }
         let (beat, written_at) = self.heartbeat;
         if now - written_at >= HEARTBEAT_INTERVAL && !matches!(self.restore, Restore::Away(_)) {
             self.heartbeat = (beat + 1, now);
@@ -292,6 +317,41 @@
         }
     }
 
+    /// Lets an upstream say that it leaves, or some of them that they want a pause.
+    fn give_notice(&mut self) {
+        let rng = &mut self.notice_rng;
+        let first = usize::try_from(rng.below(UPSTREAMS as u64)).expect("the index fits in usize");
+        let at = self.started_at.elapsed().as_millis();
+        if rng.percent_chance(40) {
+            let until = Instant::now() + rng.duration_ms(500, 6_000);
+            let number = rng.below(1 << 32);
+            let new = self.register(number);
+            let old = std::mem::replace(&mut self.upstreams[first], new);
+            (self.injected).push(format!("  {at} ms: {} says that it leaves", old.id));
+            old.leave();
+            self.leaving.push((old, until));
+            return;
+        }
+        let (count, longest) = match rng.below(10) {
+            0..6 => (1, 20_000),
+            6..8 => (UPSTREAMS - 1, 3_000),
+            _ => (UPSTREAMS, 3_000),
+        };
+        let longest = if rng.percent_chance(70) {
+            3_000
+        } else {
+            longest
+        };
+        let time = rng.duration_ms(300, longest);
+        (self.injected).push(format!(
+            "  {at} ms: {count} from {first} want a pause of {time:?}"
+        ));
+        for n in 0..count {
+            self.upstreams[(first + n) % UPSTREAMS].pause(time);
+        }
+        self.paused_until = self.paused_until.max(Instant::now() + time);
+    }
+
     fn return_store(&mut self) {
         self.store.set_returned();
         self.shared.checker.record_disturbance();
@@ -327,6 +387,7 @@
         let at = self.started_at.elapsed().as_millis();
         self.shared.checker.record_disturbance();
         self.injected.push(format!("  {at} ms: {fault:?}"));
+        self.record_excuse(fault);
         match fault {
             Fault::Suspend(at) => self.gateways[at].signal("-STOP"),
             Fault::Kill(at) => {
@@ -388,6 +449,16 @@
     fn end_faults(&mut self, now: Instant) {
         for (fault, _) in self.active.extract_if(.., |(_, until)| *until <= now) {
             self.shared.checker.record_disturbance();
+            match fault {
+                Fault::Suspend(at) => {
+                    let gateway = self.gateways[at].listen.to_string();
+                    self.shared.checker.record_excuse(&gateway);
+                }
+                Fault::UpstreamConnections(at, _) => {
+                    self.shared.checker.record_excuse(&self.upstreams[at].id);
+                }
+                _ => {}
+            }
             match fault {
                 Fault::Suspend(at) => self.gateways[at].signal("-CONT"),
                 Fault::StoreBusy => self.store.set_busy(false),
@@ -404,6 +475,18 @@
         }
     }
 
+    /// Records whom a fault excuses from the bounds on upstreams that leave or want a pause.
+    fn record_excuse(&self, fault: Fault) {
+        let key = match fault {
+            Fault::Suspend(at) | Fault::Stop(at) => self.gateways[at].listen.to_string(),
+            Fault::UpstreamConnections(at, _) | Fault::UpstreamReset(at) => {
+                self.upstreams[at].id.to_string()
+            }
+            _ => return,
+        };
+        self.shared.checker.record_excuse(&key);
+    }
+
     /// Stops a gateway gracefully and starts its successor; clients keep their open connections until it ends.
     fn stop(&mut self, at: usize) {
         // A suspended process does not handle SIGTERM.
@@ -435,8 +518,15 @@
     }
 
     fn new_upstream(&mut self) -> Upstream {
-        let id = format!("i-{:08x}", self.rng.below(1 << 32));
+        let number = self.rng.below(1 << 32);
+        self.register(number)
+    }
+
+    /// Starts and registers an upstream whose id has this number.
+    fn register(&mut self, number: u64) -> Upstream {
+        let id = format!("i-{number:08x}");
         let upstream = Upstream::start(&id, Arc::clone(&self.shared.checker));
+        self.upstream_proxies.push(upstream.proxy.clone());
         self.store.put(
             &format!("servers/{id}"),
             &upstream.entry("ready", self.heartbeat.0),
