Do not give up or hold back a ready answer for an upstream that wants a pause

What callers saw: possible, shown by a test. An answer of a smaller model was dropped for a larger one although all upstreams wanted a pause, and the error answer of an upstream was held back until a pause ended; a request that waited noticed a stop of the gateway only after half of the pause, and the start of its attempt was recorded with the time from before the wait.

Cause: the decision to escalate and the wait did not look at what was already there.

Change: an answer escalates only if some upstream of the service wants no pause; a request with an error answer in hand does not wait; a waiting request looks again after half a second at most.

Evidence: a_ready_answer_is_delivered_if_all_other_upstreams_want_a_pause failed before (502 in place of 200).

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -544,7 +544,7 @@
             model,
             models: job.route.models.len(),
             confidence: (head.fields.number(headers::CONFIDENCE)).and_then(|c| c.try_into().ok()),
-            can_send: can_reroute,
+            can_send: can_reroute && has_free_upstream(shared, job),
             late_now: f64::from(u8::from(time_left(shared, job) == Millis(0))),
             late_probability: late_probability(shared, job),
             relative_work: relative_work(shared, job),
@@ -592,6 +592,18 @@
     }
 }
 
+/// Returns whether an upstream of the service wants no pause; an answer that is ready is not given up for a wait.
+fn has_free_upstream(shared: &Shared, job: &Job) -> bool {
+    let pauses = shared.pauses.borrow();
+    if pauses.is_empty() {
+        return true;
+    }
+    let now = shared.clock.now();
+    let fleet = shared.fleet.borrow();
+    let mut ready = fleet.ready(&job.service, now);
+    ready.any(|u| !pauses.is_paused(&u.id, u.boot, now))
+}
+
 /// Returns the probability that an answer of the largest model would miss the route's latency target.
 fn late_probability(shared: &Shared, job: &Job) -> f64 {
     let now = shared.clock.now();
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -125,7 +125,10 @@
                 break "contained";
             }
         };
-        let choice = match choose_after_pause(shared, client, job, &tried, &relay).await {
+        // An upstream's error answer is ready. Another gateway has the time that a stop would cut off, but not for a stream that
+        // has begun.
+        let may_wait = || failure.is_none() && (relay.has_begun() || !shared.is_stopping.get());
+        let choice = match choose_after_pause(shared, client, job, &tried, may_wait).await {
             Ok(choice) => choice,
             Err(NoAttempt::ClientGone) => return Outcome::ClientGone,
             Err(NoAttempt::NoChoice(NoChoice::NoUpstream)) => break "no_upstream",
@@ -142,7 +145,7 @@
                 break "paused";
             }
         };
-        let upstream = &choice.upstream;
+        let (upstream, now) = (&choice.upstream, shared.clock.now());
         tried.push(Rc::clone(&upstream.id));
         let can_reroute = attempts.can_escalate() && !is_trial;
         (shared.health.borrow_mut()).start(&upstream.id, upstream.boot, now);
@@ -191,11 +194,11 @@
     ClientGone,
 }
 
-/// Shortest time after which a request that waits for a paused upstream looks for others.
-const MIN_PAUSE_RECHECK: Millis = Millis(100);
+/// Shortest and longest time after which a request that waits for a paused upstream looks for others.
+const PAUSE_RECHECK: (Millis, Millis) = (Millis(100), Millis(500));
 
-/// Chooses the upstream of an attempt. If all want a pause, waits for the first one to end, unless the request's deadline comes
-/// before.
+/// Chooses the upstream of an attempt. If all want a pause, waits for the first one to end as long as it may, unless the request's
+/// deadline comes before.
 ///
 /// A client that is refused comes back once or twice, and only within a third of the time that it has left; waiting here
 /// reaches the end of the pause, and takes nothing from the retry budget.
@@ -204,7 +207,7 @@
     client: &mut ClientConn,
     job: &Job,
     tried: &[Rc<str>],
-    relay: &Relay,
+    may_wait: impl Fn() -> bool,
 ) -> Result<Choice, NoAttempt> {
     let mut is_waiting = false;
     loop {
@@ -214,9 +217,7 @@
             Err(reason) => return Err(NoAttempt::NoChoice(reason)),
         };
         let is_too_long = shared.clock.now() + paused.wait + MIN_REMAINING_TIME >= job.deadline;
-        // Another gateway has the time that a stop would cut off.
-        let is_stopping = shared.is_stopping.get() && !relay.has_begun();
-        if is_too_long || is_stopping {
+        if is_too_long || !may_wait() {
             return Err(NoAttempt::NoChoice(NoChoice::Paused(paused)));
         }
         if !is_waiting {
@@ -224,7 +225,8 @@
             record_paused(shared, job, paused, "waits");
         }
         // Another upstream may come; half of the wait keeps many waiting requests from asking all the time.
-        let recheck = Millis(paused.wait.0 / 2).max(MIN_PAUSE_RECHECK);
+        let (shortest, longest) = PAUSE_RECHECK;
+        let recheck = Millis((paused.wait.0 / 2).clamp(shortest.0, longest.0));
         let pause = paused.wait.min(recheck);
         tokio::select! {
             biased;
--- a/src/forward/tests/notices.rs
+++ b/src/forward/tests/notices.rs
@@ -1,7 +1,12 @@
 //! Upstreams that say themselves that they leave, or that they want a pause.
 
+use std::rc::Rc;
+
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
 use super::fixture::{
-    self, Action, ScriptedUpstream, events, field, gateway, gateway_ready, policy,
+    self, Action, ScriptedUpstream, events, field, gateway, gateway_ready, policy, read_message,
     scripted_upstream, send, serve, status,
 };
 use crate::fixtures::run_paused;
@@ -124,7 +129,7 @@
             policy(),
             Box::new(fixture::FixedStore::open(events(&[&upstream]))),
         );
-        let gateway = serve(std::rc::Rc::clone(&shared));
+        let gateway = serve(Rc::clone(&shared));
         gateway_ready(&gateway).await;
 
         send(&gateway, "POST", "/safe/", "").await;
@@ -223,7 +228,7 @@
             policy(),
             Box::new(fixture::FixedStore::open(events(&[&upstream]))),
         );
-        let gateway = serve(std::rc::Rc::clone(&shared));
+        let gateway = serve(Rc::clone(&shared));
         gateway_ready(&gateway).await;
 
         let text = send(&gateway, "POST", "/once/", "").await;
@@ -245,7 +250,7 @@
             policy(),
             Box::new(fixture::FixedStore::open(events(&[&upstream]))),
         );
-        let gateway = serve(std::rc::Rc::clone(&shared));
+        let gateway = serve(Rc::clone(&shared));
         gateway_ready(&gateway).await;
 
         for _ in 0..12 {
@@ -304,3 +309,51 @@
         assert_eq!(received(&new), 1);
     });
 }
+
+/// An answer that is ready must not be given up, or held back, for an upstream that wants a pause.
+#[test]
+fn a_ready_answer_is_delivered_if_all_other_upstreams_want_a_pause() {
+    const DOUBTED: &str = "HTTP/1.1 200 OK\r\nX-Fireflywind-Request-Id: ID\r\nX-Fireflywind-Server-Stamp: s1\r\n\
+                           X-Fireflywind-Confidence: 1\r\nContent-Length: 15\r\n\r\nid: 1\ndata: a\n\n";
+    const FAILED: &str = "HTTP/1.1 500 Error\r\nX-Fireflywind-Request-Id: ID\r\nX-Fireflywind-Server-Stamp: s1\r\n\
+                          Content-Length: 0\r\n\r\n";
+    fixture::run(async {
+        for (path, fields, answer, expected) in [
+            ("/model/", "X-Fireflywind-Model: *\r\n", DOUBTED, 200),
+            ("/safe/", "", FAILED, 500),
+        ] {
+            let listener = TcpListener::bind("127.0.0.1:0").await;
+            let listener = listener.expect("loopback can be bound");
+            let upstream = ScriptedUpstream {
+                addr: listener.local_addr().expect("the listener is bound"),
+                requests: Rc::default(),
+                disconnects: Rc::default(),
+            };
+            let shared = Shared::open(
+                policy(),
+                Box::new(fixture::FixedStore::open(events(&[&upstream]))),
+            );
+            let gateway = serve(Rc::clone(&shared));
+            gateway_ready(&gateway).await;
+            let requests = Rc::clone(&upstream.requests);
+            actix_rt::spawn(async move {
+                while let Ok((mut stream, _)) = listener.accept().await {
+                    while let Some(text) = read_message(&mut stream).await {
+                        // The refusal of another request asks for a pause before this one is answered.
+                        let now = shared.clock.now();
+                        (shared.pauses.borrow_mut()).observe(&"u0".into(), 1, Millis(60_000), now);
+                        requests.borrow_mut().push(text);
+                        let answer = answer.replace("ID", "r1");
+                        let written = stream.write_all(answer.as_bytes()).await;
+                        written.expect("the gateway reads");
+                    }
+                }
+            });
+
+            let text = send(&gateway, "POST", path, fields).await;
+
+            assert_eq!(status(&text), expected, "{path}: {text}");
+            assert_eq!(received(&upstream), 1, "{path}");
+        }
+    });
+}
