Let a departure be in force in time that tells of a restore

A watch that outlasts a restore, because the new history reaches its revision at once, can end with the departure of an upstream. The gateway then lists a history without that upstream, cannot tell whether it left or has yet to register again, and used it for the whole 2 s in which a history settles, to the end of the bound for departures.

Change: 200 ms of the bound for changes are left when upstreams that a copy lacks are no longer used, as after an outage. Where the bound is 2.2 s or longer, nothing changes.

--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -365,6 +365,10 @@
     max_notice_age: Millis,
 }
 
+/// Part of the time within which a departure must be in force that is left when upstreams that a copy lacks are no longer used, for
+/// requests that are in transit.
+const MISSING_MARGIN: Millis = Millis(200);
+
 /// Applies the events of a response to the gateway's view.
 fn apply_update(shared: &Rc<Shared>, update: StoreUpdate, now: Millis) {
     let StoreUpdate {
@@ -443,11 +447,14 @@
             shared.evidence.borrow_mut().retain_listed(&containments);
             let settles_in = shared.history.borrow().settles_in(now).unwrap_or_default();
             let heard_at = shared.history.borrow().heard_at();
-            let lifetime = copied_entry_lifetime(shared.policy().heartbeat, SETTLE_TIME);
+            let policy = shared.policy();
+            let lifetime = copied_entry_lifetime(policy.heartbeat, SETTLE_TIME);
+            // An upstream that the copy lacks may have left just before this gateway heard of the restore.
+            let margin = (SETTLE_TIME + MISSING_MARGIN).since(policy.change_bound);
             let times = CopyTimes {
                 now,
                 heard_at,
-                missing_until: now + settles_in,
+                missing_until: now + settles_in.since(margin),
                 held_until: now + lifetime,
             };
             (shared.fleet.borrow_mut()).replace_by_copy(upstreams, times)
--- a/src/forward/tests/restored.rs
+++ b/src/forward/tests/restored.rs
@@ -114,6 +114,33 @@
     });
 }
 
+/// A watch can outlast a restore, and end with a departure of the new history. The gateway then lists a history without the upstream,
+/// and cannot tell whether it left or has yet to register again; the departure must be in force in time all the same.
+#[test]
+fn a_departure_that_tells_of_the_restore_is_in_force_in_time() {
+    run_paused(async {
+        let store = ModelStore::open();
+        store.put_config(1);
+        store.put(ready("leaves", 1));
+        store.put(ready("stays", 1));
+        let nodes = Node::start_all(&store, 3);
+        pass(Millis::from_secs(5)).await;
+        let copy = store.copy();
+        store.put_config(2);
+        pass(Millis::from_secs(1)).await;
+        store.restore(&copy);
+        // The new history reaches the revision that the watches wait at.
+        store.put_config(2);
+        pass(Millis::from_secs(1)).await;
+
+        store.remove("servers/leaves");
+        pass(nodes[0].shared.policy().change_bound).await;
+
+        let seen: Vec<_> = nodes.iter().map(usable).collect();
+        assert_eq!(seen, [["stays"], ["stays"], ["stays"]]);
+    });
+}
+
 /// A gateway that starts on the older copy knows no better; it must not serve by it before the operator has written again.
 #[test]
 fn a_gateway_that_starts_on_the_older_copy_does_not_serve_by_it() {
