--- a/src/forward/tests/restored_fuzz.rs
+++ b/src/forward/tests/restored_fuzz.rs
@@ -12,6 +12,7 @@
 use super::model_store::{Copy, LinkState, ModelStore, Node};
 use crate::fixtures::{check_property, run_paused};
 use crate::forward::follow::StoreEvent;
+use crate::forward::notices::LeavingSource;
 use crate::router::fleet::{Upstream, UpstreamState};
 use crate::router::rollout::{Answer, Phase, RequestProfile};
 use crate::units::Millis;
@@ -40,6 +41,8 @@
     Join(u8),
     Drain(u8),
     Leave(u8),
+    /// An upstream says to a gateway that it leaves, and the store still has it as ready.
+    SayLeaving(usize, u8),
     Order,
     /// The version that is rolled out fails at one gateway.
     Bad(usize),
@@ -54,7 +57,7 @@
     fn arbitrary(g: &mut Gen) -> Self {
         let node = usize::arbitrary(g) % NODES;
         let id = u8::arbitrary(g) % 5;
-        match u8::arbitrary(g) % 16 {
+        match u8::arbitrary(g) % 17 {
             0..=3 => Self::Pass(u64::arbitrary(g) % 3_000),
             4 => Self::Config,
             5 | 6 => Self::Join(id),
@@ -73,6 +76,7 @@
                 ];
                 Self::Link(node, *g.choose(&states).expect("there are states"))
             }
+            15 => Self::SayLeaving(node, id),
             _ => Self::Restart(node),
         }
     }
@@ -86,6 +90,8 @@
     used: BTreeSet<(String, u64)>,
     /// Upstreams that it was told to have left.
     left: BTreeSet<(String, u64)>,
+    /// Upstreams that have said to it that they leave.
+    said: BTreeSet<(String, u64)>,
     /// Since when it reaches the store.
     in_reach_since: Option<Instant>,
     outcome: Option<(Rc<str>, Phase)>,
@@ -256,7 +262,9 @@
         }
         shown.version = version;
         shown.left.extend(told);
-        let knew: Vec<_> = usable.intersection(&shown.left).collect();
+        let knew: Vec<_> = (usable.iter())
+            .filter(|u| shown.left.contains(*u) || shown.said.contains(*u))
+            .collect();
         if let Some(upstream) = knew.first() {
             return Err(format!(
                 "g{at}: uses {upstream:?}, which it knew to have left"
@@ -299,6 +307,14 @@
                 self.nodes[at] = Node::start(&self.store, &format!("g{at}"));
                 self.shown[at] = Shown::start();
             }
+            Op::SayLeaving(at, id) => {
+                let entry = self.registry.get(&name(id)).copied();
+                if let Some((boot, _, UpstreamState::Ready)) = entry {
+                    let shared = &self.nodes[at].shared;
+                    shared.record_leaving(&name(id).into(), boot, LeavingSource::Answer);
+                    self.shown[at].said.insert((name(id), boot));
+                }
+            }
             Op::Bad(at) => {
                 let now = self.nodes[at].shared.clock.now();
                 let profile = RequestProfile {
@@ -379,8 +395,9 @@
                 ));
             }
             let usable = self.usable(at);
-            if usable != ready {
-                return Err(format!("g{at}: uses {usable:?}, expected {ready:?}"));
+            let expected: BTreeSet<_> = ready.difference(&self.shown[at].said).cloned().collect();
+            if usable != expected {
+                return Err(format!("g{at}: uses {usable:?}, expected {expected:?}"));
             }
             let outcome = self.outcome(at);
             if self.orders > 0 && (outcome.is_none() || outcome != recorded) {
