Send nothing to a reverted version when the next one is ordered

Requests ran on v2 after it had been reverted, in sessions that had moved back to v1 already.

Cause: the group of old upstreams was all those without the ordered version, and a revert was forgotten with its order.

Change: reverted versions of a service are remembered until they are ordered again, and their upstreams are left out. A session that ran on a version that was rolled out before belongs to the old group of the next one. A gateway that starts after the next order does not know the verdict, since its record is replaced.

Evidence: a_reverted_version_gets_no_requests_when_the_next_one_is_ordered failed before.

--- a/src/forward/choose.rs
+++ b/src/forward/choose.rs
@@ -178,7 +178,15 @@
         sessions.record(job.session_hash, Group::Old, now, idle_timeout);
         return ready;
     };
-    let pinned = sessions.group(job.session_hash, now, idle_timeout);
+    // The upstreams of a bad version are still there when the next one is ordered.
+    let is_withdrawn = |u: &&Rc<Upstream>| rollouts.is_withdrawn(&job.service, &u.version);
+    let ready: Vec<_> = ready.into_iter().filter(|u| !is_withdrawn(u)).collect();
+    let mut pinned = sessions.group(job.session_hash, now, idle_timeout);
+    let since_start = now.since(rollout.started());
+    if pinned == Some(Group::New) && sessions.group(job.session_hash, now, since_start).is_none() {
+        // The session ran on a version that was rolled out before this one.
+        pinned = Some(Group::Old);
+    }
     let pinned = pinned.filter(|_| rollout.pins_sessions(now));
     let group = pinned.unwrap_or_else(|| rollout.group(job.session_hash, now));
     sessions.record(job.session_hash, group, now, idle_timeout);
--- a/src/forward/rollouts.rs
+++ b/src/forward/rollouts.rs
@@ -32,6 +32,8 @@
     early_record: Option<(Rc<str>, Phase)>,
     /// Versions that were ordered before, the last ones.
     superseded: Vec<Rc<str>>,
+    /// Versions that were reverted and have not been ordered again, the last ones.
+    reverted: Vec<Rc<str>>,
     /// An order that a restored store lists although a later one is known.
     older_order: Option<Order>,
     /// Whether the present history of the store has the order.
@@ -46,7 +48,8 @@
     ordered_at: Millis,
 }
 
-/// Maximum number of earlier orders of a service in memory; copies of the store are some seconds old.
+/// Maximum number of earlier orders, and of reverted versions, of a service in memory; copies of the store are some seconds old, and
+/// the upstreams of a reverted version leave some seconds later.
 const MAX_SUPERSEDED: usize = 8;
 
 impl Rollouts {
@@ -102,6 +105,12 @@
                     entry.superseded.push(before);
                     let excess = entry.superseded.len().saturating_sub(MAX_SUPERSEDED);
                     entry.superseded.drain(..excess);
+                    if entry.rollout.phase() == Phase::Reverted {
+                        entry.reverted.push(Rc::clone(&entry.rollout.to));
+                    }
+                    entry.reverted.retain(|version| *version != rollout.to);
+                    let excess = entry.reverted.len().saturating_sub(MAX_SUPERSEDED);
+                    entry.reverted.drain(..excess);
                 }
                 entry.rollout = rollout;
                 entry.recorded_phase = early_record.map(|(_, phase)| phase);
@@ -118,6 +127,16 @@
         }
     }
 
+    /// Returns whether a version of a service was reverted and a later one has been ordered since. Its upstreams leave some seconds
+    /// after the revert.
+    #[must_use]
+    pub fn is_withdrawn(&self, service: &str, version: &str) -> bool {
+        self.find(service).is_ok_and(|at| {
+            let reverted = &self.entries[at].reverted;
+            reverted.iter().any(|known| **known == *version)
+        })
+    }
+
     /// Takes in an order that the first listing of a restored store has. One that a later order is known to have replaced waits
     /// until the history is settled; the operator writes the later one again.
     pub fn add_listed_order(
@@ -328,6 +347,7 @@
             is_writing: false,
             early_record: None,
             superseded: Vec::new(),
+            reverted: Vec::new(),
             older_order: None,
             is_order_listed: false,
         }
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -14,4 +14,5 @@
 mod restored;
 mod restored_fuzz;
 mod restored_rollouts;
+mod rollouts;
 mod stop;
