--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -10,6 +10,7 @@
 mod model_store;
 mod notices;
 mod parsers;
+mod plain_versions;
 mod requests;
 mod restored;
 mod restored_fuzz;
