Judge a new version by route, by what all gateways have seen of it

Cause: each gateway judged by its own answers, all routes in one sum that fades in 5 s, and a version passed if nothing spoke against it. Counts were exchanged through beacons only, and plain services have none. Class: a verdict for the whole fleet from what one member has seen, in which too little evidence passes.

Change: router/comparison owns what the fleet has seen, by route, as a state machine without I/O; gateways write their cumulative counts to the store. A CUSUM of log-likelihood ratios by route stops a version, against the old one's rate over the same time; a completion needs proof on each route that matters, a current view of the store, and waits until 0.4 s before the deadline if the version has borne all requests for less than 5 s. Answers that were given up count once they are slow. Log lines have the verdict, the counts by route, the number of gateways and the age of their reports.

Two tests of completions feed sound answers now, since without any the version is not completed any more; the jitter of a completion is 150 ms, a part of the 0.4 s that are left.

Ruled out: counts through the beacons of other services (deployments without engines have none); counting cut-off answers as failed (one crash would stop a good version).

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -12,7 +12,7 @@
 use crate::router::fleet::Upstream;
 use crate::router::hash;
 use crate::router::health::AttemptOutcome;
-use crate::router::rollout::{Answer, Phase, RequestProfile};
+use crate::router::rollout::{Answer, AnswerGrade, Phase, RequestProfile};
 use crate::router::silence_policy::Limits;
 use crate::router::table::RequestKind;
 use crate::suspect::RunEnd;
@@ -145,7 +145,10 @@
         tokio::select! {
             biased;
             head = exchanged => head,
-            () = client.closed() => return AttemptEnd::ClientGone,
+            () = client.closed() => {
+                observe_given_up(shared, job, upstream, open.sent_at);
+                return AttemptEnd::ClientGone;
+            }
             silence = silence => return upstream_silent(shared, job, upstream, open.sent_at, silence),
         }
     };
@@ -278,12 +281,19 @@
     };
     let now = shared.clock.now();
     let grade = rollout.observe(&upstream.version, profile, answer, now);
-    if rollout.phase() == Phase::Active {
+    let is_open = matches!(answer, Answer::Unanswered(_)) && grade == AnswerGrade::Normal;
+    if rollout.phase() == Phase::Active && !is_open {
         let mut health = shared.health.borrow_mut();
         (health.entry(&upstream.id, upstream.boot, now).answer_counts).count(answer, grade);
     }
 }
 
+/// Records that an answer was given up, by the client or by this gateway, before it was whole.
+fn observe_given_up(shared: &Shared, job: &Job, upstream: &Upstream, sent_at: Millis) {
+    let waited = shared.clock.now().since(sent_at);
+    observe_version(shared, job, upstream, Answer::Unanswered(waited));
+}
+
 pub(super) fn take_retry_budget(shared: &Shared, job: &Job) -> bool {
     let now = shared.clock.now();
     let gateways = shared.gateways_sharing_budget(now);
@@ -340,6 +350,7 @@
     silence: SilenceOutcome,
 ) -> AttemptEnd {
     let waited = shared.clock.now().since(sent_at);
+    observe_given_up(shared, job, upstream, sent_at);
     log::info!(event = "attempt_silent", request:% = String::from_utf8_lossy(&job.id),
         upstream:% = upstream.id, waited_ms = waited.0, end:? = silence; "");
     match silence {
@@ -432,7 +443,10 @@
         tokio::select! {
             biased;
             body = read => body,
-            () = client.closed() => return AttemptEnd::ClientGone,
+            () = client.closed() => {
+                observe_given_up(shared, job, &upstream, sent_at);
+                return AttemptEnd::ClientGone;
+            }
             silence = silence => return upstream_silent(shared, job, &upstream, sent_at, silence),
         }
     };
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::kv::LocalFuture;
+use crate::router::comparison::AnswerReport;
 use crate::router::departures::DepartureKind;
 use crate::router::fleet::{Change, CopyTimes, Upstream, UpstreamState, copied_entry_lifetime};
 use crate::router::history::{Era, Read, SETTLE_TIME, Sighting, listing_spread};
@@ -39,6 +40,29 @@
     }
 }
 
+/// Delay after changes while all requests go to a version that is not completed: what other gateways have seen of it decides
+/// within a second or two.
+const MOVED_BATCH_DELAY: Millis = Millis(150);
+
+/// The same for each gateway, which keeps the calls of all gateways below a thousand a second.
+const MOVED_BATCH_DELAY_PER_GATEWAY: Millis = Millis(1);
+
+/// Returns the delay after changes, given the roll-outs that are under way.
+fn rollout_batch_delay(shared: &Shared, now: Millis) -> Millis {
+    let mut rollouts = shared.rollouts.borrow_mut();
+    let (mut has_rollout, mut has_moved) = (false, false);
+    for (_, rollout) in rollouts.active() {
+        has_rollout = true;
+        has_moved |= rollout.has_moved(now);
+    }
+    let delay = batch_delay(shared.policy().change_bound, has_rollout);
+    if !has_moved {
+        return delay;
+    }
+    let for_all = Millis(MOVED_BATCH_DELAY_PER_GATEWAY.0 * shared.gateways(now));
+    delay.min(MOVED_BATCH_DELAY.max(for_all))
+}
+
 /// Base and upper bound of the exponential back-off after failed calls to the store, without jitter.
 pub(super) const RETRY_BACKOFF: (Millis, Millis) = (Millis(100), Millis(600));
 
@@ -84,6 +108,8 @@
         /// Revision of the record; the condition of the next write.
         revision: u64,
     },
+    /// The answers of a roll-out's versions that a gateway reports.
+    Answers(AnswerReport),
     /// The crashes that a gateway reports.
     CrashReport(Report),
     /// The record of a containment.
@@ -197,6 +223,9 @@
     /// Records that an era is settled; returns the record's revision.
     fn write_settled(&self, settled: Era) -> LocalFuture<'_, StoreAnswer<u64>>;
 
+    /// Writes what this gateway has seen of a roll-out; returns the new revision.
+    fn write_answers(&self, report: AnswerReport) -> LocalFuture<'_, StoreAnswer<u64>>;
+
     /// Writes a gateway's evidence of crashes; returns the new revision.
     fn write_evidence(&self, write: EvidenceWrite) -> LocalFuture<'_, StoreAnswer<u64>>;
 }
@@ -255,8 +284,7 @@
                 release_lasting(&shared, called_at);
                 confirm(&shared, is_unchanged.then_some(wait), called_at, now);
                 if !is_unchanged {
-                    let has_rollout = shared.rollouts.borrow_mut().active().next().is_some();
-                    let delay = batch_delay(shared.policy().change_bound, has_rollout);
+                    let delay = rollout_batch_delay(&shared, now);
                     actix_rt::time::sleep(delay.duration()).await;
                 }
             }
@@ -416,6 +444,7 @@
                     rollouts.add_order(&service, to, ramp, changed_at);
                 }
             }
+            StoreEvent::Answers(report) => shared.merge_answers(report, now),
             StoreEvent::CrashReport(report) => shared.merge_crash_report(&report),
             StoreEvent::Contained { record, revision } => {
                 containments.push(record.key());
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -4,6 +4,8 @@
 //! of their attempts, so an event of a stream costs one read and one write. Routing decisions are made by
 //! [`crate::router`].
 
+mod answers;
+pub use answers::report_interval;
 mod attempt;
 pub mod body;
 mod choose;
--- a/src/forward/rollouts.rs
+++ b/src/forward/rollouts.rs
@@ -2,10 +2,13 @@
 
 use std::rc::Rc;
 
+use crate::router::comparison::RouteCounts;
+use crate::router::hash;
 use crate::router::history::Standing;
-use crate::router::rollout::{Judged, Phase, Rollout};
+use crate::router::rollout::{Judged, Phase, Rollout, Verdict};
 use crate::units::Millis;
 
+use super::answers::{self, Reporting, report_interval};
 use super::follow::{ControlPlaneError, RETRY_BACKOFF, RolloutStart, RolloutWrite};
 use super::shared::Shared;
 
@@ -38,6 +41,8 @@
     older_order: Option<Order>,
     /// Whether the present history of the store has the order.
     is_order_listed: bool,
+    /// Reports of this gateway on the roll-out.
+    reporting: Reporting,
 }
 
 /// An operator's order to roll out a version.
@@ -113,6 +118,7 @@
                     entry.reverted.drain(..excess);
                 }
                 entry.rollout = rollout;
+                entry.reporting = Reporting::default();
                 entry.recorded_phase = early_record.map(|(_, phase)| phase);
                 entry.confirmed_phase = entry.recorded_phase;
                 if let Some(phase) = entry.recorded_phase {
@@ -247,6 +253,37 @@
         active.map(|k| (&k.service, &mut k.rollout))
     }
 
+    /// Returns the reports that are due, as service, version, number and counts.
+    pub(super) fn due_reports(
+        &mut self,
+        gateways: u64,
+        draw: u64,
+        now: Millis,
+    ) -> Vec<(Rc<str>, Rc<str>, u64, Vec<RouteCounts>)> {
+        let active = self.entries.iter_mut();
+        let active = active.filter(|k| k.is_ordered() && k.rollout.phase() == Phase::Active);
+        let due = active.filter_map(|entry| {
+            let reporters = entry.rollout.comparison().reach(now).gateways;
+            let gateways = gateways.max(reporters as u64);
+            let interval = report_interval(
+                gateways,
+                entry.rollout.answers_per_second(now) * gateways,
+                entry.rollout.has_moved(now),
+            );
+            let (seq, routes) = (entry.reporting).due(&entry.rollout, interval, draw, now)?;
+            let (service, to) = (Rc::clone(&entry.service), Rc::clone(&entry.rollout.to));
+            Some((service, to, seq, routes))
+        });
+        due.collect()
+    }
+
+    /// Ends the write of a report.
+    pub(super) fn end_report(&mut self, service: &str) {
+        if let Ok(at) = self.find(service) {
+            self.entries[at].reporting.end_write();
+        }
+    }
+
     /// Returns the phases that are due to be recorded, and marks their writes as in progress.
     ///
     /// Until a new history is settled, only what had been recorded before is recorded again: what other gateways have decided
@@ -350,6 +387,7 @@
             reverted: Vec::new(),
             older_order: None,
             is_order_listed: false,
+            reporting: Reporting::default(),
         }
     }
 
@@ -366,13 +404,19 @@
     }
 }
 
+/// Number of routes whose counts a log line has at the most.
+const MAX_LOGGED_ROUTES: usize = 20;
+
 /// Interval of the checks for due decisions on roll-outs, and the delay after a failed write.
 pub const DECISION_INTERVAL: Millis = Millis(100);
 
-/// Longest random delay before a phase is recorded. All gateways decide at the same time; the delay lets one
+/// Longest random delay before the start of a roll-out is recorded. All gateways see it at the same time; the delay lets one
 /// of them write and the others receive its record. A stop is recorded without delay.
 const MAX_WRITE_JITTER: Millis = Millis(250);
 
+/// Longest random delay before a completion is recorded, a part of the time that is left for it before the deadline.
+const MAX_OUTCOME_JITTER: Millis = Millis(150);
+
 /// Jitter for each gateway of a write that records the start of a roll-out: one gateway's write is enough, and the others
 /// need about half a second to read it.
 const START_WRITE_JITTER_PER_GATEWAY: Millis = Millis(100);
@@ -386,7 +430,7 @@
 pub fn max_write_jitter(phase: Phase, gateways: u64) -> Millis {
     match phase {
         Phase::Active => MAX_WRITE_JITTER.max(Millis(START_WRITE_JITTER_PER_GATEWAY.0 * gateways)),
-        Phase::Complete | Phase::Reverted => MAX_WRITE_JITTER,
+        Phase::Complete | Phase::Reverted => MAX_OUTCOME_JITTER,
     }
 }
 
@@ -399,6 +443,7 @@
         actix_rt::time::sleep(DECISION_INTERVAL.duration()).await;
         let (now, unix) = (shared.clock.now(), shared.clock.unix());
         sum_answer_counts(&shared, now);
+        answers::write_due(&shared, now);
         let (standing, era) = {
             let history = shared.history.borrow();
             (history.standing(now), history.era())
@@ -483,6 +528,8 @@
             *sum = sum.plus(load.answer_counts);
         }
         rollout.set_pooled_counts(new, old);
+        let view_age = shared.freshness.borrow().age(now);
+        rollout.update(view_age, now);
     }
 }
 
@@ -491,6 +538,7 @@
     for (service, rollout) in shared.rollouts.borrow_mut().active() {
         if rollout.decision(now) == Some(Phase::Reverted) {
             log::warn!(event = "rollout_stopped_here", service:% = service, to:% = rollout.to; "");
+            log_verdict(shared, service, rollout, rollout.verdict(now), now);
             rollout.set_phase(Phase::Reverted);
         }
     }
@@ -499,24 +547,68 @@
 /// Logs the evidence for a decision. A stop takes effect in this gateway before it is recorded, a completion
 /// only once it is recorded.
 fn apply_decision(shared: &Shared, write: &RolloutWrite) {
+    let now = shared.clock.now();
     let mut rollouts = shared.rollouts.borrow_mut();
     let Some(rollout) = rollouts.get_mut(&write.service) else {
         return;
     };
+    if write.phase == Phase::Active {
+        return;
+    }
+    log_verdict(shared, &write.service, rollout, rollout.verdict(now), now);
+    if write.phase == Phase::Reverted {
+        rollout.set_phase(Phase::Reverted);
+    }
+}
+
+/// Logs why a roll-out ends, with what was seen on each route, of how many gateways and how long ago.
+fn log_verdict(
+    shared: &Shared,
+    service: &Rc<str>,
+    rollout: &Rollout,
+    verdict: Option<Verdict>,
+    now: Millis,
+) {
     let [new, old] = rollout.local_counts();
     let (all_new, all_old) = rollout.pooled_counts();
-    match write.phase {
-        Phase::Active => {}
-        Phase::Complete => {
-            log::info!(event = "rollout_passed", service:% = write.service, to:% = write.to,
-                new_failed_broken_slow_all_paces:? = new, old_failed_broken_slow_all_paces:? = old,
-                all_gateways_new:? = all_new, all_gateways_old:? = all_old; "");
-        }
-        Phase::Reverted => {
-            log::warn!(event = "rollout_stopped", service:% = write.service, to:% = write.to,
-                new_failed_broken_slow_all_paces:? = new, old_failed_broken_slow_all_paces:? = old,
-                all_gateways_new:? = all_new, all_gateways_old:? = all_old; "");
-            rollout.set_phase(Phase::Reverted);
-        }
-    }
+    let comparison = rollout.comparison();
+    let reach = comparison.reach(now);
+    let table = shared.table.borrow();
+    let name = |route: u64| {
+        let mut routes = table.routes().iter();
+        let known = routes.find(|r| hash(r.name.as_bytes()) == route);
+        known.map_or_else(|| format!("{route:x}"), |r| r.name.to_string())
+    };
+    let sums = comparison.sums().iter().take(MAX_LOGGED_ROUTES);
+    let routes = sums.map(|c| {
+        (
+            name(c.route),
+            <[u32; 5]>::from(c.new),
+            <[u32; 5]>::from(c.old),
+        )
+    });
+    let routes: Vec<_> = routes.collect();
+    let finding = comparison
+        .finding()
+        .map(|f| (name(f.route), f.measure, f.score, f.threshold));
+    let level = match verdict.map(Verdict::phase) {
+        Some(Phase::Reverted) => log::Level::Warn,
+        _ => log::Level::Info,
+    };
+    let event = match verdict.map(Verdict::phase) {
+        Some(Phase::Reverted) => "rollout_stopped",
+        _ => "rollout_passed",
+    };
+    log::log!(level, event = event, service:% = service, to:% = rollout.to, verdict:? = verdict,
+        gateways = reach.gateways, oldest_report_ms = reach.oldest.0, finding:? = finding, proof:? = comparison.proof(),
+        routes_new_old_answers_failed_slow_paces_slow_paces:? = routes,
+        new_failed_broken_slow_all_paces:? = new, old_failed_broken_slow_all_paces:? = old,
+        all_gateways_new:? = all_new, all_gateways_old:? = all_old; "");
+    shared.metrics.count_event(match verdict {
+        Some(Verdict::WorseOnRoute) => "rollout_worse_on_route",
+        Some(Verdict::Worse) => "rollout_worse",
+        Some(Verdict::Unproven) => "rollout_unproven",
+        Some(Verdict::Sound) => "rollout_sound",
+        None => "rollout_recorded_again",
+    });
 }
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -70,6 +70,8 @@
     pub policy: RefCell<Rc<Policy>>,
     /// Clock of the runtime, with the Unix time.
     pub clock: Clock,
+    /// Start of the process by the clock of the VM.
+    pub(super) started_unix: Millis,
     /// Client of the platform's store.
     pub control: Box<dyn ControlPlane>,
     /// Counters and histograms.
@@ -165,6 +167,7 @@
         let evidence = Evidence::new(Rc::clone(&policy.name), clock.unix());
         Rc::new(Self {
             policy: RefCell::new(Rc::new(policy)),
+            started_unix: clock.unix(),
             clock,
             control,
             metrics: Metrics::open(),
--- a/src/forward/tests/departures.rs
+++ b/src/forward/tests/departures.rs
@@ -15,6 +15,7 @@
 };
 use crate::forward::shared::{Policy, Shared};
 use crate::kv::LocalFuture;
+use crate::router::comparison::AnswerReport;
 use crate::router::fleet::{Upstream, UpstreamState};
 use crate::router::history::Era;
 use crate::suspect::EvidenceWrite;
@@ -83,6 +84,10 @@
         Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
     }
 
+    fn write_answers(&self, _report: AnswerReport) -> LocalFuture<'_, StoreAnswer<u64>> {
+        Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
+    }
+
     fn write_evidence(&self, _write: EvidenceWrite) -> LocalFuture<'_, StoreAnswer<u64>> {
         Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
     }
--- a/src/forward/tests/fixture.rs
+++ b/src/forward/tests/fixture.rs
@@ -13,6 +13,7 @@
 use crate::forward::gateway::{Addresses, Gateway};
 use crate::forward::shared::{Policy, Shared};
 use crate::kv::LocalFuture;
+use crate::router::comparison::AnswerReport;
 use crate::router::fleet::{Upstream, UpstreamState};
 use crate::router::history::Era;
 use crate::router::retry::RetryBounds;
@@ -66,6 +67,10 @@
         Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
     }
 
+    fn write_answers(&self, _report: AnswerReport) -> LocalFuture<'_, StoreAnswer<u64>> {
+        Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
+    }
+
     fn write_evidence(&self, _write: EvidenceWrite) -> LocalFuture<'_, StoreAnswer<u64>> {
         Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
     }
--- a/src/forward/tests/follow.rs
+++ b/src/forward/tests/follow.rs
@@ -15,6 +15,7 @@
 use crate::forward::rollouts::{Rollouts, decide_rollouts, max_write_jitter};
 use crate::forward::shared::Shared;
 use crate::kv::LocalFuture;
+use crate::router::comparison::AnswerReport;
 use crate::router::history::{Era, Standing};
 use crate::router::rollout::{Answer, Phase, RequestProfile};
 use crate::suspect::EvidenceWrite;
@@ -75,6 +76,10 @@
         Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
     }
 
+    fn write_answers(&self, _report: AnswerReport) -> LocalFuture<'_, StoreAnswer<u64>> {
+        Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
+    }
+
     fn write_evidence(&self, _write: EvidenceWrite) -> LocalFuture<'_, StoreAnswer<u64>> {
         Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
     }
@@ -122,6 +127,10 @@
         Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
     }
 
+    fn write_answers(&self, _report: AnswerReport) -> LocalFuture<'_, StoreAnswer<u64>> {
+        Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
+    }
+
     fn write_evidence(&self, _write: EvidenceWrite) -> LocalFuture<'_, StoreAnswer<u64>> {
         Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
     }
@@ -170,6 +179,10 @@
         Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
     }
 
+    fn write_answers(&self, _report: AnswerReport) -> LocalFuture<'_, StoreAnswer<u64>> {
+        Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
+    }
+
     fn write_evidence(&self, _write: EvidenceWrite) -> LocalFuture<'_, StoreAnswer<u64>> {
         Box::pin(async { StoreAnswer::of(Err(ControlPlaneError::Conflict), Era::UNNAMED) })
     }
@@ -203,6 +216,16 @@
     });
 }
 
+/// Lets a gateway see enough good answers of both versions for a completion.
+fn show_sound_version(rollouts: &mut Rollouts, deadline: Millis) {
+    let rollout = rollouts.get_mut("pool").expect("the roll-out was ordered");
+    let after_the_pin = Millis(deadline.0 * 60 / 100);
+    for version in ["v1", "v2"].into_iter().cycle().take(100) {
+        rollout.observe(version, PROFILE, Answer::Good(Millis(20)), after_the_pin);
+    }
+    rollout.update(None, deadline);
+}
+
 /// All gateways decide at the same time; those that receive another gateway's record must not write.
 #[test]
 fn a_write_is_cancelled_if_another_gateway_wrote_first() {
@@ -221,6 +244,7 @@
             .due_writes(Millis(20), Millis(20), Standing::Settled)
             .is_empty()
     );
+    show_sound_version(&mut rollouts, Millis::from_secs(24));
     let complete = rollouts.due_writes(
         Millis::from_secs(24),
         Millis::from_secs(24),
@@ -241,11 +265,14 @@
     let end = Millis::from_secs(24);
     rollouts.add_order(&service, Rc::clone(&to), end, Millis(0));
     rollouts.set_phase(&service, &to, Phase::Active, 7);
+    show_sound_version(&mut rollouts, end);
     let complete = rollouts.due_writes(end, end, Standing::Settled);
+    assert_eq!(complete[0].phase, Phase::Complete);
+    let rollout = rollouts.get_mut("pool").expect("the roll-out was ordered");
     for _ in 0..10 {
-        let rollout = rollouts.get_mut("pool").expect("the roll-out was ordered");
         rollout.observe("v2", PROFILE, Answer::Failed, end);
     }
+    rollout.update(None, end);
 
     let is_cancelled = rollouts.cancel_write(&complete[0], end);
 
@@ -294,7 +321,7 @@
     let completions = [1, 410].map(|gateways| max_write_jitter(Phase::Complete, gateways));
 
     assert_eq!(starts, [250, 400, 6_800, 41_000].map(Millis));
-    assert_eq!(completions, [Millis(250); 2]);
+    assert_eq!(completions, [Millis(150); 2]);
 }
 
 /// The slack of the retry budget is divided by the number of gateways that load reports name, not by a fixed number.
--- a/src/forward/tests/model_store.rs
+++ b/src/forward/tests/model_store.rs
@@ -15,6 +15,7 @@
 use crate::forward::shared::{Policy, Shared};
 use crate::forward::{containment, settle};
 use crate::kv::LocalFuture;
+use crate::router::comparison::AnswerReport;
 use crate::router::hash;
 use crate::router::history::Era;
 use crate::router::table::{ClientLimits, RouteTable};
@@ -41,6 +42,7 @@
 const START_PREFIX: &str = "own/rollout/";
 const CRASHES_PREFIX: &str = "own/crashes/";
 const CONTAINED_PREFIX: &str = "own/contained/";
+const ANSWERS_PREFIX: &str = "own/answers/";
 
 /// The key prefixes of a listing's pages.
 const PAGES: [&str; 5] = [
@@ -380,6 +382,10 @@
         ))
     }
 
+    fn write_answers(&self, report: AnswerReport) -> LocalFuture<'_, StoreAnswer<u64>> {
+        Box::pin(self.write(Vec::new(), vec![StoreEvent::Answers(report)], Vec::new()))
+    }
+
     fn write_evidence(&self, write: EvidenceWrite) -> LocalFuture<'_, StoreAnswer<u64>> {
         let (mut puts, mut deletes, mut conditions) = (Vec::new(), Vec::new(), Vec::new());
         if let Some(change) = write.containment {
@@ -492,6 +498,9 @@
             let first = report.crashes.first().map_or("none", |c| &*c.upstream);
             format!("{CRASHES_PREFIX}{first}")
         }
+        StoreEvent::Answers(report) => {
+            format!("{ANSWERS_PREFIX}{}/{}", report.service, report.gateway)
+        }
         StoreEvent::Contained { record, .. } => format!("{CONTAINED_PREFIX}{}", record.key()),
         StoreEvent::UpstreamRemoved(_)
         | StoreEvent::RolloutRemoved(_)
--- a/src/platform/items.rs
+++ b/src/platform/items.rs
@@ -33,6 +33,8 @@
 pub(super) const CRASHES_PREFIX: &str = "fireflywind/crashes/";
 /// Prefix of the keys of containments; the containment's key follows.
 pub(super) const CONTAINED_PREFIX: &str = "fireflywind/contained/";
+/// Prefix of what gateways have seen of roll-outs.
+pub(super) const ANSWERS_PREFIX: &str = "fireflywind/answers/";
 /// Prefix of the keys of the start times of roll-outs that the gateways record; the service follows.
 pub(super) const START_PREFIX: &str = "fireflywind/rollout/";
 
@@ -84,6 +86,9 @@
             revision,
         }));
     }
+    if key.starts_with(ANSWERS_PREFIX) {
+        return Ok(Some(StoreEvent::Answers(serde_json::from_slice(value)?)));
+    }
     if key.starts_with(CRASHES_PREFIX) {
         return Ok(Some(StoreEvent::CrashReport(serde_json::from_slice(
             value,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -17,6 +17,7 @@
 use crate::forward::head::ResponseHead;
 use crate::forward::pool::Conn;
 use crate::kv::LocalFuture;
+use crate::router::comparison::AnswerReport;
 use crate::router::history::Era;
 use crate::suspect::{EVIDENCE_LIFETIME, EvidenceWrite};
 use crate::units::Millis;
@@ -308,6 +309,42 @@
         parse::<Written>(&response).map(|w| w.rev)
     }
 
+    /// Writes what this gateway has seen of a roll-out, for as long as gateways may need it.
+    async fn put_answers(
+        &self,
+        report: AnswerReport,
+        era: &mut Option<Era>,
+    ) -> Result<u64, ControlPlaneError> {
+        let lease = self.lease(era).await?;
+        let value = serde_json::to_vec(&report)
+            .map_err(|e| ControlPlaneError::Unavailable(e.to_string()))?;
+        let key = format!(
+            "{}{}/{}",
+            items::ANSWERS_PREFIX,
+            report.service,
+            report.gateway
+        );
+        let body = json!({
+            "precondition": [],
+            "puts": [{ "key": key, "value": BASE64.encode(value), "lease": lease }],
+            "deletes": [],
+        });
+        let body = body.to_string();
+        let call = self.call(
+            CallKind::Write,
+            "POST",
+            "/api/kv-txn",
+            body.as_bytes(),
+            Millis(0),
+        );
+        let response = call.await?;
+        *era = Some(response.era);
+        if response.status == 404 {
+            self.lease.set(None);
+        }
+        parse::<Written>(&response).map(|w| w.rev)
+    }
+
     async fn put_evidence(
         &self,
         write: EvidenceWrite,
@@ -467,6 +504,14 @@
         })
     }
 
+    fn write_answers(&self, report: AnswerReport) -> LocalFuture<'_, StoreAnswer<u64>> {
+        Box::pin(async {
+            let mut era = None;
+            let result = self.put_answers(report, &mut era).await;
+            StoreAnswer { result, era }
+        })
+    }
+
     fn write_evidence(&self, write: EvidenceWrite) -> LocalFuture<'_, StoreAnswer<u64>> {
         Box::pin(async {
             let mut era = None;
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod attempt;
 pub mod cascade;
+pub mod comparison;
 pub mod demand;
 pub mod departures;
 pub mod fleet;
--- a/src/router/rollout.rs
+++ b/src/router/rollout.rs
@@ -12,10 +12,14 @@
 
 use std::rc::Rc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::units::Millis;
 
+use super::comparison::{AnswerReport, Comparison, Proof};
+
 /// Share of sessions in the canary step, which follows the first half, in percent of the allowed exposure.
-const CANARY_EXPOSURE_PERCENT: u64 = 70;
+const CANARY_EXPOSURE_PERCENT: u64 = 80;
 
 /// Part of the roll-out time during which sessions keep their version and new ones go to the old version, in
 /// percent.
@@ -38,12 +42,22 @@
 /// exposure.
 const FULL_REST_PERCENT: u64 = 44;
 
-/// Remaining part of the roll-out time at which the roll-out is completed, in percent of the allowed exposure:
-/// about one second of the usual 24 s, which is needed to write the record.
-const COMPLETE_REST_PERCENT: u64 = 32;
+/// Time for which a version must have borne all requests for a completion well before the deadline.
+const MIN_TIME_AFTER_MOVE: Millis = Millis::from_secs(5);
+
+/// Time before the deadline at which the roll-out is completed if the version is shown to be sound: what the write of the record
+/// takes. The later, the more is seen of a version that turns bad under all requests.
+const COMPLETE_LEAD: Millis = Millis(400);
+
+/// Time before the deadline at which a version that is not shown to be sound is given up. It is later than the completion, so
+/// that a gateway that knows more comes first.
+const GIVE_UP_LEAD: Millis = Millis(150);
+
+/// Age of the view of the store above which a gateway neither completes a roll-out nor gives it up: the others may know more.
+const MAX_VIEW_AGE: Millis = Millis(2_500);
 
-/// Minimum number of failed, or of broken, answers for a stop.
-const MIN_FAILED_OR_BROKEN_ANSWERS: f64 = 3.0;
+/// Minimum number of broken answers for a stop.
+const MIN_BROKEN_ANSWERS: f64 = 3.0;
 
 /// Minimum number of slow answers, or of slow streams, for a stop.
 const MIN_SLOW_ANSWERS: f64 = 4.0;
@@ -128,6 +142,30 @@
     Reverted,
 }
 
+/// Why a roll-out ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Verdict {
+    /// The answers of all gateways are worse than the old version's on some route.
+    WorseOnRoute,
+    /// The answers of the whole service are worse than the old version's, at this gateway or by the beacons' counts.
+    Worse,
+    /// All routes that matter are shown to be sound.
+    Sound,
+    /// The time is over and a route that matters is not shown to be sound.
+    Unproven,
+}
+
+impl Verdict {
+    /// Returns the phase that follows.
+    #[must_use]
+    pub const fn phase(self) -> Phase {
+        match self {
+            Self::WorseOnRoute | Self::Worse | Self::Unproven => Phase::Reverted,
+            Self::Sound => Phase::Complete,
+        }
+    }
+}
+
 /// Upstreams of the service that a request may be sent to, by version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Group {
@@ -148,6 +186,8 @@
     Failed,
     /// With an answer that was cut off.
     Broken,
+    /// Not within this time, after which the answer was given up. It counts only if it is slow already.
+    Unanswered(Millis),
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -177,7 +217,8 @@
 /// Counts of the graded answers of one upstream or version, as exchanged between gateways.
 ///
 /// Broken answers are not counted as bad here, since one crash of an upstream breaks answers at all gateways.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "[u32; 5]", into = "[u32; 5]")]
 pub struct Judged {
     /// Answers of any grade, without paces.
     pub answers: u32,
@@ -191,6 +232,30 @@
     pub slow_paces: u32,
 }
 
+impl From<[u32; 5]> for Judged {
+    fn from([answers, failed, slow, paces, slow_paces]: [u32; 5]) -> Self {
+        Self {
+            answers,
+            failed,
+            slow,
+            paces,
+            slow_paces,
+        }
+    }
+}
+
+impl From<Judged> for [u32; 5] {
+    fn from(counts: Judged) -> Self {
+        [
+            counts.answers,
+            counts.failed,
+            counts.slow,
+            counts.paces,
+            counts.slow_paces,
+        ]
+    }
+}
+
 impl Judged {
     /// Counts a graded answer.
     pub fn count(&mut self, answer: Answer, grade: AnswerGrade) {
@@ -222,6 +287,18 @@
         }
     }
 
+    /// Returns what these counts have more than earlier ones.
+    #[must_use]
+    pub const fn minus(self, earlier: Self) -> Self {
+        Self {
+            answers: self.answers.saturating_sub(earlier.answers),
+            failed: self.failed.saturating_sub(earlier.failed),
+            slow: self.slow.saturating_sub(earlier.slow),
+            paces: self.paces.saturating_sub(earlier.paces),
+            slow_paces: self.slow_paces.saturating_sub(earlier.slow_paces),
+        }
+    }
+
     /// Returns the number of answers that failed or were slow, and of streams with a slow pace.
     #[must_use]
     pub const fn bad(&self) -> u32 {
@@ -280,23 +357,17 @@
         self.updated_at = now;
     }
 
-    /// Returns whether these answers are significantly worse than the old version's, at this gateway.
+    /// Returns whether more of these answers are broken or slow than of the old version's, at this gateway.
     fn is_worse(&self, old: &Self, excess_slow: f64) -> bool {
         let exceeds = |count: f64, old_count: f64, (least, excess): (f64, f64)| {
             let (rate, old_rate) = (count / self.total.max(1.0), old_count / old.total.max(1.0));
             count >= least && rate > old_rate * 1.5 + excess
         };
-        let old_rate = (old.failed + PRIOR_ANSWERS.0) / (old.total + PRIOR_ANSWERS.1);
-        let expected = self.total * old_rate;
-        let fails = self.failed >= MIN_FAILED_OR_BROKEN_ANSWERS
-            && self.failed >= expected + FAILED_DEVIATIONS * (expected + 1.0).sqrt();
-        fails
-            || exceeds(
-                self.broken,
-                old.broken,
-                (MIN_FAILED_OR_BROKEN_ANSWERS, EXCESS_BROKEN_RATE),
-            )
-            || exceeds(self.slow, old.slow, (MIN_SLOW_ANSWERS, excess_slow))
+        exceeds(
+            self.broken,
+            old.broken,
+            (MIN_BROKEN_ANSWERS, EXCESS_BROKEN_RATE),
+        ) || exceeds(self.slow, old.slow, (MIN_SLOW_ANSWERS, excess_slow))
     }
 }
 
@@ -387,6 +458,10 @@
     pace_baselines: Baselines,
     /// Counts of all gateways for the new and for the old version.
     pooled_counts: (Judged, Judged),
+    /// What all gateways have seen, by route.
+    comparison: Comparison,
+    /// Age of this gateway's view of the store, and when it was taken; `None` without a store.
+    view_age: Option<(Millis, Millis)>,
 }
 
 impl Rollout {
@@ -407,6 +482,8 @@
             first_byte_baselines: Baselines::default(),
             pace_baselines: Baselines::default(),
             pooled_counts: Default::default(),
+            comparison: Comparison::default(),
+            view_age: None,
         }
     }
 
@@ -451,6 +528,12 @@
         }
     }
 
+    /// Returns whether all requests go to the new version, which is not completed yet.
+    #[must_use]
+    pub fn has_moved(&self, now: Millis) -> bool {
+        self.phase == Phase::Active && self.is_within_rest(FULL_REST_PERCENT, now)
+    }
+
     /// Returns whether sessions must keep the version that they used before.
     #[must_use]
     pub fn pins_sessions(&self, now: Millis) -> bool {
@@ -508,18 +591,29 @@
     ) -> AnswerGrade {
         let is_new = version == self.to.as_ref();
         let is_slow = match answer {
-            Answer::Good(time) => self
-                .first_byte_baselines
-                .is_slow(profile, time, SLOW_FACTOR),
+            Answer::Good(time) | Answer::Unanswered(time) => {
+                self.first_byte_baselines
+                    .is_slow(profile, time, SLOW_FACTOR)
+            }
             Answer::Paced(time) => self.pace_baselines.is_slow(profile, time, SLOW_PACE_FACTOR),
             Answer::Failed | Answer::Broken => false,
         };
+        if matches!(answer, Answer::Unanswered(_)) && !is_slow {
+            return AnswerGrade::Normal;
+        }
         let (grade, time) = match answer {
             Answer::Failed => (AnswerGrade::Failed, None),
             Answer::Broken => (AnswerGrade::Broken, None),
+            // The time of an answer that did not come is not known.
+            Answer::Unanswered(_) => (AnswerGrade::Slow, None),
             Answer::Good(time) | Answer::Paced(time) if is_slow => (AnswerGrade::Slow, Some(time)),
             Answer::Good(time) | Answer::Paced(time) => (AnswerGrade::Normal, Some(time)),
         };
+        if !is_new && self.pins_sessions(now) {
+            self.comparison.count_earlier(profile.route, answer, grade);
+        } else {
+            (self.comparison).count(profile.route, is_new, answer, grade);
+        }
         let (baseline, old, new) = match answer {
             Answer::Paced(_) => (
                 &mut self.pace_baselines,
@@ -539,13 +633,49 @@
         grade
     }
 
+    /// Takes in what another gateway has seen.
+    pub fn merge(&mut self, report: AnswerReport, now: Millis) {
+        self.comparison.merge(report, now);
+    }
+
+    /// Sums what all gateways have seen; `view_age` is the age of this gateway's view of the store.
+    pub fn update(&mut self, view_age: Option<Millis>, now: Millis) {
+        self.view_age = view_age.map(|age| (age, now));
+        if self.phase == Phase::Active {
+            self.comparison
+                .update(self.share_permille(now) == 1_000, now);
+        }
+    }
+
+    /// Returns what all gateways have seen, by route.
+    #[must_use]
+    pub const fn comparison(&self) -> &Comparison {
+        &self.comparison
+    }
+
+    /// Returns the rate of this gateway's answers since the order, rounded up to a whole number a second.
+    #[must_use]
+    pub fn answers_per_second(&self, now: Millis) -> u64 {
+        let answers = self.comparison.own_answers() * 1_000;
+        answers.div_ceil(now.since(self.started).0.max(1_000))
+    }
+
     /// Returns the phase to record if the roll-out should stop or complete now.
     #[must_use]
     pub fn decision(&self, now: Millis) -> Option<Phase> {
+        self.verdict(now).map(Verdict::phase)
+    }
+
+    /// Returns why the roll-out should stop or complete now, if it should.
+    #[must_use]
+    pub fn verdict(&self, now: Millis) -> Option<Verdict> {
         if self.phase != Phase::Active {
             return None;
         }
-        let excess_slow = if self.share_permille(now) == 1_000 {
+        if self.comparison.finding().is_some() {
+            return Some(Verdict::WorseOnRoute);
+        }
+        let excess_slow = if self.has_moved(now) {
             EXCESS_SLOW_RATE_AFTER_MOVE
         } else {
             EXCESS_SLOW_RATE_BEFORE_MOVE
@@ -559,9 +689,27 @@
             || self.new_paces.is_worse(&self.old_paces, local_excess)
             || self.pooled_counts.0.is_worse(&self.pooled_counts.1);
         if is_worse {
-            return Some(Phase::Reverted);
+            return Some(Verdict::Worse);
+        }
+        if !self.has_moved(now) || !self.is_view_current(now) {
+            return None;
+        }
+        let left = self.left(now);
+        match self.comparison.proof() {
+            Proof::Sound => {
+                let has_borne_all = self.time_after_move(now) >= MIN_TIME_AFTER_MOVE
+                    && self.comparison.has_seen_move();
+                (has_borne_all || left <= COMPLETE_LEAD).then_some(Verdict::Sound)
+            }
+            Proof::Doubtful(_) | Proof::TooFew(_) => {
+                (left <= GIVE_UP_LEAD).then_some(Verdict::Unproven)
+            }
         }
-        (self.is_within_rest(COMPLETE_REST_PERCENT, now)).then_some(Phase::Complete)
+    }
+
+    /// Returns whether this gateway hears from the others through the store.
+    fn is_view_current(&self, now: Millis) -> bool {
+        (self.view_age).is_none_or(|(age, at)| age + now.since(at) <= MAX_VIEW_AGE)
     }
 
     /// Returns this gateway's decayed counts for logs, first of the new version and then of the old one: failed,
@@ -601,8 +749,22 @@
     /// Returns whether the remaining part of the roll-out time is at most `percent` of the allowed exposure, both
     /// taken as shares of a whole.
     fn is_within_rest(&self, percent: u64, now: Millis) -> bool {
-        let left = self.ramp.since(now.since(self.started));
-        left.0 * 100_000 <= self.ramp.0 * self.exposure_permille * percent
+        self.left(now).0 * 100_000 <= self.rest(percent)
+    }
+
+    /// Returns the time until the deadline.
+    fn left(&self, now: Millis) -> Millis {
+        self.ramp.since(now.since(self.started))
+    }
+
+    /// Returns how long all requests have gone to the new version.
+    fn time_after_move(&self, now: Millis) -> Millis {
+        Millis(self.rest(FULL_REST_PERCENT) / 100_000).since(self.left(now))
+    }
+
+    /// Returns `percent` of the allowed exposure as a part of the roll-out time, in hundred-thousandths of a millisecond.
+    const fn rest(&self, percent: u64) -> u64 {
+        self.ramp.0 * self.exposure_permille * percent
     }
 }
 
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -3,6 +3,7 @@
 mod cascade;
 mod departures;
 mod fleet;
+mod fleet_comparison;
 mod herd;
 mod history;
 mod load;
--- a/src/router/tests/rollout.rs
+++ b/src/router/tests/rollout.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use crate::router::mix;
-use crate::router::rollout::{Answer, Group, Phase, RequestProfile, Rollout};
+use crate::router::rollout::{Answer, Group, Phase, RequestProfile, Rollout, Verdict};
 use crate::router::sessions::Sessions;
 use crate::units::Millis;
 
@@ -39,6 +39,7 @@
         } else {
             rollout.observe("v1", PROFILE, Answer::Good(Millis(100)), now);
         }
+        rollout.update(None, now);
         if let Some(phase) = rollout.decision(now) {
             rollout.set_phase(phase);
             return (new, all, Some(phase));
@@ -151,7 +152,12 @@
 #[test]
 fn every_exposure_leaves_time_to_complete() {
     for exposure in [30, 80, 150, 300, 1_000] {
-        let rollout = Rollout::new(Rc::from("v2"), Millis(0), RAMP, exposure);
+        let mut rollout = Rollout::new(Rc::from("v2"), Millis(0), RAMP, exposure);
+        let after_the_pin = Millis(RAMP.0 * 60 / 100);
+        for version in ["v1", "v2"].into_iter().cycle().take(100) {
+            rollout.observe(version, PROFILE, Answer::Good(Millis(100)), after_the_pin);
+        }
+        rollout.update(None, RAMP);
         let share = |percent: u64| rollout.share_permille(Millis(RAMP.0 * percent / 100));
 
         let sum: u64 = (0..1_000)
@@ -342,3 +348,51 @@
     assert_eq!(sessions.group(1, Millis(8_001), idle_timeout), None);
     assert_eq!(sessions.group(2, Millis(0), idle_timeout), None);
 }
+
+/// EXPOSURE: three answers passed as "no worse than the old version's". Without enough answers of the new version the old one stays.
+#[test]
+fn a_version_with_too_few_answers_is_not_completed() {
+    for answers in [0, 1, 3, 7] {
+        let mut rollout = rollout();
+        let after_the_pin = Millis(RAMP.0 * 60 / 100);
+        for _ in 0..100 {
+            rollout.observe("v1", PROFILE, Answer::Good(Millis(100)), after_the_pin);
+        }
+        for _ in 0..answers {
+            rollout.observe("v2", PROFILE, Answer::Good(Millis(100)), after_the_pin);
+        }
+        rollout.update(None, RAMP);
+
+        assert_eq!(
+            rollout.verdict(RAMP),
+            Some(Verdict::Unproven),
+            "{answers} answers"
+        );
+    }
+}
+
+/// EXPOSURE: a gateway that was cut off from the store, and so from the counts of the others, completed for all.
+#[test]
+fn a_gateway_without_a_current_view_neither_completes_nor_gives_up() {
+    for answers in [0, 100] {
+        let mut rollout = rollout();
+        for _ in 0..answers {
+            let after_the_pin = Millis(RAMP.0 * 60 / 100);
+            rollout.observe("v1", PROFILE, Answer::Good(Millis(100)), after_the_pin);
+            rollout.observe("v2", PROFILE, Answer::Good(Millis(100)), after_the_pin);
+        }
+
+        rollout.update(Some(Millis::from_secs(5)), RAMP);
+        let cut_off = rollout.verdict(RAMP);
+        rollout.update(Some(Millis::from_secs(1)), RAMP);
+        let again = rollout.verdict(RAMP);
+
+        assert_eq!(cut_off, None);
+        let expected = if answers == 0 {
+            Verdict::Unproven
+        } else {
+            Verdict::Sound
+        };
+        assert_eq!(again, Some(expected));
+    }
+}
--- a/src/router/tests/slow_version.rs
+++ b/src/router/tests/slow_version.rs
@@ -5,6 +5,7 @@
 
 use std::rc::Rc;
 
+use crate::router::comparison::AnswerReport;
 use crate::router::mix;
 use crate::router::rollout::{Answer, Group, Judged, Phase, RequestProfile, Rollout};
 use crate::units::Millis;
@@ -130,6 +131,7 @@
     let mut exchanged = [(Judged::default(), Judged::default()); 2];
     let mut counted = exchanged[0];
     let mut exchange_at = EXCHANGE_INTERVAL;
+    let mut seq = 0;
     let mut now = Millis(0);
     while now < RAMP {
         now = now + Millis(1_000 / REQUESTS_PER_SECOND / GATEWAYS);
@@ -163,11 +165,24 @@
         if now >= exchange_at {
             exchange_at = now + EXCHANGE_INTERVAL;
             exchanged = [exchanged[1], counted];
-            for gateway in &mut gateways {
+            seq += 1;
+            let report = |at: usize| AnswerReport {
+                service: "s".into(),
+                to: "v2".into(),
+                gateway: at.to_string().into(),
+                boot: 1,
+                seq,
+                routes: gateways[at].comparison().own().to_vec(),
+            };
+            let reports: Vec<_> = (0..gateways.len()).map(report).collect();
+            for (at, gateway) in gateways.iter_mut().enumerate() {
                 gateway.set_pooled_counts(exchanged[0].0, exchanged[0].1);
+                let others = reports.iter().enumerate().filter(|(from, _)| *from != at);
+                others.for_each(|(_, report)| gateway.merge(report.clone(), now));
             }
         }
-        for gateway in &gateways {
+        for gateway in &mut gateways {
+            gateway.update(None, now);
             if let Some(phase) = gateway.decision(now) {
                 return Some(phase);
             }
