Complete a roll-out early enough to be read, and exchange counts faster at its end

Cause: the completion waited until 0.4 s before the deadline, with a random pause of 150 ms and a check each 100 ms.

Change: 0.6 s and 100 ms. So that a version that turns bad late is still found, gateways report each 100 ms and read after 50 ms while all requests go to the new version (bounded by the number of gateways and answers).

--- a/src/forward/answers.rs
+++ b/src/forward/answers.rs
@@ -12,7 +12,7 @@
 const MIN_REPORT_INTERVAL: Millis = Millis(500);
 
 /// Shortest interval while all requests go to a version that is not completed.
-const MIN_REPORT_INTERVAL_AFTER_MOVE: Millis = Millis(200);
+const MIN_REPORT_INTERVAL_AFTER_MOVE: Millis = Millis(100);
 
 /// Interval between two reports for each gateway that reports: together they write a hundred times a second at the most, a
 /// quarter of what the smallest store takes.
@@ -37,6 +37,19 @@
     shortest.max(Millis(REPORT_INTERVAL_PER_GATEWAY.0 * gateways))
 }
 
+/// The gateway that reports.
+#[derive(Debug)]
+pub(super) struct ReportSource {
+    /// Its name.
+    pub(super) gateway: Rc<str>,
+    /// Start of its process, in Unix milliseconds.
+    pub(super) boot: u64,
+    /// Number of gateways that beacons name.
+    pub(super) gateways: u64,
+    /// Spreads the reports of gateways that begin at the same moment.
+    pub(super) draw: u64,
+}
+
 /// The reports of this gateway on one roll-out.
 #[derive(Debug, Default)]
 pub(super) struct Reporting {
@@ -99,20 +112,17 @@
 
 /// Writes the reports that are due.
 pub(super) fn write_due(shared: &Rc<Shared>, now: Millis) {
-    let gateways = shared.gateways(now);
-    let due = (shared.rollouts.borrow_mut()).due_reports(gateways, shared.draw(), now);
-    for (service, to, seq, routes) in due {
-        let report = AnswerReport {
-            service,
-            to,
-            gateway: Rc::clone(&shared.policy().name),
-            boot: shared.started_unix.0,
-            seq,
-            routes,
-        };
+    let source = ReportSource {
+        gateway: Rc::clone(&shared.policy().name),
+        boot: shared.started_unix.0,
+        gateways: shared.gateways(now),
+        draw: shared.draw(),
+    };
+    let due = shared.rollouts.borrow_mut().due_reports(&source, now);
+    for report in due {
         let shared = Rc::clone(shared);
         actix_rt::spawn(async move {
-            let service = Rc::clone(&report.service);
+            let (service, seq) = (Rc::clone(&report.service), report.seq);
             let sent_at = shared.clock.now();
             let answer = shared.control.write_answers(report).await;
             shared.observe_era(answer.era, sent_at);
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -42,7 +42,7 @@
 
 /// Delay after changes while all requests go to a version that is not completed: what other gateways have seen of it decides
 /// within a second or two.
-const MOVED_BATCH_DELAY: Millis = Millis(150);
+const MOVED_BATCH_DELAY: Millis = Millis(50);
 
 /// The same for each gateway, which keeps the calls of all gateways below a thousand a second.
 const MOVED_BATCH_DELAY_PER_GATEWAY: Millis = Millis(1);
--- a/src/forward/rollouts.rs
+++ b/src/forward/rollouts.rs
@@ -2,13 +2,13 @@
 
 use std::rc::Rc;
 
-use crate::router::comparison::RouteCounts;
+use crate::router::comparison::AnswerReport;
 use crate::router::hash;
 use crate::router::history::Standing;
 use crate::router::rollout::{Judged, Phase, Rollout, Verdict};
 use crate::units::Millis;
 
-use super::answers::{self, Reporting, report_interval};
+use super::answers::{self, ReportSource, Reporting, report_interval};
 use super::follow::{ControlPlaneError, RETRY_BACKOFF, RolloutStart, RolloutWrite};
 use super::shared::Shared;
 
@@ -253,26 +253,29 @@
         active.map(|k| (&k.service, &mut k.rollout))
     }
 
-    /// Returns the reports that are due, as service, version, number and counts.
+    /// Returns the reports of a gateway's process that are due.
     pub(super) fn due_reports(
         &mut self,
-        gateways: u64,
-        draw: u64,
+        reporter: &ReportSource,
         now: Millis,
-    ) -> Vec<(Rc<str>, Rc<str>, u64, Vec<RouteCounts>)> {
+    ) -> Vec<AnswerReport> {
         let active = self.entries.iter_mut();
         let active = active.filter(|k| k.is_ordered() && k.rollout.phase() == Phase::Active);
         let due = active.filter_map(|entry| {
-            let reporters = entry.rollout.comparison().reach(now).gateways;
-            let gateways = gateways.max(reporters as u64);
-            let interval = report_interval(
-                gateways,
-                entry.rollout.answers_per_second(now) * gateways,
-                entry.rollout.has_moved(now),
-            );
-            let (seq, routes) = (entry.reporting).due(&entry.rollout, interval, draw, now)?;
-            let (service, to) = (Rc::clone(&entry.service), Rc::clone(&entry.rollout.to));
-            Some((service, to, seq, routes))
+            let rollout = &entry.rollout;
+            let reporters = rollout.comparison().reach(now).gateways;
+            let gateways = reporter.gateways.max(reporters as u64);
+            let rate = rollout.answers_per_second(now) * gateways;
+            let interval = report_interval(gateways, rate, rollout.has_moved(now));
+            let (seq, routes) = (entry.reporting).due(rollout, interval, reporter.draw, now)?;
+            Some(AnswerReport {
+                service: Rc::clone(&entry.service),
+                to: Rc::clone(&rollout.to),
+                gateway: Rc::clone(&reporter.gateway),
+                boot: reporter.boot,
+                seq,
+                routes,
+            })
         });
         due.collect()
     }
@@ -415,7 +418,7 @@
 const MAX_WRITE_JITTER: Millis = Millis(250);
 
 /// Longest random delay before a completion is recorded, a part of the time that is left for it before the deadline.
-const MAX_OUTCOME_JITTER: Millis = Millis(150);
+const MAX_OUTCOME_JITTER: Millis = Millis(100);
 
 /// Jitter for each gateway of a write that records the start of a roll-out: one gateway's write is enough, and the others
 /// need about half a second to read it.
--- a/src/router/rollout.rs
+++ b/src/router/rollout.rs
@@ -45,9 +45,9 @@
 /// Time for which a version must have borne all requests for a completion well before the deadline.
 const MIN_TIME_AFTER_MOVE: Millis = Millis::from_secs(5);
 
-/// Time before the deadline at which the roll-out is completed if the version is shown to be sound: what the write of the record
-/// takes. The later, the more is seen of a version that turns bad under all requests.
-const COMPLETE_LEAD: Millis = Millis(400);
+/// Time before the deadline at which the roll-out is completed if the version is shown to be sound: what writing and reading the record
+/// take. The later, the more is seen of a version that turns bad under all requests.
+const COMPLETE_LEAD: Millis = Millis(600);
 
 /// Time before the deadline at which a version that is not shown to be sound is given up. It is later than the completion, so
 /// that a gateway that knows more comes first.
