--- a/tests/soak/plain.rs
+++ b/tests/soak/plain.rs
@@ -79,11 +79,10 @@
         let state = store.get(&format!("status/rollout/{SERVICE}"));
         let state = state.and_then(|status| status["state"].as_str().map(str::to_owned));
         match state.as_deref() {
-            Some("reverted") => return None,
             Some("complete") if is_bad => {
                 return Some("EXPOSURE: a bad version of a plain service is complete".to_owned());
             }
-            Some("complete") => return None,
+            Some("complete" | "reverted") => return None,
             _ if started.elapsed() < OUTCOME_TIMEOUT => thread::sleep(REQUEST_INTERVAL),
             _ => {
                 return Some(format!(
