Let the test of late bodies reach the rule that it guards

The test passed without the rule, too: its requests' deadlines, which run from the head, had passed when their bodies came, so they were refused for that.

--- a/src/forward/tests/stop.rs
+++ b/src/forward/tests/stop.rs
@@ -114,8 +114,12 @@
     });
 }
 
-/// Time from the stop request at which a late body is complete. Its request's deadline is after the end of the grace.
-const LATE_BODY: Millis = Millis(5_000);
+/// Grace of a stop that ends before the deadline of a request whose head comes in it.
+const SHORT_GRACE: Millis = Millis(4_500);
+
+/// Time from the stop request at which the head comes, and from there until the body is complete.
+const HEAD_COMES: Millis = Millis(1_000);
+const BODY_FOLLOWS: Millis = Millis(2_100);
 
 /// How the rest of a request is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -147,8 +151,16 @@
         (Body::Chunked, true),
     ] {
         fixture::run(async {
-            let upstream = scripted_upstream(vec![Action::Write(OK), Action::Hang]).await;
-            let gateway = fixture::gateway(&[&upstream]).await;
+            let upstream = scripted_upstream(vec![Action::Write(OK)]).await;
+            let store = FixedStore::open(events(&[&upstream]));
+            let policy = Policy {
+                stop_grace: SHORT_GRACE,
+                ..policy()
+            };
+            let gateway = serve(Shared::open(policy, Box::new(store)));
+            while !is_ready(&gateway).await {
+                sleep(Millis(5).duration()).await;
+            }
             let mut client = connect(gateway.addresses().listen).await;
             if is_kept {
                 let first = message("GET", "/safe/", "");
@@ -158,13 +170,13 @@
                 assert_eq!(status(&first), 200);
             }
             let before = upstream.requests.borrow().len();
-            let (head, rest) = slow_request(body, "/once/");
-            let sent = client.write_all(head.as_bytes()).await;
-            sent.expect("the gateway reads");
-            sleep(Millis(50).duration()).await;
+            let (head, rest) = slow_request(body, "/open/");
 
             let stopping = actix_rt::spawn(gateway.stop());
-            sleep(LATE_BODY.duration()).await;
+            sleep(HEAD_COMES.duration()).await;
+            let sent = client.write_all(head.as_bytes()).await;
+            sent.expect("the gateway reads");
+            sleep(BODY_FOLLOWS.duration()).await;
             let sent = client.write_all(rest.as_bytes()).await;
             sent.expect("the gateway reads");
             let answer = read_message(&mut client).await.unwrap_or_default();
