--- a/src/router/tests/fleet_comparison.rs
+++ b/src/router/tests/fleet_comparison.rs
@@ -341,3 +341,30 @@
         }
     }
 }
+
+/// EXPOSURE: a fleet of which each gateway sees few answers completed a bad version; and a stricter judge must not stop good ones.
+#[test]
+fn fleets_of_any_size_stop_bad_versions_and_complete_good_ones() {
+    const SEEDS: usize = 10;
+    let bad = Version::Bad {
+        percent: 50,
+        from: Millis(0),
+        on_all: false,
+    };
+    for (gateways, routes) in [(1, 2), (4, 2), (68, 2), (410, 6)] {
+        for (version, expected) in [(Version::Good, SEEDS), (bad, 0)] {
+            let fleet = Fleet {
+                gateways,
+                rate: 30,
+                routes,
+                trouble: Trouble::None,
+                version,
+            };
+
+            let (complete, _) = play_all(fleet, SEEDS as u64);
+
+            // A stop and a doubt together are wrong for 3 of 100 seeds.
+            assert!(complete.abs_diff(expected) <= 1, "{fleet:?}: {complete}");
+        }
+    }
+}
