--- a/review/kit/platform.rs
+++ b/review/kit/platform.rs
@@ -188,9 +188,8 @@
     /// Sends a signal by name.
     pub fn signal(&self, signal: &str) {
         if let Some(id) = self.id() {
-            let _ = Command::new("kill")
-                .args([format!("-{signal}"), id.to_string()])
-                .status();
+            let text = format!("kill -{signal} {id}");
+            let _ = Command::new("sh").args(["-c", &text]).status();
         }
     }
 
