Log settings that cannot be read once, not at each reading

What operators saw: while the settings file of a running process could not be read, the log had event=reload_failed every 5 s, and nothing said when the file was readable again with the settings in force.

Cause: each reading logged its error; only a change or a signal was logged on success.

Evidence: the new test failed before the change (event=reload_failed once more in place of event=reload).

Change: an error is logged when it differs from the last one or follows a signal; the first success after an error is logged.

--- a/src/daemon/reload.rs
+++ b/src/daemon/reload.rs
@@ -29,27 +29,36 @@
 
     /// Reads the settings after each signal and at a fixed interval, and applies them if they have changed.
     ///
-    /// Settings that cannot be loaded are logged, and the current ones stay in force.
+    /// Settings that cannot be loaded are logged, and the current ones stay in force. The same error is logged again only
+    /// after a signal.
     pub async fn run<T: PartialEq, E: Display>(
         mut self,
         mut current: T,
         read: impl Fn() -> Result<T, E>,
         apply: impl Fn(&T),
     ) {
+        let mut last_error = None;
         loop {
             let is_signal = timeout(POLL_INTERVAL, self.sighup.recv()).await.is_ok();
             match read() {
-                Ok(settings) if settings != current => {
-                    log::info!(event = "reload", changed = true, signal = is_signal; "");
-                    apply(&settings);
-                    current = settings;
+                Ok(settings) => {
+                    let is_readable_again = last_error.take().is_some();
+                    let changed = settings != current;
+                    if changed || is_signal || is_readable_again {
+                        log::info!(event = "reload", changed = changed, signal = is_signal; "");
+                    }
+                    if changed {
+                        apply(&settings);
+                        current = settings;
+                    }
                 }
-                Ok(_) if is_signal => {
-                    log::info!(event = "reload", changed = false, signal = true; "");
-                }
-                Ok(_) => {}
                 Err(error) => {
-                    log::warn!(event = "reload_failed", error:% = error; "");
+                    let error = Some(error.to_string());
+                    if is_signal || error != last_error {
+                        let text = error.as_deref().unwrap_or_default();
+                        log::warn!(event = "reload_failed", error:% = text; "");
+                    }
+                    last_error = error;
                 }
             }
         }
--- a/tests/router/figures.rs
+++ b/tests/router/figures.rs
@@ -2,6 +2,7 @@
 
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
+use std::time::Duration;
 
 use fireflywind::platform::settings::{self, BeaconSettings, GatewaySettings};
 use fireflywind::units::Millis;
@@ -296,3 +297,31 @@
         }
     }
 }
+
+// Guards against a log line at each reading of a settings file that cannot be read.
+#[test]
+fn settings_that_cannot_be_read_leave_the_last_ones_in_force_and_are_logged_once() {
+    let store = empty_store();
+    let fields = Fields::new().with("platform.addr", Some(json!(store.to_string())));
+    let valid = fields.render(GATEWAY_TEMPLATE);
+    let unreadable = fields.with("bounds.graceS", Some(json!("soon")));
+    let mut router = Router::start_with(store, &valid);
+    router.wait_for_event("start");
+
+    std::fs::write(
+        &router.process.settings,
+        unreadable.render(GATEWAY_TEMPLATE),
+    )
+    .expect("the settings can be written");
+    let failed = router.wait_for_event("reload_failed");
+    // Two more readings without a signal.
+    std::thread::sleep(Duration::from_secs(11));
+    std::fs::write(&router.process.settings, &valid).expect("the settings can be written");
+    let next = router.wait_for_one_of(&["reload", "reload_failed"]);
+
+    for part in ["stop_grace_s", "soon", "a number of seconds, 0 or more"] {
+        assert!(failed.contains(part), "{part:?} is not in: {failed}");
+    }
+    assert!(next.contains("event=reload "), "{next}");
+    assert!(next.contains("changed=false"), "{next}");
+}
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -74,6 +74,11 @@
 
     /// Reads log lines until one of an event; panics after [`DEADLINE`].
     fn wait_for_event(&mut self, event: &str) -> String {
+        self.wait_for_one_of(&[event])
+    }
+
+    /// Reads log lines until one of several events; panics after [`DEADLINE`].
+    fn wait_for_one_of(&mut self, events: &[&str]) -> String {
         let started = Instant::now();
         let mut line = String::new();
         while started.elapsed() < DEADLINE {
@@ -84,16 +89,16 @@
                 .expect("the log can be read");
             assert!(
                 length > 0,
-                "the program ended before it logged event={event}"
+                "the program ended before it logged one of the events {events:?}"
             );
-            if line
+            let event = line
                 .split_whitespace()
-                .any(|word| word == format!("event={event}"))
-            {
+                .find_map(|w| w.strip_prefix("event="));
+            if event.is_some_and(|event| events.contains(&event)) {
                 return line;
             }
         }
-        panic!("no event={event} was logged within {DEADLINE:?}");
+        panic!("none of the events {events:?} was logged within {DEADLINE:?}");
     }
 }
 
