Read numbers of other writers with a point or a fraction

Cause: integer types in the decoders. JSON has one kind of number, and the library refuses a point for an integer.

Change: units::whole reads quantities as any number that is not negative and fits, rounded down; ids must be whole; Content-Length stays digits only. Times from numbers are cut off at 30 days, as products of longer ones overflow. Errors of items name the field.

--- a/src/forward/head.rs
+++ b/src/forward/head.rs
@@ -8,6 +8,8 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::units::whole::{parse_rounded_down, parse_whole};
+
 /// Maximum number of header fields in a head.
 const MAX_FIELDS: usize = 96;
 
@@ -81,10 +83,17 @@
             .and_then(|value| std::str::from_utf8(value).ok())
     }
 
-    /// Returns the first value of a field, if it is a whole number.
+    /// Returns the first value of a field, if it is a number that is not negative; a fraction is rounded down.
     #[must_use]
     pub fn number(&self, name: &str) -> Option<u64> {
-        self.text(name).and_then(|value| value.trim().parse().ok())
+        self.text(name)
+            .and_then(|value| parse_rounded_down(value.trim()))
+    }
+
+    /// Returns the first value of a field, if it is a whole number.
+    #[must_use]
+    pub fn whole_number(&self, name: &str) -> Option<u64> {
+        self.text(name).and_then(|value| parse_whole(value.trim()))
     }
 
     /// Returns the names and values of all fields in the order received.
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -16,6 +16,7 @@
 use crate::router::table::{Account, Route, RouteTable};
 use crate::suspect::{self, ExposureId, Feature};
 use crate::units::Millis;
+use crate::units::whole::parse_rounded_down;
 
 use super::client::IncomingRequest;
 use super::head::RequestHead;
@@ -189,7 +190,7 @@
         id: Bytes::copy_from_slice(head.fields.get(headers::REQUEST_ID).unwrap_or_default()),
         is_head_request: head.method.as_ref() == b"HEAD",
         keep_alive: head.keep_alive,
-        resume_after: head.fields.number(headers::LAST_EVENT_ID),
+        resume_after: head.fields.whole_number(headers::LAST_EVENT_ID),
         sent_to: RefCell::default(),
         exposure: Cell::default(),
         first_byte: Cell::default(),
@@ -242,11 +243,15 @@
     (!shared.is_empty()).then(|| hash(shared.trim().as_bytes()))
 }
 
+/// Largest number of tokens that a client's headers may give, so that sums of many requests stay in range.
+const MAX_TOKENS: u64 = u32::MAX as u64;
+
 /// Returns the size given in the client's headers; without a length hint, half of the longest output is
 /// expected.
 fn size(head: &RequestHead) -> Size {
     let text = head.fields.text(headers::TOKENS).unwrap_or_default();
-    let mut numbers = text.split(',').map(|part| part.trim().parse().unwrap_or(0));
+    let mut numbers = (text.split(','))
+        .map(|part| parse_rounded_down(part.trim()).map_or(0, |n| n.min(MAX_TOKENS)));
     let prompt = numbers.next().unwrap_or(0);
     let longest = numbers.next().unwrap_or(0);
     let estimate = head.fields.number(headers::LENGTH_HINT);
--- a/src/forward/pool.rs
+++ b/src/forward/pool.rs
@@ -8,6 +8,7 @@
 use tokio::net::TcpStream;
 
 use crate::units::Millis;
+use crate::units::whole::parse_decimal;
 
 /// Maximum number of idle connections to one upstream.
 const MAX_IDLE_CONNECTIONS: usize = 24;
@@ -55,10 +56,10 @@
     pub fn set_keep_alive(&mut self, header: &str) {
         let timeout = header.split(',').find_map(|part| {
             let value = part.trim().strip_prefix("timeout=")?;
-            value.parse().ok()
+            parse_decimal(value).filter(|secs| *secs >= 0.0)
         });
         if let Some(secs) = timeout {
-            self.idle_limit = Millis::from_secs(secs).since(IDLE_MARGIN);
+            self.idle_limit = Millis::from_secs_f64(secs).since(IDLE_MARGIN);
         }
     }
 
--- a/src/forward/tests/parsers.rs
+++ b/src/forward/tests/parsers.rs
@@ -234,3 +234,26 @@
     }
     fixtures::check_property(8, property as fn(Vec<u8>, Vec<u8>));
 }
+
+/// A deadline of `1500.0` ms was taken for none, so an upstream got the route's time-out as its deadline.
+#[test]
+fn numbers_in_header_fields_may_have_a_point_or_a_fraction() {
+    let number = |value: &str| {
+        let text = format!("GET /a HTTP/1.1\r\nHost: x\r\nN: {value}\r\n\r\n");
+        let head = request(&text).expect("the head is valid");
+        let fields = head.expect("the head is complete").fields;
+        (fields.number("N"), fields.whole_number("N"))
+    };
+
+    assert_eq!(number("1500"), (Some(1_500), Some(1_500)));
+    assert_eq!(number("1500.0"), (Some(1_500), Some(1_500)));
+    assert_eq!(number("1500.9"), (Some(1_500), None));
+    assert_eq!(number("15e2"), (Some(1_500), Some(1_500)));
+    assert_eq!(
+        number("18446744073709551615"),
+        (Some(u64::MAX), Some(u64::MAX))
+    );
+    for invalid in ["-1", "-0.5", "1e99", "soon", "", "inf", "nan", "true"] {
+        assert_eq!(number(invalid), (None, None), "{invalid}");
+    }
+}
--- a/src/platform/figures.rs
+++ b/src/platform/figures.rs
@@ -10,9 +10,7 @@
 use serde_with::DeserializeAs;
 
 use crate::units::Millis;
-
-/// Longest time span; a longer one is cut off, so that sums and products of spans stay in range.
-const MAX_SPAN: Millis = Millis::from_secs(30 * 86_400);
+use crate::units::whole::{parse_decimal, parse_whole};
 
 /// What the platform has rendered for a figure.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -30,19 +28,11 @@
             "" => Some(Self::Unstated(None)),
             "true" => Some(Self::Unstated(Some(true))),
             "false" => Some(Self::Unstated(Some(false))),
-            text => parse_number(text).map(Self::Number),
+            text => parse_decimal(text).map(Self::Number),
         }
     }
 }
 
-/// Reads a decimal number; one beyond the range of `f64` is cut off there.
-fn parse_number(text: &str) -> Option<f64> {
-    // The standard library also reads "inf" and "nan".
-    let is_decimal = |b: u8| b.is_ascii_digit() || b"+-.eE".contains(&b);
-    let number = text.parse::<f64>().ok()?;
-    (text.bytes().all(is_decimal)).then(|| number.clamp(f64::MIN, f64::MAX))
-}
-
 /// Reads a value that is a scalar or the text of one, and calls `convert` with its text.
 struct Scalar<F> {
     wanted: &'static str,
@@ -101,22 +91,6 @@
     deserializer.deserialize_any(Scalar { wanted, convert })
 }
 
-/// Converts a time in milliseconds. It is rounded down, so that no bound becomes longer than stated, but a positive time
-/// is never rounded to zero.
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a float cast saturates at the limits"
-)]
-fn span(millis: f64) -> Millis {
-    let whole = Millis(millis as u64).min(MAX_SPAN);
-    if millis > 0.0 {
-        whole.max(Millis(1))
-    } else {
-        whole
-    }
-}
-
 /// A time in milliseconds, 0 or more.
 pub(super) struct Milliseconds;
 
@@ -125,7 +99,7 @@
         let millis = number(deserializer, "a number of milliseconds, 0 or more", |n| {
             n >= 0.0
         })?;
-        Ok(millis.map(span))
+        Ok(millis.map(Millis::from_millis_f64))
     }
 }
 
@@ -135,7 +109,7 @@
 impl<'de> DeserializeAs<'de, Option<Millis>> for Seconds {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<Option<Millis>, D::Error> {
         let seconds = number(deserializer, "a number of seconds, 0 or more", |n| n >= 0.0)?;
-        Ok(seconds.map(|s| span(s * 1_000.0)))
+        Ok(seconds.map(Millis::from_secs_f64))
     }
 }
 
@@ -147,7 +121,7 @@
         let seconds = number(deserializer, "a number of seconds, more than 0", |n| {
             n > 0.0
         })?;
-        Ok(seconds.map(|s| span(s * 1_000.0)))
+        Ok(seconds.map(Millis::from_secs_f64))
     }
 }
 
@@ -214,13 +188,6 @@
     }
 }
 
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "the number is whole and in the range of the type"
-)]
 fn parse_port(text: &str) -> Option<u16> {
-    let port = parse_number(text)?;
-    let is_port = (0.0..=f64::from(u16::MAX)).contains(&port) && port.fract() == 0.0;
-    is_port.then_some(port as u16)
+    u16::try_from(parse_whole(text)?).ok()
 }
--- a/src/platform/items.rs
+++ b/src/platform/items.rs
@@ -7,8 +7,10 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use serde_with::serde_as;
 
 use crate::forward::follow::{RolloutStart, StoreEvent};
 use crate::router::fleet::{Upstream, UpstreamState};
@@ -18,6 +20,7 @@
     Account, ClientLimits, RequestKind, Route, RouteTable, ServiceSettings, Target,
 };
 use crate::units::Millis;
+use crate::units::whole::{Whole, parse_whole};
 
 /// Key of the configuration.
 pub(super) const CONFIG_KEY: &str = "op/config";
@@ -51,10 +54,16 @@
     }
 }
 
-impl From<serde_json::Error> for InvalidItem {
-    fn from(error: serde_json::Error) -> Self {
-        Self(error.to_string())
-    }
+/// Parses a JSON value; an error names the field.
+fn parse<T: DeserializeOwned>(value: &[u8]) -> Result<T, InvalidItem> {
+    serde_json::from_slice(value).map_err(|error| {
+        // Valid items are parsed without tracking of the field.
+        let deserializer = &mut serde_json::Deserializer::from_slice(value);
+        match serde_path_to_error::deserialize::<_, T>(deserializer) {
+            Err(error) => InvalidItem(format!("field {}: {}", error.path(), error.inner())),
+            Ok(_) => InvalidItem(error.to_string()),
+        }
+    })
 }
 
 /// Decodes an item; returns `None` if gateways don't use its key.
@@ -70,7 +79,7 @@
         return decode_upstream(id, value).map(|u| Some(StoreEvent::Upstream(u)));
     }
     if let Some(service) = key.strip_prefix(ORDER_PREFIX) {
-        let order: Order = serde_json::from_slice(value)?;
+        let order: Order = parse(value)?;
         return Ok(Some(StoreEvent::RolloutOrder {
             service: service.into(),
             to: order.to.into(),
@@ -78,7 +87,7 @@
         }));
     }
     if let Some(service) = key.strip_prefix(STATUS_PREFIX) {
-        let status: Status = serde_json::from_slice(value)?;
+        let status: Status = parse(value)?;
         return Ok(Some(StoreEvent::RolloutPhase {
             service: service.into(),
             to: status.to.into(),
@@ -87,23 +96,21 @@
         }));
     }
     if key.starts_with(ANSWERS_PREFIX) {
-        return Ok(Some(StoreEvent::Answers(serde_json::from_slice(value)?)));
+        return Ok(Some(StoreEvent::Answers(parse(value)?)));
     }
     if key.starts_with(CRASHES_PREFIX) {
-        return Ok(Some(StoreEvent::CrashReport(serde_json::from_slice(
-            value,
-        )?)));
+        return Ok(Some(StoreEvent::CrashReport(parse(value)?)));
     }
     if key.starts_with(CONTAINED_PREFIX) {
-        let record = serde_json::from_slice(value)?;
+        let record = parse(value)?;
         return Ok(Some(StoreEvent::Contained { record, revision }));
     }
     if key == SETTLED_KEY {
-        let settled: Settled = serde_json::from_slice(value)?;
+        let settled: Settled = parse(value)?;
         return Ok(Some(StoreEvent::Settled(Era(settled.era), revision)));
     }
     if let Some(service) = key.strip_prefix(START_PREFIX) {
-        let start: RolloutStart = serde_json::from_slice(value)?;
+        let start: RolloutStart = parse(value)?;
         return Ok(Some(StoreEvent::RolloutStart {
             service: service.into(),
             start,
@@ -177,14 +184,9 @@
     }
 }
 
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a float cast saturates at the limits"
-)]
 fn duration_from_seconds(value: f64) -> Result<Millis, InvalidItem> {
     if value.is_finite() && value >= 0.0 {
-        Ok(Millis((value * 1_000.0) as u64))
+        Ok(Millis::from_secs_f64(value))
     } else {
         Err(InvalidItem(format!(
             "roll-out time is {value} s, expected a finite number that is not negative"
@@ -192,34 +194,29 @@
     }
 }
 
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a float cast saturates at the limits"
-)]
-fn duration_from_millis(value: f64) -> Millis {
-    Millis(value.max(0.0) as u64)
-}
-
+#[serde_as]
 #[derive(Deserialize)]
 struct Entry {
     service: String,
     addr: SocketAddr,
     zone: String,
     version: Value,
+    #[serde_as(as = "Whole")]
     slots: u32,
     state: String,
     #[serde(rename = "coldLeftMs", default)]
     warm_up_ms: f64,
     /// Number of reports with a change, not of all reports.
+    #[serde_as(as = "Whole")]
     #[serde(default)]
     seq: u64,
+    #[serde_as(as = "Whole")]
     #[serde(default)]
     born: u64,
 }
 
 fn decode_upstream(id: &str, value: &[u8]) -> Result<Upstream, InvalidItem> {
-    let entry: Entry = serde_json::from_slice(value)?;
+    let entry: Entry = parse(value)?;
     let state = match entry.state.as_str() {
         "ready" => UpstreamState::Ready,
         "draining" => UpstreamState::Draining,
@@ -231,7 +228,7 @@
     };
     let version = match entry.version {
         Value::String(text) => text,
-        Value::Number(number) => number.to_string(),
+        Value::Number(number) => version_text(&number),
         other => {
             return Err(InvalidItem(format!(
                 "version of upstream {id} is {other}, expected a string or a number"
@@ -248,12 +245,20 @@
         state,
         boot: entry.born,
         seq: entry.seq,
-        warm_up: duration_from_millis(entry.warm_up_ms),
+        warm_up: Millis::from_millis_f64(entry.warm_up_ms),
     })
 }
 
+/// Returns the text of a version that is a number; a whole number has one text, however it is written.
+fn version_text(number: &serde_json::Number) -> String {
+    let text = number.to_string();
+    parse_whole(&text).map_or(text, |whole| whole.to_string())
+}
+
+#[serde_as]
 #[derive(Deserialize)]
 struct Config {
+    #[serde_as(as = "Whole")]
     version: u64,
     routes: Vec<Value>,
     #[serde(default)]
@@ -262,6 +267,7 @@
     tenants: Option<Vec<Tenant>>,
 }
 
+#[serde_as]
 #[derive(Deserialize)]
 struct RawRoute {
     name: String,
@@ -274,8 +280,10 @@
     timeout_ms: f64,
     #[serde(rename = "goalMs", default)]
     goal_ms: f64,
+    #[serde_as(as = "Whole")]
     #[serde(default)]
     priority: u8,
+    #[serde_as(as = "Whole")]
     #[serde(default = "one")]
     attempts: u32,
     #[serde(default)]
@@ -300,9 +308,11 @@
     weight: f64,
 }
 
+#[serde_as]
 #[derive(Deserialize)]
 struct Service {
     name: String,
+    #[serde_as(as = "Whole")]
     #[serde(rename = "maxConns", default)]
     max_connections: u32,
     engine: Option<Engine>,
@@ -321,10 +331,13 @@
     cost: f64,
 }
 
+#[serde_as]
 #[derive(Deserialize)]
 struct Limits {
+    #[serde_as(as = "Whole")]
     #[serde(rename = "maxHeaderBytes")]
     head_bytes: usize,
+    #[serde_as(as = "Whole")]
     #[serde(rename = "maxBodyBytes")]
     body_bytes: usize,
     #[serde(rename = "headerTimeoutMs")]
@@ -333,11 +346,13 @@
     idle_ms: f64,
 }
 
+#[serde_as]
 #[derive(Deserialize)]
 struct Tenant {
     name: String,
     #[serde(rename = "apiKeys", default)]
     keys: Vec<String>,
+    #[serde_as(as = "Option<Whole>")]
     priority: Option<u8>,
 }
 
@@ -346,15 +361,15 @@
 }
 
 fn decode_config(value: &[u8]) -> Result<RouteTable, InvalidItem> {
-    let config: Config = serde_json::from_slice(value)?;
+    let config: Config = parse(value)?;
     let routes = config.routes.into_iter().map(decode_route);
     let routes = routes.collect::<Result<Vec<_>, _>>()?;
     let services = config.services.into_iter().map(decode_service);
     let limits = config.limits.map(|l| ClientLimits {
         head_bytes: l.head_bytes,
         body_bytes: l.body_bytes,
-        head_timeout: duration_from_millis(l.head_ms),
-        idle_timeout: duration_from_millis(l.idle_ms),
+        head_timeout: Millis::from_millis_f64(l.head_ms),
+        idle_timeout: Millis::from_millis_f64(l.idle_ms),
     });
     let accounts = config.tenants.map(|tenants| {
         let accounts_by_key = tenants.into_iter().flat_map(|tenant| {
@@ -396,7 +411,8 @@
     reason = "a float cast saturates at the limits"
 )]
 fn decode_route(value: Value) -> Result<Rc<Route>, InvalidItem> {
-    let raw: RawRoute = serde_json::from_value(value)?;
+    let raw: RawRoute = serde_path_to_error::deserialize(value)
+        .map_err(|error| InvalidItem(format!("field {}: {}", error.path(), error.inner())))?;
     let kind = match (raw.kind.as_str(), raw.resumable) {
         ("safe", _) => RequestKind::Idempotent,
         ("unsafe", _) => RequestKind::AtMostOnce,
@@ -434,13 +450,13 @@
         host: raw.host.to_ascii_lowercase().into(),
         prefix: raw.prefix.into(),
         kind,
-        timeout: duration_from_millis(raw.timeout_ms),
-        latency_target: duration_from_millis(raw.goal_ms),
+        timeout: Millis::from_millis_f64(raw.timeout_ms),
+        latency_target: Millis::from_millis_f64(raw.goal_ms),
         priority: raw.priority,
         attempts: raw.attempts.max(1),
         is_public: raw.public,
         has_prompts: raw.sticky,
-        max_event_gap: duration_from_millis(raw.gap_ms),
+        max_event_gap: Millis::from_millis_f64(raw.gap_ms),
         models: raw.sizes.into_iter().map(Rc::from).collect(),
         targets,
     }))
--- a/src/platform/report.rs
+++ b/src/platform/report.rs
@@ -2,6 +2,9 @@
 
 use serde::Deserialize;
 use serde_json::Value;
+use serde_with::serde_as;
+
+use crate::units::whole::Whole;
 
 /// Request target of the load report.
 pub const REPORT_TARGET: &str = "/api/report";
@@ -21,16 +24,20 @@
     pub boot: Option<u64>,
 }
 
+#[serde_as]
 #[derive(Deserialize)]
 struct Report {
+    #[serde_as(as = "Whole")]
     #[serde(default)]
     waiting: u64,
+    #[serde_as(as = "Whole")]
     #[serde(default)]
     running: u64,
     /// One row for each running request: id, tokens in memory, events produced and priority.
     #[serde(default)]
     runs: Vec<Vec<Value>>,
     /// Start time of the process, in Unix milliseconds.
+    #[serde_as(as = "Option<Whole>")]
     #[serde(default)]
     born: Option<u64>,
 }
@@ -39,7 +46,7 @@
 #[must_use]
 pub fn decode(body: &[u8]) -> Option<EngineLoad> {
     let report: Report = serde_json::from_slice(body).ok()?;
-    let has_output = |row: &&Vec<Value>| row.get(2).and_then(Value::as_u64) != Some(0);
+    let has_output = |row: &&Vec<Value>| row.get(2).and_then(Value::as_f64) != Some(0.0);
     let with_output = report.runs.iter().filter(has_output).count();
     let ids = report.runs.iter().filter_map(|row| row.first()?.as_str());
     Some(EngineLoad {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use serde::Deserialize;
 use serde_json::json;
+use serde_with::serde_as;
 
 use crate::forward::exchange::{self, BufferedBody};
 use crate::forward::follow::{ControlPlane, ControlPlaneError, Listing, RolloutWrite, StoreAnswer};
@@ -21,6 +22,7 @@
 use crate::router::history::Era;
 use crate::suspect::{EVIDENCE_LIFETIME, EvidenceWrite};
 use crate::units::Millis;
+use crate::units::whole::Whole;
 
 use super::{headers, items};
 
@@ -59,40 +61,50 @@
     era: Cell<Option<Era>>,
 }
 
+#[serde_as]
 #[derive(Deserialize)]
 struct Item {
     key: String,
     #[serde(default)]
     value: Option<String>,
+    #[serde_as(as = "Whole")]
     rev: u64,
     #[serde(default)]
     tombstone: bool,
 }
 
+#[serde_as]
 #[derive(Deserialize)]
 struct Page {
     items: Vec<Item>,
     #[serde(rename = "hasMore", default)]
     has_more: bool,
     /// Revision of the whole store when the page was read.
+    #[serde_as(as = "Whole")]
     #[serde(rename = "storeRevision")]
     revision: u64,
 }
 
+#[serde_as]
 #[derive(Deserialize)]
 struct Changes {
     events: Vec<Item>,
+    #[serde_as(as = "Whole")]
     #[serde(rename = "storeRevision")]
     revision: u64,
 }
 
+#[serde_as]
 #[derive(Deserialize)]
 struct Lease {
+    #[serde_as(as = "Whole")]
     lease: u64,
 }
 
+#[serde_as]
 #[derive(Deserialize)]
 struct Written {
+    #[serde_as(as = "Whole")]
     rev: u64,
 }
 
@@ -207,7 +219,7 @@
         let response = Response {
             status: head.status,
             body,
-            era: (head.fields.number(headers::STORE_ERA)).map_or(Era::UNNAMED, Era),
+            era: (head.fields.whole_number(headers::STORE_ERA)).map_or(Era::UNNAMED, Era),
         };
         Ok((response, keep.then_some(conn)))
     }
--- a/src/platform/tests/items.rs
+++ b/src/platform/tests/items.rs
@@ -228,6 +228,122 @@
     read_settings(SETTINGS).expect("the settings are valid");
 }
 
+/// Returns the text with a number in other forms: with a point, with an exponent, and with a fraction.
+fn with_forms(text: &str, number: &str) -> [String; 3] {
+    [
+        format!("{number}.0"),
+        format!("{number}e0"),
+        format!("{number}.9"),
+    ]
+    .map(|form| {
+        let replaced = text.replace(&format!(":{number},"), &format!(":{form},"));
+        replaced.replace(&format!(":{number}}}"), &format!(":{form}}}"))
+    })
+}
+
+/// ROUTE, 404: a configuration with `"attempts": 3.0` was taken in by no gateway, so its routes were unknown until the next one.
+#[test]
+fn a_configuration_may_write_its_numbers_with_a_point_or_a_fraction() {
+    for number in ["7", "1", "3", "100", "200", "230", "0"] {
+        for text in with_forms(CONFIG, number) {
+            let event = decode("op/config", text.as_bytes(), 1).expect("the input is valid");
+
+            let Some(StoreEvent::Table(table, _)) = event else {
+                panic!("the item was not decoded as a configuration");
+            };
+            let route = table
+                .route("h.example", "/a/x")
+                .expect("the route is known");
+            assert_eq!((table.version, route.attempts, route.priority), (7, 3, 1));
+            let service = table.service("x").expect("the service is known");
+            assert_eq!(service.max_connections, 230);
+            assert_eq!(
+                (table.limits.head_bytes, table.limits.body_bytes),
+                (100, 200)
+            );
+            assert_eq!(table.account("k1").and_then(|a| a.priority), Some(0));
+        }
+    }
+}
+
+/// LOST: an upstream with `"slots": 32.0` was ignored, so its service had no upstream.
+#[test]
+fn an_upstream_and_a_rollout_may_write_numbers_with_a_point_or_a_fraction() {
+    for number in ["32", "4", "99"] {
+        for text in with_forms(UPSTREAM, number) {
+            let event = decode("servers/i-1", text.as_bytes(), 1).expect("the input is valid");
+
+            let Some(StoreEvent::Upstream(upstream)) = event else {
+                panic!("the item was not decoded as an upstream");
+            };
+            assert_eq!((upstream.slots, upstream.seq, upstream.boot), (32, 4, 99));
+        }
+    }
+    let numbered = UPSTREAM.replace("\"v1\"", "12.0");
+    assert!(matches!(
+        decode("servers/i-1", numbered.as_bytes(), 1),
+        Ok(Some(StoreEvent::Upstream(u))) if &*u.version == "12"
+    ));
+    for (ramp, expected) in [
+        ("20.0", Millis(20_000)),
+        ("2.5", Millis(2_500)),
+        ("1e-9", Millis(1)),
+    ] {
+        let text = format!(r#"{{"service":"x","to":"v2","rampS":{ramp}}}"#);
+        let event = decode("op/rollout/x", text.as_bytes(), 1);
+        assert!(
+            matches!(event, Ok(Some(StoreEvent::RolloutOrder { ramp, .. })) if ramp == expected)
+        );
+    }
+}
+
+/// A number that is no quantity is still refused, and the message names the field.
+#[test]
+fn numbers_that_do_not_fit_are_refused_with_the_name_of_the_field() {
+    for (from, to, field) in [
+        ("\"attempts\":3", "\"attempts\":-1", "attempts"),
+        ("\"attempts\":3", "\"attempts\":1e99", "attempts"),
+        ("\"attempts\":3", "\"attempts\":\"3\"", "attempts"),
+        ("\"priority\":1,", "\"priority\":256,", "priority"),
+        ("\"version\":7", "\"version\":-7.5", "version"),
+        (
+            "\"maxBodyBytes\":200",
+            "\"maxBodyBytes\":true",
+            "maxBodyBytes",
+        ),
+    ] {
+        let error = decode("op/config", CONFIG.replace(from, to).as_bytes(), 1);
+
+        let error = error.expect_err("the number is refused").to_string();
+        assert!(
+            error.contains(field) && error.contains("expected"),
+            "{error}"
+        );
+    }
+    for value in ["-32", "-0.5", "1e10", "4294967296.0", "[]", "true"] {
+        let text = UPSTREAM.replace("\"slots\":32", &format!("\"slots\":{value}"));
+        let error = decode("servers/i", text.as_bytes(), 1);
+        let error = error.expect_err("the number is refused").to_string();
+        assert!(
+            error.contains("slots") && error.contains("expected"),
+            "{error}"
+        );
+    }
+}
+
+/// A load report with `"waiting": 2.0` was taken for a failed probe, and a run without output for one with output.
+#[test]
+fn a_report_may_write_its_numbers_with_a_point() {
+    let load = report::decode(
+        br#"{"waiting":2.0,"running":2.9,"runs":[["r1",10,3.0,5],["r2",10,0.0,5]],"born":1e3}"#,
+    );
+
+    let load = load.expect("the input is valid");
+    assert_eq!((load.waiting, load.running, load.starting), (2, 2, 1));
+    assert_eq!(load.boot, Some(1_000));
+    assert_eq!(report::decode(br#"{"waiting":-1}"#), None);
+}
+
 /// Odd values that another writer may leave: deeply nested, with numbers out of range, or no JSON.
 fn odd_values() -> Vec<Vec<u8>> {
     let nested = |open: &str, close: &str| open.repeat(100_000) + &close.repeat(100_000);
--- a/src/units/mod.rs
+++ b/src/units/mod.rs
@@ -10,6 +10,7 @@
 
 #[cfg(test)]
 mod tests;
+pub mod whole;
 
 /// Text that cannot be parsed as a quantity of the expected unit.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -66,6 +67,32 @@
         Self(secs.saturating_mul(1_000))
     }
 
+    /// Longest span that is read from a number; a longer one is cut off, so that sums and products of spans stay in range.
+    pub const MAX_READ: Self = Self::from_secs(30 * 86_400);
+
+    /// Converts a number of milliseconds. It is rounded down, so that no bound becomes longer than stated, but a positive
+    /// span is never rounded to zero; a negative one is zero.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a float cast saturates at the limits"
+    )]
+    pub fn from_millis_f64(millis: f64) -> Self {
+        let whole = Self(millis as u64).min(Self::MAX_READ);
+        if millis > 0.0 {
+            whole.max(Self(1))
+        } else {
+            whole
+        }
+    }
+
+    /// Converts a number of seconds in the same way.
+    #[must_use]
+    pub fn from_secs_f64(secs: f64) -> Self {
+        Self::from_millis_f64(secs * 1_000.0)
+    }
+
     /// Returns the span from `earlier` to this time, or zero if `earlier` is later.
     #[must_use]
     pub const fn since(self, earlier: Self) -> Self {
