Bound the memory that all requests of clients hold together

Cause: each body was bounded, their sum was not, and each was held twice. The same held for heads that arrive slowly and for pipelined bytes; idle connections kept their buffers.

Change: forward::memory grants shares of a third of the process's memory. What does not fit is refused before it is read, with 503 and Retry-After; nothing of it was sent, so not run is true. Shares up to 4 KiB are always granted, large ones take three quarters at most. Large bodies are sent without a copy.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -42,6 +42,10 @@
 /// Shortest time after which an attempt at a silent upstream is abandoned for another upstream.
 const MIN_SILENCE_TIMEOUT: Millis = Millis(400);
 
+/// Largest body that is copied behind its head, so that both are sent at once; a larger one is sent by itself and takes
+/// its memory only once.
+const MAX_COPIED_BYTES: usize = 16 * 1024;
+
 /// The upstream of an attempt and the open connection to it.
 struct OpenAttempt {
     upstream: Rc<Upstream>,
@@ -140,6 +144,9 @@
         // The wait also covers sending, which blocks if the upstream does not read.
         let exchanged = async {
             exchange::send(&mut open.conn, &message).await?;
+            if req.body.len() > MAX_COPIED_BYTES {
+                exchange::send(&mut open.conn, &req.body).await?;
+            }
             exchange::read_head(&mut open.conn, &job.id, job.is_head_request).await
         };
         tokio::select! {
@@ -363,7 +370,8 @@
     }
 }
 
-/// Encodes the request with the header fields that the gateway adds for the upstream.
+/// Encodes the request with the header fields that the gateway adds for the upstream; a body of more than
+/// [`MAX_COPIED_BYTES`] is left out.
 fn encode(
     shared: &Shared,
     req: &IncomingRequest,
@@ -371,7 +379,8 @@
     upstream: &Upstream,
     relay: &Relay,
 ) -> BytesMut {
-    let mut out = BytesMut::with_capacity(req.body.len() + 1_024);
+    let body = (req.body.len() <= MAX_COPIED_BYTES).then_some(&req.body[..]);
+    let mut out = BytesMut::with_capacity(body.map_or(0, <[u8]>::len) + 1_024);
     out.put_slice(&req.head.method);
     out.put_slice(b" ");
     out.put_slice(&req.head.target);
@@ -412,7 +421,7 @@
         field("Content-Length", req.body.len().to_string().as_bytes());
     }
     out.put_slice(b"\r\n");
-    out.put_slice(&req.body);
+    out.put_slice(body.unwrap_or_default());
     out
 }
 
@@ -519,15 +528,20 @@
     body: &[u8],
     closes: bool,
 ) -> AttemptEnd {
-    let mut out = BytesMut::with_capacity(body.len() + 512);
+    let copied = (body.len() <= MAX_COPIED_BYTES).then_some(body);
+    let mut out = BytesMut::with_capacity(copied.map_or(0, <[u8]>::len) + 512);
     let framing = if job.is_head_request {
         BodyFraming::None
     } else {
         BodyFraming::Length(body.len())
     };
     reply::write_head(&mut out, head, framing, closes);
-    out.put_slice(body);
-    match client.write(&out).await {
+    out.put_slice(copied.unwrap_or_default());
+    let mut written = client.write(&out).await;
+    if copied.is_none() && written.is_ok() {
+        written = client.write(body).await;
+    }
+    match written {
         Ok(()) => AttemptEnd::Delivered {
             status: head.status,
             after: AfterAnswer::from_close(closes),
--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -13,6 +13,7 @@
 use super::body::Decoder;
 use super::head::{self, Framing, HeadError, RequestHead};
 use super::job::not_run;
+use super::memory::{MemoryFull, Share};
 use super::reply::LocalReply;
 use super::request;
 use super::shared::Shared;
@@ -27,6 +28,16 @@
 /// Maximum size of the pipelined requests that are buffered while one is served.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
 
+/// Shortest time after which a client may send a request again that did not fit into the memory, in milliseconds; up to
+/// the same again is added at random.
+const MEMORY_RETRY_AFTER_MS: u64 = 500;
+
+/// Time for which what still arrives is discarded before the connection is closed.
+const DRAIN_TIMEOUT: Millis = Millis(300);
+
+/// The same if the request is refused, so that a client that is still sending gets the answer.
+const REFUSED_DRAIN_TIMEOUT: Millis = Millis(2_000);
+
 /// Time limit for a client to read what was written to it.
 const WRITE_TIMEOUT: Millis = Millis::from_secs(10);
 
@@ -57,6 +68,8 @@
     pub head: RequestHead,
     /// Decoded body.
     pub body: Bytes,
+    /// The body's share of the memory.
+    _body_share: Share,
     /// Time on the runtime clock at which its first bytes had been read.
     pub arrived: Millis,
 }
@@ -66,6 +79,8 @@
 pub struct ClientConn {
     stream: TcpStream,
     buf: BytesMut,
+    /// Share of the memory for `buf`.
+    share: Share,
 }
 
 enum ReadEnd {
@@ -73,11 +88,23 @@
     Closed,
     /// The request is refused with this answer, and the connection is closed.
     Refuse(LocalReply),
+    /// The request does not fit into the memory.
+    MemoryFull,
+}
+
+impl From<MemoryFull> for ReadEnd {
+    fn from(_error: MemoryFull) -> Self {
+        Self::MemoryFull
+    }
 }
 
 impl From<io::Error> for ReadEnd {
-    fn from(_error: io::Error) -> Self {
-        Self::Closed
+    fn from(error: io::Error) -> Self {
+        if error.kind() == io::ErrorKind::OutOfMemory {
+            Self::MemoryFull
+        } else {
+            Self::Closed
+        }
     }
 }
 
@@ -98,6 +125,7 @@
     let mut conn = ClientConn {
         stream,
         buf: BytesMut::new(),
+        share: shared.request_memory.share(),
     };
     conn.run(&shared).await;
     shared.open_connections.update(|n| n - 1);
@@ -120,14 +148,18 @@
                 Ok(AfterAnswer::KeepAlive) => {}
                 Ok(AfterAnswer::Close) => {
                     // Closing the socket with unread bytes would reset the connection before the answer is read.
-                    self.drain().await;
+                    self.drain(DRAIN_TIMEOUT).await;
                     return;
                 }
                 Err(ReadEnd::Closed) => return,
                 Err(ReadEnd::Refuse(reply)) => {
-                    shared.metrics.count_event("request_refused_unread");
-                    log::info!(event = "refused", status = reply.status, reason = reply.reason; "");
-                    self.refuse(&reply).await;
+                    self.refuse(shared, &reply).await;
+                    return;
+                }
+                Err(ReadEnd::MemoryFull) => {
+                    let spread = shared.draw() % MEMORY_RETRY_AFTER_MS;
+                    let reply = not_run("memory", MEMORY_RETRY_AFTER_MS + spread);
+                    self.refuse(shared, &reply).await;
                     return;
                 }
             }
@@ -155,6 +187,9 @@
         if !self.buf.is_empty() {
             return true;
         }
+        // An idle connection keeps no buffer.
+        self.buf = BytesMut::new();
+        self.share.shrink(0);
         if shared.is_closing_idle.get() && !is_new {
             return false;
         }
@@ -169,7 +204,12 @@
         let idle = actix_rt::time::timeout(limits.idle_timeout.duration(), self.read_more());
         tokio::select! {
             biased;
-            idle = idle => matches!(idle, Ok(Ok(true))),
+            idle = idle => match idle {
+                Ok(Ok(is_open)) => is_open,
+                // What has arrived is refused.
+                Ok(Err(error)) => error.kind() == io::ErrorKind::OutOfMemory,
+                Err(_elapsed) => false,
+            },
             () = is_closing => false,
         }
     }
@@ -191,13 +231,15 @@
             body = body => body,
             () = shared.end_of_stop() => return Err(ReadEnd::Refuse(not_run("stopping", 0))),
         };
-        let body = match body {
+        self.share.shrink(self.buf.len());
+        let (body, body_share) = match body {
             Ok(body) => body?,
             Err(_elapsed) => return Err(ReadEnd::Refuse(LocalReply::new(408, "slow body"))),
         };
         Ok(IncomingRequest {
             head,
             body,
+            _body_share: body_share,
             arrived,
         })
     }
@@ -207,6 +249,7 @@
             if let Some(head) = head::take_request(&mut self.buf)? {
                 return Ok(head);
             }
+            self.share.set(self.buf.len())?;
             if self.buf.len() > limits.head_bytes {
                 return Err(ReadEnd::Refuse(LocalReply::new(431, "head too large")));
             }
@@ -220,28 +263,35 @@
         &mut self,
         head: &RequestHead,
         limits: &ClientLimits,
-    ) -> Result<Bytes, ReadEnd> {
+    ) -> Result<(Bytes, Share), ReadEnd> {
         let too_large = || ReadEnd::Refuse(LocalReply::new(413, "body too large"));
-        match head.framing {
-            Framing::Length(0) => return Ok(Bytes::new()),
-            Framing::Length(length) if length > limits.body_bytes as u64 => return Err(too_large()),
-            _ => {}
+        let mut share = self.share.memory().share();
+        // A body of known length is refused before it is read, or has its memory until its request ends.
+        let length = match head.framing {
+            Framing::Length(0) => return Ok((Bytes::new(), share)),
+            Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
+            Framing::Chunked | Framing::UntilClose => 0,
+        };
+        if length > limits.body_bytes {
+            return Err(too_large());
         }
+        share.set(length)?;
         if head.fields.has_token("expect", "100-continue") && self.buf.is_empty() {
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
         }
         let mut decoder = Decoder::new(head.framing);
-        let mut body = BytesMut::new();
+        let mut body = BytesMut::with_capacity(length);
         loop {
             decoder
                 .decode(&mut self.buf, &mut body)
                 .map_err(|_chunk| ReadEnd::Refuse(LocalReply::new(400, "invalid chunk")))?;
-            if decoder.is_done() {
-                return Ok(body.freeze());
-            }
+            share.set(body.capacity())?;
             if body.len() > limits.body_bytes {
                 return Err(too_large());
             }
+            if decoder.is_done() {
+                return Ok((body.freeze(), share));
+            }
             if !self.read_more().await? {
                 return Err(ReadEnd::Closed);
             }
@@ -253,7 +303,10 @@
             self.stream.readable().await?;
             self.buf.reserve(READ_SIZE_BYTES);
             match self.stream.try_read_buf(&mut self.buf) {
-                Ok(length) => return Ok(length > 0),
+                Ok(length) => {
+                    self.share.set(self.buf.len())?;
+                    return Ok(length > 0);
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Err(error),
             }
@@ -263,8 +316,11 @@
     /// Waits until the client has closed the connection; the bytes of pipelined requests are buffered.
     pub async fn closed(&mut self) {
         while self.buf.len() < MAX_PIPELINED_BYTES {
-            if !matches!(self.read_more().await, Ok(true)) {
-                return;
+            match self.read_more().await {
+                Ok(true) => {}
+                // The rest is read when the request has ended.
+                Err(error) if error.kind() == io::ErrorKind::OutOfMemory => break,
+                Ok(false) | Err(_) => return,
             }
         }
         std::future::pending::<()>().await;
@@ -290,26 +346,32 @@
         }
     }
 
-    async fn refuse(&mut self, reply: &LocalReply) {
+    async fn refuse(&mut self, shared: &Shared, reply: &LocalReply) {
+        shared.metrics.count_event("request_refused_unread");
+        log::info!(event = "refused", status = reply.status, reason = reply.reason; "");
         let mut out = BytesMut::new();
         reply.write(&mut out, true, false);
         if self.write(&out).await.is_ok() {
-            self.drain().await;
+            self.drain(REFUSED_DRAIN_TIMEOUT).await;
         }
     }
 
     /// Shuts down the writing side and discards what still arrives, for a short time.
-    async fn drain(&mut self) {
-        const DRAIN_TIMEOUT: Millis = Millis(300);
+    async fn drain(&mut self, limit: Millis) {
         if self.stream.shutdown().await.is_err() {
             return;
         }
         let discard = async {
-            while matches!(self.read_more().await, Ok(true)) {
+            loop {
                 self.buf.clear();
+                match self.read_more().await {
+                    Ok(true) => {}
+                    Err(error) if error.kind() == io::ErrorKind::OutOfMemory => {}
+                    Ok(false) | Err(_) => return,
+                }
             }
         };
         // After the time limit the socket is closed whether or not the client has closed it.
-        let _ = actix_rt::time::timeout(DRAIN_TIMEOUT.duration(), discard).await;
+        let _ = actix_rt::time::timeout(limit.duration(), discard).await;
     }
 }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -18,6 +18,7 @@
 pub mod gateway;
 pub mod head;
 mod job;
+pub mod memory;
 pub(crate) mod notices;
 pub mod pool;
 pub mod reply;
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -27,6 +27,7 @@
 use crate::units::Millis;
 
 use super::follow::ControlPlane;
+use super::memory::Memory;
 use super::pool::Pool;
 use super::rollouts::Rollouts;
 
@@ -37,6 +38,9 @@
 /// upstreams as long as no load report names any.
 const MIN_GATEWAYS_SHARING_BUDGET: u64 = 32;
 
+/// Part of the process's memory that holds what clients send.
+const REQUEST_MEMORY_DIVISOR: usize = 3;
+
 /// Settings of a gateway that its routing decisions depend on.
 #[derive(Debug, Clone)]
 pub struct Policy {
@@ -44,6 +48,8 @@
     pub name: Rc<str>,
     /// Data centre of the gateway.
     pub data_centre: Rc<str>,
+    /// Memory of the process, in bytes.
+    pub memory: usize,
     /// Bounds of the retry budget.
     pub retries: RetryBounds,
     /// Longest time for which a revoked API key may still be accepted.
@@ -133,6 +139,8 @@
     pub is_closing_idle: Cell<bool>,
     /// Client connections that are open.
     pub open_connections: Cell<usize>,
+    /// Memory for what clients send.
+    pub(super) request_memory: Rc<Memory>,
     /// Bytes of answers that are being buffered.
     pub buffered_bytes: Cell<usize>,
     /// Limits that upstreams name.
@@ -180,6 +188,7 @@
         let freshness = Freshness::new(policy.key_revocation, policy.catch_up);
         let outage_tracker = OutageTracker::new(policy.heartbeat, policy.catch_up);
         let rollouts = Rollouts::new(policy.exposure_permille);
+        let request_memory = Memory::open(policy.memory / REQUEST_MEMORY_DIVISOR);
         let clock = Clock::start();
         let evidence = Evidence::new(Rc::clone(&policy.name), clock.unix());
         Rc::new(Self {
@@ -210,6 +219,7 @@
             close_idle: Notify::new(),
             is_closing_idle: Cell::default(),
             open_connections: Cell::default(),
+            request_memory,
             buffered_bytes: Cell::default(),
             named_limits: RefCell::default(),
             pauses: RefCell::default(),
@@ -240,6 +250,7 @@
         for (_, budget) in self.budgets.borrow_mut().iter_mut() {
             budget.set_bounds(policy.retries);
         }
+        (self.request_memory).set_limit(policy.memory / REQUEST_MEMORY_DIVISOR);
         (self.rollouts.borrow_mut()).set_exposure(policy.exposure_permille);
         *self.policy.borrow_mut() = Rc::new(policy);
     }
--- a/src/forward/tests/fixture.rs
+++ b/src/forward/tests/fixture.rs
@@ -275,6 +275,7 @@
     Policy {
         name: "gateway".into(),
         data_centre: "a".into(),
+        memory: 260_000_000,
         retries: RetryBounds {
             ratio: 1.0,
             window: Millis::from_secs(10),
--- /dev/null
+++ b/src/forward/tests/memory.rs
@@ -0,0 +1,184 @@
+//! Bounds on what a gateway holds for all connections together.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::time::{sleep, timeout};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+use super::fixture::{
+    self, Action, FixedStore, ScriptedUpstream, connect, events, field, policy, read_message,
+    scripted_upstream, send, serve, status,
+};
+use crate::forward::gateway::Gateway;
+use crate::forward::memory::{BASE_BYTES, Memory};
+use crate::forward::shared::{Policy, Shared};
+
+/// Time limit of every wait.
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
+
+const OK: &str = "HTTP/1.1 200 OK\r\nX-Fireflywind-Request-Id: ID\r\nX-Fireflywind-Server-Stamp: s1\r\n\
+    Content-Length: 2\r\n\r\nok";
+
+/// Starts a gateway whose process has this memory, in bytes.
+async fn start(memory: usize, upstreams: &[&ScriptedUpstream]) -> (Rc<Shared>, Gateway) {
+    let policy = Policy { memory, ..policy() };
+    let shared = Shared::open(policy, Box::new(FixedStore::open(events(upstreams))));
+    let gateway = serve(Rc::clone(&shared));
+    fixture::gateway_ready(&gateway).await;
+    (shared, gateway)
+}
+
+/// Returns a request with a body of this length, without the body.
+fn head(length: usize) -> String {
+    let message = fixture::message("POST", "/once/", "");
+    let (head, _) = message
+        .split_once("\r\n\r\n")
+        .expect("the message has a head");
+    let length = format!("Content-Length: {length}");
+    head.replace("Content-Length: 5", &length) + "\r\n\r\n"
+}
+
+/// Waits until a condition holds, and calls `observe` all the while.
+async fn wait_until(mut is_met: impl FnMut() -> bool, mut observe: impl FnMut()) {
+    let waiting = async {
+        while !is_met() {
+            observe();
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(WAIT_LIMIT, waiting)
+        .await
+        .expect("the condition holds in time");
+}
+
+/// A client that sends a body in two halves; the second one when it is told to.
+async fn send_in_halves(
+    mut stream: TcpStream,
+    length: usize,
+    go_on: Rc<Notify>,
+    answers: Rc<RefCell<Vec<String>>>,
+) {
+    let half = vec![b'a'; length / 2];
+    let first = [head(length).as_bytes(), &half].concat();
+    // A refusal may come while the body is sent.
+    let _ = stream.write_all(&first).await;
+    tokio::select! {
+        readable = stream.readable() => readable.expect("the connection is open"),
+        () = go_on.notified() => {
+            stream.write_all(&half).await.expect("the gateway reads");
+        }
+    }
+    let answer = read_message(&mut stream).await.unwrap_or_default();
+    answers.borrow_mut().push(answer);
+}
+
+/// LOST: bodies of many requests exceeded the memory of the process, which ended with all requests in flight.
+#[test]
+fn bodies_of_many_requests_share_a_bounded_memory() {
+    const CLIENTS: usize = 40;
+    const BODY_BYTES: usize = 1 << 20;
+    fixture::run(async {
+        let upstream = scripted_upstream(vec![Action::Write(OK)]).await;
+        let (shared, gateway) = start(32_000_000, &[&upstream]).await;
+        let (answers, go_on) = (Rc::default(), Rc::new(Notify::new()));
+        for _ in 0..CLIENTS {
+            let stream = connect(gateway.addresses().listen).await;
+            actix_rt::spawn(send_in_halves(
+                stream,
+                BODY_BYTES,
+                Rc::clone(&go_on),
+                Rc::clone(&answers),
+            ));
+        }
+
+        let most = Cell::new(0);
+        let observe = || most.set(most.get().max(shared.request_memory.held()));
+        // Three quarters of a third of the memory hold seven such bodies.
+        wait_until(|| answers.borrow().len() >= CLIENTS - 7, observe).await;
+        let small = send(&gateway, "POST", "/once/", "").await;
+        let refused = answers.take();
+        go_on.notify_waiters();
+        wait_until(|| answers.borrow().len() == 7, observe).await;
+        wait_until(|| shared.request_memory.held() <= BASE_BYTES, || {}).await;
+
+        assert_eq!(refused.len(), CLIENTS - 7);
+        for answer in &refused {
+            assert_eq!(status(answer), 503, "{answer}");
+            assert!(field(answer, "Retry-After").is_some(), "{answer}");
+        }
+        assert_eq!(status(&small), 200);
+        assert!(answers.borrow().iter().all(|a| status(a) == 200));
+        // What was refused has not run.
+        assert_eq!(upstream.requests.borrow().len(), 8);
+        assert!(most.get() <= 32_000_000 / 3, "{} bytes", most.get());
+    });
+}
+
+/// Heads that arrive slowly on many connections were held without a bound on their sum.
+#[test]
+fn heads_of_many_connections_share_a_bounded_memory() {
+    const CLIENTS: usize = 150;
+    const HEAD_BYTES: usize = 15 * 1024;
+    fixture::run(async {
+        let upstream = scripted_upstream(vec![Action::Write(OK)]).await;
+        let (shared, gateway) = start(3_000_000, &[&upstream]).await;
+        let mut clients = Vec::new();
+        for _ in 0..CLIENTS {
+            let mut stream = connect(gateway.addresses().listen).await;
+            let part = format!("POST /once/ HTTP/1.1\r\nX: {}", "a".repeat(HEAD_BYTES));
+            stream
+                .write_all(part.as_bytes())
+                .await
+                .expect("the gateway reads");
+            clients.push(stream);
+        }
+
+        let mut refused = 0;
+        let mut most = 0;
+        for client in &mut clients {
+            let mut buf = [0; 64];
+            let read = timeout(Duration::from_millis(20), client.read(&mut buf)).await;
+            let answer = read
+                .map(|read| read.unwrap_or_default())
+                .unwrap_or_default();
+            refused += usize::from(buf[..answer].starts_with(b"HTTP/1.1 503"));
+            most = most.max(shared.request_memory.held());
+        }
+        let small = send(&gateway, "POST", "/once/", "").await;
+
+        // A megabyte holds 66 such heads.
+        assert!(refused >= CLIENTS - 1_000_000 / HEAD_BYTES - 1, "{refused}");
+        assert!(most <= 1_000_000 + CLIENTS * BASE_BYTES, "{most} bytes");
+        assert_eq!(status(&small), 200);
+    });
+}
+
+/// A share that does not fit is refused, and small ones are granted all the same.
+#[test]
+fn large_shares_leave_room_for_small_ones() {
+    let memory = Memory::open(1_000_000);
+    let (mut large, mut medium, mut small) = (memory.share(), memory.share(), memory.share());
+
+    large.set(700_000).expect("it fits into three quarters");
+    large
+        .set(800_000)
+        .expect_err("it is more than three quarters");
+    medium.set(60_000).expect("it fits");
+    large.set(750_000 - 60_000).expect("a smaller share fits");
+    let mut fill: Vec<_> = (0..5).map(|_| memory.share()).collect();
+    let granted = fill.iter_mut().filter_map(|s| s.set(60_000).ok()).count();
+    small
+        .set(BASE_BYTES)
+        .expect("a small share is always granted");
+
+    assert_eq!(
+        (granted, memory.held()),
+        (4, 690_000 + 5 * 60_000 + BASE_BYTES)
+    );
+    drop((large, medium, fill));
+    assert_eq!(memory.held(), BASE_BYTES);
+}
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -7,6 +7,7 @@
 mod fixture;
 mod follow;
 mod limits;
+mod memory;
 mod model_store;
 mod notices;
 mod parsers;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -93,6 +93,10 @@
     /// Address of the platform's store.
     #[serde_as(as = "Address")]
     pub store: SocketAddr,
+    /// Memory of the process in megabytes, of which what it holds for others gets fixed parts.
+    #[serde_as(as = "NotNegative")]
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
     /// Time from SIGTERM to SIGKILL, in seconds.
     #[serde_as(as = "Seconds")]
     #[serde(rename = "stop_grace_s", default)]
@@ -172,6 +176,7 @@
 const STARTUP_WAIT: Millis = Millis(400);
 
 /// Defaults of the settings without a number; `docs/settings.md` lists them.
+const DEFAULT_MEMORY_MB: f64 = 128.0;
 const DEFAULT_STOP_GRACE: Millis = Millis::from_secs(8);
 const DEFAULT_KEY_REVOCATION: Millis = Millis::from_secs(5);
 const DEFAULT_CATCH_UP: Millis = Millis::from_secs(3);
@@ -183,6 +188,9 @@
 const DEFAULT_RETRY_WINDOW: Millis = Millis::from_secs(10);
 const DEFAULT_RETRY_SLACK: f64 = 10.0;
 
+/// Least memory that a gateway plans with, in megabytes.
+const MIN_MEMORY_MB: f64 = 32.0;
+
 /// Settings of a beacon, the process beside an engine, in the form that the template `deploy/beacon.json` renders.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -249,6 +257,11 @@
         Policy {
             name: Rc::clone(&self.name),
             data_centre: Rc::clone(&self.data_centre),
+            memory: bytes(
+                self.memory_mb
+                    .unwrap_or(DEFAULT_MEMORY_MB)
+                    .max(MIN_MEMORY_MB),
+            ),
             retries: self.retries.bounds(),
             key_revocation: self.checks_key_age.then_some(key_revocation),
             exposure_permille: permille(self.exposure.unwrap_or(DEFAULT_EXPOSURE)),
@@ -262,6 +275,15 @@
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a float cast saturates at the limits"
+)]
+fn bytes(megabytes: f64) -> usize {
+    (megabytes * 1e6) as usize
+}
+
 /// Converts a share to thousandths, rounded down; a share above zero is at least one.
 #[expect(
     clippy::cast_possible_truncation,
