Bound the memory that all answers of upstreams hold together

What callers saw: nothing so far; the users report processes elsewhere that ran out of memory on bytes without end, and ask where else to look. By reading: heads and unfinished events (64 KiB each) and load reports had no bound on their sum, and a whole answer was no longer counted while it waited for a slow client.

Cause: bounds for one answer, and one for all only while bodies are being read.

Change: connections to upstreams, bodies and events take shares of an eighth of the process's memory, from the first byte until the client has the answer. Shares up to 4 KiB are always granted, so sound streams go on. Idle connections keep no buffer.

--- a/src/beacon/sender.rs
+++ b/src/beacon/sender.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::Clock;
 use crate::forward::exchange;
+use crate::forward::memory::Memory;
 use crate::forward::pool::Conn;
 use crate::router::named_limits::LimitWord;
 use crate::router::rollout::Judged;
@@ -32,6 +33,9 @@
 /// Maximum number of subscribers; the target system has 410 gateways.
 const MAX_SUBSCRIBERS: usize = 1_024;
 
+/// Memory for what the upstream sends: a report of the largest size and its buffers.
+const REPORT_MEMORY_BYTES: usize = 2 * 1024 * 1024;
+
 /// Time limit for the upstream's load report.
 pub(super) const REPORT_TIMEOUT: Millis = Millis(500);
 
@@ -207,7 +211,10 @@
 async fn poll(idle_conn: &mut Option<Conn>, upstream: SocketAddr) -> Option<Load> {
     let mut conn = match idle_conn.take() {
         Some(conn) => conn,
-        None => exchange::connect(upstream).await.ok()?,
+        None => {
+            let memory = Memory::open(REPORT_MEMORY_BYTES);
+            exchange::connect(upstream, &memory).await.ok()?
+        }
     };
     let report = exchange::fetch_report(&mut conn, upstream, true).await?;
     *idle_conn = report.is_reusable.then_some(conn);
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{BufMut, BytesMut};
 
 use crate::platform::headers;
 use crate::router::attempt::AttemptFailure;
@@ -22,7 +22,7 @@
 use super::client::{AfterAnswer, ClientConn, IncomingRequest};
 use super::containment::RunGuard;
 use super::crash;
-use super::exchange::{self, ExchangeError};
+use super::exchange::{self, ExchangeError, HeldBody};
 use super::head::{Framing, ResponseHead};
 use super::job::Job;
 use super::notices;
@@ -111,7 +111,7 @@
     /// The request is sent to this larger model, because the answering model reported only this confidence.
     Escalate(usize, u8),
     /// An upstream's error response, to be delivered if no later attempt succeeds.
-    Failure(Box<ResponseHead>, Bytes),
+    Failure(Box<ResponseHead>, HeldBody),
     /// The request's deadline has passed; the upstream may have run the request.
     TimedOut,
 }
@@ -221,7 +221,7 @@
     } else {
         shared.metrics.count_event("upstream_connection");
         let left = job.deadline.since(now).min(CONNECT_TIMEOUT);
-        let connect = exchange::connect(upstream.addr);
+        let connect = exchange::connect(upstream.addr, &shared.answer_memory);
         let connected = actix_rt::time::timeout(left.duration(), connect).await;
         let Ok(Ok(conn)) = connected else {
             if matches!(&connected, Ok(Err(error)) if crash::is_refused(error)) {
@@ -449,7 +449,7 @@
             job.silence_watch(shared, &upstream, head_limits(shared, job), can_reroute),
             &last_progress_at,
         );
-        let read = exchange::read_whole_body(&mut open.conn, &head, &shared.buffered_bytes);
+        let read = exchange::read_whole_body(&mut open.conn, &head);
         tokio::select! {
             biased;
             body = read => body,
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -40,7 +40,11 @@
     drop(checks);
     let (shared, upstream) = (Rc::clone(shared), Rc::clone(upstream));
     actix_rt::spawn(async move {
-        let connected = timeout(CHECK_TIMEOUT.duration(), exchange::connect(upstream.addr)).await;
+        let connected = timeout(
+            CHECK_TIMEOUT.duration(),
+            exchange::connect(upstream.addr, &shared.answer_memory),
+        )
+        .await;
         let state = match connected {
             Ok(Ok(_)) => ProcessState::Running,
             Ok(Err(error)) if is_refused(&error) => ProcessState::Ended,
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -1,8 +1,9 @@
 //! HTTP/1.1 exchanges with an upstream: connect, send, and read the answer.
 
-use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::ops::Deref;
+use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
 use tokio::io::AsyncWriteExt;
@@ -12,6 +13,7 @@
 
 use super::body::Decoder;
 use super::head::{self, Framing, ResponseHead};
+use super::memory::{Memory, MemoryFull, Share};
 use super::pool::Conn;
 
 /// Maximum size of one read.
@@ -20,9 +22,6 @@
 /// Largest answer body that is buffered before it is forwarded.
 const MAX_BUFFERED_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
-/// Maximum size of all buffered answers together; a fifth of the memory of a small gateway.
-const MAX_BUFFERED_TOTAL_BYTES: usize = 32 * 1024 * 1024;
-
 /// Maximum size of a response head together with the interim heads before it.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 
@@ -57,16 +56,26 @@
 
 impl From<io::Error> for ExchangeError {
     fn from(error: io::Error) -> Self {
-        Self::Broken(error)
+        if error.kind() == io::ErrorKind::OutOfMemory {
+            MemoryFull.into()
+        } else {
+            Self::Broken(error)
+        }
     }
 }
 
-/// Opens a connection.
+impl From<MemoryFull> for ExchangeError {
+    fn from(_error: MemoryFull) -> Self {
+        Self::Invalid("answers too large together")
+    }
+}
+
+/// Opens a connection; what is read from it is held in `memory`.
 ///
 /// # Errors
 /// If the upstream cannot be reached or the socket's options cannot be set.
-pub async fn connect(addr: SocketAddr) -> io::Result<Conn> {
-    Conn::new(TcpStream::connect(addr).await?)
+pub async fn connect(addr: SocketAddr, memory: &Rc<Memory>) -> io::Result<Conn> {
+    Conn::new(TcpStream::connect(addr).await?, memory.share())
 }
 
 /// Sends a request.
@@ -80,7 +89,7 @@
 /// Reads once into the connection's buffer; returns `false` at the end of the connection.
 ///
 /// # Errors
-/// If the connection breaks.
+/// If the connection breaks, or what was read does not fit into the memory.
 pub async fn read_more(conn: &mut Conn) -> io::Result<bool> {
     loop {
         conn.stream.readable().await?;
@@ -88,6 +97,7 @@
         match conn.stream.try_read_buf(&mut conn.buf) {
             Ok(length) => {
                 conn.received += length;
+                conn.share.set(conn.buf.len())?;
                 return Ok(length > 0);
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
@@ -158,6 +168,7 @@
 pub struct BufferedBody {
     decoder: Decoder,
     bytes: BytesMut,
+    share: Share,
     max: usize,
     /// Bytes received on the connection before the body.
     start: usize,
@@ -170,6 +181,7 @@
         Self {
             decoder: Decoder::new(head.framing),
             bytes: BytesMut::new(),
+            share: conn.share.memory().share(),
             max,
             start: conn.received - conn.buf.len(),
         }
@@ -178,12 +190,14 @@
     /// Decodes what has arrived; returns the body if it is complete.
     ///
     /// # Errors
-    /// If the body is not valid or too long.
-    pub fn decode_available(&mut self, conn: &mut Conn) -> Result<Option<Bytes>, ExchangeError> {
+    /// If the body is not valid, too long or does not fit into the memory.
+    pub fn decode_available(&mut self, conn: &mut Conn) -> Result<Option<HeldBody>, ExchangeError> {
         (self.decoder.decode(&mut conn.buf, &mut self.bytes))
             .map_err(|_chunk| ExchangeError::Invalid("invalid chunk"))?;
+        conn.share.shrink(conn.buf.len());
+        self.share.set(self.bytes.capacity())?;
         if self.decoder.is_done() {
-            return Ok(Some(self.bytes.split().freeze()));
+            return Ok(Some(self.take()));
         }
         // Chunk framing may take at most as many bytes as the body.
         let received = conn.received - self.start;
@@ -197,63 +211,59 @@
     ///
     /// # Errors
     /// If the body was cut off.
-    pub fn finish(self) -> Result<Bytes, ExchangeError> {
+    pub fn finish(mut self) -> Result<HeldBody, ExchangeError> {
         if self.decoder.ends_with_close() {
-            Ok(self.bytes.freeze())
+            Ok(self.take())
         } else {
             Err(ExchangeError::Closed)
         }
     }
-}
-
-/// The share of one answer in the memory for all buffered answers; released when dropped.
-struct BufferShare<'a> {
-    all: &'a Cell<usize>,
-    own: usize,
-}
 
-impl BufferShare<'_> {
-    fn set(&mut self, own: usize) -> Result<(), ExchangeError> {
-        self.all.update(|all| all - self.own + own);
-        self.own = own;
-        if self.all.get() > MAX_BUFFERED_TOTAL_BYTES {
-            return Err(ExchangeError::Invalid("buffered answers too large"));
+    fn take(&mut self) -> HeldBody {
+        let empty = self.share.memory().share();
+        HeldBody {
+            bytes: self.bytes.split().freeze(),
+            _share: std::mem::replace(&mut self.share, empty),
         }
-        Ok(())
     }
 }
 
-impl Drop for BufferShare<'_> {
-    fn drop(&mut self) {
-        self.all.update(|all| all - self.own);
+/// A whole body, with its share of the memory until it is dropped.
+#[derive(Debug)]
+pub struct HeldBody {
+    bytes: Bytes,
+    _share: Share,
+}
+
+impl Deref for HeldBody {
+    type Target = [u8];
+
+    fn deref(&self) -> &[u8] {
+        &self.bytes
     }
 }
 
-/// Reads the whole body of an answer; `all` counts the bytes of all answers that are being buffered.
+/// Reads the whole body of an answer.
 ///
 /// # Errors
-/// If the body is cut off, not valid or too long.
+/// If the body is cut off, not valid, too long or does not fit into the memory.
 pub async fn read_whole_body(
     conn: &mut Conn,
     head: &ResponseHead,
-    all: &Cell<usize>,
-) -> Result<Bytes, ExchangeError> {
-    read_body_up_to(MAX_BUFFERED_ANSWER_BYTES, conn, head, all).await
+) -> Result<HeldBody, ExchangeError> {
+    read_body_up_to(MAX_BUFFERED_ANSWER_BYTES, conn, head).await
 }
 
 async fn read_body_up_to(
     max: usize,
     conn: &mut Conn,
     head: &ResponseHead,
-    all: &Cell<usize>,
-) -> Result<Bytes, ExchangeError> {
+) -> Result<HeldBody, ExchangeError> {
     let mut body = BufferedBody::new(conn, head, max);
-    let mut share = BufferShare { all, own: 0 };
     loop {
         if let Some(whole) = body.decode_available(conn)? {
             return Ok(whole);
         }
-        share.set(body.bytes.len())?;
         if !read_more(conn).await? {
             return body.finish();
         }
@@ -295,9 +305,7 @@
         format!("GET {target} HTTP/1.1\r\nHost: {addr}\r\nConnection: {connection}\r\n\r\n");
     send(conn, message.as_bytes()).await.ok()?;
     let head = read_response_head(conn, false).await.ok()?;
-    let body = read_body_up_to(MAX_REPORT_BYTES, conn, &head, &Cell::new(0))
-        .await
-        .ok()?;
+    let body = read_body_up_to(MAX_REPORT_BYTES, conn, &head).await.ok()?;
     let load = report::decode(&body).filter(|_| head.status == 200)?;
     Some(FetchedReport {
         load,
--- a/src/forward/gateway.rs
+++ b/src/forward/gateway.rs
@@ -244,7 +244,7 @@
     let metrics = &shared.metrics;
     metrics.set_gauge("in_flight", value(shared.in_flight.get()));
     metrics.set_gauge("held_request_bytes", value(shared.request_memory.held()));
-    metrics.set_gauge("held_bytes", value(shared.buffered_bytes.get()));
+    metrics.set_gauge("held_bytes", value(shared.answer_memory.held()));
     metrics.set_gauge("connections", value(shared.open_connections.get()));
     let version = shared.table.borrow().version;
     metrics.set_gauge(
--- a/src/forward/pool.rs
+++ b/src/forward/pool.rs
@@ -7,6 +7,7 @@
 use bytes::BytesMut;
 use tokio::net::TcpStream;
 
+use crate::forward::memory::Share;
 use crate::units::Millis;
 use crate::units::whole::parse_decimal;
 
@@ -26,6 +27,8 @@
     pub stream: TcpStream,
     /// Bytes that were read but not yet parsed.
     pub buf: BytesMut,
+    /// Share of the memory for `buf`.
+    pub share: Share,
     /// Number of bytes read so far.
     pub received: usize,
     /// Whether the connection has carried a request before.
@@ -36,15 +39,16 @@
 }
 
 impl Conn {
-    /// Wraps a new connection.
+    /// Wraps a new connection, whose buffer is a share of a memory.
     ///
     /// # Errors
     /// If the socket's options cannot be set.
-    pub fn new(stream: TcpStream) -> io::Result<Self> {
+    pub fn new(stream: TcpStream, share: Share) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         Ok(Self {
             stream,
             buf: BytesMut::new(),
+            share,
             received: 0,
             is_reused: false,
             idle_limit: DEFAULT_IDLE_TIMEOUT,
@@ -112,9 +116,9 @@
     pub fn put(&mut self, id: &Rc<str>, boot: u64, addr: SocketAddr, mut conn: Conn, now: Millis) {
         conn.is_reused = true;
         conn.idle_since = now;
-        if conn.buf.capacity() > 64 * 1024 {
-            conn.buf = BytesMut::new();
-        }
+        // An idle connection keeps no buffer.
+        conn.buf = BytesMut::new();
+        conn.share.shrink(0);
         let at = match self.find(id) {
             Ok(at) => at,
             Err(at) => {
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use actix_rt::time::sleep;
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 
 use crate::platform::headers;
 use crate::router::attempt::{AttemptFailure, Attempts, ExecutionGuarantee};
@@ -15,6 +15,7 @@
 use super::attempt::{AttemptEnd, attempt, deliver, take_retry_budget};
 use super::choose::{Choice, NoChoice, choose};
 use super::client::{AfterAnswer, ClientConn, IncomingRequest};
+use super::exchange::HeldBody;
 use super::head::ResponseHead;
 use super::job::{Job, admit, not_run};
 use super::reply::LocalReply;
@@ -109,7 +110,7 @@
 ) -> Outcome {
     let mut attempts = Attempts::new(job.route.kind, job.route.attempts);
     let mut tried: Vec<Rc<str>> = Vec::new();
-    let mut failure: Option<(Box<ResponseHead>, Bytes)> = None;
+    let mut failure: Option<(Box<ResponseHead>, HeldBody)> = None;
     let mut relay = Relay::new(job.resume_after);
     let mut needs_budget = false;
     let mut retry_after = MIN_RETRY_AFTER;
@@ -270,7 +271,7 @@
     /// Time after which the client may retry if the request has not run.
     retry_after: Millis,
     /// An upstream's error response.
-    failure: Option<(Box<ResponseHead>, Bytes)>,
+    failure: Option<(Box<ResponseHead>, HeldBody)>,
 }
 
 async fn finish_unanswered(
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -41,6 +41,9 @@
 /// Part of the process's memory that holds what clients send.
 const REQUEST_MEMORY_DIVISOR: usize = 3;
 
+/// Part of the process's memory that holds what upstreams send.
+const ANSWER_MEMORY_DIVISOR: usize = 8;
+
 /// Settings of a gateway that its routing decisions depend on.
 #[derive(Debug, Clone)]
 pub struct Policy {
@@ -141,8 +144,8 @@
     pub open_connections: Cell<usize>,
     /// Memory for what clients send.
     pub(super) request_memory: Rc<Memory>,
-    /// Bytes of answers that are being buffered.
-    pub buffered_bytes: Cell<usize>,
+    /// Memory for what upstreams send.
+    pub(super) answer_memory: Rc<Memory>,
     /// Limits that upstreams name.
     pub(crate) named_limits: RefCell<NamedLimits>,
     /// Pauses that upstreams ask for.
@@ -189,6 +192,7 @@
         let outage_tracker = OutageTracker::new(policy.heartbeat, policy.catch_up);
         let rollouts = Rollouts::new(policy.exposure_permille);
         let request_memory = Memory::open(policy.memory / REQUEST_MEMORY_DIVISOR);
+        let answer_memory = Memory::open(policy.memory / ANSWER_MEMORY_DIVISOR);
         let clock = Clock::start();
         let evidence = Evidence::new(Rc::clone(&policy.name), clock.unix());
         Rc::new(Self {
@@ -220,7 +224,7 @@
             is_closing_idle: Cell::default(),
             open_connections: Cell::default(),
             request_memory,
-            buffered_bytes: Cell::default(),
+            answer_memory,
             named_limits: RefCell::default(),
             pauses: RefCell::default(),
             exposures: RefCell::default(),
@@ -251,6 +255,7 @@
             budget.set_bounds(policy.retries);
         }
         (self.request_memory).set_limit(policy.memory / REQUEST_MEMORY_DIVISOR);
+        (self.answer_memory).set_limit(policy.memory / ANSWER_MEMORY_DIVISOR);
         (self.rollouts.borrow_mut()).set_exposure(policy.exposure_permille);
         *self.policy.borrow_mut() = Rc::new(policy);
     }
--- a/src/forward/silence.rs
+++ b/src/forward/silence.rs
@@ -80,7 +80,11 @@
 
 async fn probe(watch: &SilenceWatch<'_>) -> ProbeResult {
     watch.shared.metrics.count_event("upstream_asked");
-    let load = timeout(PROBE_TIMEOUT.duration(), fetch_report(watch.upstream)).await;
+    let load = timeout(
+        PROBE_TIMEOUT.duration(),
+        fetch_report(watch.shared, watch.upstream),
+    )
+    .await;
     let Ok(Some(report)) = load else {
         return ProbeResult::NoSign;
     };
@@ -100,7 +104,9 @@
     }
 }
 
-async fn fetch_report(upstream: &Upstream) -> Option<FetchedReport> {
-    let mut conn = exchange::connect(upstream.addr).await.ok()?;
+async fn fetch_report(shared: &Shared, upstream: &Upstream) -> Option<FetchedReport> {
+    let mut conn = exchange::connect(upstream.addr, &shared.answer_memory)
+        .await
+        .ok()?;
     exchange::fetch_report(&mut conn, upstream.addr, false).await
 }
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -110,12 +110,18 @@
     let last_progress_at = Cell::new(shared.clock.now());
     let silence = silence::wait(watch, &last_progress_at);
     tokio::pin!(silence);
+    // Counts what waits for the client, as well as the start of an event.
+    let mut share = shared.answer_memory.share();
     let mut last_event = (relay.last_id(), conn.received);
     let mut pace = Pace::default();
     loop {
         if let Err(_chunk) = decoder.decode(&mut conn.buf, relay.events.input()) {
             return RelayEnd::Lost(ExchangeError::Invalid("invalid chunk"));
         }
+        conn.share.shrink(conn.buf.len());
+        if let Err(full) = share.set(relay.events.input().len()) {
+            return RelayEnd::Lost(full.into());
+        }
         let Ok(mut events) = relay.events.take() else {
             return RelayEnd::Lost(ExchangeError::Invalid("event too long"));
         };
--- a/src/forward/tests/endless.rs
+++ b/src/forward/tests/endless.rs
@@ -199,7 +199,7 @@
 
         let mut most = 0;
         while upstream.closed.get() < clients.len() {
-            most = most.max(shared.buffered_bytes.get());
+            most = most.max(shared.answer_memory.held());
             tokio::task::yield_now().await;
         }
 
--- a/src/forward/tests/memory.rs
+++ b/src/forward/tests/memory.rs
@@ -6,7 +6,7 @@
 
 use actix_rt::time::{sleep, timeout};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::Notify;
 
 use super::fixture::{
@@ -182,3 +182,97 @@
     drop((large, medium, fill));
     assert_eq!(memory.held(), BASE_BYTES);
 }
+
+/// An upstream that answers with most of a body and then waits.
+async fn stalling_upstream(answer: String) -> ScriptedUpstream {
+    scripted_upstream(vec![Action::Write(Box::leak(answer.into_boxed_str()))]).await
+}
+
+/// Sends a request on each of many connections.
+async fn send_many(gateway: &Gateway, clients: usize, path: &str) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    for _ in 0..clients {
+        // The client's own buffer must not take the place of the gateway's.
+        let socket = TcpSocket::new_v4().expect("a socket can be opened");
+        (socket.set_recv_buffer_size(4_096)).expect("the size can be set");
+        let connected = socket.connect(gateway.addresses().listen).await;
+        let mut stream = connected.expect("the gateway accepts connections");
+        let message = fixture::message("POST", path, "");
+        stream
+            .write_all(message.as_bytes())
+            .await
+            .expect("the gateway reads");
+        streams.push(stream);
+    }
+    streams
+}
+
+/// Observes the memory for answers for a while and returns the largest number of bytes held.
+async fn most_held(shared: &Shared) -> usize {
+    let mut most = 0;
+    for _ in 0..300 {
+        most = most.max(shared.answer_memory.held());
+        sleep(Duration::from_millis(2)).await;
+    }
+    most
+}
+
+/// Heads, and events that never end, were held for each answer without a bound on their sum.
+#[test]
+fn heads_and_events_without_end_share_a_bounded_memory() {
+    const CLIENTS: usize = 100;
+    const MEMORY: usize = 8_000_000;
+    let head =
+        "HTTP/1.1 200 OK\r\nX-Fireflywind-Request-Id: ID\r\nX-Fireflywind-Server-Stamp: s1\r\n";
+    for (path, answer) in [
+        ("/once/", format!("{head}X-More: {}", "a".repeat(60 * 1024))),
+        (
+            "/stream/",
+            format!(
+                "{head}Content-Type: text/event-stream\r\n\r\ndata: {}",
+                "a".repeat(60 * 1024)
+            ),
+        ),
+    ] {
+        fixture::run(async {
+            let faulty = stalling_upstream(answer).await;
+            let (shared, gateway) = start(MEMORY, &[&faulty]).await;
+            let _clients = send_many(&gateway, CLIENTS, path).await;
+
+            let most = most_held(&shared).await;
+
+            assert!(most > 0, "{path}");
+            let limit = MEMORY / 8 + CLIENTS * 2 * BASE_BYTES;
+            assert!(most <= limit, "{path}: {most} bytes");
+        });
+    }
+}
+
+/// An answer that waits for a slow client was no longer counted, so that others could take its memory once more.
+#[test]
+fn answers_that_wait_for_slow_clients_share_a_bounded_memory() {
+    const CLIENTS: usize = 24;
+    const BODY_BYTES: usize = 4_000_000;
+    const MEMORY: usize = 160_000_000;
+    fixture::run(async {
+        let head =
+            "HTTP/1.1 200 OK\r\nX-Fireflywind-Request-Id: ID\r\nX-Fireflywind-Server-Stamp: s1\r\n";
+        let body = "a".repeat(BODY_BYTES);
+        let answer = format!("{head}Content-Length: {BODY_BYTES}\r\n\r\n{body}");
+        let upstream = stalling_upstream(answer).await;
+        let (shared, gateway) = start(MEMORY, &[&upstream]).await;
+        let clients = send_many(&gateway, CLIENTS, "/once/").await;
+
+        let most = most_held(&shared).await;
+        let waiting = shared.answer_memory.held();
+        drop(clients);
+        wait_until(|| shared.answer_memory.held() == 0, || {}).await;
+
+        // Two such answers fit, with the buffers that they grow in; the other clients have got 502.
+        assert!(
+            most <= MEMORY / 8 + CLIENTS * 2 * BASE_BYTES,
+            "{most} bytes"
+        );
+        assert!(waiting >= BODY_BYTES, "{waiting} bytes");
+    });
+}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -8,14 +8,14 @@
 use actix_rt::time::Instant;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
-use bytes::Bytes;
 use serde::Deserialize;
 use serde_json::json;
 use serde_with::serde_as;
 
-use crate::forward::exchange::{self, BufferedBody};
+use crate::forward::exchange::{self, BufferedBody, HeldBody};
 use crate::forward::follow::{ControlPlane, ControlPlaneError, Listing, RolloutWrite, StoreAnswer};
 use crate::forward::head::ResponseHead;
+use crate::forward::memory::Memory;
 use crate::forward::pool::Conn;
 use crate::kv::LocalFuture;
 use crate::router::comparison::AnswerReport;
@@ -42,6 +42,9 @@
 /// configuration of that size.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
+/// Memory for all answers that are being read, with the buffers that they grow in.
+const ANSWERS_MEMORY_BYTES: usize = 24 * 1024 * 1024;
+
 /// Time after which evidence that is no longer renewed is removed; as long as crashes count.
 const LEASE_LIFETIME: Millis = EVIDENCE_LIFETIME;
 
@@ -55,6 +58,8 @@
     read_conn: RefCell<Option<Conn>>,
     write_conn: RefCell<Option<Conn>>,
     last_call_failed: Cell<bool>,
+    /// Memory for answers.
+    memory: Rc<Memory>,
     /// Lease of what is written last, if its history is still the store's.
     lease: Cell<Option<HeldLease>>,
     /// Era of the last answer.
@@ -119,7 +124,7 @@
 /// An answer of the store.
 struct Response {
     status: u16,
-    body: Bytes,
+    body: HeldBody,
     /// History that the answer comes from.
     era: Era,
 }
@@ -133,12 +138,13 @@
 impl Store {
     /// Creates a client; connections are opened on first use.
     #[must_use]
-    pub const fn open(addr: SocketAddr) -> Self {
+    pub fn open(addr: SocketAddr) -> Self {
         Self {
             addr: Cell::new(addr),
             read_conn: RefCell::new(None),
             write_conn: RefCell::new(None),
             last_call_failed: Cell::new(false),
+            memory: Memory::open(ANSWERS_MEMORY_BYTES),
             lease: Cell::new(None),
             era: Cell::new(None),
         }
@@ -235,7 +241,9 @@
         let to_text = |error: std::io::Error| error.to_string();
         let mut conn = match conn {
             Some(conn) => conn,
-            None => exchange::connect(self.addr.get()).await.map_err(to_text)?,
+            None => exchange::connect(self.addr.get(), &self.memory)
+                .await
+                .map_err(to_text)?,
         };
         let mut message = format!(
             "{method} {target} HTTP/1.1\r\nHost: {}\r\n",
