--- a/src/beacon/sender.rs
+++ b/src/beacon/sender.rs
@@ -209,12 +209,11 @@
 
 /// Fetches the upstream's load report, over the connection of the previous poll if there is one.
 async fn poll(idle_conn: &mut Option<Conn>, upstream: SocketAddr) -> Option<Load> {
-    let mut conn = match idle_conn.take() {
-        Some(conn) => conn,
-        None => {
-            let memory = Memory::open(REPORT_MEMORY_BYTES);
-            exchange::connect(upstream, &memory).await.ok()?
-        }
+    let mut conn = if let Some(conn) = idle_conn.take() {
+        conn
+    } else {
+        let memory = Memory::open(REPORT_MEMORY_BYTES);
+        exchange::connect(upstream, &memory).await.ok()?
     };
     let report = exchange::fetch_report(&mut conn, upstream, true).await?;
     *idle_conn = report.is_reusable.then_some(conn);
--- a/src/forward/tests/memory.rs
+++ b/src/forward/tests/memory.rs
@@ -142,9 +142,7 @@
         for client in &mut clients {
             let mut buf = [0; 64];
             let read = timeout(Duration::from_millis(20), client.read(&mut buf)).await;
-            let answer = read
-                .map(|read| read.unwrap_or_default())
-                .unwrap_or_default();
+            let answer = read.map_or(0, Result::unwrap_or_default);
             refused += usize::from(buf[..answer].starts_with(b"HTTP/1.1 503"));
             most = most.max(shared.request_memory.held());
         }
