Read requests on kept connections by the limits in force

Cause: a connection took the limits before it waited for the next request.

Change: the limits are taken when the first bytes of a request have arrived.

--- a/src/forward/client.rs
+++ b/src/forward/client.rs
@@ -135,11 +135,13 @@
     async fn run(&mut self, shared: &Rc<Shared>) {
         let mut is_new = true;
         loop {
-            let limits = shared.table.borrow().limits;
-            if !self.wait_for_request(shared, &limits, is_new).await {
+            let idle_timeout = shared.table.borrow().limits.idle_timeout;
+            if !self.wait_for_request(shared, idle_timeout, is_new).await {
                 return;
             }
             is_new = false;
+            // The configuration may have changed while the connection was idle.
+            let limits = shared.table.borrow().limits;
             // A stop also waits for requests that are still being read.
             shared.in_flight.update(|n| n + 1);
             let after = self.serve_request(shared, &limits).await;
@@ -181,7 +183,7 @@
     async fn wait_for_request(
         &mut self,
         shared: &Shared,
-        limits: &ClientLimits,
+        idle_timeout: Millis,
         is_new: bool,
     ) -> bool {
         if !self.buf.is_empty() {
@@ -201,7 +203,7 @@
                 actix_rt::time::sleep(CLOSE_LINGER.duration()).await;
             }
         };
-        let idle = actix_rt::time::timeout(limits.idle_timeout.duration(), self.read_more());
+        let idle = actix_rt::time::timeout(idle_timeout.duration(), self.read_more());
         tokio::select! {
             biased;
             idle = idle => match idle {
--- a/src/forward/tests/memory.rs
+++ b/src/forward/tests/memory.rs
@@ -274,3 +274,35 @@
         assert!(waiting >= BODY_BYTES, "{waiting} bytes");
     });
 }
+
+/// DENIED: a request on a connection that was open before a configuration raised the limits was refused by the old ones.
+#[test]
+fn a_request_on_a_kept_connection_is_read_by_the_limits_in_force() {
+    fixture::run(async {
+        let upstream = scripted_upstream(vec![Action::Write(OK)]).await;
+        let (shared, gateway) = start(260_000_000, &[&upstream]).await;
+        let set_limit = |body_bytes| {
+            let mut table = fixture::table();
+            table.limits.body_bytes = body_bytes;
+            *shared.table.borrow_mut() = Rc::new(table);
+        };
+        set_limit(10);
+        let mut stream = connect(gateway.addresses().listen).await;
+        let small = fixture::message("POST", "/once/", "");
+        let large = [head(20_000), "a".repeat(20_000)].concat();
+
+        let mut statuses = Vec::new();
+        for (message, next_limit) in [(&small, 20_000), (&large, 10), (&large, 10)] {
+            stream
+                .write_all(message.as_bytes())
+                .await
+                .expect("the gateway reads");
+            statuses.push(status(&read_message(&mut stream).await.unwrap_or_default()));
+            // The gateway waits for the next request before the limit changes.
+            sleep(Duration::from_millis(20)).await;
+            set_limit(next_limit);
+        }
+
+        assert_eq!(statuses, [200, 200, 413]);
+    });
+}
