Bound connections to the readiness and metrics addresses

What callers saw: nothing so far; found while listing the reads of bytes from other parties.

Cause: connections to these addresses had no bound on their number, a byte each 2 s kept one open up to 8 KiB, and a reader that did not read held the text of the metrics for good.

Evidence: the new test failed before the change (0 of 100 connections closed, 36 wanted).

Change: 64 connections to each address, 2 s for a request and 2 s for its answer.

--- a/src/forward/gateway.rs
+++ b/src/forward/gateway.rs
@@ -1,5 +1,6 @@
 //! A running gateway: listeners, background tasks and the graceful stop.
 
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -42,8 +43,14 @@
 /// Lateness from which a timer is logged: a tenth of the shortest time in which a change must be in force.
 const LATE_TIMER_THRESHOLD: Millis = Millis(200);
 
-/// Longest wait for bytes of a request on the readiness or metrics address.
-const STATUS_READ_TIMEOUT: Millis = Millis(2_000);
+/// Time limit for a request on the readiness or metrics address, from the end of the last one, and for its answer.
+const STATUS_TIMEOUT: Millis = Millis(2_000);
+
+/// Largest head of such a request.
+const MAX_STATUS_HEAD_BYTES: usize = 8 * 1024;
+
+/// Connections to such an address at one time; further ones are closed at once. Only the platform and operators use them.
+const MAX_STATUS_CONNECTIONS: usize = 64;
 
 /// Addresses that a gateway listens on.
 #[derive(Debug, Clone, Copy)]
@@ -175,8 +182,16 @@
 
 /// Serves requests for the readiness and the metrics, one or several on a connection.
 async fn serve_status(shared: Rc<Shared>, listener: TcpListener) {
+    let open = Rc::new(Cell::new(0));
     accept_each(&listener, |stream| {
-        serve_status_connection(Rc::clone(&shared), stream)
+        let (shared, open) = (Rc::clone(&shared), Rc::clone(&open));
+        async move {
+            if open.get() < MAX_STATUS_CONNECTIONS {
+                open.update(|n| n + 1);
+                serve_status_connection(shared, stream).await;
+                open.update(|n| n - 1);
+            }
+        }
     })
     .await;
 }
@@ -203,15 +218,13 @@
 async fn serve_status_connection(shared: Rc<Shared>, mut stream: TcpStream) {
     let mut buf = BytesMut::new();
     loop {
-        let read = timeout(STATUS_READ_TIMEOUT.duration(), stream.read_buf(&mut buf));
-        match read.await {
-            Ok(Ok(length)) if length > 0 && buf.len() <= 8 * 1024 => {}
-            _ => return,
-        }
-        let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") else {
-            continue;
+        let read = timeout(
+            STATUS_TIMEOUT.duration(),
+            read_status_request(&mut stream, &mut buf),
+        );
+        let Ok(Some(request)) = read.await else {
+            return;
         };
-        let request = buf.split_to(end + 4);
         let target = request[..].split(|b| *b == b' ').nth(1).unwrap_or_default();
         let (status, body) = if target.ends_with(b"metrics") {
             ("200 OK", metrics(&shared))
@@ -224,12 +237,26 @@
         let length = body.len();
         out.put_slice(format!("HTTP/1.1 {status}\r\nContent-Type: text/plain\r\n").as_bytes());
         out.put_slice(format!("Content-Length: {length}\r\n\r\n{body}").as_bytes());
-        if stream.write_all(&out).await.is_err() {
+        let write = timeout(STATUS_TIMEOUT.duration(), stream.write_all(&out));
+        if !matches!(write.await, Ok(Ok(()))) {
             return;
         }
     }
 }
 
+/// Reads the head of a request; returns `None` if the connection ends or the head is too large.
+async fn read_status_request(stream: &mut TcpStream, buf: &mut BytesMut) -> Option<BytesMut> {
+    loop {
+        if let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
+            return Some(buf.split_to(end + 4));
+        }
+        let length = stream.read_buf(buf).await.ok()?;
+        if length == 0 || buf.len() > MAX_STATUS_HEAD_BYTES {
+            return None;
+        }
+    }
+}
+
 /// Records by how much a timer was late, which is the time that a request waits for the processor.
 fn record_timer_lateness(shared: &Shared, late: Millis) {
     let value = i64::try_from(late.0).unwrap_or(i64::MAX);
--- a/src/forward/tests/memory.rs
+++ b/src/forward/tests/memory.rs
@@ -306,3 +306,39 @@
         assert_eq!(statuses, [200, 200, 413]);
     });
 }
+
+/// Connections to the metrics address that send byte by byte, or do not read, were held without a bound on their number or
+/// their time.
+#[test]
+fn slow_connections_to_the_metrics_address_are_bounded_and_end() {
+    const CLIENTS: usize = 100;
+    fixture::run(async {
+        let upstream = scripted_upstream(vec![Action::Write(OK)]).await;
+        let (_shared, gateway) = start(260_000_000, &[&upstream]).await;
+        let mut clients = Vec::new();
+        for _ in 0..CLIENTS {
+            let mut stream = connect(gateway.addresses().admin).await;
+            // Those that are closed at once may refuse the byte.
+            let _ = stream.write_all(b"G").await;
+            clients.push(stream);
+        }
+
+        let mut closed_at_once = 0;
+        for client in &mut clients {
+            let read = timeout(Duration::from_millis(10), client.read(&mut [0; 8])).await;
+            closed_at_once += usize::from(matches!(read, Ok(Ok(0) | Err(_))));
+        }
+        let is_ready = fixture::is_ready(&gateway).await;
+        let mut ended = 0;
+        for client in &mut clients {
+            // Another byte does not give a request more time.
+            let _ = client.write_all(b"E").await;
+            let read = timeout(WAIT_LIMIT, client.read(&mut [0; 8])).await;
+            ended += usize::from(matches!(read, Ok(Ok(0) | Err(_))));
+        }
+
+        assert!(closed_at_once >= CLIENTS - 64, "{closed_at_once}");
+        assert!(is_ready);
+        assert_eq!(ended, CLIENTS);
+    });
+}
