Let the test of bodies count what was refused, not when

Trace: the test took the answers at 33 refusals for all of them, but the heads of refused clients hold shares too, and a 34th body may be refused a moment later; a client that was still sending could also miss the notice to go on. The test now waits for all 40 answers and asks that at most seven bodies are served and at least six, that each other client gets 503 with Retry-After, and that only what was served reached the upstream. The bound on the bytes is unchanged.

--- a/src/forward/tests/memory.rs
+++ b/src/forward/tests/memory.rs
@@ -7,7 +7,7 @@
 use actix_rt::time::{sleep, timeout};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use super::fixture::{
     self, Action, FixedStore, ScriptedUpstream, connect, events, field, policy, read_message,
@@ -59,7 +59,7 @@
 async fn send_in_halves(
     mut stream: TcpStream,
     length: usize,
-    go_on: Rc<Notify>,
+    mut go_on: watch::Receiver<bool>,
     answers: Rc<RefCell<Vec<String>>>,
 ) {
     let half = vec![b'a'; length / 2];
@@ -68,7 +68,8 @@
     let _ = stream.write_all(&first).await;
     tokio::select! {
         readable = stream.readable() => readable.expect("the connection is open"),
-        () = go_on.notified() => {
+        told = go_on.wait_for(|is_told| *is_told) => {
+            told.expect("the test goes on");
             stream.write_all(&half).await.expect("the gateway reads");
         }
     }
@@ -84,36 +85,38 @@
     fixture::run(async {
         let upstream = scripted_upstream(vec![Action::Write(OK)]).await;
         let (shared, gateway) = start(32_000_000, &[&upstream]).await;
-        let (answers, go_on) = (Rc::default(), Rc::new(Notify::new()));
+        let answers: Rc<RefCell<Vec<String>>> = Rc::default();
+        let (tell, go_on) = watch::channel(false);
         for _ in 0..CLIENTS {
             let stream = connect(gateway.addresses().listen).await;
             actix_rt::spawn(send_in_halves(
                 stream,
                 BODY_BYTES,
-                Rc::clone(&go_on),
+                go_on.clone(),
                 Rc::clone(&answers),
             ));
         }
 
         let most = Cell::new(0);
         let observe = || most.set(most.get().max(shared.request_memory.held()));
-        // Three quarters of a third of the memory hold seven such bodies.
+        // Three quarters of a third of the memory hold at most seven such bodies.
         wait_until(|| answers.borrow().len() >= CLIENTS - 7, observe).await;
         let small = send(&gateway, "POST", "/once/", "").await;
-        let refused = answers.take();
-        go_on.notify_waiters();
-        wait_until(|| answers.borrow().len() == 7, observe).await;
+        tell.send(true).expect("clients wait");
+        wait_until(|| answers.borrow().len() == CLIENTS, observe).await;
         wait_until(|| shared.request_memory.held() <= BASE_BYTES, || {}).await;
 
-        assert_eq!(refused.len(), CLIENTS - 7);
+        let answers = answers.borrow();
+        let (served, refused): (Vec<_>, Vec<_>) = answers.iter().partition(|a| status(a) == 200);
         for answer in &refused {
             assert_eq!(status(answer), 503, "{answer}");
             assert!(field(answer, "Retry-After").is_some(), "{answer}");
         }
+        // The heads of the others may take the place of a body.
+        assert!((6..=7).contains(&served.len()), "{} served", served.len());
         assert_eq!(status(&small), 200);
-        assert!(answers.borrow().iter().all(|a| status(a) == 200));
         // What was refused has not run.
-        assert_eq!(upstream.requests.borrow().len(), 8);
+        assert_eq!(upstream.requests.borrow().len(), served.len() + 1);
         assert!(most.get() <= 32_000_000 / 3, "{} bytes", most.get());
     });
 }
