--- a/src/beacon/mod.rs
+++ b/src/beacon/mod.rs
@@ -13,16 +13,17 @@
 
 use crate::router::named_limits::LimitWord;
 use crate::router::rollout::Judged;
+use crate::router::turns::Lease;
 use crate::units::Millis;
 
 /// Magic bytes at the start of a subscription.
-const SUBSCRIBE_MAGIC: [u8; 4] = *b"FWS3";
+const SUBSCRIBE_MAGIC: [u8; 4] = *b"FWS4";
 
 /// Magic bytes at the start of a load.
-const LOAD_MAGIC: [u8; 4] = *b"FWL5";
+const LOAD_MAGIC: [u8; 4] = *b"FWL6";
 
 /// Size of a datagram buffer; larger than the largest datagram.
-pub(crate) const MAX_DATAGRAM_BYTES: usize = 64;
+pub(crate) const MAX_DATAGRAM_BYTES: usize = 128;
 
 /// Load of an upstream, with the answer counts of its subscribers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -43,14 +44,38 @@
     pub limit: Option<LimitWord>,
     /// Start time of the upstream's process, in Unix milliseconds, if it says that it leaves.
     pub leaving_boot: Option<NonZeroU64>,
+    /// Start time of the upstream's process, in Unix milliseconds, if it names it.
+    pub boot: Option<NonZeroU64>,
+    /// Milliseconds for which the upstream says that it stays cold.
+    pub cold_left_ms: u32,
+    /// Milliseconds since the upstream answered for the first time, or again after a silence.
+    pub answering_for_ms: u32,
+    /// Unix time at which the load was sent, by the beacon's clock.
+    pub sent_at: Millis,
+    /// Time of the last subscription, as the gateway named it.
+    pub asked_at_ms: u32,
+    /// Turns of the gateway at the upstream.
+    pub lease: Option<Lease>,
+}
+
+/// A gateway's subscription to the loads of an upstream for the next seconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Subscription {
+    /// The gateway's own answer counts of the upstream.
+    pub answer_counts: Judged,
+    /// The latest word of the upstream's limit that it has had.
+    pub limit: Option<LimitWord>,
+    /// Lowest bits of the gateway's clock, in milliseconds.
+    pub asked_at_ms: u32,
+    /// Whether the gateway waits for a load.
+    pub is_urgent: bool,
 }
 
 /// One datagram of the protocol.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Datagram {
-    /// A gateway subscribes to loads for the next seconds and reports its own answer counts of the upstream, and the latest
-    /// word of its limit.
-    Subscribe(Judged, Option<LimitWord>),
+    /// A gateway subscribes to loads.
+    Subscribe(Subscription),
     /// A beacon reports the load of its upstream.
     Load(Load),
 }
@@ -60,10 +85,12 @@
     #[must_use]
     pub fn encode(self) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(MAX_DATAGRAM_BYTES);
-        let (answer_counts, limit, leaving_boot) = match self {
-            Self::Subscribe(answer_counts, limit) => {
+        match self {
+            Self::Subscribe(subscription) => {
                 bytes.extend_from_slice(&SUBSCRIBE_MAGIC);
-                (answer_counts, limit, None)
+                encode_counts(&mut bytes, subscription.answer_counts, subscription.limit);
+                bytes.extend_from_slice(&subscription.asked_at_ms.to_be_bytes());
+                bytes.push(u8::from(subscription.is_urgent));
             }
             Self::Load(load) => {
                 bytes.extend_from_slice(&LOAD_MAGIC);
@@ -71,22 +98,19 @@
                 for count in [load.waiting, load.starting, load.running, load.gateways] {
                     bytes.extend_from_slice(&count.to_be_bytes());
                 }
-                let boot = load.leaving_boot.map_or(0, NonZeroU64::get);
-                (load.answer_counts, load.limit, Some(boot))
+                encode_counts(&mut bytes, load.answer_counts, load.limit);
+                for boot in [load.leaving_boot, load.boot] {
+                    let boot = boot.map_or(0, NonZeroU64::get);
+                    bytes.extend_from_slice(&boot.to_be_bytes());
+                }
+                bytes.extend_from_slice(&load.sent_at.0.to_be_bytes());
+                for ms in [load.cold_left_ms, load.answering_for_ms, load.asked_at_ms] {
+                    bytes.extend_from_slice(&ms.to_be_bytes());
+                }
+                let (place, places) = load.lease.map_or((0, 0), |l| (l.place, l.places));
+                bytes.extend_from_slice(&place.to_be_bytes());
+                bytes.extend_from_slice(&places.to_be_bytes());
             }
-        };
-        let counts = [
-            answer_counts.answers,
-            answer_counts.failed,
-            answer_counts.slow,
-            answer_counts.paces,
-            answer_counts.slow_paces,
-        ];
-        for count in counts.into_iter().chain(encode_limit(limit)) {
-            bytes.extend_from_slice(&count.to_be_bytes());
-        }
-        if let Some(boot) = leaving_boot {
-            bytes.extend_from_slice(&boot.to_be_bytes());
         }
         bytes
     }
@@ -95,13 +119,39 @@
     #[must_use]
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         if let Some(rest) = bytes.strip_prefix(&SUBSCRIBE_MAGIC) {
-            let (answer_counts, limit) = decode_counts(rest)?;
-            return Some(Self::Subscribe(answer_counts, limit));
+            let (counts, rest) = rest.split_first_chunk::<28>()?;
+            let (asked_at, rest) = rest.split_first_chunk::<4>()?;
+            let is_urgent = match rest {
+                [0] => false,
+                [1] => true,
+                _ => return None,
+            };
+            let (answer_counts, limit) = decode_counts(counts)?;
+            return Some(Self::Subscribe(Subscription {
+                answer_counts,
+                limit,
+                asked_at_ms: u32::from_be_bytes(*asked_at),
+                is_urgent,
+            }));
         }
         let (load, rest) = bytes.strip_prefix(&LOAD_MAGIC)?.split_first_chunk::<12>()?;
         let [a, b, c, d, w0, w1, s0, s1, r0, r1, g0, g1] = *load;
-        let (rest, boot) = rest.split_last_chunk::<8>()?;
-        let (answer_counts, limit) = decode_counts(rest)?;
+        let (counts, rest) = rest.split_first_chunk::<28>()?;
+        let (answer_counts, limit) = decode_counts(counts)?;
+        let (times, rest) = rest.split_first_chunk::<24>()?;
+        let (times, _) = times.as_chunks::<8>();
+        let [leaving_boot, boot, sent_at] = [0, 1, 2].map(|at| u64::from_be_bytes(times[at]));
+        let (spans, rest) = rest.split_first_chunk::<12>()?;
+        let (spans, _) = spans.as_chunks::<4>();
+        let [cold_left_ms, answering_for_ms, asked_at_ms] =
+            [0, 1, 2].map(|at| u32::from_be_bytes(spans[at]));
+        let &[p0, p1, n0, n1] = rest else {
+            return None;
+        };
+        let lease = match (u16::from_be_bytes([p0, p1]), u16::from_be_bytes([n0, n1])) {
+            (0, 0) => None,
+            (place, places) => Some(Lease::new(place, places)?),
+        };
         Some(Self::Load(Load {
             seq: u32::from_be_bytes([a, b, c, d]),
             waiting: u16::from_be_bytes([w0, w1]),
@@ -110,7 +160,13 @@
             gateways: u16::from_be_bytes([g0, g1]),
             answer_counts,
             limit,
-            leaving_boot: NonZeroU64::new(u64::from_be_bytes(*boot)),
+            leaving_boot: NonZeroU64::new(leaving_boot),
+            boot: NonZeroU64::new(boot),
+            cold_left_ms,
+            answering_for_ms,
+            sent_at: Millis(sent_at),
+            asked_at_ms,
+            lease,
         }))
     }
 }
@@ -126,8 +182,20 @@
     [word.per_1000_s.unwrap_or(NONE), age]
 }
 
-fn decode_counts(bytes: &[u8]) -> Option<(Judged, Option<LimitWord>)> {
-    let bytes: &[u8; 28] = bytes.try_into().ok()?;
+fn encode_counts(bytes: &mut Vec<u8>, answer_counts: Judged, limit: Option<LimitWord>) {
+    let counts = [
+        answer_counts.answers,
+        answer_counts.failed,
+        answer_counts.slow,
+        answer_counts.paces,
+        answer_counts.slow_paces,
+    ];
+    for count in counts.into_iter().chain(encode_limit(limit)) {
+        bytes.extend_from_slice(&count.to_be_bytes());
+    }
+}
+
+fn decode_counts(bytes: &[u8; 28]) -> Option<(Judged, Option<LimitWord>)> {
     let (counts, _) = bytes.as_chunks::<4>();
     let [answers, failed, slow, paces, slow_paces, limit, age] =
         [0, 1, 2, 3, 4, 5, 6].map(|at| u32::from_be_bytes(counts[at]));
--- a/src/beacon/receiver.rs
+++ b/src/beacon/receiver.rs
@@ -10,11 +10,13 @@
 
 use crate::forward::notices::LeavingSource;
 use crate::forward::shared::Shared;
+use crate::router::cold::BeaconWord;
+use crate::router::fleet::Upstream;
 use crate::router::named_limits::LimitWord;
 use crate::router::rollout::Judged;
 use crate::units::Millis;
 
-use super::{Datagram, MAX_DATAGRAM_BYTES};
+use super::{Datagram, MAX_DATAGRAM_BYTES, Subscription};
 
 /// Interval at which the gateway renews its subscriptions.
 const SUBSCRIBE_INTERVAL: Millis = Millis::from_secs(1);
@@ -60,20 +62,28 @@
         let is_due = renewed_at.is_none_or(|at| now.since(at) >= SUBSCRIBE_INTERVAL);
         let engines = engines(shared);
         let words = limit_words(shared, now);
+        let urgent = cold_upstreams(shared, now);
         let due = if is_due {
             renewed_at = Some(now);
             engines.clone()
         } else {
             let mut due = with_new_bad_answers(&engines, &reported);
             due.extend(with_changed_limits(&engines, &words, &reported_words));
+            let is_urgent = |(ip, _): &&(IpAddr, Judged)| urgent.binary_search(ip).is_ok();
+            due.extend(engines.iter().filter(is_urgent));
             due.sort_unstable_by_key(|(ip, _)| *ip);
             due.dedup_by_key(|(ip, _)| *ip);
             due
         };
         for (ip, answer_counts) in due {
             let word = words.binary_search_by_key(&ip, |(ip, _)| *ip);
-            let word = word.ok().map(|at| words[at].1);
-            let bytes = Datagram::Subscribe(answer_counts, word).encode();
+            let bytes = Datagram::Subscribe(Subscription {
+                answer_counts,
+                limit: word.ok().map(|at| words[at].1),
+                asked_at_ms: low_bits(now),
+                is_urgent: urgent.binary_search(&ip).is_ok(),
+            })
+            .encode();
             if let Err(error) = socket.send_to(&bytes, (ip, port)).await {
                 log::debug!(event = "subscribe_failed", upstream:% = ip, error:% = error; "");
             }
@@ -124,6 +134,30 @@
     words
 }
 
+/// Returns the addresses of upstreams that count as cold, sorted: this gateway needs turns there, or to hear that they are warm.
+fn cold_upstreams(shared: &Shared, now: Millis) -> Vec<IpAddr> {
+    let (fleet, cold) = (shared.fleet.borrow(), shared.cold.borrow());
+    let view = shared.cold_view(now);
+    let is_cold = |u: &&Rc<Upstream>| {
+        let terms = shared.cold_terms(&u.service);
+        terms.is_some_and(|terms| cold.is_cold(&u.id, u.boot, terms, view))
+    };
+    let mut ips: Vec<_> = fleet.all().filter(is_cold).map(|u| u.addr.ip()).collect();
+    ips.sort_unstable();
+    ips
+}
+
+/// Returns the part of a time that a datagram holds.
+fn low_bits(time: Millis) -> u32 {
+    u32::try_from(time.0 & u64::from(u32::MAX)).unwrap_or_default()
+}
+
+/// Returns the time before `now` whose lowest bits a datagram holds.
+fn from_low_bits(bits: u32, now: Millis) -> Millis {
+    let age = low_bits(now).wrapping_sub(bits);
+    Millis(now.0.saturating_sub(age.into()))
+}
+
 /// Returns the addresses of the engines, each with this gateway's answer counts.
 fn engines(shared: &Shared) -> Vec<(IpAddr, Judged)> {
     let now = shared.clock.now();
@@ -170,11 +204,20 @@
     fn record_beacon_load(&self, ip: IpAddr, load: super::Load) {
         let now = self.clock.now();
         self.record_gateways(load.gateways, now);
+        let word = BeaconWord {
+            boot: load.boot.map(NonZeroU64::get),
+            cold_left: Millis(load.cold_left_ms.into()),
+            answering_for: Millis(load.answering_for_ms.into()),
+            asked_at: from_low_bits(load.asked_at_ms, now),
+            sent_at: load.sent_at,
+            lease: load.lease,
+        };
         let upstreams: Vec<_> = (self.fleet.borrow().all())
             .filter(|u| u.addr.ip() == ip)
             .cloned()
             .collect();
         for upstream in &upstreams {
+            self.observe_cold_beacon(upstream, word, now);
             (self.health.borrow_mut()).record_load(&upstream.id, upstream.boot, load, now);
             if load.leaving_boot.map(NonZeroU64::get) == Some(upstream.boot) {
                 self.record_leaving(&upstream.id, upstream.boot, LeavingSource::Beacon);
--- a/src/beacon/sender.rs
+++ b/src/beacon/sender.rs
@@ -16,9 +16,10 @@
 use crate::forward::pool::Conn;
 use crate::router::named_limits::LimitWord;
 use crate::router::rollout::Judged;
+use crate::router::turns::{LEASE_LIFETIME, Places};
 use crate::units::Millis;
 
-use super::{Datagram, Load, MAX_DATAGRAM_BYTES};
+use super::{Datagram, Load, MAX_DATAGRAM_BYTES, Subscription};
 
 /// Pause between two polls of the upstream. Its queue changes within tens of milliseconds, but each load wakes up
 /// every gateway.
@@ -39,12 +40,18 @@
 /// Time limit for the upstream's load report.
 pub(super) const REPORT_TIMEOUT: Millis = Millis(500);
 
+/// Time without a poll from which the upstream may have been away.
+const MAX_SILENCE: Millis = Millis(1_000);
+
 #[derive(Debug)]
 struct Subscriber {
     addr: SocketAddr,
     until: Millis,
     answer_counts: Judged,
     limit: Option<Told>,
+    asked_at_ms: u32,
+    /// Whether it waits for a load.
+    is_urgent: bool,
 }
 
 /// Age from which words are taken for equally old; words may be older than the process.
@@ -112,7 +119,12 @@
                 continue;
             }
         };
-        let Some(Datagram::Subscribe(answer_counts, word)) = Datagram::decode(&buf[..length])
+        let Some(Datagram::Subscribe(Subscription {
+            answer_counts,
+            limit: word,
+            asked_at_ms,
+            is_urgent,
+        })) = Datagram::decode(&buf[..length])
         else {
             continue;
         };
@@ -122,27 +134,20 @@
             at: (now + OLDEST_WORD).since(word.age),
             per_1000_s: word.per_1000_s,
         });
+        let subscriber = Subscriber {
+            addr,
+            until,
+            answer_counts,
+            limit,
+            asked_at_ms,
+            is_urgent,
+        };
         let mut subscribers = subscribers.borrow_mut();
         match subscribers.binary_search_by_key(&addr, |s| s.addr) {
-            Ok(at) => {
-                subscribers[at] = Subscriber {
-                    addr,
-                    until,
-                    answer_counts,
-                    limit,
-                }
-            }
+            Ok(at) => subscribers[at] = subscriber,
             Err(at) if subscribers.len() < MAX_SUBSCRIBERS => {
                 log::info!(event = "subscribed", gateway:% = addr; "");
-                subscribers.insert(
-                    at,
-                    Subscriber {
-                        addr,
-                        until,
-                        answer_counts,
-                        limit,
-                    },
-                );
+                subscribers.insert(at, subscriber);
             }
             Err(_) => log::warn!(event = "too_many_subscribers", gateway:% = addr; ""),
         }
@@ -158,6 +163,8 @@
     let (mut conn, mut last_sent, mut last_sent_at) = (None, None, Millis(0));
     let mut is_responding = true;
     let mut seq = 0;
+    let (started_at, started_unix) = (clock.now(), clock.unix());
+    let (mut places, mut answering) = (Places::default(), Answering::default());
     loop {
         sleep(POLL_PAUSE.duration()).await;
         let now = clock.now();
@@ -173,21 +180,36 @@
         }
         let Some(load) = load else {
             conn = None;
+            answering.end();
             continue;
         };
+        let answering_for = answering.observe(load.boot, now);
+        places.retain(
+            |addr| {
+                let subscribers = subscribers.borrow();
+                let found = subscribers.binary_search_by_key(&addr, |s| s.addr);
+                found.is_ok()
+            },
+            now,
+        );
+        // A beacon that ran here before may have leased the turns of a process that is as old.
+        let is_older = load.boot.is_none_or(|boot| boot.get() <= started_unix.0);
+        let has_others = is_older && now.since(started_at) < LEASE_LIFETIME;
         let answer_counts = (subscribers.borrow().iter())
             .fold(Judged::default(), |sum, s| sum.plus(s.answer_counts));
         let told = (subscribers.borrow().iter())
             .filter_map(|s| s.limit)
             .max_by_key(|t| t.at);
         let state = Some((load, answer_counts.bad(), told.map(|t| t.per_1000_s)));
-        if last_sent == state && now.since(last_sent_at) < RESEND_INTERVAL {
+        let is_due = last_sent != state || now.since(last_sent_at) >= RESEND_INTERVAL;
+        if is_due {
+            (last_sent, last_sent_at) = (state, now);
+        } else if !subscribers.borrow().iter().any(|s| s.is_urgent) {
             continue;
         }
-        (last_sent, last_sent_at) = (state, now);
         seq += 1;
         let gateways = u16::try_from(subscribers.borrow().len()).unwrap_or(u16::MAX);
-        let bytes = Datagram::Load(Load {
+        let load = Load {
             seq,
             gateways,
             answer_counts,
@@ -195,11 +217,28 @@
                 per_1000_s: t.per_1000_s,
                 age: (now + OLDEST_WORD).since(t.at),
             }),
+            answering_for_ms: to_u32(answering_for),
+            sent_at: clock.unix(),
             ..load
-        })
-        .encode();
-        let addrs: Vec<_> = subscribers.borrow().iter().map(|s| s.addr).collect();
-        for addr in addrs {
+        };
+        let mut due = Vec::new();
+        for subscriber in subscribers.borrow_mut().iter_mut() {
+            if is_due || std::mem::take(&mut subscriber.is_urgent) {
+                due.push((subscriber.addr, subscriber.asked_at_ms));
+            }
+        }
+        for (addr, asked_at_ms) in due {
+            let lease = if has_others {
+                None
+            } else {
+                places.lease(addr, now)
+            };
+            let bytes = Datagram::Load(Load {
+                asked_at_ms,
+                lease,
+                ..load
+            })
+            .encode();
             if let Err(error) = socket.send_to(&bytes, addr).await {
                 log::debug!(event = "send_failed", gateway:% = addr, error:% = error; "");
             }
@@ -207,6 +246,34 @@
     }
 }
 
+/// Since when the upstream answers.
+#[derive(Debug, Default)]
+struct Answering {
+    since: Option<Millis>,
+    last_at: Millis,
+    boot: Option<NonZeroU64>,
+}
+
+impl Answering {
+    /// Records an answer; returns for how long the process has answered without a silence.
+    fn observe(&mut self, boot: Option<NonZeroU64>, now: Millis) -> Millis {
+        if now.since(self.last_at) > MAX_SILENCE || self.boot != boot {
+            self.since = None;
+        }
+        (self.last_at, self.boot) = (now, boot);
+        now.since(*self.since.get_or_insert(now))
+    }
+
+    /// Records that the upstream does not answer.
+    const fn end(&mut self) {
+        self.since = None;
+    }
+}
+
+fn to_u32(time: Millis) -> u32 {
+    u32::try_from(time.0).unwrap_or(u32::MAX)
+}
+
 /// Fetches the upstream's load report, over the connection of the previous poll if there is one.
 async fn poll(idle_conn: &mut Option<Conn>, upstream: SocketAddr) -> Option<Load> {
     let mut conn = if let Some(conn) = idle_conn.take() {
@@ -220,13 +287,12 @@
     let load = report.load;
     let count = |count: u64| u16::try_from(count).unwrap_or(u16::MAX);
     Some(Load {
-        seq: 0,
         waiting: count(load.waiting),
         starting: count(load.starting),
         running: count(load.running),
-        gateways: 0,
-        answer_counts: Judged::default(),
-        limit: None,
+        boot: load.boot.and_then(NonZeroU64::new),
+        cold_left_ms: to_u32(report.cold_left),
         leaving_boot: (load.boot.filter(|_| report.is_leaving)).and_then(NonZeroU64::new),
+        ..Load::default()
     })
 }
--- a/src/beacon/tests.rs
+++ b/src/beacon/tests.rs
@@ -7,11 +7,12 @@
 
 use super::receiver::{self, with_new_bad_answers};
 use super::sender::{self, Sender};
-use super::{Datagram, Load};
+use super::{Datagram, Load, MAX_DATAGRAM_BYTES, Subscription};
 use crate::fixtures;
 use crate::forward::{follow, rollouts};
 use crate::router::named_limits::LimitWord;
 use crate::router::rollout::Judged;
+use crate::router::turns::Lease;
 use crate::units::Millis;
 
 const ANSWER_COUNTS: Judged = Judged {
@@ -38,6 +39,12 @@
         answer_counts: ANSWER_COUNTS,
         limit: Some(WORD),
         leaving_boot: NonZeroU64::new(1_700_000_000_123),
+        boot: NonZeroU64::new(1_700_000_000_123),
+        cold_left_ms: 2_900,
+        answering_for_ms: 70_000,
+        sent_at: Millis(1_700_000_001_000),
+        asked_at_ms: u32::MAX,
+        lease: Lease::new(31, 32),
     };
     let lifted = LimitWord {
         per_1000_s: None,
@@ -45,8 +52,17 @@
     };
 
     for datagram in [
-        Datagram::Subscribe(ANSWER_COUNTS, None),
-        Datagram::Subscribe(ANSWER_COUNTS, Some(lifted)),
+        Datagram::Subscribe(Subscription {
+            answer_counts: ANSWER_COUNTS,
+            is_urgent: true,
+            ..Subscription::default()
+        }),
+        Datagram::Subscribe(Subscription {
+            answer_counts: ANSWER_COUNTS,
+            limit: Some(lifted),
+            asked_at_ms: 7,
+            is_urgent: false,
+        }),
         Datagram::Load(load),
     ] {
         let mut bytes = datagram.encode();
@@ -86,7 +102,7 @@
                 let body =
                     r#"{"waiting":3,"running":2,"runs":[["a",9,0,5],["b",9,4,5]],"born":99}"#;
                 let head = format!(
-                    "HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nContent-Length: {}\r\n\r\n",
+                    "HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nX-Fireflywind-Cold-Ms: 1500\r\nContent-Length: {}\r\n\r\n",
                     body.len()
                 );
                 let answer = format!("{head}{body}");
@@ -108,11 +124,17 @@
             age: Millis::from_secs(60),
         };
         for (socket, word) in [(&other, older), (&gateway, WORD)] {
-            let subscription = Datagram::Subscribe(ANSWER_COUNTS, Some(word)).encode();
+            let subscription = Datagram::Subscribe(Subscription {
+                answer_counts: ANSWER_COUNTS,
+                limit: Some(word),
+                asked_at_ms: 5,
+                is_urgent: false,
+            })
+            .encode();
             let sent = socket.send_to(&subscription, sender.addr()).await;
             sent.expect("loopback accepts the datagram");
         }
-        let mut buf = [0; 64];
+        let mut buf = [0; MAX_DATAGRAM_BYTES];
         let (length, _) = gateway.recv_from(&mut buf).await.expect("a load arrives");
 
         let expected = Load {
@@ -124,6 +146,13 @@
             answer_counts: ANSWER_COUNTS.plus(ANSWER_COUNTS),
             limit: None,
             leaving_boot: NonZeroU64::new(99),
+            boot: NonZeroU64::new(99),
+            cold_left_ms: 1_500,
+            answering_for_ms: 0,
+            sent_at: Millis(0),
+            asked_at_ms: 5,
+            // A beacon that ran before may have leased the turns of a process that is older than this one.
+            lease: None,
         };
         let Some(Datagram::Load(load)) = Datagram::decode(&buf[..length]) else {
             panic!("the datagram is not a load");
@@ -132,6 +161,7 @@
         assert_eq!(
             Load {
                 limit: None,
+                sent_at: Millis(0),
                 ..load
             },
             expected
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -228,6 +228,7 @@
                 crash::connection_refused(shared, upstream);
             }
             observe_outcome(shared, upstream, AttemptOutcome::Silent, "connect");
+            shared.observe_cold_silence(upstream, shared.clock.now());
             return Err(AttemptEnd::Retry(AttemptFailure::NotSent));
         };
         let now = shared.clock.now();
@@ -240,6 +241,14 @@
         }
         conn
     };
+    if !shared.may_send_cold(upstream, choice.turn) {
+        log::info!(event = "attempt_withdrawn", request:% = String::from_utf8_lossy(&job.id),
+            upstream:% = upstream.id, barrier = "cold"; "");
+        shared.metrics.count_event("cold_turn_missed");
+        let now = shared.clock.now();
+        (shared.pool.borrow_mut()).put(&upstream.id, upstream.boot, upstream.addr, conn, now);
+        return Err(AttemptEnd::Retry(AttemptFailure::NotSent));
+    }
     Ok(OpenAttempt {
         upstream: Rc::clone(upstream),
         backlog: choice.backlog,
@@ -333,6 +342,7 @@
         observe_outcome(shared, &open.upstream, AttemptOutcome::Broken, error.name());
     }
     let now = shared.clock.now();
+    shared.observe_cold_silence(&open.upstream, now);
     log::info!(event = "attempt_lost", request:% = String::from_utf8_lossy(&job.id),
         upstream:% = open.upstream.id, error = error.name(), reused = open.conn.is_reused,
         began_ms = open.began_ms(now), features:? = job.features; "");
--- a/src/forward/choose.rs
+++ b/src/forward/choose.rs
@@ -2,10 +2,10 @@
 
 use std::rc::Rc;
 
+use crate::router::cold::Turn;
 use crate::router::demand::ModelClass;
+use crate::router::eligibility::{self, Barrier};
 use crate::router::fleet::Upstream;
-use crate::router::named_limits::Limited;
-use crate::router::pauses::Paused;
 use crate::router::pick::{self, Candidate, PickRequest};
 use crate::router::rollout::Group;
 use crate::router::{hash, mix};
@@ -24,6 +24,8 @@
     pub(super) upstream: Rc<Upstream>,
     /// Work queued at the upstream, in prompt tokens of the largest model, if it reported its load.
     pub(super) backlog: Option<u64>,
+    /// The turn that the request has taken, if the upstream is cold.
+    pub(super) turn: Option<Turn>,
 }
 
 /// Why no upstream was chosen.
@@ -31,22 +33,25 @@
 pub(super) enum NoChoice {
     /// There is none.
     NoUpstream,
-    /// All name a limit, and this gateway's part of it is used up for this time.
-    Limited(Limited),
-    /// All that the request may use want a pause; the pause that ends first.
-    Paused(Paused),
+    /// All that the request may use are barred; the barrier that opens first.
+    Barred(Barrier),
 }
 
 /// Chooses the upstream of an attempt; upstreams in `tried` are used only as the last choice.
 pub(super) fn choose(shared: &Shared, job: &Job, tried: &[Rc<str>]) -> Result<Choice, NoChoice> {
     let now = shared.clock.now();
     let fleet = shared.fleet.borrow();
-    let (ready, paused) = without_paused(shared, fleet.ready(&job.service, now).collect(), now);
+    shared.cold.borrow_mut().tick(now);
+    let ready = fleet.ready(&job.service, now).collect();
+    let (ready, barrier) = eligibility::divide(ready, |u| paused(shared, u, now));
     let eligible = eligible_upstreams(shared, job, ready, tried.len(), now);
-    if let Some(paused) = paused.filter(|_| eligible.is_empty()) {
-        return Err(NoChoice::Paused(paused));
+    if let Some(barrier) = barrier.filter(|_| eligible.is_empty()) {
+        return Err(NoChoice::Barred(barrier));
+    }
+    let (eligible, barrier) = eligibility::divide(eligible, |u| out_of_turn(shared, u, now));
+    if let Some(barrier) = barrier.filter(|_| eligible.is_empty()) {
+        return Err(NoChoice::Barred(barrier));
     }
-    let eligible = within_limits(shared, eligible, now)?;
     let policy = shared.policy();
     let mut health = shared.health.borrow_mut();
     let mut candidates: Vec<_> = eligible
@@ -98,51 +103,32 @@
     Ok(Choice {
         upstream: Rc::clone(upstream),
         backlog,
+        turn: shared.take_cold_turn(upstream, now),
     })
 }
 
-/// Returns the upstreams that may get a request within the limits that they name.
-fn within_limits<'a>(
-    shared: &Shared,
-    upstreams: Vec<&'a Rc<Upstream>>,
-    now: Millis,
-) -> Result<Vec<&'a Rc<Upstream>>, NoChoice> {
-    let limits = shared.named_limits.borrow();
-    if limits.is_empty() {
-        return Ok(upstreams);
-    }
-    let (sharing, unix) = (shared.sharing(now), shared.clock.unix());
-    let (within, limited): (Vec<_>, Vec<_>) =
-        (upstreams.into_iter()).partition(|u| limits.may_send(&u.id, u.boot, sharing, now, unix));
-    let reasons = limited.iter();
-    let reasons = reasons.filter_map(|u| limits.limited(&u.id, u.boot, sharing, now, unix));
-    match reasons.min_by_key(|reason| reason.wait) {
-        Some(reason) if within.is_empty() => Err(NoChoice::Limited(reason)),
-        _ => Ok(within),
+/// Returns why an upstream wants no request now, if it asks for a pause.
+fn paused(shared: &Shared, upstream: &Upstream, now: Millis) -> Option<Barrier> {
+    let pauses = shared.pauses.borrow();
+    if pauses.is_empty() {
+        return None;
     }
+    let reason = pauses.paused(&upstream.id, upstream.boot, now, shared.draw());
+    reason.map(Barrier::Paused)
 }
 
-/// Returns the upstreams that do not want a pause, and of the others the pause that ends first.
-fn without_paused<'a>(
-    shared: &Shared,
-    upstreams: Vec<&'a Rc<Upstream>>,
-    now: Millis,
-) -> (Vec<&'a Rc<Upstream>>, Option<Paused>) {
-    let pauses = shared.pauses.borrow();
-    if pauses.is_empty() {
-        return (upstreams, None);
+/// Returns why an upstream gets no request now within the limit that it names and the bound on cold upstreams.
+fn out_of_turn(shared: &Shared, upstream: &Upstream, now: Millis) -> Option<Barrier> {
+    let limits = shared.named_limits.borrow();
+    if !limits.is_empty() {
+        let (id, boot) = (&upstream.id, upstream.boot);
+        let (sharing, unix) = (shared.sharing(now), shared.clock.unix());
+        if !limits.may_send(id, boot, sharing, now, unix) {
+            let reason = limits.limited(id, boot, sharing, now, unix);
+            return reason.map(Barrier::Limited);
+        }
     }
-    let mut shortest: Option<Paused> = None;
-    let is_free = |u: &&Rc<Upstream>| {
-        let reason = pauses.paused(&u.id, u.boot, now, shared.draw());
-        shortest = [shortest, reason]
-            .into_iter()
-            .flatten()
-            .min_by_key(|p| p.wait);
-        reason.is_none()
-    };
-    let free = upstreams.into_iter().filter(is_free).collect();
-    (free, shortest)
+    shared.cold(upstream, now).map(Barrier::Cold)
 }
 
 /// Returns the share of the upstreams that serve the smallest model, in permille, and what the choice depends on;
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpStream;
 
 use crate::platform::{headers, report};
+use crate::units::Millis;
 
 use super::body::Decoder;
 use super::head::{self, Framing, ResponseHead};
@@ -291,6 +292,8 @@
     pub load: report::EngineLoad,
     /// Whether the engine says that it leaves.
     pub is_leaving: bool,
+    /// How long the engine says that it stays cold.
+    pub cold_left: Millis,
     /// Whether the connection can be used again.
     pub is_reusable: bool,
 }
@@ -312,6 +315,7 @@
     Some(FetchedReport {
         load,
         is_leaving: head.is_of_leaving_upstream(),
+        cold_left: Millis(head.fields.number(headers::UPSTREAM_COLD_MS).unwrap_or(0)),
         is_reusable: head.keep_alive && conn.buf.is_empty(),
     })
 }
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -419,6 +419,9 @@
     let mut upstreams = Vec::new();
     let mut containments = Vec::new();
     for event in events {
+        if let StoreEvent::Upstream(upstream) = &event {
+            shared.observe_cold_entry(upstream, now);
+        }
         if let StoreEvent::Upstream(upstream) = &event
             && upstream.state == UpstreamState::Ready
             && kind != UpdateKind::FirstListing
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -10,6 +10,7 @@
 pub mod body;
 mod choose;
 pub mod client;
+mod cold;
 mod containment;
 mod crash;
 pub mod events;
--- a/src/forward/notices.rs
+++ b/src/forward/notices.rs
@@ -83,6 +83,7 @@
         return;
     }
     observe_limit(shared, upstream, head, sent_at);
+    shared.observe_cold_answer(upstream, head);
     if head.is_of_leaving_upstream() {
         shared.record_leaving(&upstream.id, upstream.boot, LeavingSource::Answer);
     }
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -7,6 +7,8 @@
 
 use crate::platform::headers;
 use crate::router::attempt::{AttemptFailure, Attempts, ExecutionGuarantee};
+use crate::router::cold::Cold;
+use crate::router::eligibility::Barrier;
 use crate::router::named_limits::Limited;
 use crate::router::pauses::Paused;
 use crate::suspect::Decision;
@@ -140,18 +142,26 @@
             Ok(choice) => choice,
             Err(NoAttempt::ClientGone) => return Outcome::ClientGone,
             Err(NoAttempt::NoChoice(NoChoice::NoUpstream)) => break "no_upstream",
-            Err(NoAttempt::NoChoice(NoChoice::Limited(reason))) => {
+            Err(NoAttempt::NoChoice(NoChoice::Barred(Barrier::Limited(reason)))) => {
                 record_limited(shared, job, reason);
                 retry_after = retry_after.max(reason.wait);
                 break "limited";
             }
-            Err(NoAttempt::NoChoice(NoChoice::Paused(paused))) => {
+            Err(NoAttempt::NoChoice(NoChoice::Barred(Barrier::Cold(cold)))) => {
+                record_cold(shared, job, cold, "refused");
+                retry_after = retry_after.max(cold.wait);
+                break "cold";
+            }
+            Err(NoAttempt::NoChoice(NoChoice::Barred(Barrier::Paused(paused)))) => {
                 record_paused(shared, job, paused, "refused");
                 // Clients that were refused during one pause do not come back at the same moment.
                 let spread = shared.draw() % (paused.wait.0 / 4 + 1);
                 retry_after = retry_after.max(paused.wait + Millis(spread));
                 break "paused";
             }
+            Err(NoAttempt::NoChoice(NoChoice::Barred(
+                Barrier::Leaving | Barrier::Evacuated | Barrier::OutsideHome,
+            ))) => break "no_upstream",
         };
         let (upstream, now) = (&choice.upstream, shared.clock.now());
         tried.push(Rc::clone(&upstream.id));
@@ -220,23 +230,31 @@
 ) -> Result<Choice, NoAttempt> {
     let mut is_waiting = false;
     loop {
-        let paused = match choose(shared, job, tried) {
+        let barrier = match choose(shared, job, tried) {
             Ok(choice) => return Ok(choice),
-            Err(NoChoice::Paused(paused)) => paused,
+            Err(NoChoice::Barred(barrier)) => barrier,
             Err(reason) => return Err(NoAttempt::NoChoice(reason)),
         };
-        let is_too_long = shared.clock.now() + paused.wait + MIN_REMAINING_TIME >= job.deadline;
+        let (Barrier::Paused(Paused { wait, .. }) | Barrier::Cold(Cold { wait, .. })) = barrier
+        else {
+            return Err(NoAttempt::NoChoice(NoChoice::Barred(barrier)));
+        };
+        let is_too_long = shared.clock.now() + wait + MIN_REMAINING_TIME >= job.deadline;
         if is_too_long || !may_wait() {
-            return Err(NoAttempt::NoChoice(NoChoice::Paused(paused)));
+            return Err(NoAttempt::NoChoice(NoChoice::Barred(barrier)));
         }
         if !is_waiting {
             is_waiting = true;
-            record_paused(shared, job, paused, "waits");
+            match barrier {
+                Barrier::Paused(paused) => record_paused(shared, job, paused, "waits"),
+                Barrier::Cold(cold) => record_cold(shared, job, cold, "waits"),
+                _ => {}
+            }
         }
         // Another upstream may come; half of the wait keeps many waiting requests from asking all the time.
         let (shortest, longest) = PAUSE_RECHECK;
-        let recheck = Millis((paused.wait.0 / 2).clamp(shortest.0, longest.0));
-        let pause = paused.wait.min(recheck);
+        let recheck = Millis((wait.0 / 2).clamp(shortest.0, longest.0));
+        let pause = wait.min(recheck);
         tokio::select! {
             biased;
             () = client.closed() => return Err(NoAttempt::ClientGone),
@@ -256,6 +274,16 @@
     });
 }
 
+/// Logs a request whose upstreams are all cold, without a turn of this gateway.
+fn record_cold(shared: &Shared, job: &Job, cold: Cold, outcome: &'static str) {
+    log::info!(event = "cold", request:% = String::from_utf8_lossy(&job.id), service:% = job.service, outcome = outcome,
+        wait_ms = cold.wait.0, cause:? = cold.cause, has_lease = cold.has_lease; "");
+    shared.metrics.count_event(match outcome {
+        "waits" => "cold_waited_for",
+        _ => "cold",
+    });
+}
+
 /// Logs a request that is refused because all upstreams name a limit.
 fn record_limited(shared: &Shared, job: &Job, reason: Limited) {
     let sharing = shared.sharing(shared.clock.now());
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -9,6 +9,7 @@
 use crate::clock::Clock;
 use crate::ids;
 use crate::router::cascade::Cascade;
+use crate::router::cold::{ColdBound, ColdUpstreams};
 use crate::router::demand::Demand;
 use crate::router::departures::Departures;
 use crate::router::fleet::{Fleet, OutageTracker, Upstream};
@@ -71,6 +72,8 @@
     pub change_bound: Millis,
     /// Longest time after the start for which clients wait for the first listing of the store.
     pub startup_wait: Millis,
+    /// Bound on the requests that cold upstreams get.
+    pub cold: Option<ColdBound>,
 }
 
 /// A planned stop. Times are of the gateway's clock.
@@ -148,6 +151,8 @@
     pub(super) answer_memory: Rc<Memory>,
     /// Limits that upstreams name.
     pub(crate) named_limits: RefCell<NamedLimits>,
+    /// Upstreams that are or may be cold.
+    pub(crate) cold: RefCell<ColdUpstreams>,
     /// Pauses that upstreams ask for.
     pub(crate) pauses: RefCell<Pauses>,
     /// Runs of this gateway at upstreams, in flight and recently ended.
@@ -226,6 +231,7 @@
             request_memory,
             answer_memory,
             named_limits: RefCell::default(),
+            cold: RefCell::default(),
             pauses: RefCell::default(),
             exposures: RefCell::default(),
             evidence: RefCell::new(evidence),
--- a/src/forward/tests/fixture.rs
+++ b/src/forward/tests/fixture.rs
@@ -289,6 +289,7 @@
         change_bound: Millis(2_000),
         heartbeat: Millis(1_200),
         startup_wait: Millis::from_secs(60),
+        cold: None,
     }
 }
 
@@ -361,6 +362,8 @@
         name: "pool".into(),
         max_connections: 100,
         is_engine: false,
+        cold: Millis(0),
+        cold_per_s: 0.0,
         model_prices: Vec::new(),
     }];
     let account = Rc::new(Account {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -24,6 +24,8 @@
 pub const CONFIDENCE: &str = "X-Fireflywind-Confidence";
 /// Requests a second that an upstream in need takes from all gateways together, a decimal number.
 pub const UPSTREAM_LIMIT: &str = "Server-Limit";
+/// Milliseconds for which an upstream stays cold.
+pub const UPSTREAM_COLD_MS: &str = "X-Fireflywind-Cold-Ms";
 /// Set to `1` in all answers of an upstream that leaves.
 pub const UPSTREAM_LEAVING: &str = "Server-Leaving";
 /// Seconds for which an upstream that refuses a request with status 503 wants no other one; may have a fraction.
--- a/src/platform/items.rs
+++ b/src/platform/items.rs
@@ -316,6 +316,11 @@
     #[serde(rename = "maxConns", default)]
     max_connections: u32,
     engine: Option<Engine>,
+    /// Time for which an upstream is cold after a start during traffic.
+    #[serde(rename = "coldS", default)]
+    cold_s: f64,
+    #[serde(rename = "coldPerS", default)]
+    cold_per_s: f64,
 }
 
 #[derive(Deserialize)]
@@ -401,6 +406,8 @@
         name: raw.name.into(),
         max_connections: raw.max_connections,
         is_engine,
+        cold: Millis::from_secs_f64(raw.cold_s),
+        cold_per_s: raw.cold_per_s,
         model_prices,
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -10,6 +10,7 @@
 use serde_with::serde_as;
 
 use crate::forward::shared::Policy;
+use crate::router::cold::ColdBound;
 use crate::router::retry::RetryBounds;
 use crate::units::Millis;
 
@@ -134,12 +135,41 @@
     #[serde_as(as = "Share")]
     #[serde(default)]
     pub exposure: Option<f64>,
+    /// Bound on the requests that cold upstreams get.
+    #[serde(default)]
+    pub cold: ColdLimits,
     /// Idle time after which a session ends, in seconds.
     #[serde_as(as = "Seconds")]
     #[serde(rename = "session_s", default)]
     pub session: Option<Millis>,
 }
 
+/// Bound on the requests that a cold upstream gets in any second from all gateways; without a number there is none.
+#[serde_as]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdLimits {
+    /// Multiple of the rate that the upstream's service names.
+    #[serde_as(as = "NotNegative")]
+    #[serde(default)]
+    pub ratio: Option<f64>,
+    /// Number of requests allowed in addition.
+    #[serde_as(as = "NotNegative")]
+    #[serde(default)]
+    pub slack: Option<f64>,
+}
+
+impl ColdLimits {
+    /// Converts the bound into the router's type.
+    #[must_use]
+    pub fn bound(&self) -> Option<ColdBound> {
+        Some(ColdBound {
+            ratio: self.ratio?,
+            slack: self.slack?,
+        })
+    }
+}
+
 /// Limits on retries.
 #[serde_as]
 #[derive(Debug, Clone, Copy, Default, PartialEq, Deserialize)]
@@ -271,6 +301,7 @@
             heartbeat: self.heartbeat.unwrap_or(DEFAULT_HEARTBEAT),
             change_bound: configuration_bound.min(drain_bound),
             startup_wait: STARTUP_WAIT,
+            cold: self.cold.bound(),
         }
     }
 }
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -534,6 +534,12 @@
             .is_ok_and(|at| self.members[at].upstream.boot == boot)
     }
 
+    /// Returns whether an upstream with this id is registered, whatever its process.
+    #[must_use]
+    pub fn has(&self, id: &str) -> bool {
+        self.find(id).is_ok()
+    }
+
     fn find(&self, id: &str) -> Result<usize, usize> {
         self.members
             .binary_search_by(|m| m.upstream.id.as_ref().cmp(id))
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -6,9 +6,11 @@
 
 pub mod attempt;
 pub mod cascade;
+pub mod cold;
 pub mod comparison;
 pub mod demand;
 pub mod departures;
+pub mod eligibility;
 pub mod fleet;
 pub mod freshness;
 pub mod health;
@@ -26,6 +28,7 @@
 pub mod table;
 #[cfg(test)]
 mod tests;
+pub mod turns;
 
 /// Scrambles the bits of a number; one output step of `SplitMix64`.
 #[must_use]
--- a/src/router/table.rs
+++ b/src/router/table.rs
@@ -96,6 +96,10 @@
     pub max_connections: u32,
     /// Whether its upstreams are model engines.
     pub is_engine: bool,
+    /// Time for which an upstream is cold after a start.
+    pub cold: Millis,
+    /// Requests a second that a cold upstream tolerates; 0 if its upstreams are never cold.
+    pub cold_per_s: f64,
     /// Token price of each model, in any unit, sorted by the model's name.
     pub model_prices: Vec<(Rc<str>, f64)>,
 }
