--- a/src/router/cold.rs
+++ b/src/router/cold.rs
@@ -126,8 +126,8 @@
     told_until: Millis,
     /// Since when somebody must vouch that it is not cold.
     unvouched_since: Option<Millis>,
-    /// Since when it has answered its beacon.
-    answering_since: Option<Millis>,
+    /// For how long it had answered its beacon, and when that was heard.
+    answering: Option<(Millis, Millis)>,
     /// When its beacon was heard of last.
     heard_at: Option<Millis>,
     lease: Option<(Lease, Millis)>,
@@ -143,7 +143,7 @@
             boot,
             told_until: Millis(0),
             unvouched_since: Some(now),
-            answering_since: None,
+            answering: None,
             heard_at: None,
             lease: None,
             clocks: [None; 2],
@@ -158,14 +158,14 @@
             unix,
             store_age,
         } = view;
-        let started = [self.unvouched_since, self.answering_since];
-        let is_recent = |at: Millis| now.since(at) < terms.cold;
+        let is_unvouched = (self.unvouched_since).is_some_and(|at| now.since(at) < terms.cold);
+        let is_back = (self.answering).is_some_and(|(time, at)| time + now.since(at) < terms.cold);
         let is_unheard = |at: Millis| now.since(at).min(store_age) > MAX_WORD_AGE;
         if now < self.told_until {
             Some(ColdCause::Told)
         } else if unix.0 < self.boot.saturating_add((terms.cold + CLOCK_DIFFERENCE).0) {
             Some(ColdCause::Started)
-        } else if started.into_iter().flatten().any(is_recent) {
+        } else if is_unvouched || is_back {
             Some(ColdCause::Unvouched)
         } else if self.heard_at.is_some_and(is_unheard) {
             Some(ColdCause::Unheard)
@@ -279,7 +279,7 @@
             return;
         }
         known.told_until = known.told_until.max(now + word.cold_left);
-        known.answering_since = Some(Millis(now.0.saturating_sub(word.answering_for.0)));
+        known.answering = Some((word.answering_for, now));
         known.lease = word.lease.map(|l| (l, word.asked_at + LEASE_LIFETIME));
         if known.unvouched_since.is_some_and(|at| word.asked_at >= at) {
             known.unvouched_since = None;
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the routing decisions; none needs a network.
 
 mod cascade;
+mod cold;
 mod comparison_fuzz;
 mod departures;
 mod fleet;
@@ -14,3 +15,4 @@
 mod rollout;
 mod routing;
 mod slow_version;
+mod turns;
