Divide named limits by the leased turns too; log a cold upstream once

Cause: without knowledge of the others each gateway used a hashed turn of the limit, under half of it.

--- a/src/beacon/receiver.rs
+++ b/src/beacon/receiver.rs
@@ -62,7 +62,7 @@
         let is_due = renewed_at.is_none_or(|at| now.since(at) >= SUBSCRIBE_INTERVAL);
         let engines = engines(shared);
         let words = limit_words(shared, now);
-        let urgent = cold_upstreams(shared, now);
+        let urgent = upstreams_by_turns(shared, now);
         let due = if is_due {
             renewed_at = Some(now);
             engines.clone()
@@ -134,15 +134,17 @@
     words
 }
 
-/// Returns the addresses of upstreams that count as cold, sorted: this gateway needs turns there, or to hear that they are warm.
-fn cold_upstreams(shared: &Shared, now: Millis) -> Vec<IpAddr> {
+/// Returns the addresses of upstreams where this gateway needs turns, or to hear that they are warm; sorted.
+fn upstreams_by_turns(shared: &Shared, now: Millis) -> Vec<IpAddr> {
     let (fleet, cold) = (shared.fleet.borrow(), shared.cold.borrow());
+    let limits = shared.named_limits.borrow();
     let view = shared.cold_view(now);
-    let is_cold = |u: &&Rc<Upstream>| {
+    let has_turns = |u: &&Rc<Upstream>| {
         let terms = shared.cold_terms(&u.service);
         terms.is_some_and(|terms| cold.is_cold(&u.id, u.boot, terms, view))
+            || limits.has_limit(&u.id, u.boot)
     };
-    let mut ips: Vec<_> = fleet.all().filter(is_cold).map(|u| u.addr.ip()).collect();
+    let mut ips: Vec<_> = fleet.all().filter(has_turns).map(|u| u.addr.ip()).collect();
     ips.sort_unstable();
     ips
 }
--- a/src/forward/choose.rs
+++ b/src/forward/choose.rs
@@ -48,7 +48,12 @@
     if let Some(barrier) = barrier.filter(|_| eligible.is_empty()) {
         return Err(NoChoice::Barred(barrier));
     }
-    let (eligible, barrier) = eligibility::divide(eligible, |u| out_of_turn(shared, u, now));
+    let cold = (shared.cold_terms(&job.service)).map(|terms| (terms, shared.cold_view(now)));
+    let out_of_turn = |u: &&Rc<Upstream>| {
+        let cold = || cold.and_then(|(terms, view)| shared.cold(u, terms, view));
+        limited(shared, u, now).or_else(|| cold().map(Barrier::Cold))
+    };
+    let (eligible, barrier) = eligibility::divide(eligible, out_of_turn);
     if let Some(barrier) = barrier.filter(|_| eligible.is_empty()) {
         return Err(NoChoice::Barred(barrier));
     }
@@ -96,7 +101,7 @@
     (shared.named_limits.borrow_mut()).record_send(
         &upstream.id,
         upstream.boot,
-        shared.sharing(now),
+        shared.sharing_at(upstream, now),
         now,
         shared.clock.unix(),
     );
@@ -117,18 +122,19 @@
     reason.map(Barrier::Paused)
 }
 
-/// Returns why an upstream gets no request now within the limit that it names and the bound on cold upstreams.
-fn out_of_turn(shared: &Shared, upstream: &Upstream, now: Millis) -> Option<Barrier> {
+/// Returns why an upstream gets no request now within the limit that it names.
+fn limited(shared: &Shared, upstream: &Upstream, now: Millis) -> Option<Barrier> {
     let limits = shared.named_limits.borrow();
-    if !limits.is_empty() {
-        let (id, boot) = (&upstream.id, upstream.boot);
-        let (sharing, unix) = (shared.sharing(now), shared.clock.unix());
-        if !limits.may_send(id, boot, sharing, now, unix) {
-            let reason = limits.limited(id, boot, sharing, now, unix);
-            return reason.map(Barrier::Limited);
-        }
+    let (id, boot) = (&upstream.id, upstream.boot);
+    if !limits.has_limit(id, boot) {
+        return None;
+    }
+    let (sharing, unix) = (shared.sharing_at(upstream, now), shared.clock.unix());
+    if limits.may_send(id, boot, sharing, now, unix) {
+        return None;
     }
-    shared.cold(upstream, now).map(Barrier::Cold)
+    let reason = limits.limited(id, boot, sharing, now, unix);
+    reason.map(Barrier::Limited)
 }
 
 /// Returns the share of the upstreams that serve the smallest model, in permille, and what the choice depends on;
--- a/src/forward/cold.rs
+++ b/src/forward/cold.rs
@@ -51,8 +51,8 @@
     /// Records an upstream's entry in the store.
     pub(super) fn observe_cold_entry(&self, upstream: &Upstream, now: Millis) {
         let left = upstream.warm_up;
-        (self.cold.borrow_mut()).observe(&upstream.id, upstream.boot, left, now);
-        self.log_cold(upstream, left, ColdSource::Entry);
+        let is_new = (self.cold.borrow_mut()).observe(&upstream.id, upstream.boot, left, now);
+        self.log_cold(upstream, is_new, left, ColdSource::Entry);
     }
 
     /// Records what an answer says of its upstream.
@@ -61,14 +61,15 @@
             return;
         };
         let (left, now) = (Millis(left), self.clock.now());
-        (self.cold.borrow_mut()).observe(&upstream.id, upstream.boot, left, now);
-        self.log_cold(upstream, left, ColdSource::Answer);
+        let is_new = (self.cold.borrow_mut()).observe(&upstream.id, upstream.boot, left, now);
+        self.log_cold(upstream, is_new, left, ColdSource::Answer);
     }
 
     /// Records a beacon's word of its upstream.
     pub(crate) fn observe_cold_beacon(&self, upstream: &Upstream, word: BeaconWord, now: Millis) {
-        (self.cold.borrow_mut()).observe_beacon(&upstream.id, upstream.boot, word, now);
-        self.log_cold(upstream, word.cold_left, ColdSource::Beacon);
+        let (id, boot) = (&upstream.id, upstream.boot);
+        let is_new = (self.cold.borrow_mut()).observe_beacon(id, boot, word, now);
+        self.log_cold(upstream, is_new, word.cold_left, ColdSource::Beacon);
     }
 
     /// Records that an upstream does not answer; it may come back cold.
@@ -76,8 +77,8 @@
         (self.cold.borrow_mut()).observe_silence(&upstream.id, upstream.boot, now);
     }
 
-    fn log_cold(&self, upstream: &Upstream, left: Millis, source: ColdSource) {
-        if left == Millis(0) || self.cold_terms(&upstream.service).is_none() {
+    fn log_cold(&self, upstream: &Upstream, is_new: bool, left: Millis, source: ColdSource) {
+        if !is_new || self.cold_terms(&upstream.service).is_none() {
             return;
         }
         self.metrics.count_event("upstream_cold");
@@ -86,9 +87,7 @@
     }
 
     /// Returns why an upstream gets no request from this gateway now, if it is cold.
-    pub(super) fn cold(&self, upstream: &Upstream, now: Millis) -> Option<Cold> {
-        let terms = self.cold_terms(&upstream.service)?;
-        let view = self.cold_view(now);
+    pub(super) fn cold(&self, upstream: &Upstream, terms: ColdTerms, view: View) -> Option<Cold> {
         (self.cold.borrow()).cold(&upstream.id, upstream.boot, terms, view)
     }
 
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -403,6 +403,16 @@
         Sharing {
             gateway: crate::router::hash(self.policy().name.as_bytes()),
             gateways,
+            lease: None,
+        }
+    }
+
+    /// Returns this gateway's part of the limit that an upstream names.
+    #[must_use]
+    pub(super) fn sharing_at(&self, upstream: &Upstream, now: Millis) -> Sharing {
+        Sharing {
+            lease: (self.cold.borrow()).lease(&upstream.id, upstream.boot, now),
+            ..self.sharing(now)
         }
     }
 
--- a/src/platform/tests/items.rs
+++ b/src/platform/tests/items.rs
@@ -19,7 +19,7 @@
      "attempts":3,"public":false,"sticky":true,"resumable":true,"gapAimMs":1200},
     {"name":"r-2","host":"h.example","prefix":"/b/","type":"unsafe","timeoutMs":800,"service":"y",
      "attempts":1,"public":true}],
-  "services":[{"name":"x","healthPath":"/healthz","maxConns":230,"engine":{"slots":32,"models":[{"name":"s","cost":0.02},{"name":"l","cost":0.2}]}},{"name":"y"}],
+  "services":[{"name":"x","healthPath":"/healthz","maxConns":230,"coldS":3.0,"coldPerS":8.9,"engine":{"slots":32,"models":[{"name":"s","cost":0.02},{"name":"l","cost":0.2}]}},{"name":"y"}],
   "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":300,"idleTimeoutMs":400},
   "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":0}],"unknown":{}}"#;
 
@@ -61,6 +61,9 @@
         Some(100)
     );
     assert!(table.service("y").is_some_and(|s| !s.is_engine));
+    let cold = |name: &str| table.service(name).map(|s| (s.cold, s.cold_per_s));
+    assert_eq!(cold("x"), Some((Millis(3_000), 8.9)));
+    assert_eq!(cold("y"), Some((Millis(0), 0.0)));
     assert_eq!(table.limits.idle_timeout, Millis(400));
     assert_eq!(table.account("k2").map(|a| &*a.name), Some("t"));
 }
--- a/src/router/cold.rs
+++ b/src/router/cold.rs
@@ -32,6 +32,9 @@
 /// Difference to a beacon's clock by which it must have been set anew.
 const CLOCK_STEP: u64 = 1_000;
 
+/// Requests a second from which a bound is none: its turns would be shorter than the clock's resolution.
+const MIN_UNBOUNDED_RATE: f64 = 1_000.0;
+
 /// What a service says of its cold upstreams, with the bound on what they get.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ColdTerms {
@@ -51,12 +54,14 @@
 }
 
 impl ColdBound {
-    /// Returns the terms for the upstreams of a service; `None` if they are never cold.
+    /// Returns the terms for the upstreams of a service; `None` if they are never cold or have no bound then.
     #[must_use]
     pub fn terms(self, service: &ServiceSettings) -> Option<ColdTerms> {
-        (service.cold_per_s > 0.0).then(|| ColdTerms {
+        let allowed_per_s = service.cold_per_s * self.ratio + self.slack;
+        let is_bounded = service.cold_per_s > 0.0 && allowed_per_s < MIN_UNBOUNDED_RATE;
+        is_bounded.then_some(ColdTerms {
             cold: service.cold,
-            allowed_per_s: service.cold_per_s * self.ratio + self.slack,
+            allowed_per_s,
         })
     }
 }
@@ -151,6 +156,13 @@
         }
     }
 
+    /// Records for how long it says that it stays cold; returns whether it did not say so before.
+    fn observe(&mut self, left: Millis, now: Millis) -> bool {
+        let is_new = self.told_until <= now && left > Millis(0);
+        self.told_until = self.told_until.max(now + left);
+        is_new
+    }
+
     /// Returns why the upstream counts as cold, if it does.
     fn cause(&self, terms: ColdTerms, view: View) -> Option<ColdCause> {
         let View {
@@ -201,11 +213,16 @@
         }
     }
 
-    /// Returns the lease in force and the turn by the beacon's clock.
-    fn lease(&self, length: TurnLength, now: Millis) -> Option<(Lease, Turn)> {
-        let (lease, until) = self.lease?;
-        let time = self.beacon_time(now)?;
-        (now < until).then(|| (lease, Turn(length.turn_at(time))))
+    /// Returns the lease in force and the time by the beacon's clock.
+    fn lease(&self, now: Millis) -> Option<(Lease, Millis)> {
+        let (lease, _) = self.lease.filter(|(_, until)| now < *until)?;
+        Some((lease, self.beacon_time(now)?))
+    }
+
+    /// Returns the lease in force and the present turn.
+    fn turn(&self, length: TurnLength, now: Millis) -> Option<(Lease, Turn)> {
+        let (lease, time) = self.lease(now)?;
+        Some((lease, Turn(length.turn_at(time))))
     }
 
     /// Returns how long this gateway waits for its next turn; zero if it is there.
@@ -213,11 +230,10 @@
         let Some(length) = TurnLength::within_second(terms.allowed_per_s) else {
             return terms.cold;
         };
-        let (Some((lease, Turn(turn))), Some(time)) =
-            (self.lease(length, now), self.beacon_time(now))
-        else {
+        let Some((lease, time)) = self.lease(now) else {
             return LEASE_WAIT;
         };
+        let turn = length.turn_at(time);
         if lease.has(turn) && self.last_turn < Some(Turn(turn)) {
             return Millis(0);
         }
@@ -248,11 +264,10 @@
 
     /// Records for how long an upstream says that it stays cold, in its entry in the store or in an answer.
     ///
-    /// The word may have waited on its way, so the time counts from now.
-    pub fn observe(&mut self, upstream: &Rc<str>, boot: u64, left: Millis, now: Millis) {
-        if let Some(known) = self.entry(upstream, boot, now) {
-            known.told_until = known.told_until.max(now + left);
-        }
+    /// The word may have waited on its way, so the time counts from now. Returns whether the upstream did not say so before.
+    pub fn observe(&mut self, upstream: &Rc<str>, boot: u64, left: Millis, now: Millis) -> bool {
+        let known = self.entry(upstream, boot, now);
+        known.is_some_and(|known| known.observe(left, now))
     }
 
     /// Records that an upstream does not answer; it may be cold when it comes back.
@@ -265,10 +280,16 @@
         }
     }
 
-    /// Records a beacon's word of its upstream.
-    pub fn observe_beacon(&mut self, upstream: &Rc<str>, boot: u64, word: BeaconWord, now: Millis) {
+    /// Records a beacon's word of its upstream; returns whether that says that it is cold, and did not before.
+    pub fn observe_beacon(
+        &mut self,
+        upstream: &Rc<str>,
+        boot: u64,
+        word: BeaconWord,
+        now: Millis,
+    ) -> bool {
         let Some(known) = self.entry(upstream, boot, now) else {
-            return;
+            return false;
         };
         known.heard_at = Some(now);
         known.observe_clock(word.sent_at, now);
@@ -276,14 +297,14 @@
             // Another process has taken over; the store does not say so yet.
             known.unvouched_since = Some(now);
             known.lease = None;
-            return;
+            return false;
         }
-        known.told_until = known.told_until.max(now + word.cold_left);
         known.answering = Some((word.answering_for, now));
         known.lease = word.lease.map(|l| (l, word.asked_at + LEASE_LIFETIME));
         if known.unvouched_since.is_some_and(|at| word.asked_at >= at) {
             known.unvouched_since = None;
         }
+        known.observe(word.cold_left, now)
     }
 
     /// Returns why an upstream gets no request from this gateway now, if it does not.
@@ -306,6 +327,12 @@
         known.is_some_and(|known| known.cause(terms, view).is_some())
     }
 
+    /// Returns this gateway's lease of turns at an upstream, with the time by the clock of the beacon.
+    #[must_use]
+    pub fn lease(&self, upstream: &str, boot: u64, now: Millis) -> Option<(Lease, Millis)> {
+        self.find(upstream, boot)?.lease(now)
+    }
+
     /// Takes the turn for a request to an upstream; `None` if it is not cold.
     pub fn take(
         &mut self,
@@ -320,7 +347,7 @@
             return None;
         }
         let length = TurnLength::within_second(terms.allowed_per_s)?;
-        let (_, turn) = known.lease(length, view.now)?;
+        let (_, turn) = known.turn(length, view.now)?;
         known.last_turn = Some(turn);
         Some(turn)
     }
@@ -341,7 +368,7 @@
         let known = self.find(upstream, boot);
         let current = known
             .zip(length)
-            .and_then(|(k, length)| k.lease(length, view.now));
+            .and_then(|(k, length)| k.turn(length, view.now));
         if current.is_some_and(|(lease, now)| turn == Some(now) && lease.has(now.0)) {
             return true;
         }
--- a/src/router/named_limits.rs
+++ b/src/router/named_limits.rs
@@ -2,18 +2,22 @@
 //!
 //! Each gateway uses its part of the limit and needs no message for each request. A part of a request a second or more is a
 //! token bucket. A smaller part would let every gateway send its first request at the same moment, so gateways then take
-//! turns: time is divided into turns of one request each, and a hash gives each gateway its own among as many turns as there
-//! are gateways.
+//! turns: time is divided into turns of one request each. The beacon beside an upstream leases the turns, so that each has one
+//! gateway; see [`super::turns`]. Without a lease, a hash gives each gateway its own among as many turns as there are gateways.
 
 use std::rc::Rc;
 
+use crate::router::turns::Lease;
 use crate::router::{hash, mix};
 use crate::units::Millis;
 
 /// Share of the limit that token buckets use; their burst takes up to a further quarter of a second of it.
 const USED_BY_BUCKETS: f64 = 0.9;
 
-/// Share of the limit that turns use; the hash may give several gateways the same one.
+/// Share of the limit that leased turns use.
+const USED_BY_LEASES: f64 = 0.9;
+
+/// Share of the limit that other turns use; the hash may give several gateways the same one.
 const USED_BY_TURNS: f64 = 0.6;
 
 /// Part of a gateway, in requests a second, from which it has a token bucket.
@@ -38,6 +42,21 @@
     pub gateway: u64,
     /// Number of gateways.
     pub gateways: u64,
+    /// The gateway's lease of turns at the upstream, with the time by the clock of the beacon.
+    pub lease: Option<(Lease, Millis)>,
+}
+
+impl Sharing {
+    /// Returns the number of parts that the limit is divided into.
+    fn parts(self) -> u64 {
+        let leased = self.lease.map(|(lease, _)| u64::from(lease.places));
+        leased.unwrap_or(self.gateways).max(1)
+    }
+
+    /// Returns the time by which turns are counted.
+    fn time(self, unix: Millis) -> Millis {
+        self.lease.map_or(unix, |(_, time)| time)
+    }
 }
 
 /// What the last answer of an upstream says of its limit.
@@ -164,8 +183,8 @@
             None => true,
             Some(Part::Bucket { rate }) => known.tokens_at(rate, now) >= 1.0,
             Some(Part::Turn { width_ms, own }) => {
-                let turn = turn_at(unix, width_ms);
-                turn % sharing.gateways.max(1) == own && known.last_turn != Some(turn)
+                let turn = turn_at(sharing.time(unix), width_ms);
+                turn % sharing.parts() == own && known.last_turn != Some(turn)
             }
         }
     }
@@ -192,7 +211,9 @@
                 known.tokens = known.tokens_at(rate, now) - 1.0;
                 known.filled_at = now;
             }
-            Some(Part::Turn { width_ms, .. }) => known.last_turn = Some(turn_at(unix, width_ms)),
+            Some(Part::Turn { width_ms, .. }) => {
+                known.last_turn = Some(turn_at(sharing.time(unix), width_ms));
+            }
         }
     }
 
@@ -210,9 +231,9 @@
         let wait = match known.part(sharing)? {
             Part::Bucket { rate } => from_ms((1.0 - known.tokens_at(rate, now)) * 1_000.0 / rate),
             Part::Turn { width_ms, own } => {
-                let gateways = sharing.gateways.max(1);
-                let turn = turn_at(unix, width_ms) % gateways;
-                let turns = (own + gateways - turn - 1) % gateways + 1;
+                let parts = sharing.parts();
+                let turn = turn_at(sharing.time(unix), width_ms) % parts;
+                let turns = (own + parts - turn - 1) % parts + 1;
                 from_ms(to_f64(turns) * width_ms)
             }
         };
@@ -223,6 +244,13 @@
         })
     }
 
+    /// Returns whether an upstream names a limit.
+    #[must_use]
+    pub fn has_limit(&self, upstream: &str, boot: u64) -> bool {
+        let known = self.find(upstream, boot);
+        known.is_some_and(|known| known.per_second.is_some())
+    }
+
     /// Returns the number of upstreams that name a limit.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -307,15 +335,20 @@
 impl NamedLimit {
     fn part(&self, sharing: Sharing) -> Option<Part> {
         let limit = self.per_second?.max(MIN_LIMIT);
-        let gateways = sharing.gateways.max(1);
-        let rate = limit * USED_BY_BUCKETS / to_f64(gateways);
-        Some(if rate >= MIN_BUCKET_RATE {
-            Part::Bucket { rate }
-        } else {
-            Part::Turn {
-                width_ms: 1_000.0 / (limit * USED_BY_TURNS),
-                own: mix(sharing.gateway ^ hash(self.upstream.as_bytes())) % gateways,
+        let rate = limit * USED_BY_BUCKETS / to_f64(sharing.parts());
+        if rate >= MIN_BUCKET_RATE {
+            return Some(Part::Bucket { rate });
+        }
+        let (used, own) = match sharing.lease {
+            Some((lease, _)) => (USED_BY_LEASES, lease.place.into()),
+            None => {
+                let own = mix(sharing.gateway ^ hash(self.upstream.as_bytes()));
+                (USED_BY_TURNS, own % sharing.parts())
             }
+        };
+        Some(Part::Turn {
+            width_ms: 1_000.0 / (limit * used),
+            own,
         })
     }
 
--- a/src/router/tests/named_limits.rs
+++ b/src/router/tests/named_limits.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use crate::router::named_limits::{LimitChange, LimitSource, LimitWord, NamedLimits, Sharing};
+use crate::router::turns::Lease;
 use crate::router::{hash, mix};
 use crate::units::Millis;
 
@@ -54,6 +55,7 @@
                 sharing: Sharing {
                     gateway: hash(format!("edge-{seed}-{n}").as_bytes()),
                     gateways: gateways as u64,
+                    lease: None,
                 },
                 skew: draw(400),
                 starts,
@@ -167,6 +169,7 @@
     let sharing = Sharing {
         gateway: 7,
         gateways: 410,
+        lease: None,
     };
     let id = upstream();
     let mut limits = NamedLimits::default();
@@ -202,6 +205,7 @@
     let sharing = Sharing {
         gateway: 7,
         gateways: 410,
+        lease: None,
     };
     let id = upstream();
     let mut limits = NamedLimits::default();
@@ -224,6 +228,7 @@
         let sharing = Sharing {
             gateway: 7,
             gateways,
+            lease: None,
         };
         let mut limits = NamedLimits::default();
         limits.observe(&id, 1, Some(limit), Millis(0), Millis(0));
@@ -234,3 +239,38 @@
         assert!(wait > Millis(0) && wait <= Millis::from_secs(5), "{wait:?}");
     }
 }
+
+// Load: more gateways than a gateway can know of, all of which have work for an upstream that names a low limit.
+#[test]
+fn leased_turns_use_most_of_a_limit_and_no_more() {
+    for places in [4, 64, 512] {
+        for limit in [2.0, 3.5, 20.0] {
+            let mut all: Vec<_> = (0..places).map(|_| NamedLimits::default()).collect();
+            let mut sends = Vec::new();
+            for time in (0..40_000_u64).step_by(10) {
+                let now = Millis(time);
+                for (place, limits) in (0..).zip(&mut all) {
+                    let sharing = Sharing {
+                        gateway: 7,
+                        gateways: 32,
+                        lease: Lease::new(place, places).map(|lease| (lease, START + now)),
+                    };
+                    if time == 0 {
+                        limits.observe(&upstream(), 1, Some(limit), now, now);
+                    }
+                    if limits.may_send("i-1", 1, sharing, now, START) {
+                        limits.record_send("i-1", 1, sharing, now, START);
+                        sends.push(time);
+                    }
+                }
+            }
+
+            let in_window = |at: usize| sends[at..].partition_point(|t| *t < sends[at] + WINDOW.0);
+            let most = (0..sends.len()).map(in_window).max().unwrap_or(0);
+            let number = |n: usize| f64::from(u32::try_from(n).expect("the number is small"));
+            assert!(number(most) <= allowed(limit), "{places}, {limit}: {most}");
+            let used = number(sends.len()) / (40.0 * limit);
+            assert!(used > 0.8, "{places} gateways, limit {limit}: {used}");
+        }
+    }
+}
--- a/tests/router/figures.rs
+++ b/tests/router/figures.rs
@@ -189,6 +189,10 @@
         Millis(1)
     );
     assert_eq!(policy("bounds.failClosed", "false").key_revocation, None);
+    let cold = |field: &str, value: &str| policy(field, value).cold.map(|c| (c.ratio, c.slack));
+    assert_eq!(cold("bounds.coldOver", "1.5"), Some((1.5, 5.0)));
+    assert_eq!(cold("bounds.coldSlack", "0.5"), Some((1.5, 0.5)));
+    assert_eq!(cold("bounds.coldOver", "null"), None);
     // The longest spans can still be added and multiplied.
     assert!(policy("bounds.graceS", "1e300").stop_grace < Millis(u64::MAX / 1_000_000));
     std::fs::remove_file(&path).expect("the file exists");
--- a/tests/router/template.rs
+++ b/tests/router/template.rs
@@ -7,7 +7,7 @@
   "listen":{"front":"127.0.0.1:0","readiness":"127.0.0.1:0"},"portRange":[0,15],"beatMs":1200,
   "limits":{"cpuShare":0.19,"cores":1,"memoryMb":260},"tolerate":{"machines":2,"zones":0},
   "bounds":{"touchMs":3000,"drainMs":2000,"graceS":8,"configMs":2000,"failClosed":true,"revokeMs":5000,
-    "budgetRatio":0.9,"budgetWindowS":10,"budgetSlack":52,"exposeShare":0.15,"sessionS":5},
+    "budgetRatio":0.9,"budgetWindowS":10,"budgetSlack":52,"exposeShare":0.15,"sessionS":5,"coldOver":1.5,"coldSlack":5},
   "platform":{"addr":"127.0.0.1:2","writesPerS":400}}"#;
 
 /// The fields of a process.
