--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -141,7 +141,6 @@
         let choice = match choose_after_pause(shared, client, job, &tried, may_wait).await {
             Ok(choice) => choice,
             Err(NoAttempt::ClientGone) => return Outcome::ClientGone,
-            Err(NoAttempt::NoChoice(NoChoice::NoUpstream)) => break "no_upstream",
             Err(NoAttempt::NoChoice(NoChoice::Barred(Barrier::Limited(reason)))) => {
                 record_limited(shared, job, reason);
                 retry_after = retry_after.max(reason.wait);
@@ -159,9 +158,10 @@
                 retry_after = retry_after.max(paused.wait + Millis(spread));
                 break "paused";
             }
-            Err(NoAttempt::NoChoice(NoChoice::Barred(
-                Barrier::Leaving | Barrier::Evacuated | Barrier::OutsideHome,
-            ))) => break "no_upstream",
+            Err(NoAttempt::NoChoice(
+                NoChoice::NoUpstream
+                | NoChoice::Barred(Barrier::Leaving | Barrier::Evacuated | Barrier::OutsideHome),
+            )) => break "no_upstream",
         };
         let (upstream, now) = (&choice.upstream, shared.clock.now());
         tried.push(Rc::clone(&upstream.id));
--- a/src/router/named_limits.rs
+++ b/src/router/named_limits.rs
@@ -339,12 +339,11 @@
         if rate >= MIN_BUCKET_RATE {
             return Some(Part::Bucket { rate });
         }
-        let (used, own) = match sharing.lease {
-            Some((lease, _)) => (USED_BY_LEASES, lease.place.into()),
-            None => {
-                let own = mix(sharing.gateway ^ hash(self.upstream.as_bytes()));
-                (USED_BY_TURNS, own % sharing.parts())
-            }
+        let (used, own) = if let Some((lease, _)) = sharing.lease {
+            (USED_BY_LEASES, lease.place.into())
+        } else {
+            let own = mix(sharing.gateway ^ hash(self.upstream.as_bytes()));
+            (USED_BY_TURNS, own % sharing.parts())
         };
         Some(Part::Turn {
             width_ms: 1_000.0 / (limit * used),
--- a/src/router/tests/turns.rs
+++ b/src/router/tests/turns.rs
@@ -30,13 +30,14 @@
                 rng = mix(rng);
                 // Many come at first and go later.
                 let changes = if *is_present { 60 } else { 4 };
-                *is_present ^= rng % changes == 0;
+                *is_present ^= rng.is_multiple_of(changes);
                 rng = mix(rng);
                 let addr = gateway(u16::try_from(number).expect("the number is small"));
-                if *is_present && rng % 4 > 0 {
-                    if let Some(lease) = places.lease(addr, now) {
-                        leases[number] = Some((lease, now + LEASE_LIFETIME));
-                    }
+                if *is_present
+                    && !rng.is_multiple_of(4)
+                    && let Some(lease) = places.lease(addr, now)
+                {
+                    leases[number] = Some((lease, now + LEASE_LIFETIME));
                 }
             }
             places.retain(|addr| present[usize::from(addr.port())], now);
