Add tests of answers that are none or end with their connection

At the agent, 101 stops the process in debug builds, a body on a 204 is passed on, and 1,000 interim heads are skipped.

--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod departures;
 mod endless;
+mod ends_of_answers;
 mod faulty_answers;
 mod fixture;
 mod follow;
--- a/src/forward/tests/parsers.rs
+++ b/src/forward/tests/parsers.rs
@@ -97,6 +97,107 @@
     }
 }
 
+fn response(text: &str) -> Result<Option<head::ResponseHead>, HeadError> {
+    head::take_response(&mut BytesMut::from(text), false)
+}
+
+/// The statuses 0, 99, 600 and 999 of upstreams in trouble reached clients.
+#[test]
+fn a_response_without_a_real_status_is_refused() {
+    for status in (0..100).chain(600..1_000) {
+        let text = format!("HTTP/1.1 {status:03} X\r\nContent-Length: 0\r\n\r\n");
+        assert_eq!(response(&text).err(), Some(HeadError::Malformed), "{text}");
+    }
+    for status in [
+        "", " ", "0", "20", "+20", "-20", "+200", "-200", "2000", "0200", " 200", "2 0", "0x2",
+        "200.0", "2e2", "OK",
+    ] {
+        let text = format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n");
+        assert_eq!(response(&text).err(), Some(HeadError::Malformed), "{text}");
+    }
+}
+
+/// A body whose end can be found in two ways may be taken for a whole one too early.
+#[test]
+fn ambiguous_responses_are_refused() {
+    let cases = [
+        "Content-Length: 1\r\nContent-Length: 2\r\n",
+        "Content-Length: 1,1\r\n",
+        "Content-Length: +1\r\n",
+        "Content-Length: -1\r\n",
+        "Content-Length:\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n",
+        "Transfer-Encoding: gzip\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    ];
+    for (status, fields) in [200, 204, 304, 500]
+        .iter()
+        .flat_map(|status| cases.map(|fields| (status, fields)))
+    {
+        let text = format!("HTTP/1.1 {status} X\r\n{fields}\r\n");
+        assert_eq!(response(&text).err(), Some(HeadError::Framing), "{text}");
+    }
+    let chunked_1_0 = "HTTP/1.0 200 X\r\nTransfer-Encoding: chunked\r\n\r\n";
+    assert_eq!(response(chunked_1_0).err(), Some(HeadError::Framing));
+}
+
+/// An upstream that sends a body where there is none must not have it taken for the next answer.
+#[test]
+fn a_connection_is_not_kept_after_a_body_where_there_is_none() {
+    for (status, fields) in [
+        (204, "Content-Length: 3\r\n"),
+        (204, "Transfer-Encoding: chunked\r\n"),
+        (304, "Content-Length: 3\r\n"),
+        (304, "Transfer-Encoding: chunked\r\n"),
+    ] {
+        let text = format!("HTTP/1.1 {status} X\r\n{fields}\r\n");
+        let head = response(&text).expect("the head is valid");
+        let head = head.expect("the head is complete");
+        assert_eq!(head.framing, Framing::Length(0), "{text}");
+        assert!(!head.keep_alive, "{text}");
+    }
+}
+
+/// No head that is made up of plausible parts may pass with another status than 200 to 599, or with two lengths.
+#[test]
+fn generated_response_heads_pass_only_with_a_status_and_one_length() {
+    const VERSIONS: [&str; 5] = ["HTTP/1.1", "HTTP/1.0", "HTTP/2.0", "http/1.1", ""];
+    const LENGTHS: [&str; 8] = [
+        "",
+        "Content-Length: 3\r\n",
+        "Content-Length: 4\r\n",
+        "content-length: 3\r\n",
+        "Transfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: identity\r\n",
+        "Content-Length: -3\r\n",
+        "Content-Length: 3, 3\r\n",
+    ];
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck passes its values by value"
+    )]
+    fn property(version: u8, statuses: Vec<u16>, lengths: (u8, u8), is_head: bool) {
+        let version = VERSIONS[usize::from(version) % VERSIONS.len()];
+        let (a, b) = (
+            LENGTHS[usize::from(lengths.0) % LENGTHS.len()],
+            LENGTHS[usize::from(lengths.1) % LENGTHS.len()],
+        );
+        let heads = (statuses.iter())
+            .map(|status| format!("{version} {:03} X\r\n{a}{b}\r\n", status % 1_100));
+        let mut buf = BytesMut::from(&*heads.collect::<String>());
+        if let Ok(Some(head)) = head::take_response(&mut buf, is_head) {
+            assert!((200..600).contains(&head.status), "{}", head.status);
+            let finals = statuses.iter().map(|status| status % 1_100);
+            let first = finals.clone().find(|status| !(100..200).contains(status));
+            assert_eq!(Some(head.status), first, "an interim head hid another one");
+            let has_two = head.fields.get("transfer-encoding").is_some()
+                && head.fields.get("content-length").is_some();
+            assert!(!has_two, "{a}{b}");
+        }
+    }
+    fixtures::check_property(9, property as fn(u8, Vec<u16>, (u8, u8), bool));
+}
+
 fn decode(pieces: &[&[u8]]) -> Result<(Vec<u8>, bool, Vec<u8>), InvalidBody> {
     let mut decoder = Decoder::new(Framing::Chunked);
     let (mut buf, mut out) = (BytesMut::new(), BytesMut::new());
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -463,6 +463,73 @@
     });
 }
 
+/// Statuses that are none, and bodies whose end can be found in two ways, were taken for answers.
+#[test]
+fn heads_that_are_no_answers_are_invalid() {
+    run(async {
+        for status in [0, 99, 101, 600, 999] {
+            let answer = format!("HTTP/1.1 {status:03} X\r\ncontent-length: 2\r\n\r\nab");
+            let outcome = raw_outcome(answer.as_bytes()).await;
+            assert!(
+                matches!(outcome, Err(UpstreamError::Invalid(_))),
+                "{status}: {outcome:?}"
+            );
+        }
+        let fields = [
+            "transfer-encoding: chunked\r\ncontent-length: 2",
+            "transfer-encoding: identity",
+            "transfer-encoding: gzip",
+            "content-length: 2\r\ncontent-length: 3",
+            "content-length: +2",
+            "content-length: -2",
+            "content-length: 2\r\nupgrade: websocket",
+        ];
+        for fields in fields {
+            let answer = format!("HTTP/1.1 200 OK\r\n{fields}\r\n\r\n2\r\nab\r\n0\r\n\r\n");
+            let outcome = raw_outcome(answer.as_bytes()).await;
+            assert!(
+                matches!(outcome, Err(UpstreamError::Invalid(_))),
+                "{fields}: {outcome:?}"
+            );
+        }
+        let chunked_1_0 = b"HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n";
+        let outcome = raw_outcome(chunked_1_0).await;
+        assert!(
+            matches!(outcome, Err(UpstreamError::Invalid(_))),
+            "{outcome:?}"
+        );
+    });
+}
+
+/// Interim heads without end, or with a body, must end the call; one with a body stopped the process in debug builds.
+#[test]
+fn interim_heads_are_bounded_and_have_no_body() {
+    run(async {
+        let answer = "HTTP/1.1 100 Continue\r\n\r\n".repeat(1_000);
+        let answer = format!("{answer}HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab");
+        let with_body = "HTTP/1.1 100 Continue\r\ncontent-length: 2\r\n\r\nab\
+                         HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab";
+        for answer in [&answer, with_body] {
+            let outcome = raw_outcome(answer.as_bytes()).await;
+            assert!(
+                matches!(outcome, Err(UpstreamError::Invalid(_))),
+                "{outcome:?}"
+            );
+        }
+    });
+}
+
+/// A body that must not be there is not waited for, nor passed on.
+#[test]
+fn a_204_has_no_body() {
+    run(async {
+        let answer = b"HTTP/1.1 204 None\r\ncontent-length: 2\r\n\r\nab";
+        assert_eq!(raw_outcome(answer).await, Ok(Bytes::new()));
+        let answer = b"HTTP/1.1 304 None\r\ncontent-length: 2\r\n\r\n";
+        assert_eq!(raw_outcome(answer).await, Ok(Bytes::new()));
+    });
+}
+
 // Guards against a call that ran and is reported as not sent.
 #[test]
 fn a_dropped_answer_is_a_crash() {
