Take only real answers, and only whole ones that end with their connection

Cause: a status of three digits counted as final, whatever it was; and a read that returned the end of a connection counted as a clean close, though Linux leaves a reset that follows the close pending on the socket. The agent's codec was trusted with codings, interim heads and bodies of a 204.

Change: statuses 200 to 599, one length, no 101; such a head counts as a failed answer of its version. A request is sent beside the reading of its answer; an answer without a length is whole only if the request had been sent before the head came and no error is pending. An early framed answer is delivered, and its connection is used again only if the upload is done. A 204 has no length and no chunks. The soak's truncating upstreams also send heads that are none.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use bytes::{BufMut, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 
 use crate::platform::headers;
 use crate::router::attempt::AttemptFailure;
@@ -141,12 +141,14 @@
             job.silence_watch(shared, upstream, head_limits(shared, job), can_reroute),
             &last_progress_at,
         );
-        // The wait also covers sending, which blocks if the upstream does not read.
+        // The wait also covers sending, which does not end if the upstream does not read.
         let exchanged = async {
-            exchange::send(&mut open.conn, &message).await?;
-            if req.body.len() > MAX_COPIED_BYTES {
-                exchange::send(&mut open.conn, &req.body).await?;
-            }
+            let body = if req.body.len() > MAX_COPIED_BYTES {
+                req.body.clone()
+            } else {
+                Bytes::new()
+            };
+            exchange::start_sending(&mut open.conn, message, body);
             exchange::read_head(&mut open.conn, &job.id, job.is_head_request).await
         };
         tokio::select! {
@@ -163,7 +165,12 @@
     drop(pending);
     let head = match head {
         Ok(head) => head,
-        Err(error) => return connection_lost(shared, job, &open, &error),
+        Err(error) => {
+            if matches!(error, ExchangeError::Invalid(_)) {
+                observe_version(shared, job, upstream, Answer::Failed);
+            }
+            return connection_lost(shared, job, &open, &error);
+        }
     };
     let now = shared.clock.now();
     open.record_bytes(shared, now);
@@ -328,8 +335,8 @@
     open: &OpenAttempt,
     error: &ExchangeError,
 ) -> AttemptEnd {
-    // The upstream may close an idle connection at any time; only a new one shows a fault.
-    if !open.conn.is_reused {
+    // The upstream may close an idle connection at any time; only a new one shows a fault, unless bytes came that are no answer.
+    if !open.conn.is_reused || matches!(error, ExchangeError::Invalid(_)) {
         observe_outcome(shared, &open.upstream, AttemptOutcome::Broken, error.name());
     }
     let now = shared.clock.now();
@@ -438,7 +445,8 @@
         open.conn.set_keep_alive(text);
     }
     let is_success = (200..300).contains(&head.status);
-    if is_success && job.route.kind.is_stream() && !job.is_head_request {
+    let may_have_events = head.status != 204 || relay.has_begun();
+    if is_success && may_have_events && job.route.kind.is_stream() && !job.is_head_request {
         return handle_stream(shared, client, job, open, head, relay, can_reroute).await;
     }
     let body = {
@@ -507,7 +515,7 @@
 /// Returns the connection to the pool if it can carry another request.
 fn return_to_pool(shared: &Shared, open: OpenAttempt, head: &ResponseHead) {
     let OpenAttempt { upstream, conn, .. } = open;
-    if !head.keep_alive || !conn.buf.is_empty() {
+    if !head.keep_alive || !conn.buf.is_empty() || !conn.upload.is_sent() {
         return;
     }
     let now = shared.clock.now();
@@ -530,7 +538,7 @@
 ) -> AttemptEnd {
     let copied = (body.len() <= MAX_COPIED_BYTES).then_some(body);
     let mut out = BytesMut::with_capacity(copied.map_or(0, <[u8]>::len) + 512);
-    let framing = if job.is_head_request {
+    let framing = if job.is_head_request || head.status == 204 {
         BodyFraming::None
     } else {
         BodyFraming::Length(body.len())
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 use crate::platform::{headers, report};
@@ -15,6 +14,7 @@
 use super::head::{self, Framing, ResponseHead};
 use super::memory::{Memory, MemoryFull, Share};
 use super::pool::Conn;
+use super::upload::Upload;
 
 /// Maximum size of one read.
 const READ_SIZE_BYTES: usize = 16 * 1024;
@@ -84,8 +84,21 @@
 ///
 /// # Errors
 /// If the connection breaks.
-pub async fn send(conn: &mut Conn, message: &[u8]) -> io::Result<()> {
-    conn.stream.write_all(message).await
+pub async fn send(conn: &mut Conn, mut message: &[u8]) -> io::Result<()> {
+    while !message.is_empty() {
+        conn.stream.writable().await?;
+        match conn.stream.try_write(message) {
+            Ok(length) => message = &message[length..],
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
+}
+
+/// Sends a request beside the reading of its answer.
+pub fn start_sending(conn: &mut Conn, head: BytesMut, body: Bytes) {
+    conn.upload = Upload::spawn(&conn.stream, [head.freeze(), body]);
 }
 
 /// Reads once into the connection's buffer; returns `false` at the end of the connection.
@@ -152,7 +165,10 @@
     let start = conn.received - conn.buf.len();
     loop {
         match head::take_response(&mut conn.buf, is_head_request) {
-            Ok(Some(head)) => return Ok(head),
+            Ok(Some(head)) => {
+                conn.is_answered_early = !conn.upload.is_sent();
+                return Ok(head);
+            }
             Ok(None) if conn.received - start > MAX_RESPONSE_HEAD_BYTES => {
                 return Err(ExchangeError::Invalid("response head too large"));
             }
@@ -213,8 +229,8 @@
     ///
     /// # Errors
     /// If the body was cut off.
-    pub fn finish(mut self) -> Result<HeldBody, ExchangeError> {
-        if self.decoder.ends_with_close() {
+    pub fn finish(mut self, conn: &Conn) -> Result<HeldBody, ExchangeError> {
+        if self.decoder.ends_with_close() && conn.has_ended_cleanly() {
             Ok(self.take())
         } else {
             Err(ExchangeError::Closed)
@@ -267,7 +283,7 @@
             return Ok(whole);
         }
         if !read_more(conn).await? {
-            return body.finish();
+            return body.finish(conn);
         }
     }
 }
--- a/src/forward/head.rs
+++ b/src/forward/head.rs
@@ -250,22 +250,31 @@
         };
         let fields = field_ranges(buf, parsed.headers);
         let raw = buf.split_to(length).freeze();
-        if status == 101 {
-            return Err(HeadError::Malformed);
-        }
-        if (100..200).contains(&status) {
-            continue;
+        match status {
+            100 | 102..200 => continue,
+            200..600 => {}
+            // No protocol was offered to switch to, and the others are no statuses.
+            _ => return Err(HeadError::Malformed),
         }
         let fields = Fields { raw, fields };
-        let framing = match (fields.is_chunked()?, fields.content_length()?) {
-            _ if is_head_request || matches!(status, 204 | 304) => Framing::Length(0),
-            (true, None) => Framing::Chunked,
-            (true, Some(_)) => return Err(HeadError::Framing),
+        let has_no_body = is_head_request || matches!(status, 204 | 304);
+        let declared = match (fields.is_chunked()?, fields.content_length()?) {
+            (true, None) if minor == 1 => Framing::Chunked,
+            (true, _) => return Err(HeadError::Framing),
             (false, Some(length)) => Framing::Length(length),
+            (false, None) if has_no_body => Framing::Length(0),
             (false, None) => Framing::UntilClose,
         };
+        let framing = if has_no_body {
+            Framing::Length(0)
+        } else {
+            declared
+        };
+        // A body that must not be there may follow all the same.
+        let may_have_stray_body = !is_head_request && framing != declared;
         let keep_alive = minor == 1
             && framing != Framing::UntilClose
+            && !may_have_stray_body
             && !fields.has_token("connection", "close");
         return Ok(Some(ResponseHead {
             status,
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -30,3 +30,4 @@
 pub mod stream;
 #[cfg(test)]
 mod tests;
+pub mod upload;
--- a/src/forward/pool.rs
+++ b/src/forward/pool.rs
@@ -8,6 +8,7 @@
 use tokio::net::TcpStream;
 
 use crate::forward::memory::Share;
+use crate::forward::upload::Upload;
 use crate::units::Millis;
 use crate::units::whole::parse_decimal;
 
@@ -24,7 +25,11 @@
 #[derive(Debug)]
 pub struct Conn {
     /// The socket.
-    pub stream: TcpStream,
+    pub stream: Rc<TcpStream>,
+    /// The request that is sent on it.
+    pub upload: Upload,
+    /// Whether the head of the answer came before the request was sent whole.
+    pub is_answered_early: bool,
     /// Bytes that were read but not yet parsed.
     pub buf: BytesMut,
     /// Share of the memory for `buf`.
@@ -46,7 +51,9 @@
     pub fn new(stream: TcpStream, share: Share) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         Ok(Self {
-            stream,
+            stream: Rc::new(stream),
+            upload: Upload::sent(),
+            is_answered_early: false,
             buf: BytesMut::new(),
             share,
             received: 0,
@@ -67,6 +74,17 @@
         }
     }
 
+    /// Returns whether an answer that ended with the connection is whole.
+    ///
+    /// Linux reports a reset only once, and reports the end of the connection instead if the upstream had closed its direction
+    /// before, so the end that was read does not tell.
+    #[must_use]
+    pub fn has_ended_cleanly(&self) -> bool {
+        !self.is_answered_early
+            && self.upload.is_sent()
+            && matches!(self.stream.take_error(), Ok(None))
+    }
+
     /// Returns whether the connection is open and no unexpected bytes have arrived since the last answer.
     fn is_reusable(&self) -> bool {
         let mut byte = [0];
--- a/src/forward/reply.rs
+++ b/src/forward/reply.rs
@@ -54,7 +54,7 @@
     Length(usize),
     /// In chunks.
     Chunked,
-    /// Without a body, because the request was `HEAD`; the upstream's length is kept.
+    /// Without a body, because the request was `HEAD` or the status has none; the upstream's length is kept for `HEAD`.
     None,
 }
 
@@ -75,7 +75,8 @@
         }
         BodyFraming::Chunked => out.put_slice(b"Transfer-Encoding: chunked\r\n"),
         BodyFraming::None => {
-            if let Some(length) = head.fields.get("content-length") {
+            let length = head.fields.get("content-length");
+            if let Some(length) = length.filter(|_| head.status != 204) {
                 out.put_slice(b"Content-Length: ");
                 out.put_slice(length);
                 out.put_slice(b"\r\n");
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -169,7 +169,11 @@
         };
         match read {
             Ok(true) => {}
-            Ok(false) if decoder.ends_with_close() && !relay.events.has_partial() => {
+            Ok(false)
+                if decoder.ends_with_close()
+                    && !relay.events.has_partial()
+                    && conn.has_ended_cleanly() =>
+            {
                 return finish_at_close(client, relay, head, closes).await;
             }
             Ok(false) => return RelayEnd::Lost(ExchangeError::Closed),
--- a/src/forward/tests/ends_of_answers.rs
+++ b/src/forward/tests/ends_of_answers.rs
@@ -1,11 +1,13 @@
 //! Answers that are none, and answers that end with their connection while the request is still being sent.
 
 use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use actix_rt::time::{sleep, timeout};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use super::fixture::{self, Action, ScriptedUpstream, connect, gateway, scripted_upstream, status};
 use crate::forward::follow::StoreEvent;
@@ -48,8 +50,7 @@
 
 /// Starts an upstream that reads heads only, writes these bytes and then ends the connection.
 async fn early_upstream(answer: &'static str, end: End) -> EarlyUpstream {
-    let listener = TcpListener::bind("127.0.0.1:0").await;
-    let listener = listener.expect("loopback can be bound");
+    let listener = listen_with_small_buffer().expect("loopback can be bound");
     let scripted = ScriptedUpstream {
         addr: listener.local_addr().expect("the listener is bound"),
         requests: Rc::default(),
@@ -108,6 +109,14 @@
     upstream
 }
 
+/// Listens on a socket that takes little of a request that is not read.
+fn listen_with_small_buffer() -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(8 * 1024)?;
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    socket.listen(64)
+}
+
 /// Reads the head of a request and nothing of its body.
 async fn read_head(stream: &mut TcpStream) -> Option<String> {
     let mut text = Vec::new();
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -261,7 +261,7 @@
             };
             match read {
                 Ok(true) => {}
-                Ok(false) => break body_reader.finish(),
+                Ok(false) => break body_reader.finish(&conn),
                 Err(error) => break Err(error.into()),
             }
         };
--- a/src/upstream/exchange.rs
+++ b/src/upstream/exchange.rs
@@ -9,9 +9,11 @@
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::{
-    CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
+    CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING, UPGRADE,
+};
+use actix_http::{
+    ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Version,
 };
-use actix_http::{ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead, StatusCode};
 use actix_rt::net::TcpStream;
 use actix_rt::time::timeout;
 use bytes::{Bytes, BytesMut};
@@ -22,6 +24,8 @@
 
 /// Size of one read from the socket, which bounds the size of a body chunk.
 const READ_BUFFER_BYTES: usize = 16 << 10;
+/// Interim heads that are skipped before an answer; upstreams send one or two.
+const MAX_INTERIM_HEADS: usize = 16;
 /// Maximum size of the body that an error keeps, in bytes.
 const MAX_ERROR_BODY_BYTES: usize = 16 << 10;
 
@@ -238,27 +242,55 @@
     connection: &mut Connection,
     codec: &mut ClientCodec,
 ) -> Result<ResponseHead, UpstreamError> {
+    let mut interim = 0;
     loop {
         let head = codec.decode(&mut connection.buf);
         match head.map_err(|error| UpstreamError::Invalid(error.to_string()))? {
-            Some(head) if head.status.is_informational() => {}
-            Some(head) => return Ok(head),
+            Some(head) => match head.status.as_u16() {
+                100 | 102..200 if interim < MAX_INTERIM_HEADS && !has_body(codec) => interim += 1,
+                200..600 => return Ok(head),
+                status => {
+                    let why = format!("status {status}, wanted 200 to 599");
+                    return Err(UpstreamError::Invalid(why));
+                }
+            },
             None => connection.fill().await?,
         }
     }
 }
 
-/// Returns whether the end of the body can be recognised without the end of the connection.
-fn is_delimited(method: &Method, head: &ResponseHead) -> bool {
-    let bodiless = matches!(
+/// Returns whether the last head that was decoded has a body.
+fn has_body(codec: &ClientCodec) -> bool {
+    !matches!(codec.message_type(), MessageType::None)
+}
+
+/// Returns whether an answer has no body, whatever its header fields say.
+fn is_bodiless(method: &Method, head: &ResponseHead) -> bool {
+    let has_none = matches!(
         head.status,
         StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
     );
-    let headers = &head.headers;
-    bodiless
-        || *method == Method::HEAD
-        || headers.contains_key(CONTENT_LENGTH)
-        || headers.contains_key(TRANSFER_ENCODING)
+    has_none || *method == Method::HEAD
+}
+
+/// Checks that the end of the body can be found in exactly one way, and without the end of the connection.
+fn check_framing(method: &Method, head: &ResponseHead) -> Result<(), UpstreamError> {
+    let coding = head.headers.get(TRANSFER_ENCODING);
+    let is_chunked = |coding: &HeaderValue| {
+        let coding = coding.as_bytes().trim_ascii();
+        head.version == Version::HTTP_11 && coding.eq_ignore_ascii_case(b"chunked")
+    };
+    let why = match (coding, head.headers.contains_key(CONTENT_LENGTH)) {
+        (Some(_), true) => "the length of the body is declared twice",
+        (Some(coding), false) if !is_chunked(coding) => "the transfer coding is not supported",
+        // The codec reads the body of an upgraded connection up to its end.
+        _ if head.headers.contains_key(UPGRADE) => "an upgrade was not asked for",
+        (None, false) if !is_bodiless(method, head) => {
+            "the length of the body is not declared, so its end cannot be verified"
+        }
+        _ => return Ok(()),
+    };
+    Err(UpstreamError::Invalid(why.to_owned()))
 }
 
 /// Sends a request on a new connection and waits for the head of the response.
@@ -285,11 +317,8 @@
         read_head(&mut connection, &mut codec).await
     });
     let head = head.await?;
-    if !is_delimited(&request.method, &head) {
-        let why = "the length of the body is not declared, so its end cannot be verified";
-        return Err(UpstreamError::Invalid(why.to_owned()));
-    }
-    let has_body = !matches!(codec.message_type(), MessageType::None);
+    check_framing(&request.method, &head)?;
+    let has_body = has_body(&codec) && !is_bodiless(&request.method, &head);
     let codec = has_body.then(|| PayloadCodec(codec.into_payload_codec()));
     Ok(Response {
         status: head.status,
--- a/tests/soak/checker.rs
+++ b/tests/soak/checker.rs
@@ -382,6 +382,10 @@
     pub fn record_answer(&self, id: &str, status: u16, is_own: bool) {
         let mut history = self.history();
         *history.answers.entry(status).or_default() += 1;
+        if !(200..600).contains(&status) {
+            let finding = format!("{id}: {status}, which is no status of an answer");
+            history.findings.push(finding);
+        }
         let is_sound = |s: &SentRequest| s.kind == Kind::Generation && !s.is_crashing;
         if history.is_settled() && status != 401 && history.sent.get(id).is_some_and(is_sound) {
             history.sound[usize::from(status != 200)] += 1;
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -23,7 +23,7 @@
     Failing,
     /// Refuses every request with status 503 and a header that says it was not run.
     Full,
-    /// Truncates a third of its answers.
+    /// Truncates a third of its answers, and begins a sixth with a head that is none.
     Truncating,
     /// Runs requests and does not answer.
     Unresponsive,
@@ -33,6 +33,18 @@
     Dead,
 }
 
+/// Start lines and fields of heads that are none.
+const INVALID_HEADS: [&str; 8] = [
+    "HTTP/1.1 000 X",
+    "HTTP/1.1 099 X",
+    "HTTP/1.1 600 X",
+    "HTTP/1.1 999 X",
+    "HTTP/1.1 101 X",
+    "HTTP/1.1 +200 X",
+    "HTTP/1.1 200 X\r\nContent-Length: 1",
+    "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked",
+];
+
 /// Requests a second that an upstream in need takes from all gateways together.
 pub const NAMED_LIMIT: usize = 2;
 
@@ -184,6 +196,13 @@
                 let text = format!("{head}Content-Length: 5\r\n\r\nerror");
                 return connection.write(text.as_bytes()).is_ok();
             }
+            Behaviour::Truncating if bucket == 2 => {
+                let at = hash(id.as_bytes()) % INVALID_HEADS.len() as u64;
+                let head = INVALID_HEADS[usize::try_from(at).expect("the index fits in usize")];
+                let fields = self.head(200, &id).replacen("HTTP/1.1 200 X", head, 1);
+                let text = format!("{fields}Content-Length: 5\r\n\r\nwrong");
+                return connection.write(text.as_bytes()).is_ok();
+            }
             Behaviour::Normal
             | Behaviour::Failing
             | Behaviour::Full
