Pace upstreams that have just started or recovered: the decision

Cause: an upstream that starts or comes back has no backlog, so every gateway that reads its reports sends there at once. Change: a window of requests without output per upstream, shared by all gateways, that grows while answers come as fast as those of others and shrinks when they do not; no I/O, no clock of its own. Not wired yet. Tests: ten load patterns (flooded, idle, slow, flapping, failing, lying, all at once, nothing to compare with) pass.

--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -17,6 +17,7 @@
 pub mod history;
 pub mod lateness;
 pub mod named_limits;
+pub mod pace;
 pub mod pauses;
 pub mod pick;
 pub mod retry;
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -10,6 +10,7 @@
 mod load;
 mod named_limits;
 mod outcome;
+mod pace;
 mod pauses;
 mod rollout;
 mod routing;
