Wire the pace of upstreams into choice, answers and reports

Change: upstreams whose service states a time after a start (coldS) are paced when they join, after an ejection and after a pause; choice keeps to their windows while others have room.

--- a/src/beacon/receiver.rs
+++ b/src/beacon/receiver.rs
@@ -219,6 +219,7 @@
         for upstream in &upstreams {
             self.observe_cold_beacon(upstream, word, now);
             (self.health.borrow_mut()).record_load(&upstream.id, upstream.boot, load, now);
+            self.observe_pace_report(upstream, load.waiting, now);
             if load.leaving_boot.map(NonZeroU64::get) == Some(upstream.boot) {
                 self.record_leaving(&upstream.id, upstream.boot, LeavingSource::Beacon);
             }
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -12,6 +12,7 @@
 use crate::router::fleet::Upstream;
 use crate::router::hash;
 use crate::router::health::AttemptOutcome;
+use crate::router::pace::{Measure, PaceCause};
 use crate::router::rollout::{Answer, AnswerGrade, Phase, RequestProfile};
 use crate::router::silence_policy::Limits;
 use crate::router::table::RequestKind;
@@ -279,13 +280,26 @@
     let now = shared.clock.now();
     let mut health = shared.health.borrow_mut();
     let is_ejected = health.observe(&upstream.id, upstream.boot, outcome, now);
+    let ejected_until = health
+        .entry(&upstream.id, upstream.boot, now)
+        .ejected_until();
+    drop(health);
+    if outcome != AttemptOutcome::Answer {
+        shared.observe_pace_failure(upstream);
+    }
     if is_ejected {
+        shared.begin_pace(upstream, PaceCause::Ejected, ejected_until);
         shared.metrics.count_event("upstream_ejected");
         log::warn!(event = "ejected", upstream:% = upstream.id, what = cause; "");
     }
 }
 
 pub(super) fn observe_version(shared: &Shared, job: &Job, upstream: &Upstream, answer: Answer) {
+    match answer {
+        Answer::Good(took) => shared.observe_pace(job, upstream, Measure::FirstByte, took),
+        Answer::Paced(took) => shared.observe_pace(job, upstream, Measure::Events, took),
+        Answer::Failed | Answer::Broken | Answer::Unanswered(_) => {}
+    }
     let mut rollouts = shared.rollouts.borrow_mut();
     let Some(rollout) = rollouts.get_mut(&job.service) else {
         return;
--- a/src/forward/choose.rs
+++ b/src/forward/choose.rs
@@ -52,6 +52,7 @@
     if let Some(barrier) = barrier.filter(|_| eligible.is_empty()) {
         return Err(NoChoice::Barred(barrier));
     }
+    let eligible = shared.within_pace(eligible, now);
     let policy = shared.policy();
     let mut health = shared.health.borrow_mut();
     let mut candidates: Vec<_> = eligible
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -596,8 +596,10 @@
                     .departure_notice_age(kind.name(), max_notice_age.duration().as_secs_f64());
             }
         }
-        if matches!(change, Change::Gone(_) | Change::Draining(_)) {
-            self.pool.borrow_mut().remove(&upstream.id);
+        match &change {
+            Change::Gone(_) | Change::Draining(_) => self.pool.borrow_mut().remove(&upstream.id),
+            Change::Joined(_) => self.pace_joined(upstream),
+            Change::Missing(_) | Change::Outdated(_) | Change::Held(_) => {}
         }
     }
 }
--- a/src/forward/gateway.rs
+++ b/src/forward/gateway.rs
@@ -316,6 +316,7 @@
         let fleet = shared.fleet.borrow();
         (shared.health.borrow_mut()).retain(|id, boot| fleet.is_present(id, boot));
         (shared.named_limits.borrow_mut()).retain(|id, boot| fleet.is_present(id, boot));
+        (shared.paces.borrow_mut()).retain(|id, boot| fleet.is_present(id, boot));
         let mut cold = shared.cold.borrow_mut();
         cold.tick(now);
         cold.retain(|id| fleet.has(id));
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -21,6 +21,7 @@
 mod job;
 pub mod memory;
 pub(crate) mod notices;
+mod pace;
 pub mod pool;
 pub mod reply;
 pub mod request;
--- a/src/forward/notices.rs
+++ b/src/forward/notices.rs
@@ -5,6 +5,7 @@
 
 use crate::platform::headers;
 use crate::router::fleet::Upstream;
+use crate::router::pace::PaceCause;
 use crate::router::pauses::PauseRequest;
 use crate::units::Millis;
 
@@ -120,6 +121,7 @@
         log::warn!(event = "upstream_pause_out_of_range", upstream:% = upstream.id, value:? = text, used_ms = pause.0; "");
     }
     if is_longer {
+        shared.begin_pace(upstream, PaceCause::Paused, now + pause);
         shared.metrics.count_event("upstream_pause");
         log::info!(event = "upstream_pause", upstream:% = upstream.id, boot = upstream.boot, pause_ms = pause.0,
             request:% = String::from_utf8_lossy(&job.id), paused_upstreams = upstreams; "");
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -18,6 +18,7 @@
 use crate::router::history::History;
 use crate::router::lateness::Lateness;
 use crate::router::named_limits::{LimitChange, NamedLimits, Sharing};
+use crate::router::pace::Paces;
 use crate::router::pauses::Pauses;
 use crate::router::retry::{RetryBounds, RetryBudget};
 use crate::router::sessions::Sessions;
@@ -153,6 +154,8 @@
     pub(crate) named_limits: RefCell<NamedLimits>,
     /// Upstreams that are or may be cold.
     pub(crate) cold: RefCell<ColdUpstreams>,
+    /// Paces of upstreams that have just started or recovered.
+    pub(super) paces: RefCell<Paces>,
     /// Pauses that upstreams ask for.
     pub(crate) pauses: RefCell<Pauses>,
     /// Runs of this gateway at upstreams, in flight and recently ended.
@@ -232,6 +235,7 @@
             answer_memory,
             named_limits: RefCell::default(),
             cold: RefCell::default(),
+            paces: RefCell::default(),
             pauses: RefCell::default(),
             exposures: RefCell::default(),
             evidence: RefCell::new(evidence),
--- a/src/router/health.rs
+++ b/src/router/health.rs
@@ -124,6 +124,12 @@
         (now.since(at) <= MAX_REPORT_AGE).then_some(load)
     }
 
+    /// Returns when the last ejection ends.
+    #[must_use]
+    pub const fn ejected_until(&self) -> Millis {
+        self.ejected_until
+    }
+
     /// Returns whether the upstream is ejected now.
     #[must_use]
     pub fn is_ejected(&self, now: Millis) -> bool {
--- a/src/router/tests/pace.rs
+++ b/src/router/tests/pace.rs
@@ -77,7 +77,10 @@
             sent += flood(&mut paces, Millis(trial * 200), &mut own);
         }
         let mean = sent / trials;
-        assert!(mean <= 3, "{gateways} gateways sent {mean} requests each time");
+        assert!(
+            mean <= 3,
+            "{gateways} gateways sent {mean} requests each time"
+        );
     }
 }
 
