--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -11,6 +11,7 @@
 mod load;
 mod named_limits;
 mod outcome;
+mod pace;
 mod pauses;
 mod rollout;
 mod routing;
