--- a/src/beacon/sender.rs
+++ b/src/beacon/sender.rs
@@ -192,6 +192,9 @@
             },
             now,
         );
+        for subscriber in subscribers.borrow().iter() {
+            places.reserve(subscriber.addr);
+        }
         // A beacon that ran here before may have leased the turns of a process that is as old.
         let is_older = load.boot.is_none_or(|boot| boot.get() <= started_unix.0);
         let has_others = is_older && now.since(started_at) < LEASE_LIFETIME;
--- a/src/forward/tests/fixture.rs
+++ b/src/forward/tests/fixture.rs
@@ -362,8 +362,9 @@
         name: "pool".into(),
         max_connections: 100,
         is_engine: false,
-        cold: Millis(0),
-        cold_per_s: 0.0,
+        // Without a bound in the settings this has no effect.
+        cold: Millis::from_secs(60),
+        cold_per_s: 1.0,
         model_prices: Vec::new(),
     }];
     let account = Rc::new(Account {
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of forwarding: property tests of the parsers, and requests through a gateway on loopback.
 
+mod cold;
 mod crashes;
 mod departures;
 mod endless;
--- a/src/router/tests/cold.rs
+++ b/src/router/tests/cold.rs
@@ -149,6 +149,9 @@
             return;
         }
         for (upstream, beacon) in self.beacons.iter_mut().enumerate() {
+            for (number, _) in &beacon.subscribers {
+                beacon.places.reserve(self.gateways[*number].addr);
+            }
             for (number, asked_at) in &beacon.subscribers {
                 let gateway = &self.gateways[*number];
                 let word = BeaconWord {
--- a/src/router/tests/turns.rs
+++ b/src/router/tests/turns.rs
@@ -33,11 +33,11 @@
                 *is_present ^= rng.is_multiple_of(changes);
                 rng = mix(rng);
                 let addr = gateway(u16::try_from(number).expect("the number is small"));
-                if *is_present
-                    && !rng.is_multiple_of(4)
-                    && let Some(lease) = places.lease(addr, now)
-                {
-                    leases[number] = Some((lease, now + LEASE_LIFETIME));
+                if *is_present && !rng.is_multiple_of(4) {
+                    places.reserve(addr);
+                    if let Some(lease) = places.lease(addr, now) {
+                        leases[number] = Some((lease, now + LEASE_LIFETIME));
+                    }
                 }
             }
             places.retain(|addr| present[usize::from(addr.port())], now);
@@ -58,8 +58,14 @@
     for (came, stay) in [(1, 1), (31, 31), (31, 3), (410, 410), (410, 7)] {
         let mut places = Places::new();
         for number in 0..came {
-            places.lease(gateway(number), Millis(0));
+            places.reserve(gateway(number));
         }
+        let together = (0..came).filter_map(|number| places.lease(gateway(number), Millis(0)));
+        assert_eq!(
+            together.count(),
+            usize::from(came),
+            "all have turns at once"
+        );
         let mut leased = Vec::new();
         for time in (0..20_000).step_by(150) {
             places.retain(|addr| addr.port() < stay, Millis(time));
--- a/src/router/turns.rs
+++ b/src/router/turns.rs
@@ -10,8 +10,9 @@
 
 /// Time for which a gateway may use a lease after it asked for it.
 ///
-/// It outlasts two lost datagrams; a place that is split or given up is idle for this time.
-pub const LEASE_LIFETIME: Millis = Millis(900);
+/// It outlasts an interval of subscription, one of the beacon's polls, and a tenth of a second in which the gateway does not
+/// run; a place that is split or given up is idle for this time.
+pub const LEASE_LIFETIME: Millis = Millis(700);
 
 /// Most places; twice as many as the largest deployment has gateways.
 const MAX_PLACES: u16 = 1_024;
@@ -157,12 +158,18 @@
         }
     }
 
-    /// Returns the lease of a gateway; finds a place for it if it has none. `None` while others may use its turns.
+    /// Finds a place for a gateway that has none.
+    ///
+    /// Gateways that come together get theirs before any of them has a lease, so that none waits for the end of another's.
+    pub fn reserve(&mut self, holder: SocketAddr) {
+        if self.position(holder).is_none() {
+            self.admit(holder);
+        }
+    }
+
+    /// Returns the lease of a gateway; `None` if it has no place, or while others may use its turns.
     pub fn lease(&mut self, holder: SocketAddr, now: Millis) -> Option<Lease> {
-        let at = match self.position(holder) {
-            Some(at) => at,
-            None => self.admit(holder)?,
-        };
+        let at = self.position(holder)?;
         let place = &mut self.places[at];
         if now < place.blocked_until {
             return None;
@@ -202,15 +209,20 @@
     }
 
     /// Finds a place for a gateway: the largest one that nobody has, or half of the largest one.
-    fn admit(&mut self, holder: SocketAddr) -> Option<usize> {
+    fn admit(&mut self, holder: SocketAddr) {
         let unheld = (self.places.iter_mut()).filter(|p| p.holder.is_none());
         if let Some(place) = unheld.min_by_key(|p| (p.lease.places, p.blocked_until)) {
             place.holder = Some(holder);
             place.leased_until = Millis(0);
         } else {
-            let largest = self.places.iter_mut().min_by_key(|p| p.lease.places)?;
-            let lease = largest.lease;
-            let half = Lease::new(lease.place + lease.places, lease.places * 2)?;
+            let largest = self.places.iter_mut().min_by_key(|p| p.lease.places);
+            let Some((largest, half)) = largest.and_then(|largest| {
+                let lease = largest.lease;
+                let half = Lease::new(lease.place + lease.places, lease.places * 2)?;
+                Some((largest, half))
+            }) else {
+                return;
+            };
             largest.lease.places *= 2;
             let place = Place {
                 lease: half,
@@ -221,7 +233,6 @@
             self.places.push(place);
         }
         self.sort();
-        self.position(holder)
     }
 
     /// Returns a free place and its buddy, if that is whole.
