--- a/src/bin/fireflywind/cli.rs
+++ b/src/bin/fireflywind/cli.rs
@@ -31,7 +31,8 @@
   -V, --version  Print the version
 
 Exit codes: 0 success, 1 differences, 2 usage, 3 invalid file, 4 conflict, 5 unknown outcome,
-6 service unavailable, 7 processes behind, 8 replay differs, 9 not found, 10 demo failed
+6 service unavailable, 7 processes behind, 8 replay differs, 9 not found, 10 demo failed,
+11 doubtful configuration
 ";
 
 const CHECK: Verb = Verb {
@@ -39,12 +40,15 @@
     help: "\
 Checks a sheet and prints every finding with its place, rule and value.
 
-Usage: fireflywind check FILE [--json]
+Usage: fireflywind check FILE [OPTIONS]
 
 Options:
-  --json  Print the findings as JSON
+  --platform        FILE is a configuration of the users' platform, not a sheet
+  --upstreams FILE  Also look for upstreams of its services and homes; needs --platform
+  --against FILE    Also print what it changes in this configuration; needs --platform
+  --json            Print the findings as JSON
 ",
-    options: &["json"],
+    options: &["platform", "upstreams", "against", "json"],
     files: 1..=1,
 };
 
@@ -212,6 +216,12 @@
     pub files: Vec<PathBuf>,
     /// Whether to print JSON.
     pub json: bool,
+    /// Whether the file is a configuration of the users' platform.
+    pub platform: bool,
+    /// Path of the upstreams that a configuration is checked against.
+    pub upstreams: Option<PathBuf>,
+    /// Path of the configuration that is compared with.
+    pub against: Option<PathBuf>,
     /// Path of the settings.
     pub settings: PathBuf,
     /// Revision that the sheet is based on; 0 for none.
@@ -229,6 +239,9 @@
         Self {
             files: Vec::new(),
             json: false,
+            platform: false,
+            upstreams: None,
+            against: None,
             settings: PathBuf::from("operator.json"),
             base: None,
             apply_id: None,
@@ -276,6 +289,9 @@
         let name = verb.name;
         return Err(format!("{name} does not take {found} files, see {name} --help").into());
     }
+    if !options.platform && (options.upstreams.is_some() || options.against.is_some()) {
+        return Err("--upstreams and --against need --platform, see check --help".into());
+    }
     Ok(Command::Run(verb.name, options))
 }
 
@@ -286,6 +302,9 @@
 ) -> Result<(), lexopt::Error> {
     match name {
         "json" => options.json = true,
+        "platform" => options.platform = true,
+        "upstreams" => options.upstreams = Some(parser.value()?.into()),
+        "against" => options.against = Some(parser.value()?.into()),
         "wait" => options.wait = true,
         "settings" => options.settings = parser.value()?.into(),
         "base" => options.base = Some(parser.value()?.parse()?),
--- a/src/bin/fireflywind/exit_codes.rs
+++ b/src/bin/fireflywind/exit_codes.rs
@@ -28,6 +28,8 @@
     NotFound = 9,
     /// `demo` found a violated property or could not run.
     DemoFailed = 10,
+    /// `check --platform` found entries that gateways take but that have no effect or contradict each other.
+    Doubtful = 11,
 }
 
 impl From<ExitCode> for process::ExitCode {
--- a/src/bin/fireflywind/main.rs
+++ b/src/bin/fireflywind/main.rs
@@ -2,6 +2,7 @@
 
 mod bill;
 mod cli;
+mod configuration;
 mod exit_codes;
 mod platform;
 mod records;
--- a/src/bin/fireflywind/tests.rs
+++ b/src/bin/fireflywind/tests.rs
@@ -97,6 +97,48 @@
     assert_eq!(command(&["check", "no/such/file"]).0, ExitCode::Invalid);
 }
 
+// Guards against a script that sends a configuration which gateways refuse, or in which entries have no effect.
+#[test]
+fn check_of_a_configuration_has_an_exit_code_for_each_outcome() {
+    let path = |file: &str| {
+        let path = example("configuration", file);
+        path.to_str().expect("the path is text").to_owned()
+    };
+    let (in_force, faulty) = (path("in-force.json"), path("faulty.json"));
+    let upstreams = path("upstreams.json");
+
+    let (code, out, err) = command(&["check", "--platform", &in_force, "--upstreams", &upstreams]);
+    assert_eq!((code, err.as_str()), (ExitCode::Success, ""));
+    assert!(out.ends_with("in-force.json: no findings\n"), "{out}");
+
+    let (code, out, err) = command(&["check", "--platform", &faulty, "--against", &in_force]);
+    assert_eq!(code, ExitCode::Invalid);
+    assert!(
+        err.contains("/routes/1/timeoutMs: refused: is \"3s\""),
+        "{err}"
+    );
+    assert!(out.contains("~ /version: 41 -> 42\n"), "{out}");
+
+    let mut doubtful: Value =
+        serde_json::from_slice(&fs::read(&in_force).expect("the example exists"))
+            .expect("the example is JSON");
+    doubtful["routes"][1]["attempts"] = 3.into();
+    let file = std::env::temp_dir().join(format!("fireflywind-config-{}", process::id()));
+    fs::write(&file, doubtful.to_string()).expect("the file is written");
+    let name = file.to_str().expect("the path is text");
+    let (code, json, _) = command(&["check", "--platform", name, "--json"]);
+    fs::remove_file(&file).expect("the file is removed");
+    assert_eq!(code, ExitCode::Doubtful);
+    let json: Value = serde_json::from_str(&json).expect("the output is JSON");
+    assert_eq!(json["findings"][0]["place"], "/routes/1/attempts");
+    assert_eq!(json["findings"][0]["severity"], "doubtful");
+
+    let (code, _, _) = command(&["check", "--platform", "no/such/file"]);
+    assert_eq!(code, ExitCode::Invalid);
+    let (code, _, _) = command(&["check", &in_force, "--against", &in_force]);
+    assert_eq!(code, ExitCode::Usage);
+}
+
 // Guards against exit codes and error texts that differ from the documented ones.
 #[test]
 fn command_lines_have_their_exit_codes() {
--- a/src/bin/fireflywind/verbs.rs
+++ b/src/bin/fireflywind/verbs.rs
@@ -16,7 +16,7 @@
 
 use crate::cli::Options;
 use crate::exit_codes::ExitCode;
-use crate::{bill, platform, records};
+use crate::{bill, configuration, platform, records};
 
 /// Where a verb writes its result and its errors.
 pub struct Io<'a> {
@@ -55,6 +55,7 @@
 /// If the output cannot be written.
 pub fn run(verb: &str, options: &Options, io: &mut Io<'_>) -> io::Result<ExitCode> {
     let result = match (verb, options.files.as_slice()) {
+        ("check", [file]) if options.platform => Ok(configuration::print(file, options, io)?),
         ("check", [file]) => check(file, options, io),
         ("diff", [old, new]) => diff_files(old, new, options, io),
         ("replay", [file]) => records::replay(file, io),
--- a/src/forward/tests/ends_of_answers.rs
+++ b/src/forward/tests/ends_of_answers.rs
@@ -49,7 +49,7 @@
 }
 
 /// Starts an upstream that reads heads only, writes these bytes and then ends the connection.
-async fn early_upstream(answer: &'static str, end: End) -> EarlyUpstream {
+fn early_upstream(answer: &'static str, end: End) -> EarlyUpstream {
     let listener = listen_with_small_buffer().expect("loopback can be bound");
     let scripted = ScriptedUpstream {
         addr: listener.local_addr().expect("the listener is bound"),
@@ -246,7 +246,7 @@
                     if end == End::HalfClose && length == 5 {
                         continue;
                     }
-                    let upstream = early_upstream(UNFRAMED, end).await;
+                    let upstream = early_upstream(UNFRAMED, end);
                     let gateway = gateway(&[&upstream.scripted]).await;
 
                     let text = upload(&gateway, path, length).await;
@@ -271,7 +271,7 @@
     fixture::run(async {
         for path in ["/once/", "/safe/", "/stream/"] {
             for length in [0, 5, LONG_BODY_BYTES] {
-                let upstream = early_upstream(UNFRAMED, End::Clean).await;
+                let upstream = early_upstream(UNFRAMED, End::Clean);
                 let gateway = gateway(&[&upstream.scripted]).await;
 
                 let text = upload(&gateway, path, length).await;
@@ -292,7 +292,7 @@
         let answer = "HTTP/1.1 413 Too Large\r\nX-Fireflywind-Request-Id: r1\r\n\
                       X-Fireflywind-Server-Stamp: s1\r\nContent-Length: 4\r\n\r\nlong";
         for end in [End::ReadLater(Millis::from_secs(4)), End::Reset] {
-            let upstream = early_upstream(answer, end).await;
+            let upstream = early_upstream(answer, end);
             let gateway = gateway(&[&upstream.scripted]).await;
 
             let text = upload(&gateway, "/once/", LONG_BODY_BYTES).await;
@@ -309,7 +309,7 @@
     fixture::run(async {
         let answer = "HTTP/1.1 200 OK\r\nX-Fireflywind-Request-Id: r1\r\n\
                       X-Fireflywind-Server-Stamp: s1\r\nContent-Length: 2\r\n\r\nok";
-        let upstream = early_upstream(answer, End::ReadLater(Millis(500))).await;
+        let upstream = early_upstream(answer, End::ReadLater(Millis(500)));
         let gateway = gateway(&[&upstream.scripted]).await;
 
         for _ in 0..3 {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,6 +3,7 @@
 //! Decodes the store's items, header fields and settings into the product's types, and encodes what the gateway
 //! writes. Decisions, state and recovery are in [`crate::router`] and [`crate::forward`].
 
+pub mod check;
 mod figures;
 pub mod headers;
 pub mod items;
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -1,4 +1,5 @@
 //! Tests of the platform adapter: items, settings and the client of the store.
 
+mod check;
 mod items;
 mod store;
