--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -26,6 +26,7 @@
 use super::head::{Framing, ResponseHead};
 use super::job::Job;
 use super::notices;
+use super::places;
 use super::pool::Conn;
 use super::reply::{self, BodyFraming};
 use super::shared::Shared;
@@ -233,7 +234,8 @@
         let now = shared.clock.now();
         let is_ready = (shared.fleet.borrow()).is_ready(&upstream.id, upstream.boot, now);
         let is_paused = (shared.pauses.borrow()).is_paused(&upstream.id, upstream.boot, now);
-        if !is_ready || is_paused {
+        let is_barred = places::barrier(shared, job, upstream).is_some();
+        if !is_ready || is_paused || is_barred {
             log::info!(event = "attempt_withdrawn", request:% = String::from_utf8_lossy(&job.id),
                 upstream:% = upstream.id; "");
             return Err(AttemptEnd::Retry(AttemptFailure::NotSent));
@@ -622,16 +624,15 @@
     }
 }
 
-/// Returns whether an upstream of the service wants no pause; an answer that is ready is not given up for a wait.
+/// Returns whether the request may be sent to an upstream that wants no pause; an answer that is ready is not given up for a
+/// wait or a refusal.
 fn has_free_upstream(shared: &Shared, job: &Job) -> bool {
     let pauses = shared.pauses.borrow();
-    if pauses.is_empty() {
-        return true;
-    }
     let now = shared.clock.now();
     let fleet = shared.fleet.borrow();
     let mut ready = fleet.ready(&job.service, now);
-    ready.any(|u| !pauses.is_paused(&u.id, u.boot, now))
+    ready
+        .any(|u| !pauses.is_paused(&u.id, u.boot, now) && places::barrier(shared, job, u).is_none())
 }
 
 /// Returns the probability that an answer of the largest model would miss the route's latency target.
--- a/src/forward/choose.rs
+++ b/src/forward/choose.rs
@@ -12,6 +12,7 @@
 use crate::units::Millis;
 
 use super::job::Job;
+use super::places::{self, PlaceBarrier};
 use super::shared::Shared;
 
 /// Mean age of a load report when it is used, plus the time until a request reaches the upstream. Beacons poll their
@@ -35,17 +36,25 @@
     Limited(Limited),
     /// All that the request may use want a pause; the pause that ends first.
     Paused(Paused),
+    /// The request may be sent to no data centre that has an upstream for it.
+    Barred(PlaceBarrier),
 }
 
 /// Chooses the upstream of an attempt; upstreams in `tried` are used only as the last choice.
 pub(super) fn choose(shared: &Shared, job: &Job, tried: &[Rc<str>]) -> Result<Choice, NoChoice> {
     let now = shared.clock.now();
     let fleet = shared.fleet.borrow();
-    let (ready, paused) = without_paused(shared, fleet.ready(&job.service, now).collect(), now);
+    let ready = fleet.ready(&job.service, now).collect();
+    let (ready, barrier) = places::permitted(shared, job, ready);
+    let (ready, paused) = without_paused(shared, ready, now);
     let eligible = eligible_upstreams(shared, job, ready, tried.len(), now);
     if let Some(paused) = paused.filter(|_| eligible.is_empty()) {
         return Err(NoChoice::Paused(paused));
     }
+    if let Some(barrier) = barrier.filter(|_| eligible.is_empty()) {
+        return Err(NoChoice::Barred(barrier));
+    }
+    let eligible = places::without_returning(shared, eligible, now);
     let eligible = within_limits(shared, eligible, now)?;
     let policy = shared.policy();
     let mut health = shared.health.borrow_mut();
--- a/src/forward/gateway.rs
+++ b/src/forward/gateway.rs
@@ -291,6 +291,8 @@
     metrics.set_gauge("limited_upstreams", value(limited));
     let paused = shared.pauses.borrow().len(shared.clock.now());
     metrics.set_gauge("paused_upstreams", value(paused));
+    let evacuated = shared.evacuations.borrow().len();
+    metrics.set_gauge("evacuated_data_centres", value(evacuated));
     let leaving = shared.fleet.borrow().leaving_count();
     metrics.set_gauge("leaving_upstreams", value(leaving));
     metrics.text()
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -20,6 +20,7 @@
 mod job;
 pub mod memory;
 pub(crate) mod notices;
+mod places;
 pub mod pool;
 pub mod reply;
 pub mod request;
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -18,6 +18,7 @@
 use super::exchange::HeldBody;
 use super::head::ResponseHead;
 use super::job::{Job, admit, not_run};
+use super::places::PlaceBarrier;
 use super::reply::LocalReply;
 use super::shared::Shared;
 use super::stream::Relay;
@@ -145,6 +146,10 @@
                 retry_after = retry_after.max(reason.wait);
                 break "limited";
             }
+            Err(NoAttempt::NoChoice(NoChoice::Barred(barrier))) => {
+                retry_after = retry_after.max(record_barred(shared, job, barrier));
+                break barrier.name();
+            }
             Err(NoAttempt::NoChoice(NoChoice::Paused(paused))) => {
                 record_paused(shared, job, paused, "refused");
                 // Clients that were refused during one pause do not come back at the same moment.
@@ -265,6 +270,20 @@
     shared.metrics.count_event("limited");
 }
 
+/// Logs a request that may be sent to no data centre; returns the time after which the client may retry.
+fn record_barred(shared: &Shared, job: &Job, barrier: PlaceBarrier) -> Millis {
+    let now = shared.clock.now();
+    let evacuations = shared.evacuations.borrow();
+    let (event, retry_after) = match barrier {
+        PlaceBarrier::Evacuated => ("refused_evacuated", evacuations.retry_after(now)),
+        PlaceBarrier::NotHome => ("refused_not_home", MIN_RETRY_AFTER),
+    };
+    log::info!(event = "barred", request:% = String::from_utf8_lossy(&job.id), service:% = job.service, route:% = job.route.name,
+        reason = barrier.name(), evacuated = evacuations.len(), retry_after_ms = retry_after.0; "");
+    shared.metrics.count_event(event);
+    retry_after
+}
+
 /// Why a request has no answer, and what the client gets instead.
 struct Unanswered {
     reason: &'static str,
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -11,10 +11,12 @@
 use crate::router::cascade::Cascade;
 use crate::router::demand::Demand;
 use crate::router::departures::Departures;
+use crate::router::evacuations::Evacuations;
 use crate::router::fleet::{Fleet, OutageTracker, Upstream};
 use crate::router::freshness::Freshness;
 use crate::router::health::{HealthTable, MAX_REPORT_AGE};
 use crate::router::history::History;
+use crate::router::homes::Regions;
 use crate::router::lateness::Lateness;
 use crate::router::named_limits::{LimitChange, NamedLimits, Sharing};
 use crate::router::pauses::Pauses;
@@ -71,6 +73,8 @@
     pub change_bound: Millis,
     /// Longest time after the start for which clients wait for the first listing of the store.
     pub startup_wait: Millis,
+    /// Region of each data centre.
+    pub regions: Rc<Regions>,
 }
 
 /// A planned stop. Times are of the gateway's clock.
@@ -120,6 +124,8 @@
     pub freshness: RefCell<Freshness>,
     /// History of the store that the view belongs to.
     pub(crate) history: RefCell<History>,
+    /// Data centres that operators have evacuated.
+    pub(crate) evacuations: RefCell<Evacuations>,
     /// Outages of the store, to distinguish expired registrations from removed ones.
     pub outage_tracker: RefCell<OutageTracker>,
     /// Upstreams that leave, with the requests sent to them since.
@@ -212,6 +218,7 @@
             rollouts: RefCell::new(rollouts),
             freshness: RefCell::new(freshness),
             history: RefCell::default(),
+            evacuations: RefCell::default(),
             outage_tracker: RefCell::new(outage_tracker),
             departures: RefCell::default(),
             is_loaded: Cell::default(),
--- a/src/forward/tests/fixture.rs
+++ b/src/forward/tests/fixture.rs
@@ -16,6 +16,7 @@
 use crate::router::comparison::AnswerReport;
 use crate::router::fleet::{Upstream, UpstreamState};
 use crate::router::history::Era;
+use crate::router::homes::Regions;
 use crate::router::retry::RetryBounds;
 use crate::router::table::{
     Account, ClientLimits, RequestKind, Route, RouteTable, ServiceSettings, Target,
@@ -289,9 +290,20 @@
         change_bound: Millis(2_000),
         heartbeat: Millis(1_200),
         startup_wait: Millis::from_secs(60),
+        regions: Rc::new(regions()),
     }
 }
 
+/// Returns the regions of the data centres: `a` and `b` are in the first, `c` is in the second.
+fn regions() -> Regions {
+    let regions = [("a", "first"), ("b", "first"), ("c", "second")];
+    Regions::new(
+        regions
+            .map(|(name, region)| (name.into(), region.into()))
+            .to_vec(),
+    )
+}
+
 /// Requests the readiness of the gateway.
 pub(super) async fn is_ready(gateway: &Gateway) -> bool {
     let mut stream = connect(gateway.addresses().ready).await;
@@ -348,6 +360,7 @@
                 service: "pool".into(),
                 weight: 1,
             }],
+            homes: Vec::new(),
         })
     };
     let routes = vec![
@@ -366,11 +379,54 @@
     let account = Rc::new(Account {
         name: "shop".into(),
         priority: None,
+        homes: Vec::new(),
     });
     let keys = vec![(Rc::from("key-1"), account)];
     RouteTable::new(1, routes, services, Some(keys), ClientLimits::default())
 }
 
+/// Returns the route `/safe/` with home regions.
+pub(super) fn route_with_homes(homes: &[&str]) -> Route {
+    let table = table();
+    let route = table.route("h.example", "/safe/");
+    Route {
+        homes: homes.iter().map(|region| Rc::from(*region)).collect(),
+        ..Route::clone(route.expect("the table has the route"))
+    }
+}
+
+/// Returns an account with home regions.
+pub(super) fn account_with_homes(homes: &[&str]) -> Account {
+    Account {
+        name: "shop".into(),
+        priority: None,
+        homes: homes.iter().map(|region| Rc::from(*region)).collect(),
+    }
+}
+
+/// Starts an upstream that writes the same answer after some time.
+pub(super) async fn slow_upstream(answer: &'static str, delay: Millis) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("loopback can be bound");
+    let addr = listener.local_addr().expect("the listener is bound");
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            actix_rt::spawn(async move {
+                while let Some(text) = read_message(&mut stream).await {
+                    let id = field(&text, "X-Fireflywind-Request-Id").unwrap_or_default();
+                    actix_rt::time::sleep(delay.duration()).await;
+                    let written = stream.write_all(answer.replace("ID", id).as_bytes()).await;
+                    if written.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    addr
+}
+
 /// Runs a test on its own runtime; the sockets are real, so the clock is not paused.
 pub(super) fn run<F: Future>(test: F) -> F::Output {
     actix_rt::System::new().block_on(test)
--- a/src/forward/tests/mod.rs
+++ b/src/forward/tests/mod.rs
@@ -3,9 +3,11 @@
 mod crashes;
 mod departures;
 mod endless;
+mod evacuations;
 mod faulty_answers;
 mod fixture;
 mod follow;
+mod homes;
 mod limits;
 mod memory;
 mod model_store;
--- a/src/forward/tests/model_store.rs
+++ b/src/forward/tests/model_store.rs
@@ -37,7 +37,9 @@
 const CONFIG_KEY: &str = "op/config";
 const SETTLED_KEY: &str = "own/settled";
 const UPSTREAM_PREFIX: &str = "servers/";
+const OPERATOR_PREFIX: &str = "op/";
 const ORDER_PREFIX: &str = "op/rollout/";
+const EVACUATION_PREFIX: &str = "op/evacuate/";
 const STATUS_PREFIX: &str = "status/rollout/";
 const START_PREFIX: &str = "own/rollout/";
 const CRASHES_PREFIX: &str = "own/crashes/";
@@ -45,13 +47,7 @@
 const ANSWERS_PREFIX: &str = "own/answers/";
 
 /// The key prefixes of a listing's pages.
-const PAGES: [&str; 5] = [
-    CONFIG_KEY,
-    ORDER_PREFIX,
-    STATUS_PREFIX,
-    "own/",
-    UPSTREAM_PREFIX,
-];
+const PAGES: [&str; 4] = [OPERATOR_PREFIX, STATUS_PREFIX, "own/", UPSTREAM_PREFIX];
 
 /// What the store has at one moment.
 #[derive(Clone, Default)]
@@ -502,7 +498,9 @@
             format!("{ANSWERS_PREFIX}{}/{}", report.service, report.gateway)
         }
         StoreEvent::Contained { record, .. } => format!("{CONTAINED_PREFIX}{}", record.key()),
+        StoreEvent::Evacuated(data_centre) => format!("{EVACUATION_PREFIX}{data_centre}"),
         StoreEvent::UpstreamRemoved(_)
+        | StoreEvent::EvacuationRemoved(_)
         | StoreEvent::RolloutRemoved(_)
         | StoreEvent::ContainmentRemoved(_) => unreachable!("removals are not items"),
     }
@@ -512,6 +510,9 @@
     if let Some(id) = key.strip_prefix(UPSTREAM_PREFIX) {
         return Some(StoreEvent::UpstreamRemoved(id.into()));
     }
+    if let Some(data_centre) = key.strip_prefix(EVACUATION_PREFIX) {
+        return Some(StoreEvent::EvacuationRemoved(data_centre.into()));
+    }
     if let Some(key) = key.strip_prefix(CONTAINED_PREFIX) {
         return key.parse().ok().map(StoreEvent::ContainmentRemoved);
     }
--- a/src/platform/items.rs
+++ b/src/platform/items.rs
@@ -22,10 +22,14 @@
 use crate::units::Millis;
 use crate::units::whole::{Whole, parse_whole};
 
+/// Prefix of the keys that the operator writes.
+pub(super) const OPERATOR_PREFIX: &str = "op/";
 /// Key of the configuration.
 pub(super) const CONFIG_KEY: &str = "op/config";
 /// Prefix of the keys of roll-out orders; the service follows.
 pub(super) const ORDER_PREFIX: &str = "op/rollout/";
+/// Prefix of the keys of evacuations; the data centre follows.
+pub(super) const EVACUATION_PREFIX: &str = "op/evacuate/";
 /// Prefix of the keys of roll-out states, which the operator reads; the service follows.
 pub(super) const STATUS_PREFIX: &str = "status/rollout/";
 /// Prefix of the keys of upstreams; the id follows.
@@ -86,6 +90,10 @@
             ramp: duration_from_seconds(order.ramp_s)?,
         }));
     }
+    // The key says all; the value may be anything.
+    if let Some(data_centre) = key.strip_prefix(EVACUATION_PREFIX) {
+        return Ok(Some(StoreEvent::Evacuated(data_centre.into())));
+    }
     if let Some(service) = key.strip_prefix(STATUS_PREFIX) {
         let status: Status = parse(value)?;
         return Ok(Some(StoreEvent::RolloutPhase {
@@ -125,6 +133,9 @@
     if let Some(id) = key.strip_prefix(UPSTREAM_PREFIX) {
         return Some(StoreEvent::UpstreamRemoved(id.into()));
     }
+    if let Some(data_centre) = key.strip_prefix(EVACUATION_PREFIX) {
+        return Some(StoreEvent::EvacuationRemoved(data_centre.into()));
+    }
     if let Some(key) = key.strip_prefix(CONTAINED_PREFIX) {
         return key.parse().ok().map(StoreEvent::ContainmentRemoved);
     }
@@ -300,6 +311,8 @@
     sizes: Vec<String>,
     service: Option<String>,
     split: Option<Vec<Part>>,
+    #[serde(rename = "homeRegions")]
+    homes: Option<Vec<Rc<str>>>,
 }
 
 #[derive(Deserialize)]
@@ -354,6 +367,8 @@
     keys: Vec<String>,
     #[serde_as(as = "Option<Whole>")]
     priority: Option<u8>,
+    #[serde(rename = "homeRegions")]
+    homes: Option<Vec<Rc<str>>>,
 }
 
 const fn one() -> u32 {
@@ -376,6 +391,7 @@
             let account = Rc::new(Account {
                 name: tenant.name.into(),
                 priority: tenant.priority,
+                homes: tenant.homes.unwrap_or_default(),
             });
             let keys = tenant.keys.into_iter();
             keys.map(move |key| (Rc::from(key), Rc::clone(&account)))
@@ -459,5 +475,6 @@
         max_event_gap: Millis::from_millis_f64(raw.gap_ms),
         models: raw.sizes.into_iter().map(Rc::from).collect(),
         targets,
+        homes: raw.homes.unwrap_or_default(),
     }))
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a gateway and of a beacon, in the form that the templates in `deploy/` render.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -10,6 +11,7 @@
 use serde_with::serde_as;
 
 use crate::forward::shared::Policy;
+use crate::router::homes::Regions;
 use crate::router::retry::RetryBounds;
 use crate::units::Millis;
 
@@ -123,6 +125,13 @@
     #[serde_as(as = "Milliseconds")]
     #[serde(rename = "drain_bound_ms", default)]
     pub drain_bound: Option<Millis>,
+    /// Time within which the evacuation of a data centre must be in force, in milliseconds.
+    #[serde_as(as = "Milliseconds")]
+    #[serde(rename = "evacuation_bound_ms", default)]
+    pub evacuation_bound: Option<Millis>,
+    /// Region of each data centre.
+    #[serde(default)]
+    pub regions: BTreeMap<Rc<str>, Rc<str>>,
     /// Interval at which upstreams renew their entries in the store, in milliseconds.
     #[serde_as(as = "Milliseconds")]
     #[serde(rename = "heartbeat_ms", default)]
@@ -171,7 +180,7 @@
     }
 }
 
-/// Longest time after the start for which requests wait for the first list from the store. The list takes five
+/// Longest time after the start for which requests wait for the first list from the store. The list takes four
 /// reads of a few milliseconds each; clients abandon a connection after one second.
 const STARTUP_WAIT: Millis = Millis(400);
 
@@ -254,6 +263,9 @@
         let key_revocation = self.key_revocation.unwrap_or(DEFAULT_KEY_REVOCATION);
         let configuration_bound = self.configuration_bound.unwrap_or(DEFAULT_CHANGE_BOUND);
         let drain_bound = self.drain_bound.unwrap_or(DEFAULT_CHANGE_BOUND);
+        let change_bound = configuration_bound.min(drain_bound);
+        let regions = self.regions.iter();
+        let regions = regions.map(|(name, region)| (Rc::clone(name), Rc::clone(region)));
         Policy {
             name: Rc::clone(&self.name),
             data_centre: Rc::clone(&self.data_centre),
@@ -269,8 +281,10 @@
             stop_grace: self.stop_grace.unwrap_or(DEFAULT_STOP_GRACE),
             catch_up: self.catch_up.unwrap_or(DEFAULT_CATCH_UP),
             heartbeat: self.heartbeat.unwrap_or(DEFAULT_HEARTBEAT),
-            change_bound: configuration_bound.min(drain_bound),
+            change_bound: (self.evacuation_bound)
+                .map_or(change_bound, |bound| bound.min(change_bound)),
             startup_wait: STARTUP_WAIT,
+            regions: Rc::new(Regions::new(regions.collect())),
         }
     }
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -493,8 +493,7 @@
                 revision: u64::MAX,
             };
             let prefixes = [
-                items::CONFIG_KEY,
-                items::ORDER_PREFIX,
+                items::OPERATOR_PREFIX,
                 items::STATUS_PREFIX,
                 items::GATEWAYS_PREFIX,
                 items::UPSTREAM_PREFIX,
--- a/src/platform/tests/store.rs
+++ b/src/platform/tests/store.rs
@@ -94,9 +94,9 @@
         let bad = item("op/rollout/x", "not json");
         let order = item("op/rollout/y", r#"{"service":"y","to":"v2","rampS":12}"#);
         let answers = vec![
-            page(&[config], false, 10),
-            page(&[bad], true, 11),
-            page(&[order], false, 12),
+            page(&[config, bad], true, 10),
+            page(&[order], false, 11),
+            page(&[], false, 12),
             page(&[], false, 13),
         ];
         let (addr, requests) = start_store(answers).await;
@@ -110,9 +110,7 @@
         assert_eq!(listing.revision, 10);
         assert_eq!(listing.events.len(), 2);
         let requests = requests.borrow();
-        assert!(
-            requests[2].starts_with("GET /api/kv-range?prefix=op/rollout/&after=op/rollout/x ")
-        );
+        assert!(requests[1].starts_with("GET /api/kv-range?prefix=op/&after=op/rollout/x "));
     });
 }
 
--- a/src/router/history.rs
+++ b/src/router/history.rs
@@ -15,8 +15,8 @@
 /// names about two seconds after the store's return.
 pub const SETTLE_TIME: Millis = Millis(2_000);
 
-/// Time over which gateways that see a new era spread their listings, for each gateway: with five calls a listing, together they make
-/// 1,250 calls a second on average. From 425 gateways on, [`MAX_LISTING_SPREAD`] is reached and the rate grows with them.
+/// Time over which gateways that see a new era spread their listings, for each gateway: with four calls a listing, together they make
+/// 1,000 calls a second on average. From 425 gateways on, [`MAX_LISTING_SPREAD`] is reached and the rate grows with them.
 const LISTING_SPREAD_PER_GATEWAY: Millis = Millis(4);
 
 /// Upper bound of that spread; the shortest time in which a gateway must have caught up is 3 s.
--- a/src/router/table.rs
+++ b/src/router/table.rs
@@ -69,6 +69,8 @@
     pub models: Vec<Rc<str>>,
     /// Services that take the requests.
     pub targets: Vec<Target>,
+    /// Regions whose upstreams may get the requests; empty if any may.
+    pub homes: Vec<Rc<str>>,
 }
 
 impl Route {
@@ -130,6 +132,8 @@
     pub name: Rc<str>,
     /// Priority that replaces the route's.
     pub priority: Option<u8>,
+    /// Regions whose upstreams may get the account's requests; empty if any may.
+    pub homes: Vec<Rc<str>>,
 }
 
 /// Limits on what a client may send.
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -3,10 +3,12 @@
 mod cascade;
 mod comparison_fuzz;
 mod departures;
+mod evacuations;
 mod fleet;
 mod fleet_comparison;
 mod herd;
 mod history;
+mod homes;
 mod load;
 mod named_limits;
 mod outcome;
--- a/src/router/tests/routing.rs
+++ b/src/router/tests/routing.rs
@@ -30,6 +30,7 @@
                 weight: 10,
             },
         ],
+        homes: Vec::new(),
     })
 }
 
@@ -37,6 +38,7 @@
     let account = Rc::new(Account {
         name: "shop".into(),
         priority: None,
+        homes: Vec::new(),
     });
     let keys = vec![("key-1".into(), account)];
     RouteTable::new(1, routes, Vec::new(), Some(keys), ClientLimits::default())
