--- a/tests/soak/checker.rs
+++ b/tests/soak/checker.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::http::Message;
-use crate::upstream::{NAMED_LIMIT, is_crashing};
+use crate::upstream::{NAMED_LIMIT, data_centre, is_crashing};
 
 /// Longest time that a key may be accepted after the store has acknowledged its revocation.
 pub const REVOCATION_DEADLINE: Duration = Duration::from_secs(5);
@@ -29,6 +29,9 @@
 /// Time after an answer of an upstream that leaves within which a gateway may still send requests to it.
 const DRAIN_BOUND: Duration = Duration::from_secs(2);
 
+/// Time after the store has acknowledged an evacuation within which upstreams there may still get requests.
+const EVACUATION_BOUND: Duration = Duration::from_secs(5);
+
 /// Time after a refusal with a pause from which requests count.
 const PAUSE_GRACE: Duration = Duration::from_millis(500);
 
@@ -131,6 +134,8 @@
     /// When a gateway first passed on that an upstream leaves.
     leaving: HashMap<(SocketAddr, String), Instant>,
     pauses: HashMap<(SocketAddr, String), Vec<Pause>>,
+    /// Data centre that is evacuated, and since when.
+    evacuated: Option<(&'static str, Instant)>,
     /// Gateways that are frozen and upstreams whose ways are disturbed, or were last at that time; by address or id.
     excused: HashMap<String, Excuse>,
 }
@@ -265,6 +270,11 @@
         excuse.last_change = Instant::now();
     }
 
+    /// Records that the store has acknowledged the evacuation of a data centre, or that it was taken back.
+    pub fn record_evacuation(&self, data_centre: Option<&'static str>) {
+        self.history().evacuated = data_centre.map(|name| (name, Instant::now()));
+    }
+
     /// Records that a gateway has passed on an answer of an upstream that leaves.
     pub fn record_leaving(&self, gateway: SocketAddr, upstream: &str) {
         let mut history = self.history();
@@ -293,6 +303,13 @@
         let Some((gateway, sent_at)) = history.sent.get(id).map(|s| (s.gateway, s.at)) else {
             return;
         };
+        if let Some((evacuated, since)) = history.evacuated
+            && data_centre(upstream) == evacuated
+            && history.disturbed.unwrap_or(since).max(since).elapsed() > EVACUATION_BOUND
+        {
+            let finding = format!("{id}: {gateway} sends it to {upstream}, which is evacuated");
+            history.findings.push(finding);
+        }
         let key = (gateway, upstream.to_owned());
         if let Some(told_at) = history.leaving.get(&key).copied()
             && sent_at > told_at + DRAIN_BOUND
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -18,7 +18,7 @@
 use crate::proxy::{ForwardMode, Proxy};
 use crate::rng::Rng;
 use crate::store::Store;
-use crate::upstream::{Behaviour, Upstream};
+use crate::upstream::{Behaviour, Upstream, data_centre};
 
 const GATEWAYS: usize = 2;
 
@@ -152,6 +152,10 @@
     /// Upstreams that say that they leave while the store has them as ready, and until when they run.
     leaving: Vec<(Upstream, Instant)>,
     paused_until: Instant,
+    /// Decides what is evacuated and when; the other faults of a seed do not depend on it.
+    evacuation_rng: Rng,
+    evacuated: Option<&'static str>,
+    next_evacuation: Instant,
     /// Sequence number of the last entry that an upstream wrote, and when it was written.
     heartbeat: (u64, Instant),
     active: Vec<(Fault, Instant)>,
@@ -192,6 +196,9 @@
             next_notice: Instant::now(),
             leaving: Vec::new(),
             paused_until: Instant::now(),
+            evacuation_rng: Rng::new(seed, 3),
+            evacuated: None,
+            next_evacuation: Instant::now(),
             heartbeat: (1, Instant::now()),
             store_proxies: (0..gateways).map(|_| Proxy::start(store.addr)).collect(),
             store,
@@ -229,6 +236,10 @@
                 self.next_notice = Instant::now() + self.notice_rng.duration_ms(300, 3_000);
                 self.give_notice();
             }
+            if Instant::now() >= self.next_evacuation {
+                self.next_evacuation = Instant::now() + self.evacuation_rng.duration_ms(200, 3_000);
+                self.toggle_evacuation();
+            }
             if Instant::now() >= next {
                 next = Instant::now() + self.rng.duration_ms(30, 250);
                 let gateways = self.gateways.len() as u64;
@@ -240,11 +251,19 @@
         }
         self.end_faults(Instant::now() + Duration::from_mins(10));
         self.end_restores();
+        self.set_evacuated(None);
         self.shared.checker.record_disturbance();
         self.wait_for_recovery();
         let limited = &self.upstreams[0];
         limited.set(Behaviour::Limited);
         self.shared.checker.record_limit(&limited.id);
+        // The limited upstream keeps its requests.
+        let other = if data_centre(&limited.id) == "a" {
+            "b"
+        } else {
+            "a"
+        };
+        self.set_evacuated(Some(other));
         let is_bad = !self.shared.seed.is_multiple_of(3);
         plain::start(&self.store, &self.shared, is_bad);
         let end = Instant::now() + QUIET_TIME;
@@ -365,6 +384,28 @@
         self.paused_until = self.paused_until.max(Instant::now() + time);
     }
 
+    /// Evacuates a data centre, unless no upstream would be left, or takes the evacuation back.
+    fn toggle_evacuation(&mut self) {
+        let name = *self.evacuation_rng.choose(&["a", "b"]);
+        let is_left = |u: &Upstream| data_centre(&u.id) != name;
+        let evacuates = self.evacuated.is_none() && self.upstreams.iter().any(is_left);
+        self.set_evacuated(evacuates.then_some(name));
+    }
+
+    fn set_evacuated(&mut self, evacuated: Option<&'static str>) {
+        let at = self.started_at.elapsed().as_millis();
+        (self.injected).push(format!("  {at} ms: evacuated {evacuated:?}"));
+        self.shared.checker.record_evacuation(None);
+        if let Some(name) = self.evacuated {
+            self.store.remove(&format!("op/evacuate/{name}"));
+        }
+        if let Some(name) = evacuated {
+            self.store.put(&format!("op/evacuate/{name}"), &json!({}));
+        }
+        self.evacuated = evacuated;
+        self.shared.checker.record_evacuation(evacuated);
+    }
+
     fn return_store(&mut self) {
         self.store.set_returned();
         self.shared.checker.record_disturbance();
