--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -12,7 +12,6 @@
 use crate::kv::LocalFuture;
 use crate::router::comparison::AnswerReport;
 use crate::router::departures::DepartureKind;
-use crate::router::evacuations::EvacuationChange;
 use crate::router::fleet::{Change, CopyTimes, Upstream, UpstreamState, copied_entry_lifetime};
 use crate::router::history::{Era, Read, SETTLE_TIME, Sighting, listing_spread};
 use crate::router::rollout::Phase;
@@ -389,7 +388,7 @@
 
 /// What the events of a response are.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum UpdateKind {
+pub(super) enum UpdateKind {
     /// Changes since what is known.
     Changes,
     /// All items, of a history that is known.
@@ -468,13 +467,11 @@
             }
             StoreEvent::ContainmentRemoved(key) => shared.remove_containment(key),
             StoreEvent::Evacuated(data_centre) if kind == UpdateKind::Changes => {
-                let change = shared.evacuations.borrow_mut().start(&data_centre, now);
-                shared.record_evacuation(change, max_notice_age);
+                shared.start_evacuation(&data_centre, max_notice_age);
             }
             StoreEvent::Evacuated(data_centre) => evacuated.push(data_centre),
             StoreEvent::EvacuationRemoved(data_centre) => {
-                let change = shared.evacuations.borrow_mut().end(&data_centre, now);
-                shared.record_evacuation(change, max_notice_age);
+                shared.end_evacuation(&data_centre, max_notice_age);
             }
             StoreEvent::RolloutRemoved(service) => shared.rollouts.borrow_mut().remove(&service),
             StoreEvent::RolloutPhase {
@@ -491,18 +488,7 @@
             }
         }
     }
-    let settled_at = now + shared.history.borrow().settles_in(now).unwrap_or_default();
-    let evacuations = {
-        let mut evacuations = shared.evacuations.borrow_mut();
-        match kind {
-            UpdateKind::Changes => Vec::new(),
-            UpdateKind::Listing => evacuations.replace(&evacuated, now),
-            UpdateKind::FirstListing => evacuations.replace_by_copy(&evacuated, settled_at, now),
-        }
-    };
-    for change in evacuations {
-        shared.record_evacuation(Some(change), max_notice_age);
-    }
+    shared.replace_evacuations(kind, &evacuated, max_notice_age);
     let changes = match kind {
         UpdateKind::Changes => Vec::new(),
         UpdateKind::Listing => {
@@ -543,11 +529,7 @@
     for change in joined {
         shared.record_change(Some(change), Millis(0));
     }
-    let now = shared.clock.now();
-    let ended = (shared.evacuations.borrow_mut()).release_missing(called_at, now);
-    for change in ended {
-        shared.record_evacuation(Some(change), Millis(0));
-    }
+    shared.release_evacuations(called_at);
 }
 
 /// Removes upstreams whose grace period is over.
@@ -590,33 +572,6 @@
         sighting
     }
 
-    /// Logs and counts a change of an evacuation.
-    ///
-    /// `max_notice_age` is the longest time for which the store may have held the change.
-    fn record_evacuation(&self, change: Option<EvacuationChange>, max_notice_age: Millis) {
-        let Some(change) = change else {
-            return;
-        };
-        let (change_name, data_centre, lasted) = match &change {
-            EvacuationChange::Started(name) => ("started", name, Millis(0)),
-            EvacuationChange::Missing(name) => ("missing", name, Millis(0)),
-            EvacuationChange::Ended {
-                data_centre,
-                lasted,
-            } => ("ended", data_centre, *lasted),
-        };
-        let fleet = self.fleet.borrow();
-        let upstreams = fleet.all().filter(|u| u.data_centre == *data_centre);
-        let upstreams = upstreams.count();
-        log::info!(event = "evacuation", change = change_name, data_centre:% = data_centre,
-            upstreams = upstreams, lasted_ms = lasted.0, word_age_ms = max_notice_age.0; "");
-        self.metrics.count_event(match change {
-            EvacuationChange::Started(_) => "evacuation_started",
-            EvacuationChange::Missing(_) => "evacuation_missing",
-            EvacuationChange::Ended { .. } => "evacuation_ended",
-        });
-    }
-
     /// Logs a change of the fleet, records a departure, and closes idle connections to an upstream that leaves.
     ///
     /// `max_notice_age` is the longest time for which the store may have held the change.
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -12,6 +12,7 @@
 pub mod client;
 mod containment;
 mod crash;
+mod evacuations;
 pub mod events;
 pub mod exchange;
 pub mod follow;
