--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -481,10 +481,7 @@
                 revision,
             } => (shared.rollouts.borrow_mut()).set_phase(&service, &to, phase, revision),
             StoreEvent::RolloutStart { service, start } => {
-                let unix = shared.clock.unix();
-                let ago = unix.since(Millis(start.started_unix_ms));
-                let started = Millis(now.0.saturating_sub(ago.0));
-                (shared.rollouts.borrow_mut()).set_start(&service, &start.to, started);
+                record_rollout_start(shared, &service, &start, now);
             }
         }
     }
@@ -517,6 +514,14 @@
     }
 }
 
+/// Records when a roll-out began, by the gateway's clock.
+fn record_rollout_start(shared: &Shared, service: &Rc<str>, start: &RolloutStart, now: Millis) {
+    let unix = shared.clock.unix();
+    let ago = unix.since(Millis(start.started_unix_ms));
+    let started = Millis(now.0.saturating_sub(ago.0));
+    (shared.rollouts.borrow_mut()).set_start(service, &start.to, started);
+}
+
 /// Returns the age of the gateway's view: how long the store may have held a change not yet received here.
 fn age(shared: &Shared, now: Millis) -> Millis {
     shared.freshness.borrow().age(now).unwrap_or_default()
