--- a/src/forward/choose.rs
+++ b/src/forward/choose.rs
@@ -12,6 +12,7 @@
 use crate::units::Millis;
 
 use super::job::Job;
+use super::places;
 use super::shared::Shared;
 
 /// Mean age of a load report when it is used, plus the time until a request reaches the upstream. Beacons poll their
@@ -43,7 +44,9 @@
     let fleet = shared.fleet.borrow();
     shared.cold.borrow_mut().tick(now);
     let ready = fleet.ready(&job.service, now).collect();
+    let (ready, misplaced) = places::permitted(shared, job, ready);
     let (ready, barrier) = eligibility::divide(ready, |u| paused(shared, u, now));
+    let barrier = barrier.or(misplaced);
     let eligible = eligible_upstreams(shared, job, ready, tried.len(), now);
     if let Some(barrier) = barrier.filter(|_| eligible.is_empty()) {
         return Err(NoChoice::Barred(barrier));
@@ -57,6 +60,7 @@
     if let Some(barrier) = barrier.filter(|_| eligible.is_empty()) {
         return Err(NoChoice::Barred(barrier));
     }
+    let eligible = places::without_returning(shared, eligible, now);
     let eligible = shared.within_pace(eligible, now);
     let policy = shared.policy();
     let mut health = shared.health.borrow_mut();
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -97,6 +97,10 @@
     },
     /// The order for a service was removed.
     RolloutRemoved(Rc<str>),
+    /// A data centre is evacuated.
+    Evacuated(Rc<str>),
+    /// The evacuation of a data centre was taken back.
+    EvacuationRemoved(Rc<str>),
     /// The recorded phase of a roll-out.
     RolloutPhase {
         /// Service of the roll-out.
@@ -384,7 +388,7 @@
 
 /// What the events of a response are.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum UpdateKind {
+pub(super) enum UpdateKind {
     /// Changes since what is known.
     Changes,
     /// All items, of a history that is known.
@@ -418,6 +422,7 @@
     let grace = shared.outage_tracker.borrow().grace(now);
     let mut upstreams = Vec::new();
     let mut containments = Vec::new();
+    let mut evacuated = Vec::new();
     for event in events {
         if let StoreEvent::Upstream(upstream) = &event {
             shared.observe_cold_entry(upstream, now);
@@ -464,6 +469,13 @@
                 shared.apply_containment(record, revision);
             }
             StoreEvent::ContainmentRemoved(key) => shared.remove_containment(key),
+            StoreEvent::Evacuated(data_centre) if kind == UpdateKind::Changes => {
+                shared.start_evacuation(&data_centre, max_notice_age);
+            }
+            StoreEvent::Evacuated(data_centre) => evacuated.push(data_centre),
+            StoreEvent::EvacuationRemoved(data_centre) => {
+                shared.end_evacuation(&data_centre, max_notice_age);
+            }
             StoreEvent::RolloutRemoved(service) => shared.rollouts.borrow_mut().remove(&service),
             StoreEvent::RolloutPhase {
                 service,
@@ -472,13 +484,11 @@
                 revision,
             } => (shared.rollouts.borrow_mut()).set_phase(&service, &to, phase, revision),
             StoreEvent::RolloutStart { service, start } => {
-                let unix = shared.clock.unix();
-                let ago = unix.since(Millis(start.started_unix_ms));
-                let started = Millis(now.0.saturating_sub(ago.0));
-                (shared.rollouts.borrow_mut()).set_start(&service, &start.to, started);
+                record_rollout_start(shared, &service, &start, now);
             }
         }
     }
+    shared.replace_evacuations(kind, &evacuated, max_notice_age);
     let changes = match kind {
         UpdateKind::Changes => Vec::new(),
         UpdateKind::Listing => {
@@ -507,17 +517,27 @@
     }
 }
 
+/// Records when a roll-out began, by the gateway's clock.
+fn record_rollout_start(shared: &Shared, service: &Rc<str>, start: &RolloutStart, now: Millis) {
+    let unix = shared.clock.unix();
+    let ago = unix.since(Millis(start.started_unix_ms));
+    let started = Millis(now.0.saturating_sub(ago.0));
+    (shared.rollouts.borrow_mut()).set_start(service, &start.to, started);
+}
+
 /// Returns the age of the gateway's view: how long the store may have held a change not yet received here.
 fn age(shared: &Shared, now: Millis) -> Millis {
     shared.freshness.borrow().age(now).unwrap_or_default()
 }
 
-/// Uses upstreams whose entries in a restored store were held until an answer to a call that was sent at `called_at`.
+/// Uses upstreams, and ends evacuations, that waited since a restore of the store for an answer to a call that was sent at
+/// `called_at`.
 fn release_lasting(shared: &Shared, called_at: Millis) {
     let joined = shared.fleet.borrow_mut().release_lasting(called_at);
     for change in joined {
         shared.record_change(Some(change), Millis(0));
     }
+    shared.release_evacuations(called_at);
 }
 
 /// Removes upstreams whose grace period is over.
@@ -527,6 +547,7 @@
     for change in removed {
         shared.record_change(Some(change), Millis(0));
     }
+    shared.evacuations.borrow_mut().expire(now);
 }
 
 impl Shared {
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -158,10 +158,15 @@
                 retry_after = retry_after.max(paused.wait + Millis(spread));
                 break "paused";
             }
-            Err(NoAttempt::NoChoice(
-                NoChoice::NoUpstream
-                | NoChoice::Barred(Barrier::Leaving | Barrier::Evacuated | Barrier::OutsideHome),
-            )) => break "no_upstream",
+            Err(NoAttempt::NoChoice(NoChoice::Barred(
+                barrier @ (Barrier::Evacuated | Barrier::OutsideHome),
+            ))) => {
+                retry_after = retry_after.max(record_barred(shared, job, barrier));
+                break barrier.name();
+            }
+            Err(NoAttempt::NoChoice(NoChoice::NoUpstream | NoChoice::Barred(Barrier::Leaving))) => {
+                break "no_upstream";
+            }
         };
         let (upstream, now) = (&choice.upstream, shared.clock.now());
         tried.push(Rc::clone(&upstream.id));
@@ -293,6 +298,20 @@
     shared.metrics.count_event("limited");
 }
 
+/// Logs a request that may be sent to no data centre; returns the time after which the client may retry.
+fn record_barred(shared: &Shared, job: &Job, barrier: Barrier) -> Millis {
+    let now = shared.clock.now();
+    let evacuations = shared.evacuations.borrow();
+    let (event, retry_after) = match barrier {
+        Barrier::Evacuated => ("refused_evacuated", evacuations.retry_after(now)),
+        _ => ("refused_not_home", MIN_RETRY_AFTER),
+    };
+    log::info!(event = "barred", request:% = String::from_utf8_lossy(&job.id), service:% = job.service, route:% = job.route.name,
+        reason = barrier.name(), evacuated = evacuations.len(), retry_after_ms = retry_after.0; "");
+    shared.metrics.count_event(event);
+    retry_after
+}
+
 /// Why a request has no answer, and what the client gets instead.
 struct Unanswered {
     reason: &'static str,
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -12,10 +12,12 @@
 use crate::router::cold::{ColdBound, ColdUpstreams};
 use crate::router::demand::Demand;
 use crate::router::departures::Departures;
+use crate::router::evacuations::Evacuations;
 use crate::router::fleet::{Fleet, OutageTracker, Upstream};
 use crate::router::freshness::Freshness;
 use crate::router::health::{HealthTable, MAX_REPORT_AGE};
 use crate::router::history::History;
+use crate::router::homes::Regions;
 use crate::router::lateness::Lateness;
 use crate::router::named_limits::{LimitChange, NamedLimits, Sharing};
 use crate::router::pace::Paces;
@@ -75,6 +77,8 @@
     pub startup_wait: Millis,
     /// Bound on the requests that cold upstreams get.
     pub cold: Option<ColdBound>,
+    /// Region of each data centre.
+    pub regions: Rc<Regions>,
 }
 
 /// A planned stop. Times are of the gateway's clock.
@@ -124,6 +128,8 @@
     pub freshness: RefCell<Freshness>,
     /// History of the store that the view belongs to.
     pub(crate) history: RefCell<History>,
+    /// Data centres that operators have evacuated.
+    pub(crate) evacuations: RefCell<Evacuations>,
     /// Outages of the store, to distinguish expired registrations from removed ones.
     pub outage_tracker: RefCell<OutageTracker>,
     /// Upstreams that leave, with the requests sent to them since.
@@ -220,6 +226,7 @@
             rollouts: RefCell::new(rollouts),
             freshness: RefCell::new(freshness),
             history: RefCell::default(),
+            evacuations: RefCell::default(),
             outage_tracker: RefCell::new(outage_tracker),
             departures: RefCell::default(),
             is_loaded: Cell::default(),
--- a/src/platform/tests/store.rs
+++ b/src/platform/tests/store.rs
@@ -94,9 +94,9 @@
         let bad = item("op/rollout/x", "not json");
         let order = item("op/rollout/y", r#"{"service":"y","to":"v2","rampS":12}"#);
         let answers = vec![
-            page(&[config], false, 10),
-            page(&[bad], true, 11),
-            page(&[order], false, 12),
+            page(&[config, bad], true, 10),
+            page(&[order], false, 11),
+            page(&[], false, 12),
             page(&[], false, 13),
         ];
         let (addr, requests) = start_store(answers).await;
@@ -110,9 +110,7 @@
         assert_eq!(listing.revision, 10);
         assert_eq!(listing.events.len(), 2);
         let requests = requests.borrow();
-        assert!(
-            requests[2].starts_with("GET /api/kv-range?prefix=op/rollout/&after=op/rollout/x ")
-        );
+        assert!(requests[1].starts_with("GET /api/kv-range?prefix=op/&after=op/rollout/x "));
     });
 }
 
@@ -140,7 +138,7 @@
         items.push(sound("z", 81));
         let changes = format!(r#"{{"events":[{}],"storeRevision":7}}"#, items.join(","));
         let empty = page(&[], false, 10);
-        let mut answers = vec![empty.clone(), empty.clone(), empty.clone(), empty];
+        let mut answers = vec![empty.clone(), empty.clone(), empty];
         answers.push(page(&items, false, 10));
         answers.push((200, changes));
         let (addr, _) = start_store(answers).await;
@@ -542,7 +540,6 @@
             (2, page(&[], false, 3)),
             (2, page(&[], false, 3)),
             (2, page(&[], false, 3)),
-            (2, page(&[], false, 3)),
             (2, lease(6)),
             (2, written()),
         ];
@@ -562,6 +559,6 @@
         assert_eq!([first.result, second.result], [Ok(9), Ok(9)]);
         assert_eq!(listed.result.map(|l| l.revision), Ok(3));
         let requests = requests.borrow();
-        assert!(requests[1].contains(r#""lease":5"#) && requests[8].contains(r#""lease":6"#));
+        assert!(requests[1].contains(r#""lease":5"#) && requests[7].contains(r#""lease":6"#));
     });
 }
--- a/src/router/eligibility.rs
+++ b/src/router/eligibility.rs
@@ -41,7 +41,7 @@
         match self {
             Self::Leaving => "leaving",
             Self::Evacuated => "evacuated",
-            Self::OutsideHome => "outside_home",
+            Self::OutsideHome => "not_home",
             Self::Paused(_) => "paused",
             Self::Limited(_) => "limited",
             Self::Cold(_) => "cold",
