--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -4,6 +4,7 @@
 //! of their attempts, so an event of a stream costs one read and one write. Routing decisions are made by
 //! [`crate::router`].
 
+mod admission;
 mod answers;
 pub use answers::report_interval;
 mod attempt;
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -12,6 +12,7 @@
 use crate::suspect::Decision;
 use crate::units::Millis;
 
+use super::admission::{self, Admitted};
 use super::attempt::{AttemptEnd, attempt, deliver, take_retry_budget};
 use super::choose::{Choice, NoChoice, choose};
 use super::client::{AfterAnswer, ClientConn, IncomingRequest};
@@ -136,6 +137,13 @@
         // An upstream's error answer is ready. Another gateway has the time that a stop would cut off, but not for a stream that
         // has begun.
         let may_wait = || failure.is_none() && (relay.has_begun() || !shared.is_stopping.get());
+        // Waits once for each model; a repeated send has had its turn.
+        if tried.is_empty() && failure.is_none() && !relay.has_begun() {
+            match admission::wait(shared, client, job).await {
+                Admitted::Send => {}
+                Admitted::ClientGone => return Outcome::ClientGone,
+            }
+        }
         let choice = match choose_after_pause(shared, client, job, &tried, may_wait).await {
             Ok(choice) => choice,
             Err(NoAttempt::ClientGone) => return Outcome::ClientGone,
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -8,8 +8,10 @@
 
 use crate::clock::Clock;
 use crate::ids;
+use crate::router::admission::Admission;
+use crate::router::answer_times::AnswerTimes;
 use crate::router::cascade::Cascade;
-use crate::router::demand::Demand;
+use crate::router::demand::{Demand, ModelClass};
 use crate::router::departures::Departures;
 use crate::router::fleet::{Fleet, OutageTracker, Upstream};
 use crate::router::freshness::Freshness;
@@ -71,6 +73,8 @@
     pub change_bound: Millis,
     /// Longest time after the start for which clients wait for the first listing of the store.
     pub startup_wait: Millis,
+    /// Whether requests of lower rank wait at the gateway while the upstreams are short of room.
+    pub orders_under_shortage: bool,
 }
 
 /// A planned stop. Times are of the gateway's clock.
@@ -163,6 +167,9 @@
     budgets: RefCell<Vec<(Rc<str>, RetryBudget)>>,
     lateness: RefCell<Vec<(Rc<str>, Lateness)>>,
     demands: RefCell<Vec<(Rc<str>, Demand)>>,
+    answer_times: RefCell<Vec<(Rc<str>, AnswerTimes)>>,
+    /// Admission by service, for the smallest and for the larger models.
+    admissions: RefCell<Vec<(Rc<str>, [Admission; 2])>>,
     /// Number of gateways that the last load report names, and when it arrived.
     reported_gateways: Cell<(u16, Millis)>,
     /// Highest number of gateways that load reports of the last seconds name, and when it was named last.
@@ -235,6 +242,8 @@
             budgets: RefCell::default(),
             lateness: RefCell::default(),
             demands: RefCell::default(),
+            answer_times: RefCell::default(),
+            admissions: RefCell::default(),
             reported_gateways: Cell::default(),
             most_gateways: Cell::default(),
             random: Cell::new(seed),
@@ -413,6 +422,28 @@
         f(entry(&mut demands, service, Demand::default))
     }
 
+    /// Calls `f` with the times of a service's answers.
+    pub fn with_answer_times<T>(
+        &self,
+        service: &Rc<str>,
+        f: impl FnOnce(&mut AnswerTimes) -> T,
+    ) -> T {
+        let mut times = self.answer_times.borrow_mut();
+        f(entry(&mut times, service, AnswerTimes::default))
+    }
+
+    /// Calls `f` with the admission to a service's upstreams of a class of models.
+    pub fn with_admission<T>(
+        &self,
+        service: &Rc<str>,
+        class: ModelClass,
+        f: impl FnOnce(&mut Admission) -> T,
+    ) -> T {
+        let mut admissions = self.admissions.borrow_mut();
+        let classes = entry(&mut admissions, service, <[Admission; 2]>::default);
+        f(&mut classes[class as usize])
+    }
+
     /// Calls `f` with the cascade of a route.
     pub fn with_cascade<T>(&self, route: &Rc<str>, f: impl FnOnce(&mut Cascade) -> T) -> T {
         let mut cascades = self.cascades.borrow_mut();
--- a/src/forward/tests/fixture.rs
+++ b/src/forward/tests/fixture.rs
@@ -289,6 +289,7 @@
         change_bound: Millis(2_000),
         heartbeat: Millis(1_200),
         startup_wait: Millis::from_secs(60),
+        orders_under_shortage: false,
     }
 }
 
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -138,8 +138,14 @@
     #[serde_as(as = "Seconds")]
     #[serde(rename = "session_s", default)]
     pub session: Option<Millis>,
+    /// Parts of the platform's rules that are in force, separated by commas.
+    #[serde(default)]
+    pub contracts: Option<String>,
 }
 
+/// Part of the platform's rules under which callers compete for too little room.
+const SHORTAGE_CONTRACT: &str = "pressure";
+
 /// Limits on retries.
 #[serde_as]
 #[derive(Debug, Clone, Copy, Default, PartialEq, Deserialize)]
@@ -271,8 +277,14 @@
             heartbeat: self.heartbeat.unwrap_or(DEFAULT_HEARTBEAT),
             change_bound: configuration_bound.min(drain_bound),
             startup_wait: STARTUP_WAIT,
+            orders_under_shortage: self.has_contract(SHORTAGE_CONTRACT),
         }
     }
+
+    fn has_contract(&self, name: &str) -> bool {
+        let contracts = self.contracts.as_deref().unwrap_or_default();
+        contracts.split(',').any(|part| part.trim() == name)
+    }
 }
 
 #[expect(
--- /dev/null
+++ b/src/router/admission/tests/mod.rs
@@ -0,0 +1,1 @@
+//! Tests of admission; none needs a network.
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -4,6 +4,8 @@
 //! performs I/O. The platform's adapter fills [`table::RouteTable`] and [`fleet::Fleet`]; [`crate::forward`]
 //! executes the decisions.
 
+pub mod admission;
+pub mod answer_times;
 pub mod attempt;
 pub mod cascade;
 pub mod comparison;
