--- a/src/router/tests/fleet.rs
+++ b/src/router/tests/fleet.rs
@@ -536,3 +536,45 @@
     assert_eq!(fleet.record_leaving(&"u".into(), 1), None);
     assert_eq!(ids(&fleet), ["u", "w"]);
 }
+
+fn at_port(mut upstream: Upstream, port: u16) -> Upstream {
+    upstream.addr.set_port(port);
+    upstream
+}
+
+#[test]
+fn after_a_loss_of_power_the_entries_of_the_old_processes_are_not_used() {
+    let mut fleet = Fleet::default();
+    for port in 1..=3 {
+        fleet.put(at_port(ready(&format!("old-{port}"), 1_000, 9), port));
+    }
+
+    for port in 1..=2 {
+        fleet.put(at_port(ready(&format!("new-{port}"), 2_000, 1), port));
+    }
+
+    assert_eq!(ids(&fleet), ["new-1", "new-2", "old-3"]);
+    assert!(!fleet.is_ready("old-1", 1_000, NOW));
+}
+
+#[test]
+fn an_old_entry_that_is_read_after_the_new_one_is_not_used_either() {
+    let mut fleet = Fleet::default();
+    fleet.put(at_port(ready("new", 2_000, 1), 1));
+
+    fleet.put(at_port(ready("old", 1_000, 9), 1));
+    fleet.put(at_port(ready("old", 1_000, 10), 1));
+
+    assert_eq!(ids(&fleet), ["new"]);
+}
+
+#[test]
+fn a_process_that_comes_back_at_an_address_is_used_again() {
+    let mut fleet = Fleet::default();
+    fleet.put(at_port(ready("u", 1_000, 9), 1));
+    fleet.put(at_port(ready("guest", 2_000, 1), 1));
+
+    fleet.put(at_port(ready("u", 3_000, 1), 1));
+
+    assert_eq!(ids(&fleet), ["u"]);
+}
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the routing decisions; none needs a network.
 
+mod answer_times;
 mod cascade;
 mod comparison_fuzz;
 mod departures;
