Wait by the time to spare within a rank, and take paces for the time of answers

Accounts have priorities of their own there, so notes with an aim of 2 s waited for others of their kind. 370 of 442 failures were streams cut off at the deadline.

--- a/src/forward/admission.rs
+++ b/src/forward/admission.rs
@@ -1,4 +1,4 @@
-//! Waits at the gateway until the upstreams have room for a request of lower rank.
+//! Waits at the gateway until the upstreams have room for a request that can wait.
 
 use std::rc::Rc;
 
@@ -26,7 +26,7 @@
     ClientGone,
 }
 
-/// Waits until the request may be sent, if requests that are more urgent compete for the upstreams.
+/// Waits until the request may be sent, if requests with less time compete for the upstreams.
 pub(super) async fn wait(shared: &Shared, client: &mut ClientConn, job: &Job) -> Admitted {
     if !shared.policy().orders_under_shortage || !job.is_engine(shared) {
         return Admitted::Send;
@@ -36,7 +36,7 @@
     let asked_at = shared.clock.now();
     let place = shared.with_admission(&job.service, class, |admission| {
         admission.record_request(priority, target, asked_at);
-        admission.more_urgent_target(priority, asked_at)?;
+        admission.tighter_target(priority, target, asked_at)?;
         Some(admission.enter(&applicant(shared, job)))
     });
     let Some(place) = place else {
@@ -89,14 +89,15 @@
     }
 }
 
-/// Renews the view of the upstreams' room, with the queue that the more urgent requests can bear.
+/// Renews the view of the upstreams' room, with the queue that requests with less time can bear.
 fn renew_view(shared: &Shared, job: &Job, now: Millis) {
     let class = job.model_class();
     let bound = shared.with_admission(&job.service, class, |admission| {
         if !admission.needs_view(now) {
             return None;
         }
-        let target = admission.more_urgent_target(job.priority(), now);
+        let own = job.route.latency_target;
+        let target = admission.tighter_target(job.priority(), own, now);
         Some(target.map(|target| admission.queue_bound(target)))
     });
     let Some(bound) = bound else {
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -18,6 +18,7 @@
 use crate::suspect::RunEnd;
 use crate::units::Millis;
 
+use super::answer_times;
 use super::choose::Choice;
 use super::client::{AfterAnswer, ClientConn, IncomingRequest};
 use super::containment::RunGuard;
@@ -46,10 +47,6 @@
 /// its memory only once.
 const MAX_COPIED_BYTES: usize = 16 * 1024;
 
-/// Time before the deadline from which a client that has gone counts as one whose deadline has come; clients measure it from
-/// before their connection is open.
-const DEADLINE_SLACK: Millis = Millis(2_000);
-
 /// The upstream of an attempt and the open connection to it.
 struct OpenAttempt {
     upstream: Rc<Upstream>,
@@ -582,7 +579,7 @@
         });
     }
     if let Some(model) = job.model.filter(|_| !relay.has_begun()) {
-        let prices = affordable_prices(shared, job, first_byte);
+        let prices = answer_times::prices(shared, job, first_byte);
         let input = EscalationInput {
             model,
             models: job.route.models.len(),
@@ -612,13 +609,13 @@
     let closes = shared.closes(job.keep_alive);
     let upstream = Rc::clone(&open.upstream);
     let watch = job.silence_watch(shared, &upstream, stream::limits(shared, job), can_reroute);
-    let (began_at, is_whole) = (shared.clock.now(), !relay.has_begun());
+    let is_whole = !relay.has_begun() && job.resume_after.is_none();
     let end = stream::relay(watch, client, job, &mut open.conn, &head, relay, closes).await;
-    if is_whole {
-        record_answer_time(shared, job, began_at, &end);
-    }
     match end {
         RelayEnd::Complete => {
+            if let Some(events) = relay.last_id().filter(|_| is_whole) {
+                answer_times::record_length(shared, job, events);
+            }
             let status = head.status;
             return_to_pool(shared, open, &head);
             AttemptEnd::Delivered {
@@ -639,46 +636,6 @@
     }
 }
 
-/// Returns the prices of the models; a model whose answer would be cut off at the deadline is worth no price.
-fn affordable_prices(shared: &Shared, job: &Job, first_byte: Millis) -> Vec<f64> {
-    let mut prices = job.model_prices(shared);
-    if !shared.policy().orders_under_shortage {
-        return prices;
-    }
-    let left = job.deadline.since(shared.clock.now());
-    shared.with_answer_times(&job.service, |times| {
-        for (model, price) in prices.iter_mut().enumerate() {
-            // The next model waits and reads the prompt for at least as long as this one has.
-            if !times.can_finish(model, job.size.output, first_byte, left) {
-                *price = f64::INFINITY;
-            }
-        }
-    });
-    if prices.contains(&f64::INFINITY) {
-        shared.metrics.count_event("escalation_too_long");
-    }
-    prices
-}
-
-/// Records how long a model's answer took, or that it was cut off at its deadline.
-fn record_answer_time(shared: &Shared, job: &Job, began_at: Millis, end: &RelayEnd) {
-    let now = shared.clock.now();
-    let is_at_deadline = now + DEADLINE_SLACK >= job.deadline;
-    let is_timed = match end {
-        RelayEnd::Complete => true,
-        RelayEnd::ClientGone | RelayEnd::Silent(SilenceOutcome::TimedOut) => is_at_deadline,
-        RelayEnd::Lost(_) | RelayEnd::Silent(SilenceOutcome::Leave) => false,
-    };
-    if let Some(model) = job
-        .model
-        .filter(|_| is_timed && shared.policy().orders_under_shortage)
-    {
-        shared.with_answer_times(&job.service, |times| {
-            times.observe(model, job.size.output, now.since(began_at));
-        });
-    }
-}
-
 /// Returns whether an upstream of the service wants no pause; an answer that is ready is not given up for a wait.
 fn has_free_upstream(shared: &Shared, job: &Job) -> bool {
     let pauses = shared.pauses.borrow();
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -5,6 +5,7 @@
 //! [`crate::router`].
 
 mod admission;
+mod answer_times;
 mod answers;
 pub use answers::report_interval;
 mod attempt;
--- a/src/forward/shared.rs
+++ b/src/forward/shared.rs
@@ -73,7 +73,7 @@
     pub change_bound: Millis,
     /// Longest time after the start for which clients wait for the first listing of the store.
     pub startup_wait: Millis,
-    /// Whether requests of lower rank wait at the gateway while the upstreams are short of room.
+    /// Whether requests that have time wait at the gateway while the upstreams are short of room.
     pub orders_under_shortage: bool,
 }
 
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -9,6 +9,7 @@
 use crate::router::silence_policy::Limits;
 use crate::units::Millis;
 
+use super::answer_times;
 use super::attempt::observe_version;
 use super::body::Decoder;
 use super::client::ClientConn;
@@ -150,6 +151,7 @@
             shared.record_run_progress(job, now);
             if let Some(time) = pace.observe(relay.last_id(), now) {
                 job.pace.set(Some(time));
+                answer_times::record_pace(shared, job, time);
                 observe_version(shared, job, &upstream, Answer::Paced(time));
             }
         }
--- a/src/platform/tests/items.rs
+++ b/src/platform/tests/items.rs
@@ -186,6 +186,21 @@
   "admin":"127.0.0.1:3","loads":"127.0.0.1:5","beacon_port":6,"store":"127.0.0.1:4","key_revocation_ms":"5000","exposure":0.15,"session_s":8.5,"catch_up_ms":"4000",
   "retries":{"ratio":0.9,"window_s":10,"slack":52},"stop_grace_s":"8"}"#;
 
+#[test]
+fn requests_wait_for_room_only_where_the_contracts_say_that_callers_compete() {
+    let orders = |contracts: &str| {
+        let text = SETTINGS.replacen('{', &format!("{{\"contracts\":\"{contracts}\","), 1);
+        let settings = read_settings(&text).expect("the settings are valid");
+        settings.policy().orders_under_shortage
+    };
+
+    assert!(orders("base,places,pressure,platform"));
+    assert!(!orders("base,places,platform"));
+    assert!(!orders(""));
+    let without = read_settings(SETTINGS).expect("the settings are valid");
+    assert!(!without.policy().orders_under_shortage);
+}
+
 #[test]
 fn settings_are_read_and_invalid_ones_are_refused() {
     let valid = read_settings(SETTINGS)
--- a/src/router/admission/mod.rs
+++ b/src/router/admission/mod.rs
@@ -3,8 +3,8 @@
 //! The load: a burst of long prompts that may take seconds to answer, beside short ones that must start to answer soon. An
 //! engine starts a prompt as soon as it has a slot and memory for it, and then works on all started prompts in turn.
 //! Once the long ones are there, no rank at the engine brings the short ones forward. A gateway therefore keeps a
-//! request of lower rank back while the queues at the upstreams are longer than a more urgent request can bear.
-//! Upstreams stay busy meanwhile, so nothing is lost to the ones that wait but their place.
+//! request that has time back while the queues at the upstreams are longer than requests with less time can bear, unless its
+//! own rank goes before theirs. Upstreams stay busy meanwhile, so nothing is lost to the ones that wait but their place.
 //!
 //! * [`room`] is the work that the upstreams can take before their queues are that long, as load reports show it.
 //! * [`queue`] is the order in which requests of one gateway take their part of that room.
@@ -27,7 +27,7 @@
 use self::room::Room;
 use self::speed::Speed;
 
-/// Part of a more urgent request's latency target that may pass in the queue of an upstream. A request of a cascade
+/// Part of the tighter latency target that may pass in the queue of an upstream. A request of a cascade
 /// passes two queues, each with reports that are up to half as old as the wait, and the rest is its own work.
 const QUEUE_DIVISOR: u64 = 4;
 
@@ -128,14 +128,20 @@
         }
     }
 
-    /// Returns the shortest latency target of the requests in use that go before this priority.
+    /// Returns the shortest latency target in use of requests that are as urgent or more, if it is shorter than the request's own.
     #[must_use]
-    pub fn more_urgent_target(&self, priority: u8, now: Millis) -> Option<Millis> {
+    pub fn tighter_target(
+        &self,
+        priority: u8,
+        latency_target: Millis,
+        now: Millis,
+    ) -> Option<Millis> {
         (self.ranks.iter())
-            .take_while(|rank| rank.priority < priority)
+            .take_while(|rank| rank.priority <= priority)
             .filter(|rank| now.since(rank.seen_at) <= PRIORITY_LIFETIME)
             .map(|rank| rank.latency_target)
             .min()
+            .filter(|target| *target < latency_target)
     }
 
     /// Records the time to first byte of a request with this work, behind this backlog, in prompt tokens of the largest
--- a/src/router/admission/tests/mod.rs
+++ b/src/router/admission/tests/mod.rs
@@ -84,19 +84,29 @@
 }
 
 #[test]
-fn the_most_urgent_requests_are_never_kept_back() {
+fn a_request_waits_only_for_those_with_less_time_and_no_lower_rank() {
     let now = Millis(1_000);
-    let admission = admission_beside_urgent(now);
+    let mut admission = Admission::default();
+    admission.record_request(1, Millis(2_000), now);
+    admission.record_request(1, Millis(8_000), now);
 
-    assert_eq!(admission.more_urgent_target(0, now), None);
-    assert_eq!(admission.more_urgent_target(2, now), Some(Millis(2_000)));
+    // A long draft of the same rank or a lower one waits.
+    for priority in [1, 2, 9] {
+        let target = admission.tighter_target(priority, Millis(8_000), now);
+        assert_eq!(target, Some(Millis(2_000)));
+    }
+    // A draft of a more urgent account, and a short note of any account, are sent at once.
+    assert_eq!(admission.tighter_target(0, Millis(8_000), now), None);
+    assert_eq!(admission.tighter_target(9, Millis(2_000), now), None);
 }
 
 #[test]
-fn without_urgent_requests_of_late_nothing_is_kept_back() {
+fn without_short_requests_of_late_nothing_is_kept_back() {
     let admission = admission_beside_urgent(Millis(1_000));
 
-    assert_eq!(admission.more_urgent_target(2, Millis(10_000)), None);
+    let target = admission.tighter_target(2, Millis(8_000), Millis(10_000));
+
+    assert_eq!(target, None);
 }
 
 #[test]
