--- a/src/router/answer_times.rs
+++ b/src/router/answer_times.rs
@@ -7,81 +7,69 @@
 //! The time of an answer is its expected length in events times the time between events. The latter is measured on the first
 //! events of each stream, so that a burst shows long before its slow answers end.
 
+use std::collections::VecDeque;
+
 use crate::units::Millis;
 
-/// Factor by which each new stream reduces the weight of earlier ones in the time between events. About the last 20 count:
-/// at a gateway that is a few seconds, the length of a burst.
-const PACE_DECAY_FACTOR: f64 = 0.95;
+/// Paces that are kept of each model, of the last streams: at a gateway that is a few seconds, the length of a burst.
+const KEPT_PACES: usize = 20;
 
-/// The same for the number of events to an expected token, which does not change with the load.
+/// Factor by which each new answer reduces the weight of earlier ones in the number of events to an expected token, which does
+/// not change with the load.
 const LENGTH_DECAY_FACTOR: f64 = 0.99;
 
-/// Streams that must have been seen, after decay, before a mean of them is used.
-const MIN_WEIGHT_STREAMS: f64 = 3.0;
-
-/// Decayed sums of two measures of the same streams.
-#[derive(Debug, Clone, Copy, Default)]
-struct Ratio {
-    above: f64,
-    below: f64,
-    streams: f64,
-}
-
-impl Ratio {
-    fn observe(&mut self, above: u64, below: u64, decay: f64) {
-        self.above = self.above * decay + to_f64(above);
-        self.below = self.below * decay + to_f64(below);
-        self.streams = self.streams * decay + 1.0;
-    }
+/// Streams that must have been seen before they are used.
+const MIN_STREAMS: usize = 4;
 
-    fn get(&self) -> Option<f64> {
-        let is_known = self.streams >= MIN_WEIGHT_STREAMS && self.below > 0.0;
-        is_known.then(|| self.above / self.below)
-    }
-}
+/// Part of the recent streams, one in this many, at whose pace an answer must end in time. An answer that a larger model is
+/// asked for has about that chance to be good enough as it is.
+const IN_TIME_DIVISOR: usize = 3;
 
-/// Time between events of the models of one service, smallest first, and the length of answers.
+/// Paces of one model's last streams and the length of answers.
 #[derive(Debug, Clone, Default)]
 pub struct AnswerTimes {
-    /// Milliseconds to an event.
-    paces: Vec<Ratio>,
-    /// Events to an expected token.
-    lengths: Ratio,
+    /// Milliseconds to an event of the last streams, by model, smallest first.
+    paces: Vec<VecDeque<f64>>,
+    /// Decayed sums of events and of expected tokens of whole answers, and the number of answers.
+    events: f64,
+    tokens: f64,
+    answers: usize,
 }
 
 impl AnswerTimes {
     /// Records that `events` of a stream took this time.
     pub fn observe_pace(&mut self, model: usize, events: u64, time: Millis) {
         if self.paces.len() <= model {
-            self.paces.resize(model + 1, Ratio::default());
+            self.paces.resize(model + 1, VecDeque::new());
+        }
+        let paces = &mut self.paces[model];
+        if paces.len() == KEPT_PACES {
+            paces.pop_front();
         }
-        self.paces[model].observe(time.0, events, PACE_DECAY_FACTOR);
+        paces.push_back(to_f64(time.0) / to_f64(events.max(1)));
     }
 
     /// Records that a whole answer had this many events, and how many tokens were expected of it.
     pub fn observe_length(&mut self, tokens: u64, events: u64) {
-        self.lengths.observe(events, tokens, LENGTH_DECAY_FACTOR);
-    }
-
-    /// Returns the expected time of an answer from its first byte, or `None` while too few have been seen.
-    #[must_use]
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "the number is not negative, and a float cast saturates"
-    )]
-    pub fn expected(&self, model: usize, tokens: u64) -> Option<Millis> {
-        let pace = self.paces.get(model)?.get()?;
-        let events = to_f64(tokens) * self.lengths.get()?;
-        Some(Millis((events * pace) as u64))
+        self.events = self.events * LENGTH_DECAY_FACTOR + to_f64(events);
+        self.tokens = self.tokens * LENGTH_DECAY_FACTOR + to_f64(tokens);
+        self.answers += 1;
     }
 
-    /// Returns whether an answer probably ends within `left`, if it starts after `wait`. A model that is not known yet
-    /// counts as fast enough.
+    /// Returns whether an answer may well end within `left`, if it starts after `wait`. A model that is not known yet counts
+    /// as fast enough.
     #[must_use]
     pub fn can_finish(&self, model: usize, tokens: u64, wait: Millis, left: Millis) -> bool {
-        self.expected(model, tokens)
-            .is_none_or(|time| wait + time <= left)
+        let Some(paces) = self.paces.get(model) else {
+            return true;
+        };
+        if paces.len() < MIN_STREAMS || self.answers < MIN_STREAMS || self.tokens <= 0.0 {
+            return true;
+        }
+        let events = to_f64(tokens) * self.events / self.tokens;
+        let left = to_f64(left.since(wait).0);
+        let in_time = paces.iter().filter(|pace| events * **pace <= left).count();
+        in_time * IN_TIME_DIVISOR >= paces.len()
     }
 }
 
--- a/src/router/tests/answer_times.rs
+++ b/src/router/tests/answer_times.rs
@@ -74,3 +74,14 @@
 
     assert!(times.can_finish(2, LONGEST, WAIT, LEFT));
 }
+
+#[test]
+fn a_few_slow_upstreams_do_not_take_the_larger_model_from_all_requests() {
+    let mut times = times_at(80);
+    for n in 0..20 {
+        let ms_per_event = if n % 2 == 0 { 80 } else { 500 };
+        times.observe_pace(2, 4, Millis(4 * ms_per_event));
+    }
+
+    assert!(times.can_finish(2, LONGEST, WAIT, LEFT));
+}
