--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -19,6 +19,7 @@
 use crate::suspect::RunEnd;
 use crate::units::Millis;
 
+use super::answer_times;
 use super::choose::Choice;
 use super::client::{AfterAnswer, ClientConn, IncomingRequest};
 use super::containment::RunGuard;
@@ -602,8 +603,17 @@
             l.observe_first_byte(work, backlog, first_byte);
         });
     }
+    if let Some(backlog) = open
+        .backlog
+        .filter(|_| shared.policy().orders_under_shortage)
+    {
+        let work = job.work(shared);
+        shared.with_admission(&job.service, job.model_class(), |admission| {
+            admission.observe_first_byte(work, backlog, first_byte);
+        });
+    }
     if let Some(model) = job.model.filter(|_| !relay.has_begun()) {
-        let prices = job.model_prices(shared);
+        let prices = answer_times::prices(shared, job, first_byte);
         let input = EscalationInput {
             model,
             models: job.route.models.len(),
@@ -633,9 +643,13 @@
     let closes = shared.closes(job.keep_alive);
     let upstream = Rc::clone(&open.upstream);
     let watch = job.silence_watch(shared, &upstream, stream::limits(shared, job), can_reroute);
+    let is_whole = !relay.has_begun() && job.resume_after.is_none();
     let end = stream::relay(watch, client, job, &mut open.conn, &head, relay, closes).await;
     match end {
         RelayEnd::Complete => {
+            if let Some(events) = relay.last_id().filter(|_| is_whole) {
+                answer_times::record_length(shared, job, events);
+            }
             let status = head.status;
             return_to_pool(shared, open, &head);
             AttemptEnd::Delivered {
--- a/src/forward/tests/fixture.rs
+++ b/src/forward/tests/fixture.rs
@@ -292,6 +292,7 @@
         startup_wait: Millis::from_secs(60),
         cold: None,
         regions: Rc::new(regions()),
+        orders_under_shortage: false,
     }
 }
 
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -151,6 +151,9 @@
     #[serde_as(as = "Seconds")]
     #[serde(rename = "session_s", default)]
     pub session: Option<Millis>,
+    /// Parts of the platform's rules that are in force, separated by commas.
+    #[serde(default)]
+    pub contracts: Option<String>,
 }
 
 /// Bound on the requests that a cold upstream gets in any second from all gateways; without a number there is none.
@@ -178,6 +181,8 @@
         })
     }
 }
+/// Part of the platform's rules under which callers compete for too little room.
+const SHORTAGE_CONTRACT: &str = "pressure";
 
 /// Limits on retries.
 #[serde_as]
@@ -316,8 +321,14 @@
             startup_wait: STARTUP_WAIT,
             cold: self.cold.bound(),
             regions: Rc::new(Regions::new(regions.collect())),
+            orders_under_shortage: self.has_contract(SHORTAGE_CONTRACT),
         }
     }
+
+    fn has_contract(&self, name: &str) -> bool {
+        let contracts = self.contracts.as_deref().unwrap_or_default();
+        contracts.split(',').any(|part| part.trim() == name)
+    }
 }
 
 #[expect(
--- a/src/router/tests/fleet.rs
+++ b/src/router/tests/fleet.rs
@@ -4,6 +4,7 @@
 
 use crate::fixtures;
 use crate::router::fleet::{Change, CopyTimes, Fleet, OutageTracker, Upstream, UpstreamState};
+use crate::router::hash;
 use crate::router::health::{AttemptOutcome, HealthTable};
 use crate::units::Millis;
 
@@ -11,9 +12,11 @@
 const NOW: Millis = Millis(0);
 
 fn upstream(id: &str, boot: u64, seq: u64, state: UpstreamState) -> Upstream {
+    // Two upstreams never have one address, unless a test says so.
+    let [a, b, ..] = hash(id.as_bytes()).to_be_bytes();
     Upstream {
         id: id.into(),
-        addr: "127.0.0.1:1".parse().expect("the address is valid"),
+        addr: ([127, 0, a, b], 1).into(),
         service: "pool".into(),
         data_centre: "a".into(),
         version: "v1".into(),
@@ -536,3 +539,45 @@
     assert_eq!(fleet.record_leaving(&"u".into(), 1), None);
     assert_eq!(ids(&fleet), ["u", "w"]);
 }
+
+fn at_port(mut upstream: Upstream, port: u16) -> Upstream {
+    upstream.addr = ([127, 0, 0, 1], port).into();
+    upstream
+}
+
+#[test]
+fn after_a_loss_of_power_the_entries_of_the_old_processes_are_not_used() {
+    let mut fleet = Fleet::default();
+    for port in 1..=3 {
+        fleet.put(at_port(ready(&format!("old-{port}"), 1_000, 9), port));
+    }
+
+    for port in 1..=2 {
+        fleet.put(at_port(ready(&format!("new-{port}"), 2_000, 1), port));
+    }
+
+    assert_eq!(ids(&fleet), ["new-1", "new-2", "old-3"]);
+    assert!(!fleet.is_ready("old-1", 1_000, NOW));
+}
+
+#[test]
+fn an_old_entry_that_is_read_after_the_new_one_is_not_used_either() {
+    let mut fleet = Fleet::default();
+    fleet.put(at_port(ready("new", 2_000, 1), 1));
+
+    fleet.put(at_port(ready("old", 1_000, 9), 1));
+    fleet.put(at_port(ready("old", 1_000, 10), 1));
+
+    assert_eq!(ids(&fleet), ["new"]);
+}
+
+#[test]
+fn a_process_that_comes_back_at_an_address_is_used_again() {
+    let mut fleet = Fleet::default();
+    fleet.put(at_port(ready("u", 1_000, 9), 1));
+    fleet.put(at_port(ready("guest", 2_000, 1), 1));
+
+    fleet.put(at_port(ready("u", 3_000, 1), 1));
+
+    assert_eq!(ids(&fleet), ["u"]);
+}
