--- a/src/forward/admission.rs
+++ b/src/forward/admission.rs
@@ -81,7 +81,7 @@
 fn applicant(shared: &Shared, job: &Job) -> Applicant {
     Applicant {
         priority: job.priority(),
-        account: job.account.as_ref().map(|a| a.name.clone()),
+        account: job.account.as_ref().map(|a| Rc::clone(&a.name)),
         work: job.work(shared),
         arrived: job.arrived,
         latency_target: job.route.latency_target,
