--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -160,8 +160,6 @@
     missing_until: Option<Millis>,
     /// Whether the store has removed the missing entry, rather than been restored from a copy that never had it.
     is_removed: bool,
-    /// Whether a process that started later has its address, so that this one has ended.
-    is_superseded: bool,
 }
 
 /// Effect of a change in the registry.
@@ -219,8 +217,7 @@
     }
 
     fn is_ready(&self, now: Millis) -> bool {
-        let is_taking = self.upstream.state == UpstreamState::Ready && !self.is_superseded;
-        is_taking && self.is_present(now)
+        self.upstream.state == UpstreamState::Ready && self.is_present(now)
     }
 }
 
@@ -267,10 +264,8 @@
                     upstream: Rc::clone(&upstream),
                     missing_until: None,
                     is_removed: false,
-                    is_superseded: false,
                 };
                 self.members.insert(at, member);
-                self.supersede_at_address(at);
                 return Some(Change::Joined(upstream));
             }
         };
@@ -292,7 +287,6 @@
         let upstream = Rc::clone(&member.upstream);
         if let Some(replaced) = replaced {
             self.record_departure(&replaced);
-            self.supersede_at_address(at);
         }
         match (is_same_boot, previous_state, upstream.state) {
             (false, _, _) => Some(Change::Joined(upstream)),
@@ -303,23 +297,6 @@
         }
     }
 
-    /// Marks the processes that a later one at the same address has taken the place of, after a change of one member.
-    ///
-    /// After a loss of power the store still names the old processes until their entries expire. Each would answer only
-    /// that another process has its address.
-    fn supersede_at_address(&mut self, at: usize) {
-        let joined = Rc::clone(&self.members[at].upstream);
-        let mut is_superseded = false;
-        for other in &mut self.members {
-            let is_same_place = other.upstream.addr == joined.addr;
-            if is_same_place && other.upstream.id != joined.id {
-                other.is_superseded |= other.upstream.boot < joined.boot;
-                is_superseded |= other.upstream.boot > joined.boot;
-            }
-        }
-        self.members[at].is_superseded = is_superseded;
-    }
-
     /// Records that an upstream's process has said itself that it leaves. It takes no new requests, whatever the store says of
     /// it; another process under its id does.
     pub fn record_leaving(&mut self, id: &Rc<str>, boot: u64) -> Option<Change> {
