Do not probe an engine for what its beacon has just told

Cause: a gateway asked a silent engine for its report although the beacon beside it had reported requests that wait.

--- a/src/forward/silence.rs
+++ b/src/forward/silence.rs
@@ -60,6 +60,10 @@
                 .map(|(_, state)| state),
             can_reroute,
         };
+        let is_reported_at_work = |since, now| {
+            let mut health = shared.health.borrow_mut();
+            health.entry(id, boot, now).is_reported_at_work(since, now)
+        };
         match silence_policy::next(&watch.limits, &activity, now) {
             NextAction::Wait(pause) => sleep(pause.duration()).await,
             NextAction::Reroute => return SilenceOutcome::Leave,
@@ -68,6 +72,11 @@
             NextAction::Probe if shared.pauses.borrow().is_paused(id, boot, now) => {
                 probed = Some((now, ProbeResult::AtWork));
             }
+            // The beacon beside it has just told what a probe would.
+            NextAction::Probe if is_reported_at_work(since, now) => {
+                shared.metrics.count_event("upstream_reported");
+                probed = Some((now, ProbeResult::AtWork));
+            }
             NextAction::Probe => {
                 let state = probe(&watch).await;
                 log::info!(event = "asked", request:% = String::from_utf8_lossy(watch.id),
--- a/src/router/health.rs
+++ b/src/router/health.rs
@@ -130,6 +130,14 @@
         self.ejected_until
     }
 
+    /// Returns whether a recent load report that arrived after `since` says that requests wait there, as a probe would.
+    #[must_use]
+    pub fn is_reported_at_work(&self, since: Millis, now: Millis) -> bool {
+        let is_new = self.last_report.is_some_and(|(_, at)| at > since);
+        let load = self.recent_load(now).filter(|_| is_new);
+        load.is_some_and(|load| load.waiting > 0 && load.leaving_boot.is_none())
+    }
+
     /// Returns whether the upstream is ejected now.
     #[must_use]
     pub fn is_ejected(&self, now: Millis) -> bool {
--- a/src/router/tests/outcome.rs
+++ b/src/router/tests/outcome.rs
@@ -1,7 +1,12 @@
 //! When a request may be sent again, what is guaranteed to the client, and when a silent upstream is abandoned.
 
+use std::num::NonZeroU64;
+use std::rc::Rc;
+
+use crate::beacon::Load;
 use crate::fixtures;
 use crate::router::attempt::{AttemptFailure, Attempts, ExecutionGuarantee};
+use crate::router::health::HealthTable;
 use crate::router::silence_policy::{self, Limits, NextAction, ProbeResult, UpstreamActivity};
 use crate::router::table::RequestKind;
 use crate::units::Millis;
@@ -127,6 +132,33 @@
     }
 }
 
+/// Waves of long prompts: many gateways wait at the same busy engine, and each probe takes its time and a connection. The report of the
+/// beacon beside it, if it came after the request fell silent, says the same.
+#[test]
+fn a_busy_engine_is_not_probed_for_what_its_beacon_has_told() {
+    let id = Rc::from("u");
+    let at_work = |waiting: u16, leaving: u64, arrived: Millis, now: Millis| {
+        let load = Load {
+            waiting,
+            leaving_boot: NonZeroU64::new(leaving),
+            ..Load::default()
+        };
+        let mut health = HealthTable::default();
+        health.record_load(&id, 1, load, arrived);
+        let silent_since = Millis(1_000);
+        health
+            .entry(&id, 1, now)
+            .is_reported_at_work(silent_since, now)
+    };
+    let now = Millis(2_000);
+
+    assert!(at_work(3, 0, Millis(1_900), now));
+    assert!(!at_work(0, 0, Millis(1_900), now));
+    assert!(!at_work(3, 0, Millis(900), now));
+    assert!(!at_work(3, 0, Millis(1_100), Millis(2_500)));
+    assert!(!at_work(3, 9, Millis(1_900), now));
+}
+
 /// A silent upstream must not end a request that cannot be sent to another upstream.
 #[test]
 fn without_another_attempt_only_the_deadline_ends_a_request() {
