--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -426,13 +426,10 @@
     for event in events {
         if let StoreEvent::Upstream(upstream) = &event {
             shared.observe_cold_entry(upstream, now);
-        }
-        if let StoreEvent::Upstream(upstream) = &event
-            && upstream.state == UpstreamState::Ready
-            && kind != UpdateKind::FirstListing
-        {
-            let mut departures = shared.departures.borrow_mut();
-            departures.cancel(&upstream.id, upstream.boot);
+            if upstream.state == UpstreamState::Ready && kind != UpdateKind::FirstListing {
+                let mut departures = shared.departures.borrow_mut();
+                departures.cancel(&upstream.id, upstream.boot);
+            }
         }
         match event {
             StoreEvent::Upstream(upstream) if kind != UpdateKind::Changes => {
--- a/src/forward/request.rs
+++ b/src/forward/request.rs
@@ -149,31 +149,11 @@
         let choice = match choose_after_pause(shared, client, job, &tried, may_wait).await {
             Ok(choice) => choice,
             Err(NoAttempt::ClientGone) => return Outcome::ClientGone,
-            Err(NoAttempt::NoChoice(NoChoice::Barred(Barrier::Limited(reason)))) => {
-                record_limited(shared, job, reason);
-                retry_after = retry_after.max(reason.wait);
-                break "limited";
-            }
-            Err(NoAttempt::NoChoice(NoChoice::Barred(Barrier::Cold(cold)))) => {
-                record_cold(shared, job, cold, "refused");
-                retry_after = retry_after.max(cold.wait);
-                break "cold";
-            }
-            Err(NoAttempt::NoChoice(NoChoice::Barred(Barrier::Paused(paused)))) => {
-                record_paused(shared, job, paused, "refused");
-                // Clients that were refused during one pause do not come back at the same moment.
-                let spread = shared.draw() % (paused.wait.0 / 4 + 1);
-                retry_after = retry_after.max(paused.wait + Millis(spread));
-                break "paused";
-            }
-            Err(NoAttempt::NoChoice(NoChoice::Barred(
-                barrier @ (Barrier::Evacuated | Barrier::OutsideHome),
-            ))) => {
-                retry_after = retry_after.max(record_barred(shared, job, barrier));
-                break barrier.name();
-            }
-            Err(NoAttempt::NoChoice(NoChoice::NoUpstream | NoChoice::Barred(Barrier::Leaving))) => {
-                break "no_upstream";
+            Err(NoAttempt::NoChoice(NoChoice::NoUpstream)) => break "no_upstream",
+            Err(NoAttempt::NoChoice(NoChoice::Barred(barrier))) => {
+                let (reason, wait) = record_barrier(shared, job, barrier);
+                retry_after = retry_after.max(wait);
+                break reason;
             }
         };
         let (upstream, now) = (&choice.upstream, shared.clock.now());
@@ -220,6 +200,28 @@
     finish_unanswered(client, job, &attempts, unanswered, &relay).await
 }
 
+/// Logs why no upstream may get the request; returns the reason and the time after which the client may retry.
+fn record_barrier(shared: &Shared, job: &Job, barrier: Barrier) -> (&'static str, Millis) {
+    let wait = match barrier {
+        Barrier::Leaving => return ("no_upstream", Millis(0)),
+        Barrier::Evacuated | Barrier::OutsideHome => record_barred(shared, job, barrier),
+        Barrier::Limited(reason) => {
+            record_limited(shared, job, reason);
+            reason.wait
+        }
+        Barrier::Cold(cold) => {
+            record_cold(shared, job, cold, "refused");
+            cold.wait
+        }
+        Barrier::Paused(paused) => {
+            record_paused(shared, job, paused, "refused");
+            // Clients that were refused during one pause do not come back at the same moment.
+            paused.wait + Millis(shared.draw() % (paused.wait.0 / 4 + 1))
+        }
+    };
+    (barrier.name(), wait)
+}
+
 /// Why there is no other attempt.
 enum NoAttempt {
     NoChoice(NoChoice),
