Do not take one lost report for a silence of the upstream

Cause: a beacon whose poll failed once told all gateways that its upstream had just come back, so it counted as cold for the time after a start. Change: only a second without a report, or another process, ends the time for which an upstream has answered; the gap was bounded already.

--- a/src/beacon/sender.rs
+++ b/src/beacon/sender.rs
@@ -40,7 +40,7 @@
 /// Time limit for the upstream's load report.
 pub(super) const REPORT_TIMEOUT: Millis = Millis(500);
 
-/// Time without a poll from which the upstream may have been away.
+/// Time without a report from which the upstream may have been away.
 const MAX_SILENCE: Millis = Millis(1_000);
 
 #[derive(Debug)]
@@ -180,7 +180,6 @@
         }
         let Some(load) = load else {
             conn = None;
-            answering.end();
             continue;
         };
         let answering_for = answering.observe(load.boot, now);
@@ -251,26 +250,22 @@
 
 /// Since when the upstream answers.
 #[derive(Debug, Default)]
-struct Answering {
+pub(super) struct Answering {
     since: Option<Millis>,
     last_at: Millis,
     boot: Option<NonZeroU64>,
 }
 
 impl Answering {
-    /// Records an answer; returns for how long the process has answered without a silence.
-    fn observe(&mut self, boot: Option<NonZeroU64>, now: Millis) -> Millis {
+    /// Records an answer; returns for how long the process has answered without a silence. A single report may be lost on its
+    /// way or come late.
+    pub(super) fn observe(&mut self, boot: Option<NonZeroU64>, now: Millis) -> Millis {
         if now.since(self.last_at) > MAX_SILENCE || self.boot != boot {
             self.since = None;
         }
         (self.last_at, self.boot) = (now, boot);
         now.since(*self.since.get_or_insert(now))
     }
-
-    /// Records that the upstream does not answer.
-    const fn end(&mut self) {
-        self.since = None;
-    }
 }
 
 fn to_u32(time: Millis) -> u32 {
--- a/src/beacon/tests.rs
+++ b/src/beacon/tests.rs
@@ -218,3 +218,19 @@
 
     assert!(sum <= 4_000, "{sum} ms");
 }
+
+/// One report that is lost or late must not make a warm upstream count as cold at all gateways; a silence or a new process must.
+#[test]
+fn an_upstream_answers_without_a_silence_although_a_report_is_lost() {
+    let boot = NonZeroU64::new(7);
+    let mut answering = sender::Answering::default();
+    answering.observe(boot, Millis(0));
+
+    let after_a_loss = answering.observe(boot, Millis(950));
+    let after_a_silence = answering.observe(boot, Millis(2_000));
+    let later = answering.observe(boot, Millis(2_400));
+    let of_another_process = answering.observe(NonZeroU64::new(8), Millis(2_600));
+
+    assert_eq!([after_a_loss, later], [Millis(950), Millis(400)]);
+    assert_eq!([after_a_silence, of_another_process], [Millis(0); 2]);
+}
