Cut the window of a paced upstream at four times the usual time

Cause: times to the first byte are about exponential, so one answer in eight takes twice the mean; windows were cut by chance and grew slowly. Change: four times the usual time of others, or the route's target while no other has answered.

--- a/src/router/pace/mod.rs
+++ b/src/router/pace/mod.rs
@@ -41,8 +41,9 @@
 /// Range of the hash that decides a turn.
 const TURN_RANGE: u64 = 1 << 20;
 
-/// Factor over the usual time of other upstreams from which an answer counts as slow.
-const SLOW_FACTOR: f64 = 2.0;
+/// Factor over the usual time of other upstreams from which an answer counts as slow. Times to first output are about
+/// exponentially distributed, so one answer in fifty at an upstream at its pace takes longer.
+const SLOW_FACTOR: f64 = 4.0;
 
 /// Why an upstream is paced.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -250,8 +251,8 @@
             (PaceSign::Failed, at) => return self.paces[at?].cut(now),
         };
         // If all upstreams are slow, this one is not slow because it has just started.
-        let usual = self.peers.usual(profile).unwrap_or(to_f64(target.0));
-        let is_slow = to_f64(took.0) > SLOW_FACTOR * usual;
+        let longest = (self.peers.usual(profile)).map_or(to_f64(target.0), |ms| SLOW_FACTOR * ms);
+        let is_slow = to_f64(took.0) > longest;
         let at = paced?;
         let pace = &mut self.paces[at];
         if is_slow {
