--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -263,12 +263,15 @@
         } else {
             "a"
         };
-        self.set_evacuated(Some(other));
+        self.set_evacuated(self.serves_without(other).then_some(other));
         let is_bad = !self.shared.seed.is_multiple_of(3);
         plain::start(&self.store, &self.shared, is_bad);
         let end = Instant::now() + QUIET_TIME;
         while Instant::now() < end {
             self.react();
+            if self.evacuated.is_some() && !self.serves_without(other) {
+                self.set_evacuated(None);
+            }
             thread::sleep(POLL_INTERVAL);
         }
         if let Some(finding) = plain::finding(&self.store, is_bad) {
@@ -392,6 +395,13 @@
         self.set_evacuated(evacuates.then_some(name));
     }
 
+    /// Returns whether an upstream that is neither limited nor crashed is left outside a data centre; otherwise its evacuation
+    /// refuses all generations.
+    fn serves_without(&self, name: &str) -> bool {
+        let mut others = self.upstreams.iter().skip(1);
+        others.any(|u| data_centre(&u.id) != name && !u.has_crashed())
+    }
+
     fn set_evacuated(&mut self, evacuated: Option<&'static str>) {
         let at = self.started_at.elapsed().as_millis();
         (self.injected).push(format!("  {at} ms: evacuated {evacuated:?}"));
