Start the routers of the review's scripts again if a port was taken

Cause: two of some sixty runs could not start a router, because a port that had been free was taken in the meantime.

--- a/review/kit-2/deployment.rs
+++ b/review/kit-2/deployment.rs
@@ -42,14 +42,26 @@
     Ok(ports)
 }
 
+/// Returns a UDP port that is free at all addresses of a run.
+fn free_udp_port(net: &str) -> io::Result<u16> {
+    for _ in 0..20 {
+        let port = UdpSocket::bind((format!("{net}.2").as_str(), 0))?
+            .local_addr()?
+            .port();
+        if (2..30).all(|n| UdpSocket::bind((format!("{net}.{n}").as_str(), port)).is_ok()) {
+            return Ok(port);
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
+}
+
 impl Deployment {
     pub fn open() -> io::Result<Self> {
         let net = format!("127.77.{}", 1 + std::process::id() % 250);
         let dir = std::env::temp_dir().join(format!("fireflywind-review-{}", std::process::id()));
         std::fs::create_dir_all(&dir)?;
         let store = Store::start(&format!("{net}.1"))?;
-        // Free at the first gateway; the addresses of this run are used by nobody else.
-        let [beacon_port] = free_ports(&format!("{net}.2"))?;
+        let beacon_port = free_udp_port(&net)?;
         Ok(Self {
             store,
             dir,
@@ -63,8 +75,24 @@
         format!("{}.{n}", self.net)
     }
 
-    /// Starts a router at the n-th address, with the settings that `deploy/gateway.json` gives on `sites/inci-rota.toml`.
+    /// Starts a router at the n-th address; with other ports if one was taken in the meantime.
     pub fn router(&mut self, n: u32) -> io::Result<Router> {
+        for _ in 0..5 {
+            let router = self.start_router(n)?;
+            thread::sleep(ms(300));
+            let Some(child) = self.children.last_mut() else {
+                break;
+            };
+            if matches!(child.try_wait(), Ok(None)) {
+                return Ok(router);
+            }
+            self.children.pop();
+        }
+        Err(io::Error::other("a router does not start"))
+    }
+
+    /// Starts a router at the n-th address, with the settings that `deploy/gateway.json` gives on `sites/inci-rota.toml`.
+    fn start_router(&mut self, n: u32) -> io::Result<Router> {
         let ip = self.ip(n);
         let [listen, ready, admin] = free_ports(&ip)?;
         let settings = format!(
--- a/review/kit-2/rig.rs
+++ b/review/kit-2/rig.rs
@@ -7,7 +7,7 @@
 use std::fmt::Write as _;
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
