--- a/review/kit-2/rig.rs
+++ b/review/kit-2/rig.rs
@@ -24,6 +24,7 @@
 mod poison;
 mod record;
 mod store;
+mod twins;
 mod worker;
 
 fn main() {
@@ -32,10 +33,11 @@
         Some("worker") => worker::main(&args[2..]),
         Some("poison") => poison::main(&args[2..]),
         Some("cut") => cut::main(&args[2..]),
+        Some("twins") => twins::main(&args[2..]),
         Some("odd") => odd::main(&args[2..]),
         _ => {
             eprintln!(
-                "usage: rig worker ... | rig poison RECORD ... | rig odd RECORD | rig cut RECORD"
+                "usage: rig worker ... | rig poison RECORD ... | rig odd RECORD | rig twins RECORD | rig cut RECORD"
             );
             2
         }
